Add the workspace, base types and the interfaces to outside systems

Cause: the repository was empty. Change: packages with CMake, formatter and linter settings; identifiers, errors as outcomes, tables of names, digests; abstract interfaces to the platform's services, engines, stores and plain services.

--- /dev/null
+++ b/packages/base/include/bilberrytrail/base/call.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <bilberrytrail/base/error.h>
+
+namespace bilberrytrail {
+
+// What is known of a call to an outside system that did not succeed.
+enum class CallFate : unsigned char
+{
+  // The receiver said that it did not run the call, or it was never sent.
+  NotRun,
+  // The receiver ran the call and reported a failure.
+  Failed,
+  // A reply was lost: the call may have taken effect.
+  Unknown
+};
+
+template<>
+struct EnumNames<CallFate>
+{
+  static constexpr std::array<std::string_view, 3> kNames{ "not_run",
+                                                           "failed",
+                                                           "unknown" };
+};
+
+// A failed call: its fate and the reason.
+struct CallError
+{
+  CallFate mFate = CallFate::Unknown;
+  Error mError;
+};
+
+// The outcome of a call to an outside system.
+template<class T>
+using CallResult = Result<T, CallError>;
+
+// Makes a CallError, which converts to any CallResult.
+[[nodiscard]] inline CallError
+FailCall(CallFate aFate, ErrorCode aCode, std::string aMessage)
+{
+  return CallError{ aFate, Fail(aCode, std::move(aMessage)) };
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/base/include/bilberrytrail/base/endpoint.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <bilberrytrail/base/error.h>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace bilberrytrail {
+
+// Address of a listening socket by IP number and port.
+struct Endpoint
+{
+  std::string mHost;
+  std::uint16_t mPort = 0;
+
+  auto operator<=>(const Endpoint&) const = default;
+};
+
+// Returns "host:port".
+[[nodiscard]] std::string
+ToText(const Endpoint& aEndpoint);
+
+// Reads "host:port", with or without a leading "http://". Fails with
+// InvalidInput when the port is missing or out of range.
+[[nodiscard]] Result<Endpoint>
+ParseEndpoint(std::string_view aText);
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/base/include/bilberrytrail/base/time.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace bilberrytrail {
+
+// Length of time in microseconds; all decisions compute with it.
+using Duration = std::chrono::microseconds;
+
+// Point on the monotonic clock of one process. Never sent to another process.
+using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+using std::chrono_literals::operator""us;
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+// Reads the monotonic clock. Decision code does not call it: it is given now.
+[[nodiscard]] inline Instant
+MonotonicNow() noexcept
+{
+  return std::chrono::time_point_cast<Duration>(
+    std::chrono::steady_clock::now());
+}
+
+// Returns a length of time in milliseconds, for messages and reports.
+[[nodiscard]] constexpr double
+ToMillis(Duration aLength) noexcept
+{
+  return static_cast<double>(aLength.count()) / 1000.0;
+}
+
+// Returns a length of time from milliseconds.
+[[nodiscard]] constexpr Duration
+FromMillis(double aMillis) noexcept
+{
+  return Duration(static_cast<std::int64_t>(aMillis * 1000.0));
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/platform/include/bilberrytrail/platform/table_service.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <bilberrytrail/base/call.h>
+#include <bilberrytrail/base/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bilberrytrail {
+
+// One row of the table service. Versions start at 1 and grow with each write.
+struct TableRow
+{
+  std::string mKey;
+  std::string mValue;
+  std::uint64_t mVersion = 0;
+};
+
+// One write of a transaction: takes effect only when the row has the expected
+// version, where 0 means that the row must not exist.
+struct TableWrite
+{
+  std::string mKey;
+  std::string mValue;
+  std::uint64_t mExpectedVersion = 0;
+};
+
+// What a transaction came to. When not committed, mCurrent holds the rows
+// whose versions were not the expected ones (version 0 when absent).
+struct CommitOutcome
+{
+  bool mCommitted = false;
+  std::vector<TableRow> mCurrent;
+};
+
+// The platform's transactional table service. An Unknown fate of Commit means
+// that the reply was lost: read the rows back to learn what happened.
+class TableService
+{
+public:
+  virtual ~TableService() = default;
+
+  // Reads one row; nothing when it does not exist.
+  [[nodiscard]] virtual CallResult<std::optional<TableRow>> Read(
+    const std::string& aKey,
+    Duration aTimeout) = 0;
+  // Reads the rows whose keys begin with the prefix, in order of keys, at
+  // most aLimit of them.
+  [[nodiscard]] virtual CallResult<std::vector<TableRow>>
+  Scan(const std::string& aPrefix, std::size_t aLimit, Duration aTimeout) = 0;
+  // Applies all writes, or none of them when a version differs.
+  [[nodiscard]] virtual CallResult<CommitOutcome> Commit(
+    const std::vector<TableWrite>& aWrites,
+    Duration aTimeout) = 0;
+};
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/platform/include/bilberrytrail/platform/vm_list.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <bilberrytrail/base/call.h>
+#include <bilberrytrail/base/endpoint.h>
+#include <bilberrytrail/base/ids.h>
+#include <bilberrytrail/base/time.h>
+
+#include <string>
+#include <vector>
+
+namespace bilberrytrail {
+
+// What a VM of the list is for.
+enum class VmRole : unsigned char
+{
+  Entry,
+  Engine,
+  Store,
+  Service
+};
+
+template<>
+struct EnumNames<VmRole>
+{
+  static constexpr std::array<std::string_view, 4> kNames{ "entry",
+                                                           "engine",
+                                                           "store",
+                                                           "service" };
+};
+
+// One VM as the platform's list reports it, seconds late at times.
+struct VmEntry
+{
+  std::string mName;
+  VmRole mRole = VmRole::Entry;
+  // Product that owns the backend server; empty for entry VMs.
+  ProductId mProduct;
+  // Group of alike backend servers: the order service's name, or empty.
+  std::string mGroup;
+  ZoneId mZone;
+  Endpoint mEndpoint;
+  bool mLeaving = false;
+  // The backend server rejects orders with an old fencing number.
+  bool mChecksFencing = false;
+};
+
+// The platform's list of live and leaving VMs.
+class VmList
+{
+public:
+  virtual ~VmList() = default;
+
+  // Reads the whole list.
+  [[nodiscard]] virtual CallResult<std::vector<VmEntry>> Fetch(
+    Duration aTimeout) = 0;
+};
+
+} // namespace bilberrytrail
