--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -42,6 +42,8 @@
 class HttpClient
 {
 public:
+  class Impl;
+
   explicit HttpClient(Loop& aLoop);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
@@ -58,7 +60,6 @@
                                                    Duration aTimeout);
 
 private:
-  class Impl;
   std::shared_ptr<Impl> mImpl;
 };
 
--- a/packages/runtime/include/bilberrytrail/runtime/loop.h
+++ b/packages/runtime/include/bilberrytrail/runtime/loop.h
@@ -11,10 +11,14 @@
 //
 //   Loop loop;
 //   loop.Spawn([&] {
-//     loop.Sleep(10ms);
-//     loop.Stop();
+//     if (loop.Sleep(10ms)) {
+//       loop.Stop();
+//     }
 //   });
 //   loop.Run();
+//
+// After Stop every wait of a fiber ends at once as cancelled, so that the
+// fibers unwind; Run returns when the last of them has ended.
 class Loop
 {
 public:
@@ -28,17 +32,21 @@
   // Returns the implementation, for the other parts of this package.
   [[nodiscard]] Impl& Internals() noexcept { return *mImpl; }
 
+  // Returns true after Stop. Thread-safe.
+  [[nodiscard]] bool IsStopping() const noexcept;
+
   // Runs the loop on the calling thread until Stop. One call per Loop.
   void Run();
-  // Makes Run return soon. Fibers that still wait are abandoned. Thread-safe.
+  // Makes Run end. Thread-safe.
   void Stop();
   // Runs the function on the loop's thread, outside any fiber; it must not
   // wait. Thread-safe.
   void Post(std::function<void()> aTask);
   // Starts a fiber on the loop's thread. Thread-safe.
   void Spawn(std::function<void()> aTask);
-  // Suspends the calling fiber of this loop.
-  void Sleep(Duration aLength);
+  // Suspends the calling fiber of this loop. Returns false when the loop is
+  // stopping.
+  [[nodiscard]] bool Sleep(Duration aLength);
 
 private:
   std::unique_ptr<Impl> mImpl;
--- /dev/null
+++ b/packages/runtime/src/http_server.cpp
@@ -0,0 +1,432 @@
+#include "loop_impl.h"
+#include "socket_state.h"
+#include "use_fiber.h"
+
+#include <bilberrytrail/runtime/http_server.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <tuple>
+#include <unordered_set>
+
+namespace bilberrytrail {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using ReusePort =
+  asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+using RequestParser = http::request_parser<http::string_body>;
+
+// Longest time that a refused sender's remaining bytes are read and dropped,
+// so that it gets to see the refusal.
+constexpr Duration kLingerTime = 1s;
+
+Error
+PeerGone(const beast::error_code& aCode)
+{
+  return Fail(ErrorCode::Unavailable, "peer has gone: " + aCode.message());
+}
+
+// The status that answers a request which could not be read; 0 for none.
+unsigned
+RefusalStatus(const beast::error_code& aCode)
+{
+  if (aCode == http::error::body_limit) {
+    return 413;
+  }
+  if (aCode == http::error::header_limit) {
+    return 431;
+  }
+  if (aCode == beast::error::timeout) {
+    return 408;
+  }
+  if (aCode.category() == make_error_code(http::error::bad_method).category() &&
+      aCode != http::error::end_of_stream &&
+      aCode != http::error::partial_message) {
+    return 400;
+  }
+  return 0;
+}
+
+class ResponderImpl final : public HttpResponder
+{
+public:
+  ResponderImpl(beast::tcp_stream& aStream,
+                const HttpLimits& aLimits,
+                bool aKeepAlive)
+    : mStream(aStream)
+    , mLimits(aLimits)
+    , mKeepAlive(aKeepAlive)
+  {
+  }
+
+  [[nodiscard]] bool HasBegun() const noexcept override { return mBegun; }
+  [[nodiscard]] bool IsComplete() const noexcept { return mComplete; }
+  [[nodiscard]] bool IsKeepAlive() const noexcept { return mKeepAlive; }
+
+  [[nodiscard]] bool IsPeerOpen() noexcept override
+  {
+    return mStream.socket().is_open() &&
+           PeekSocket(mStream.socket().native_handle()) != SocketState::Closed;
+  }
+
+  Result<void> Send(HttpResponse aResponse) override
+  {
+    mBegun = true;
+    http::response<http::string_body> response;
+    Prepare(response, aResponse.mStatus, aResponse.mHeaders);
+    response.body() = std::move(aResponse.mBody);
+    response.prepare_payload();
+    mStream.expires_after(mLimits.mWriteTime);
+    const auto [ec, n] = http::async_write(mStream, response, kUseFiber);
+    return Finish(ec);
+  }
+
+  Result<void> BeginStream(unsigned aStatus, HttpHeaders aHeaders) override
+  {
+    mBegun = true;
+    http::response<http::empty_body> response;
+    Prepare(response, aStatus, aHeaders);
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer(response);
+    mStream.expires_after(mLimits.mWriteTime);
+    const auto [ec, n] =
+      http::async_write_header(mStream, serializer, kUseFiber);
+    return Checked(ec);
+  }
+
+  Result<void> WriteChunk(std::string_view aData) override
+  {
+    if (aData.empty()) {
+      return Ok();
+    }
+    mStream.expires_after(mLimits.mWriteTime);
+    const auto [ec, n] = asio::async_write(
+      mStream,
+      http::make_chunk(asio::const_buffer(aData.data(), aData.size())),
+      kUseFiber);
+    return Checked(ec);
+  }
+
+  Result<void> EndStream() override
+  {
+    mStream.expires_after(mLimits.mWriteTime);
+    const auto [ec, n] =
+      asio::async_write(mStream, http::make_chunk_last(), kUseFiber);
+    return Finish(ec);
+  }
+
+  void Abort() override
+  {
+    mBegun = true;
+    mKeepAlive = false;
+    beast::error_code ec;
+    mStream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    mStream.socket().close(ec);
+  }
+
+private:
+  template<class Message>
+  void Prepare(Message& aMessage, unsigned aStatus, const HttpHeaders& aHeaders)
+  {
+    aMessage.result(aStatus);
+    aMessage.version(11);
+    aMessage.keep_alive(mKeepAlive);
+    for (const auto& header : aHeaders) {
+      aMessage.insert(header.mName, header.mValue);
+    }
+  }
+
+  Result<void> Checked(const beast::error_code& aCode)
+  {
+    if (aCode) {
+      mKeepAlive = false;
+      return PeerGone(aCode);
+    }
+    return Ok();
+  }
+
+  Result<void> Finish(const beast::error_code& aCode)
+  {
+    mComplete = !aCode;
+    return Checked(aCode);
+  }
+
+  beast::tcp_stream& mStream;
+  const HttpLimits& mLimits;
+  bool mKeepAlive;
+  bool mBegun = false;
+  bool mComplete = false;
+};
+
+HttpRequest
+TakeRequest(RequestParser& aParser)
+{
+  auto message = aParser.release();
+  HttpRequest request;
+  request.mMethod = std::string(message.method_string());
+  request.mTarget = std::string(message.target());
+  for (const auto& field : message) {
+    request.mHeaders.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.mBody = std::move(message.body());
+  return request;
+}
+
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
+{
+public:
+  Impl(Loop& aLoop, const HttpLimits& aLimits)
+    : mLoop(aLoop)
+    , mLimits(aLimits)
+    , mAcceptor(aLoop.Internals().Context())
+  {
+  }
+
+  [[nodiscard]] std::size_t ActiveRequests() const noexcept { return mActive; }
+
+  Result<std::uint16_t> Listen(const Endpoint& aEndpoint, bool aShared);
+  void Start(HttpHandler& aHandler)
+  {
+    mLoop.Spawn(
+      [self = shared_from_this(), &aHandler] { self->Accept(aHandler); });
+  }
+  void StopAccepting();
+
+private:
+  void Accept(HttpHandler& aHandler);
+  void Session(tcp::socket aSocket, HttpHandler& aHandler);
+  // Reads one request; false when the connection is to be closed.
+  bool ReadRequest(beast::tcp_stream& aStream,
+                   beast::flat_buffer& aBuffer,
+                   RequestParser& aParser);
+  bool AwaitRequest(beast::tcp_stream& aStream,
+                    const beast::flat_buffer& aBuffer);
+  void RefuseRequest(beast::tcp_stream& aStream,
+                     const beast::error_code& aCode);
+  bool HandleRequest(beast::tcp_stream& aStream,
+                     RequestParser& aParser,
+                     HttpHandler& aHandler);
+
+  Loop& mLoop;
+  const HttpLimits mLimits;
+  tcp::acceptor mAcceptor;
+  std::unordered_set<beast::tcp_stream*> mIdle;
+  std::size_t mActive = 0;
+  bool mStopped = false;
+};
+
+Result<std::uint16_t>
+HttpServer::Impl::Listen(const Endpoint& aEndpoint, bool aShared)
+{
+  beast::error_code ec;
+  const auto address = asio::ip::make_address(aEndpoint.mHost, ec);
+  if (ec) {
+    return Fail(ErrorCode::InvalidInput,
+                "not an IP number: " + aEndpoint.mHost);
+  }
+  const tcp::endpoint endpoint(address, aEndpoint.mPort);
+  mAcceptor.open(endpoint.protocol(), ec);
+  if (!ec) {
+    mAcceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  }
+  if (!ec && aShared) {
+    mAcceptor.set_option(ReusePort(true), ec);
+  }
+  if (!ec) {
+    mAcceptor.bind(endpoint, ec);
+  }
+  if (!ec) {
+    mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return Fail(ErrorCode::Unavailable,
+                "cannot listen on " + ToText(aEndpoint) + ": " + ec.message());
+  }
+  return mAcceptor.local_endpoint().port();
+}
+
+void
+HttpServer::Impl::Accept(HttpHandler& aHandler)
+{
+  while (!mStopped && !mLoop.IsStopping()) {
+    tcp::socket socket(mLoop.Internals().Context());
+    const auto [ec] = mAcceptor.async_accept(socket, kUseFiber);
+    if (ec == asio::error::operation_aborted || !mAcceptor.is_open()) {
+      return;
+    }
+    if (ec) {
+      constexpr Duration kAcceptPause = 10ms;
+      (void)mLoop.Sleep(kAcceptPause);
+      continue;
+    }
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    mLoop.Spawn([self = shared_from_this(), shared, &aHandler] {
+      self->Session(std::move(*shared), aHandler);
+    });
+  }
+}
+
+void
+HttpServer::Impl::StopAccepting()
+{
+  mStopped = true;
+  beast::error_code ec;
+  mAcceptor.close(ec);
+  for (auto* stream : mIdle) {
+    stream->socket().shutdown(tcp::socket::shutdown_both, ec);
+  }
+}
+
+void
+HttpServer::Impl::Session(tcp::socket aSocket, HttpHandler& aHandler)
+{
+  beast::error_code ec;
+  aSocket.set_option(tcp::no_delay(true), ec);
+  beast::tcp_stream stream(std::move(aSocket));
+  beast::flat_buffer buf;
+  bool open = true;
+  while (open && !(mStopped && buf.size() == 0)) {
+    RequestParser parser;
+    parser.header_limit(static_cast<std::uint32_t>(mLimits.mHeaderBytes));
+    parser.body_limit(mLimits.mBodyBytes);
+    open = AwaitRequest(stream, buf) && ReadRequest(stream, buf, parser) &&
+           HandleRequest(stream, parser, aHandler);
+  }
+  stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+}
+
+bool
+HttpServer::Impl::AwaitRequest(beast::tcp_stream& aStream,
+                               const beast::flat_buffer& aBuffer)
+{
+  if (aBuffer.size() > 0) {
+    return true;
+  }
+  mIdle.insert(&aStream);
+  auto idle = std::make_shared<beast::tcp_stream*>(&aStream);
+  asio::steady_timer timer(mLoop.Internals().Context(), mLimits.mIdleTime);
+  timer.async_wait([idle](const beast::error_code& aCode) {
+    if (!aCode && *idle != nullptr) {
+      (*idle)->cancel();
+    }
+  });
+  const auto [ec] =
+    aStream.socket().async_wait(tcp::socket::wait_read, kUseFiber);
+  *idle = nullptr;
+  mIdle.erase(&aStream);
+  return !ec;
+}
+
+bool
+HttpServer::Impl::ReadRequest(beast::tcp_stream& aStream,
+                              beast::flat_buffer& aBuffer,
+                              RequestParser& aParser)
+{
+  aStream.expires_after(mLimits.mReadTime);
+  auto [ec, n] = http::async_read_header(aStream, aBuffer, aParser, kUseFiber);
+  if (!ec && aParser.get()[http::field::expect] == "100-continue") {
+    http::response<http::empty_body> interim(http::status::continue_, 11);
+    std::tie(ec, n) = http::async_write(aStream, interim, kUseFiber);
+  }
+  if (!ec) {
+    std::tie(ec, n) = http::async_read(aStream, aBuffer, aParser, kUseFiber);
+  }
+  if (ec) {
+    RefuseRequest(aStream, ec);
+    return false;
+  }
+  return true;
+}
+
+void
+HttpServer::Impl::RefuseRequest(beast::tcp_stream& aStream,
+                                const beast::error_code& aCode)
+{
+  const unsigned status = RefusalStatus(aCode);
+  if (status == 0 || !aStream.socket().is_open()) {
+    return;
+  }
+  ResponderImpl responder(aStream, mLimits, false);
+  const auto sent = responder.Send(
+    { status,
+      { { "Content-Type", "application/problem+json" } },
+      R"({"status":)" + std::to_string(status) +
+        R"(,"title":"request not readable","disposition":"not_run"})" });
+  if (!sent) {
+    return;
+  }
+  beast::error_code ec;
+  aStream.socket().shutdown(tcp::socket::shutdown_send, ec);
+  std::array<char, 4096> buf{};
+  const auto end = MonotonicNow() + kLingerTime;
+  while (!ec && MonotonicNow() < end) {
+    aStream.expires_after(kLingerTime);
+    std::size_t n = 0;
+    std::tie(ec, n) = aStream.async_read_some(asio::buffer(buf), kUseFiber);
+  }
+}
+
+bool
+HttpServer::Impl::HandleRequest(beast::tcp_stream& aStream,
+                                RequestParser& aParser,
+                                HttpHandler& aHandler)
+{
+  const bool keepAlive = aParser.get().keep_alive() && !mStopped;
+  const HttpRequest request = TakeRequest(aParser);
+  ResponderImpl responder(aStream, mLimits, keepAlive);
+  aStream.expires_never();
+  ++mActive;
+  aHandler.Handle(request, responder);
+  --mActive;
+  if (!responder.IsComplete()) {
+    responder.Abort();
+  }
+  return responder.IsComplete() && responder.IsKeepAlive();
+}
+
+HttpServer::HttpServer(Loop& aLoop, const HttpLimits& aLimits)
+  : mImpl(std::make_shared<Impl>(aLoop, aLimits))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+std::size_t
+HttpServer::ActiveRequests() const noexcept
+{
+  return mImpl->ActiveRequests();
+}
+
+Result<std::uint16_t>
+HttpServer::Listen(const Endpoint& aEndpoint, bool aShared)
+{
+  return mImpl->Listen(aEndpoint, aShared);
+}
+
+void
+HttpServer::Serve(HttpHandler& aHandler)
+{
+  mImpl->Start(aHandler);
+}
+
+void
+HttpServer::StopAccepting()
+{
+  mImpl->StopAccepting();
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/runtime/src/loop.cpp
@@ -0,0 +1,220 @@
+#include "loop_impl.h"
+#include "use_fiber.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/fiber/algo/round_robin.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/fixedsize_stack.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <cassert>
+#include <vector>
+
+namespace bilberrytrail {
+
+namespace {
+
+constexpr std::size_t kFiberStackBytes = 128 * 1024;
+
+thread_local Loop::Impl* tCurrent = nullptr;
+thread_local std::size_t tReadyFibers = 0;
+
+// Round-robin scheduling that counts the ready fibers, so that the loop knows
+// when it may block for sockets and timers.
+class CountingScheduler final : public boost::fibers::algo::round_robin
+{
+public:
+  void awakened(boost::fibers::context* aFiber) noexcept override
+  {
+    if (IsCounted(aFiber)) {
+      ++tReadyFibers;
+    }
+    round_robin::awakened(aFiber);
+  }
+
+  boost::fibers::context* pick_next() noexcept override
+  {
+    auto* fiber = round_robin::pick_next();
+    if (fiber != nullptr && IsCounted(fiber)) {
+      --tReadyFibers;
+    }
+    return fiber;
+  }
+
+private:
+  static bool IsCounted(boost::fibers::context* aFiber) noexcept
+  {
+    return !aFiber->is_context(boost::fibers::type::dispatcher_context);
+  }
+};
+
+void
+UseCountingScheduler()
+{
+  thread_local bool tInstalled = false;
+  if (!tInstalled) {
+    boost::fibers::use_scheduling_algorithm<CountingScheduler>();
+    tInstalled = true;
+  }
+}
+
+} // namespace
+
+Loop::Impl::Impl()
+  : mContext(1)
+  , mWork(mContext.get_executor())
+{
+}
+
+Loop::Impl*
+Loop::Impl::Current() noexcept
+{
+  return tCurrent;
+}
+
+void
+Loop::Impl::Run()
+{
+  assert(tCurrent == nullptr);
+  tCurrent = this;
+  UseCountingScheduler();
+  while (!mStopping) {
+    if (tReadyFibers > 0) {
+      boost::this_fiber::yield();
+      mContext.poll();
+    } else {
+      mContext.run_one();
+    }
+  }
+  EndFibers();
+  tCurrent = nullptr;
+}
+
+void
+Loop::Impl::EndFibers()
+{
+  while (mFibers > 0) {
+    const std::vector<PendingWait*> waits(mWaits.begin(), mWaits.end());
+    for (auto* wait : waits) {
+      wait->Cancel();
+    }
+    boost::this_fiber::yield();
+  }
+}
+
+void
+Loop::Impl::Stop()
+{
+  mStopping = true;
+  boost::asio::post(mContext, [] {});
+}
+
+void
+Loop::Impl::Spawn(std::function<void()> aTask)
+{
+  boost::asio::post(mContext, [this, task = std::move(aTask)]() mutable {
+    StartFiber(std::move(task));
+  });
+}
+
+void
+Loop::Impl::StartFiber(std::function<void()> aTask)
+{
+  ++mFibers;
+  boost::fibers::fiber(boost::fibers::launch::post,
+                       std::allocator_arg,
+                       boost::fibers::fixedsize_stack(kFiberStackBytes),
+                       [this, task = std::move(aTask)] {
+                         task();
+                         --mFibers;
+                       })
+    .detach();
+}
+
+Loop::Loop()
+  : mImpl(std::make_unique<Impl>())
+{
+}
+
+Loop::~Loop() = default;
+
+bool
+Loop::IsStopping() const noexcept
+{
+  return mImpl->IsStopping();
+}
+
+void
+Loop::Run()
+{
+  mImpl->Run();
+}
+
+void
+Loop::Stop()
+{
+  mImpl->Stop();
+}
+
+void
+Loop::Post(std::function<void()> aTask)
+{
+  boost::asio::post(mImpl->Context(), std::move(aTask));
+}
+
+void
+Loop::Spawn(std::function<void()> aTask)
+{
+  mImpl->Spawn(std::move(aTask));
+}
+
+bool
+Loop::Sleep(Duration aLength)
+{
+  boost::asio::steady_timer timer(mImpl->Context(), aLength);
+  timer.async_wait(kUseFiber);
+  return !mImpl->IsStopping();
+}
+
+class Event::Impl
+{
+public:
+  explicit Impl(boost::asio::io_context& aContext)
+    : mContext(aContext)
+    , mTimer(aContext)
+  {
+  }
+
+  boost::asio::io_context& mContext;
+  boost::asio::steady_timer mTimer;
+  bool mNotified = false;
+};
+
+Event::Event(Loop& aLoop)
+  : mImpl(std::make_shared<Impl>(aLoop.Internals().Context()))
+{
+}
+
+Event::~Event() = default;
+
+bool
+Event::Wait(Duration aTimeout)
+{
+  if (!mImpl->mNotified) {
+    mImpl->mTimer.expires_after(aTimeout);
+    mImpl->mTimer.async_wait(kUseFiber);
+  }
+  return std::exchange(mImpl->mNotified, false);
+}
+
+void
+Event::Notify()
+{
+  boost::asio::post(mImpl->mContext, [impl = mImpl] {
+    impl->mNotified = true;
+    impl->mTimer.cancel();
+  });
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/runtime/tests/http_test.cpp
@@ -0,0 +1,126 @@
+#include <bilberrytrail/runtime/http_client.h>
+#include <bilberrytrail/runtime/http_server.h>
+#include <bilberrytrail/runtime/loop.h>
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+
+namespace {
+
+// Echoes the body; /stream sends three lines, /cut breaks off within one.
+class EchoHandler final : public HttpHandler
+{
+public:
+  void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override
+  {
+    if (aRequest.mTarget == "/stream" || aRequest.mTarget == "/cut") {
+      (void)aResponder.BeginStream(200, {});
+      (void)aResponder.WriteChunk("one\ntwo\nth");
+      if (aRequest.mTarget == "/cut") {
+        aResponder.Abort();
+        return;
+      }
+      (void)aResponder.WriteChunk("ree\n");
+      (void)aResponder.EndStream();
+      return;
+    }
+    (void)aResponder.Send({ 200, { { "X-Echo", "yes" } }, aRequest.mBody });
+  }
+};
+
+// Runs the body on a fiber beside a server with the handler.
+template<class Body>
+void
+WithServer(const HttpLimits& aLimits, Body aBody)
+{
+  Loop loop;
+  EchoHandler handler;
+  HttpServer server(loop, aLimits);
+  const auto port = server.Listen({ "127.0.0.1", 0 });
+  REQUIRE(port.has_value());
+  server.Serve(handler);
+  loop.Spawn([&] {
+    aBody(loop, Endpoint{ "127.0.0.1", port.value() });
+    loop.Stop();
+  });
+  loop.Run();
+}
+
+} // namespace
+
+TEST_CASE("a request gets its response over a kept connection")
+{
+  WithServer(HttpLimits(), [](Loop& aLoop, const Endpoint& aEndpoint) {
+    HttpClient client(aLoop);
+    for (int n = 0; n < 3; ++n) {
+      const std::string body(static_cast<std::size_t>(n) * 100000, 'x');
+      const auto response =
+        client.Call(aEndpoint, { "POST", "/echo", {}, body }, 5s);
+      REQUIRE(response.has_value());
+      CHECK(response.value().mBody == body);
+      CHECK(FindHeader(response.value().mHeaders, "x-echo") == "yes");
+    }
+  });
+}
+
+TEST_CASE("a streamed body is read by lines and a cut is told")
+{
+  WithServer(HttpLimits(), [](Loop& aLoop, const Endpoint& aEndpoint) {
+    HttpClient client(aLoop);
+    for (const bool cut : { false, true }) {
+      CAPTURE(cut);
+      auto stream =
+        client.Open(aEndpoint, { "GET", cut ? "/cut" : "/stream", {}, "" }, 5s);
+      REQUIRE(stream.has_value());
+      CHECK(*stream.value().ReadLine(5s).value() == "one");
+      CHECK(*stream.value().ReadLine(5s).value() == "two");
+      const auto third = stream.value().ReadLine(5s);
+      REQUIRE(third.has_value() == !cut);
+      if (!cut) {
+        CHECK(*third.value() == "three");
+        CHECK_FALSE(stream.value().ReadLine(5s).value().has_value());
+      }
+    }
+  });
+}
+
+TEST_CASE("an oversized body is refused with 413")
+{
+  HttpLimits limits;
+  limits.mBodyBytes = 1000;
+  WithServer(limits, [](Loop& aLoop, const Endpoint& aEndpoint) {
+    HttpClient client(aLoop);
+    const auto response = client.Call(
+      aEndpoint, { "POST", "/echo", {}, std::string(2000, 'x') }, 5s);
+    REQUIRE(response.has_value());
+    CHECK(response.value().mStatus == 413);
+  });
+}
+
+TEST_CASE("a refused connection tells that nothing was sent")
+{
+  WithServer(HttpLimits(), [](Loop& aLoop, const Endpoint& /*aEndpoint*/) {
+    HttpClient client(aLoop);
+    const auto response =
+      client.Call({ "127.0.0.1", 1 }, { "GET", "/", {}, "" }, 5s);
+    REQUIRE_FALSE(response.has_value());
+    CHECK(response.error().mSent == SendState::NotSent);
+  });
+}
+
+TEST_CASE("stopping the loop ends every wait")
+{
+  Loop loop;
+  bool slept = true;
+  bool notified = true;
+  loop.Spawn([&] { slept = loop.Sleep(1000s); });
+  loop.Spawn([&] {
+    Event event(loop);
+    notified = event.Wait(1000s);
+  });
+  loop.Spawn([&] { loop.Stop(); });
+  loop.Run();
+  CHECK_FALSE(slept);
+  CHECK_FALSE(notified);
+}
