Add JSON-RPC between daemons over libjsonrpccpp

Cause: control calls between daemons need requests with typed errors. Change: libjsonrpccpp builds and answers the messages behind a boundary of its own C++14 sources; the transport is a function, so that it runs over the fiber HTTP client.

--- /dev/null
+++ b/packages/runtime/include/bilberrytrail/runtime/rpc.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <bilberrytrail/base/error.h>
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace bilberrytrail {
+
+// Parameters and results of calls between daemons.
+using Json = nlohmann::json;
+
+// Reads JSON text; fails with Corrupt instead of throwing.
+[[nodiscard]] Result<Json>
+ParseJson(std::string_view aText);
+
+// Carries the text of a request to a daemon and returns the response's text.
+using RpcTransport = std::function<Result<std::string>(const std::string&)>;
+
+// Makes a JSON-RPC 2.0 call over the transport. Fails with the transport's
+// error, or with the error that the method returned.
+//
+//   auto result = CallRpc("queue.estimate", { { "server", name } }, transport);
+[[nodiscard]] Result<Json>
+CallRpc(const std::string& aMethod,
+        const Json& aParams,
+        const RpcTransport& aTransport);
+
+// The methods that a daemon offers to other daemons. Parameters and results
+// are JSON objects.
+class RpcMethods
+{
+public:
+  using Method = std::function<Result<Json>(const Json& aParams)>;
+
+  // Answers one request text. An unknown method, unreadable text and a failed
+  // method are answered as JSON-RPC errors.
+  [[nodiscard]] std::string Serve(const std::string& aRequest) const;
+
+  // Adds or replaces a method.
+  void Add(const std::string& aName, Method aMethod);
+
+private:
+  std::map<std::string, Method, std::less<>> mMethods;
+};
+
+} // namespace bilberrytrail
