--- /dev/null
+++ b/packages/platform/src/json_fields.cpp
@@ -0,0 +1,174 @@
+#include <bilberrytrail/platform/json_fields.h>
+
+#include <limits>
+
+namespace bilberrytrail {
+
+namespace {
+
+const Json&
+EmptyArray()
+{
+  static const Json empty = Json::array();
+  return empty;
+}
+
+const Json&
+EmptyObject()
+{
+  static const Json empty = Json::object();
+  return empty;
+}
+
+} // namespace
+
+Result<Json>
+ParseJson(std::string_view aText)
+{
+  auto json = Json::parse(aText, nullptr, false);
+  if (json.is_discarded()) {
+    return Fail(ErrorCode::Corrupt, "malformed JSON");
+  }
+  return json;
+}
+
+Result<std::string>
+WriteJson(const Json& aJson)
+{
+  try {
+    return aJson.dump();
+  } catch (const Json::exception&) {
+    return Fail(ErrorCode::InvalidInput, "text is not UTF-8");
+  }
+}
+
+JsonFields::JsonFields(const Json& aObject)
+  : mObject(aObject)
+{
+  if (!mObject.is_object()) {
+    mBad = "object";
+  }
+}
+
+Result<void>
+JsonFields::Check() const
+{
+  if (!mBad.empty()) {
+    return Fail(ErrorCode::Corrupt, "missing or mistyped field: " + mBad);
+  }
+  return Ok();
+}
+
+bool
+JsonFields::Has(std::string_view aName) const
+{
+  const auto* field = Find(aName);
+  return field != nullptr && !field->is_null();
+}
+
+std::string
+JsonFields::Text(std::string_view aName)
+{
+  const auto* field = Find(aName);
+  if (field == nullptr || !field->is_string()) {
+    Reject(aName);
+    return {};
+  }
+  return field->get_ref<const std::string&>();
+}
+
+std::uint64_t
+JsonFields::Unsigned(std::string_view aName)
+{
+  return UnsignedUpTo(aName, std::numeric_limits<std::uint64_t>::max());
+}
+
+std::uint32_t
+JsonFields::Unsigned32(std::string_view aName)
+{
+  constexpr auto kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(UnsignedUpTo(aName, kMost));
+}
+
+std::uint16_t
+JsonFields::Unsigned16(std::string_view aName)
+{
+  constexpr auto kMost = std::numeric_limits<std::uint16_t>::max();
+  return static_cast<std::uint16_t>(UnsignedUpTo(aName, kMost));
+}
+
+double
+JsonFields::Real(std::string_view aName)
+{
+  const auto* field = Find(aName);
+  if (field == nullptr || !field->is_number()) {
+    Reject(aName);
+    return 0;
+  }
+  return field->get<double>();
+}
+
+bool
+JsonFields::Flag(std::string_view aName)
+{
+  const auto* field = Find(aName);
+  if (field == nullptr || !field->is_boolean()) {
+    Reject(aName);
+    return false;
+  }
+  return field->get<bool>();
+}
+
+const Json&
+JsonFields::List(std::string_view aName)
+{
+  const auto* field = Find(aName);
+  if (field == nullptr || !field->is_array()) {
+    Reject(aName);
+    return EmptyArray();
+  }
+  return *field;
+}
+
+const Json&
+JsonFields::Object(std::string_view aName)
+{
+  const auto* field = Find(aName);
+  if (field == nullptr || !field->is_object()) {
+    Reject(aName);
+    return EmptyObject();
+  }
+  return *field;
+}
+
+void
+JsonFields::Reject(std::string_view aName)
+{
+  if (mBad.empty()) {
+    mBad = aName;
+  }
+}
+
+const Json*
+JsonFields::Find(std::string_view aName) const
+{
+  if (!mObject.is_object()) {
+    return nullptr;
+  }
+  const auto it = mObject.find(aName);
+  return it == mObject.end() ? nullptr : &*it;
+}
+
+std::uint64_t
+JsonFields::UnsignedUpTo(std::string_view aName, std::uint64_t aMost)
+{
+  const auto* field = Find(aName);
+  if (field == nullptr || !field->is_number_unsigned() ||
+      field->get<std::uint64_t>() > aMost) {
+    Reject(aName);
+    return 0;
+  }
+  return field->get<std::uint64_t>();
+}
+
+} // namespace bilberrytrail
