--- /dev/null
+++ b/packages/backend/include/bilberrytrail/backend/store_json.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <bilberrytrail/backend/store.h>
+#include <bilberrytrail/platform/json_fields.h>
+
+#include <vector>
+
+// JSON forms of the store's messages, shared by the HTTP adapter and the
+// program that stands in for a store VM. Readers fail with Corrupt.
+namespace bilberrytrail {
+
+[[nodiscard]] Json
+ToJson(const StoreInventory& aInventory);
+[[nodiscard]] Result<StoreInventory>
+ReadStoreInventory(const Json& aJson);
+
+[[nodiscard]] Json
+ToJson(const std::vector<BlockPin>& aPins);
+[[nodiscard]] Result<std::vector<BlockPin>>
+ReadBlockPins(const Json& aList);
+
+} // namespace bilberrytrail
--- a/packages/platform/src/http_call.cpp
+++ b/packages/platform/src/http_call.cpp
@@ -96,9 +96,8 @@
   if (!aBody.empty()) {
     message += ": " + std::string(aBody.substr(0, kMessageBytes));
   }
-  return FailCall(FateOfStatus(aStatus, aHeaders),
-                  CodeOfStatus(aStatus),
-                  std::move(message));
+  return FailCall(
+    FateOfStatus(aStatus, aHeaders), CodeOfStatus(aStatus), std::move(message));
 }
 
 CallError
@@ -163,8 +162,7 @@
   if (!request) {
     return std::move(request).error();
   }
-  auto response =
-    CallForSuccess(aClient, aEndpoint, request.value(), aTimeout);
+  auto response = CallForSuccess(aClient, aEndpoint, request.value(), aTimeout);
   if (!response) {
     return std::move(response).error();
   }
