--- a/standins/src/common/json_server.cpp
+++ b/standins/src/common/json_server.cpp
@@ -181,8 +181,9 @@
                               HttpResponder& aResponder)
 {
   const auto fault = mFaults.Of(aPart).Take();
-  if (fault.mDelay > Duration(0)) {
-    mLoop.Sleep(fault.mDelay);
+  if (fault.mDelay > Duration(0) && !mLoop.Sleep(fault.mDelay)) {
+    aResponder.Abort();
+    return;
   }
   if (fault.mMode == FaultMode::Down) {
     aResponder.Abort();
--- a/standins/src/platform/weight_store.cpp
+++ b/standins/src/platform/weight_store.cpp
@@ -42,7 +42,9 @@
   while (remaining > Duration(0)) {
     const auto step = std::min(remaining, kShareStep);
     const auto sharers = std::max(mRunning, mFullSpeed);
-    mLoop.Sleep(step * sharers / mFullSpeed);
+    if (!mLoop.Sleep(step * sharers / mFullSpeed)) {
+      return;
+    }
     remaining -= step;
   }
 }
