--- /dev/null
+++ b/packages/membership/src/change_queue.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <bilberrytrail/membership/gossip_message.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace bilberrytrail {
+
+// Changes still to be passed on. Each is sent a bounded number of times, the
+// least often sent first; newer news of a member or number replaces older.
+class ChangeQueue
+{
+public:
+  [[nodiscard]] std::size_t Size() const noexcept { return mChanges.size(); }
+
+  void Push(const MemberRecord& aRecord);
+  void Push(const SharedNumber& aNumber);
+  // Adds changes of up to aBytes to a message; a change that was sent aTimes
+  // leaves the queue.
+  void Fill(GossipMessage& aMessage, std::size_t aBytes, std::size_t aTimes);
+
+private:
+  struct Change
+  {
+    std::size_t mSent = 0;
+    std::uint64_t mOrder = 0;
+    bool mIsMember = true;
+    MemberRecord mMember;
+    SharedNumber mNumber;
+  };
+
+  std::map<std::string, Change> mChanges;
+  std::uint64_t mPushed = 0;
+};
+
+// Returns a bound on the encoded size of an item.
+[[nodiscard]] std::size_t
+EncodedSize(const MemberRecord& aRecord) noexcept;
+[[nodiscard]] std::size_t
+EncodedSize(const SharedNumber& aNumber) noexcept;
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/membership/src/gossip.cpp
@@ -0,0 +1,158 @@
+#include "gossip_impl.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace bilberrytrail {
+
+namespace {
+
+// Periods until some member's ping to a dead one has failed: one is pinged by
+// somebody in a period with probability 1 - 1/e.
+constexpr int kFirstSuspicionPeriods = 5;
+
+double
+DecimalLog(std::size_t aMembers)
+{
+  return std::max(1.0, std::log10(static_cast<double>(aMembers) + 1));
+}
+
+} // namespace
+
+Duration
+DeathDetectionBound(const GossipSettings& aSettings, std::size_t aMembers)
+{
+  const auto spreading = std::bit_width(aMembers);
+  const double periods = kFirstSuspicionPeriods +
+                         aSettings.mSuspicionPeriods * DecimalLog(aMembers) +
+                         static_cast<double>(spreading);
+  return FromMillis(periods * ToMillis(aSettings.mPeriod));
+}
+
+Gossip::Gossip(MemberRecord aSelf,
+               GossipSettings aSettings,
+               std::uint64_t aSeed)
+  : mImpl(std::make_unique<Impl>(std::move(aSelf), aSettings, aSeed))
+{
+}
+
+Gossip::~Gossip() = default;
+Gossip::Gossip(Gossip&&) noexcept = default;
+Gossip&
+Gossip::operator=(Gossip&&) noexcept = default;
+
+const MemberRecord&
+Gossip::Self() const noexcept
+{
+  return mImpl->mSelf;
+}
+
+std::vector<MemberRecord>
+Gossip::LiveMembers() const
+{
+  std::vector<MemberRecord> members = mImpl->mTable.Live();
+  if (IsLive(mImpl->mSelf.mStatus)) {
+    members.push_back(mImpl->mSelf);
+  }
+  std::sort(members.begin(), members.end());
+  return members;
+}
+
+std::uint64_t
+Gossip::NumberOf(std::string_view aName) const
+{
+  const auto it = mImpl->mNumbers.find(aName);
+  return it == mImpl->mNumbers.end() ? 0 : it->second;
+}
+
+std::vector<SharedNumber>
+Gossip::Numbers() const
+{
+  std::vector<SharedNumber> numbers;
+  for (const auto& [name, value] : mImpl->mNumbers) {
+    numbers.push_back({ name, value });
+  }
+  return numbers;
+}
+
+Instant
+Gossip::NextTick() const noexcept
+{
+  Instant due = mImpl->mNextPeriod;
+  if (mImpl->mProbe && !mImpl->mProbe->mAskedOthers) {
+    due =
+      std::min(due, mImpl->mProbe->mSentAt + mImpl->mSettings.mPingTimeout);
+  }
+  return due;
+}
+
+void
+Gossip::SetListed(std::vector<Endpoint> aListed)
+{
+  std::erase(aListed, mImpl->mSelf.mEndpoint);
+  mImpl->mListed = std::move(aListed);
+}
+
+void
+Gossip::RaiseNumber(std::string_view aName, std::uint64_t aValue)
+{
+  mImpl->Learn(SharedNumber{ std::string(aName), aValue }, true, nullptr);
+}
+
+GossipActions
+Gossip::Tick(Instant aNow)
+{
+  GossipActions actions;
+  Impl& impl = *mImpl;
+  if (!impl.mStartedAt) {
+    impl.mStartedAt = aNow;
+    impl.mLastTick = aNow;
+    impl.mNextPeriod = aNow;
+    impl.mNextSync = aNow;
+    impl.mSyncPause = impl.mSettings.mPeriod;
+  }
+  if (aNow - impl.mLastTick > impl.mSettings.mPauseThreshold) {
+    impl.RecoverFromPause(aNow, actions);
+  }
+  impl.mLastTick = aNow;
+  if (impl.mProbe && !impl.mProbe->mAskedOthers &&
+      aNow >= impl.mProbe->mSentAt + impl.mSettings.mPingTimeout) {
+    impl.AskOthers(actions);
+  }
+  if (aNow >= impl.mNextPeriod) {
+    impl.StartPeriod(aNow, actions);
+  }
+  return actions;
+}
+
+GossipActions
+Gossip::Receive(const GossipMessage& aMessage, Instant aNow)
+{
+  GossipActions actions;
+  if (aMessage.mSender.mId != mImpl->mSelf.mId) {
+    mImpl->Handle(aMessage, aNow, actions);
+  }
+  return actions;
+}
+
+GossipActions
+Gossip::Leave(Instant aNow)
+{
+  GossipActions actions;
+  Impl& impl = *mImpl;
+  impl.mSelf.mStatus = MemberStatus::Left;
+  impl.mProbe.reset();
+  impl.mNextPeriod = aNow + impl.mSettings.mPeriod;
+  std::vector<MemberRecord> peers = impl.mTable.Live();
+  const std::size_t count =
+    std::min<std::size_t>(peers.size(), std::bit_width(peers.size()) + 2);
+  for (std::size_t n = 0; n < count; ++n) {
+    std::swap(peers[n], peers[n + impl.mRandom.Below(peers.size() - n)]);
+    impl.Send(
+      peers[n].mEndpoint, impl.Compose(GossipKind::Notice, 0), actions);
+  }
+  return actions;
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/membership/tests/gossip_test.cpp
@@ -0,0 +1,231 @@
+#include "gossip_shuttle.h"
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr GossipSettings kSettings;
+
+bool
+AllSee(GossipShuttle& aShuttle, const DaemonId& aId, MemberStatus aStatus)
+{
+  for (auto& [address, node] : aShuttle.Nodes()) {
+    const bool asked =
+      node.mRunning && !node.mPaused && node.mGossip.Self().mId != aId;
+    const auto seen = node.mSeen.find(aId);
+    if (asked && (seen == node.mSeen.end() || seen->second != aStatus)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::size_t
+CountDead(GossipShuttle& aShuttle)
+{
+  std::size_t count = 0;
+  for (auto& [address, node] : aShuttle.Nodes()) {
+    for (const auto& [id, status] : node.mSeen) {
+      count += status == MemberStatus::Dead ? 1U : 0U;
+    }
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_CASE("all members find each other, and find a dead one, in time")
+{
+  struct Row
+  {
+    std::size_t mCount;
+    double mLoss;
+  };
+  const Row rows[] = { { 8, 0 },    { 8, 0.1 },   { 32, 0.1 },
+                       { 128, 0.05 }, { 400, 0.05 } };
+  for (const auto& it : rows) {
+    CAPTURE(it.mCount);
+    CAPTURE(it.mLoss);
+    GossipShuttle shuttle(11, it.mLoss);
+    shuttle.AddAll(it.mCount);
+    const auto joined =
+      shuttle.RunUntil([&] { return shuttle.AllCount(it.mCount); }, 30s);
+    REQUIRE(joined);
+    shuttle.Run(20s);
+    REQUIRE(CountDead(shuttle) == 0);
+    const DaemonId gone = shuttle.At(it.mCount / 2).mGossip.Self().mId;
+    shuttle.At(it.mCount / 2).mRunning = false;
+    const Duration bound = DeathDetectionBound(kSettings, it.mCount);
+    const auto found = shuttle.RunUntil(
+      [&] { return AllSee(shuttle, gone, MemberStatus::Dead); }, bound);
+    CHECK(found);
+    MESSAGE(it.mCount << " members, loss " << it.mLoss << ": joined in "
+                      << ToMillis(joined.value_or(0s)) << " ms, death known in "
+                      << ToMillis(found.value_or(0s)) << " ms of "
+                      << ToMillis(bound));
+  }
+}
+
+TEST_CASE("bytes per second of a settled member do not grow with their number")
+{
+  constexpr double kMaxBytesPerSecond = 1500;
+  for (const std::size_t count : { 8UL, 32UL, 128UL, 400UL }) {
+    GossipShuttle shuttle(5);
+    shuttle.AddAll(count);
+    shuttle.At(0).mGossip.RaiseNumber("release/brotlag", 4);
+    shuttle.At(0).mGossip.RaiseNumber("release/lissadell", 9);
+    shuttle.Run(90s);
+    REQUIRE(shuttle.AllCount(count));
+    std::uint64_t before = 0;
+    std::uint64_t after = 0;
+    for (const auto& [address, node] : shuttle.Nodes()) {
+      before += node.mBytesSent;
+    }
+    shuttle.Run(20s);
+    for (const auto& [address, node] : shuttle.Nodes()) {
+      after += node.mBytesSent;
+    }
+    const double each =
+      static_cast<double>(after - before) / 20 / static_cast<double>(count);
+    MESSAGE(count << " members: " << each << " bytes/s sent by each");
+    CHECK(each < kMaxBytesPerSecond);
+  }
+}
+
+TEST_CASE("a short pause is suspected at most and then refuted")
+{
+  GossipShuttle shuttle(3);
+  shuttle.AddAll(32);
+  shuttle.Run(20s);
+  auto& paused = shuttle.At(5);
+  const DaemonId id = paused.mGossip.Self().mId;
+  paused.mPaused = true;
+  const auto suspected = shuttle.RunUntil(
+    [&] { return shuttle.At(9).mSeen[id] == MemberStatus::Suspect; }, 5s);
+  REQUIRE(suspected);
+  paused.mPaused = false;
+  REQUIRE(shuttle.RunUntil(
+    [&] { return AllSee(shuttle, id, MemberStatus::Alive); }, 5s));
+  shuttle.Run(20s);
+  CHECK(AllSee(shuttle, id, MemberStatus::Alive));
+  CHECK(CountDead(shuttle) == 0);
+  CHECK(paused.mGossip.Self().mIncarnation > Incarnation(0));
+}
+
+TEST_CASE("a member paused until declared dead comes back and blames nobody")
+{
+  GossipShuttle shuttle(4, 0.05);
+  shuttle.AddAll(32);
+  shuttle.Run(20s);
+  auto& paused = shuttle.At(5);
+  const DaemonId id = paused.mGossip.Self().mId;
+  paused.mPaused = true;
+  shuttle.Run(60s);
+  REQUIRE(AllSee(shuttle, id, MemberStatus::Dead));
+  paused.mPaused = false;
+  CHECK(shuttle.RunUntil(
+    [&] { return AllSee(shuttle, id, MemberStatus::Alive); }, 5s));
+  shuttle.Run(20s);
+  CHECK(shuttle.AllCount(32));
+  for (const auto& [other, status] : paused.mSeen) {
+    CHECK(status == MemberStatus::Alive);
+  }
+}
+
+TEST_CASE("the sides of a partition bury each other and join when it heals")
+{
+  for (const std::size_t count : { 8UL, 64UL }) {
+    CAPTURE(count);
+    GossipShuttle shuttle(6, 0.02);
+    shuttle.AddAll(count);
+    shuttle.Run(20s);
+    for (std::size_t n = 0; n < count / 2; ++n) {
+      shuttle.At(2 * n).mSide = 1;
+    }
+    CHECK(shuttle.RunUntil([&] { return shuttle.AllCount(count / 2); }, 40s));
+    shuttle.Run(60s);
+    for (std::size_t n = 0; n < count; ++n) {
+      shuttle.At(n).mSide = 0;
+    }
+    CHECK(shuttle.RunUntil([&] { return shuttle.AllCount(count); }, 30s));
+  }
+}
+
+TEST_CASE("a planned stop is known everywhere in a few periods")
+{
+  constexpr Duration kLeaveBound = 3s;
+  for (const std::size_t count : { 8UL, 128UL, 400UL }) {
+    CAPTURE(count);
+    GossipShuttle shuttle(8, 0.02);
+    shuttle.AddAll(count);
+    shuttle.Run(30s);
+    auto& leaving = shuttle.At(3);
+    const DaemonId id = leaving.mGossip.Self().mId;
+    shuttle.Deliver(leaving, leaving.mGossip.Leave(shuttle.Now()));
+    CHECK(shuttle.RunUntil(
+      [&] { return AllSee(shuttle, id, MemberStatus::Left); }, kLeaveBound));
+    CHECK(leaving.mGossip.LiveMembers().size() == count - 1);
+    leaving.mRunning = false;
+    shuttle.Run(20s);
+    CHECK(AllSee(shuttle, id, MemberStatus::Left));
+  }
+}
+
+TEST_CASE("a daemon restarted at the same address is another member")
+{
+  GossipShuttle shuttle(9);
+  shuttle.AddAll(16);
+  shuttle.Run(15s);
+  const DaemonId old = shuttle.At(7).mGossip.Self().mId;
+  shuttle.Add(7, { GossipShuttle::AddressOf(0) }, 1);
+  const DaemonId fresh = shuttle.At(7).mGossip.Self().mId;
+  CHECK(shuttle.RunUntil(
+    [&] {
+      return AllSee(shuttle, fresh, MemberStatus::Alive) &&
+             shuttle.AllCount(16);
+    },
+    5s));
+  CHECK(shuttle.At(1).mSeen[old] == MemberStatus::Dead);
+  shuttle.Run(20s);
+  CHECK(shuttle.AllCount(16));
+}
+
+TEST_CASE("the platform's list makes nobody a member and removes nobody")
+{
+  GossipShuttle shuttle(10);
+  const std::vector<Endpoint> listed = { GossipShuttle::AddressOf(0),
+                                         GossipShuttle::AddressOf(99) };
+  for (std::size_t n = 0; n < 5; ++n) {
+    shuttle.Add(n, listed);
+  }
+  shuttle.Run(30s);
+  CHECK(shuttle.AllCount(5));
+  for (std::size_t n = 0; n < 5; ++n) {
+    shuttle.At(n).mGossip.SetListed({ GossipShuttle::AddressOf(99) });
+  }
+  shuttle.Run(30s);
+  CHECK(shuttle.AllCount(5));
+}
+
+TEST_CASE("a raised number reaches everybody and never goes back")
+{
+  GossipShuttle shuttle(12, 0.05);
+  shuttle.AddAll(128);
+  shuttle.Run(20s);
+  const std::string name = ReleaseNumberName(ProductId("brotlag"));
+  shuttle.At(0).mGossip.RaiseNumber(name, 7);
+  shuttle.At(1).mGossip.RaiseNumber(name, 5);
+  const auto reached = shuttle.RunUntil(
+    [&] {
+      return std::all_of(
+        shuttle.Nodes().begin(), shuttle.Nodes().end(), [&](const auto& aItem) {
+          return aItem.second.mGossip.NumberOf(name) == 7;
+        });
+    },
+    5s);
+  CHECK(reached);
+  shuttle.At(2).mGossip.RaiseNumber(name, 6);
+  CHECK(shuttle.At(2).mGossip.NumberOf(name) == 7);
+}
