Add the server queue with lanes and fair sharing by client account

Cause: drafts in one queue with short work hold it up, and a large account holds up a small one. Lanes by class keep slots for short work, deficit round robin shares a lane, and entries whose predicted wait breaks the deadline are refused at once. The queue in order of arrival stays as the baseline.

--- /dev/null
+++ b/packages/traffic/src/fair_server_queue.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "fair_lane.h"
+
+#include <array>
+#include <map>
+
+namespace bilberrytrail {
+
+// A draft or other entry that holds a slot.
+struct RunningEntry
+{
+  QueueEntry mEntry;
+  Instant mStarted;
+  // Running time before the last pause.
+  Duration mRanBefore{};
+  bool mPausing = false;
+};
+
+// A draft that was cancelled at the engine and will be resumed.
+struct PausedEntry
+{
+  QueueEntry mEntry;
+  Instant mSince;
+  Duration mRanBefore{};
+};
+
+// See MakeFairServerQueue.
+class FairServerQueue final : public ServerQueue
+{
+public:
+  explicit FairServerQueue(const QueueSettings& aSettings);
+
+  std::size_t Waiting() const noexcept override;
+  std::size_t Running() const noexcept override { return mRunning.size(); }
+  std::size_t Paused() const noexcept override { return mPaused.size(); }
+  Duration PredictWait(const QueueEntry& aEntry, Instant aNow) const override;
+  std::optional<Instant> NextTick(Instant aNow) const override;
+
+  QueueActions Offer(QueueEntry aEntry, Instant aNow) override;
+  QueueActions Finish(Ticket aTicket, Instant aNow) override;
+  QueueActions Cancel(Ticket aTicket, Instant aNow) override;
+  QueueActions ConfirmPaused(Ticket aTicket, Instant aNow) override;
+  QueueActions Tick(Instant aNow) override;
+  QueueActions SetSlots(std::uint32_t aSlots, Instant aNow) override;
+  std::vector<QueueEntry> Drain(Instant aNow) override;
+
+private:
+  using Lanes = std::array<FairLane, EnumCount<WorkClass>()>;
+
+  [[nodiscard]] FairLane& LaneOf(WorkClass aClass) noexcept;
+  [[nodiscard]] const FairLane& LaneOf(WorkClass aClass) const noexcept;
+  [[nodiscard]] bool HasWaitingShort() const noexcept;
+  [[nodiscard]] std::uint32_t RunningDrafts() const noexcept;
+  // Returns the most slots that drafts may hold.
+  [[nodiscard]] std::uint32_t DraftSlots() const noexcept;
+  // Returns how many entries of the class can run beside the other classes.
+  [[nodiscard]] std::uint32_t SlotsFor(WorkClass aClass) const noexcept;
+  [[nodiscard]] Duration Ran(const RunningEntry& aRunning,
+                             Instant aNow) const noexcept;
+  [[nodiscard]] bool IsDemoted(const RunningEntry& aRunning,
+                               Instant aNow) const noexcept;
+  // Returns whether the next free slot is kept for drafts.
+  [[nodiscard]] bool IsDraftDue(Instant aNow) const;
+  [[nodiscard]] bool IsKnown(Ticket aTicket) const;
+  // Returns the wait behind the given work of the same lane.
+  [[nodiscard]] Duration WaitBehind(Duration aWorkAhead,
+                                    WorkClass aClass,
+                                    Instant aNow) const;
+  [[nodiscard]] RefuseAction RefusalFor(const QueueEntry& aEntry,
+                                        RefusalReason aReason,
+                                        Instant aNow) const;
+
+  // Makes room in the full queue at the cost of the account with the most
+  // waiting entries. Returns false when that is the entry's own account.
+  bool EvictFor(const QueueEntry& aEntry, Instant aNow, QueueActions& aActions);
+  void RefuseHopeless(Instant aNow, QueueActions& aActions);
+  void FillSlots(Instant aNow, QueueActions& aActions);
+  void Grant(QueueEntry aEntry, Instant aNow, QueueActions& aActions);
+  bool GrantShort(Instant aNow, QueueActions& aActions);
+  bool GrantDraft(Instant aNow, QueueActions& aActions);
+  bool ResumePaused(Duration aMinPause, Instant aNow, QueueActions& aActions);
+  void PauseDemoted(Instant aNow, QueueActions& aActions);
+  void Learn(const RunningEntry& aRunning, Instant aNow);
+
+  QueueSettings mSettings;
+  Lanes mLanes;
+  std::map<Ticket, RunningEntry> mRunning;
+  std::map<Ticket, PausedEntry> mPaused;
+  // Observed running time over estimated running time, by work class.
+  std::array<double, EnumCount<WorkClass>()> mServiceRatio;
+  WorkClass mNextShort = WorkClass::Read;
+  bool mDraining = false;
+};
+
+} // namespace bilberrytrail
--- a/packages/traffic/tests/answer_assembler_test.cpp
+++ b/packages/traffic/tests/answer_assembler_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+
 using namespace bilberrytrail;
 
 namespace {
@@ -24,7 +26,7 @@
 {
   struct Row
   {
-    const char* mName;
+    std::string mName;
     std::vector<GenerateChunk> mChunks;
     AnswerState mState;
     const char* mText;
--- a/packages/traffic/tests/attempt_ledger_test.cpp
+++ b/packages/traffic/tests/attempt_ledger_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+
 #include <type_traits>
 #include <vector>
 
@@ -44,7 +46,7 @@
 {
   struct Row
   {
-    const char* mName;
+    std::string mName;
     std::vector<std::vector<AttemptState>> mAttempts;
     Disposition mFrom;
     Disposition mIncomplete;
--- /dev/null
+++ b/packages/traffic/tests/queue_trial_test.cpp
@@ -0,0 +1,141 @@
+#include "queue_driver.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace bilberrytrail;
+
+namespace {
+
+using Requests = std::vector<TrialRequest>;
+
+const QueueSettings kSettings{};
+
+// Ratios that the trials are held to.
+constexpr double kMaxShortP99Ratio = 1.5;
+constexpr double kMaxSmallP95Ratio = 1.3;
+constexpr double kMinCrestGoodput = 0.95;
+
+bool
+IsShort(const TrialRequest& aRequest)
+{
+  return IsShortWork(aRequest.mEntry.mClass);
+}
+
+Requests
+RunFair(const Requests& aRequests)
+{
+  const auto queue = MakeFairServerQueue(kSettings);
+  return QueueDriver(*queue, aRequests).Run();
+}
+
+Requests
+RunFifo(const Requests& aRequests)
+{
+  const auto queue = MakeFifoServerQueue(kSettings);
+  return QueueDriver(*queue, aRequests).Run();
+}
+
+// Running time of good requests as a share of all slots from aFrom to aTo.
+double
+Goodput(const Requests& aRequests, Instant aFrom, Instant aTo)
+{
+  double good = 0;
+  for (const auto& request : aRequests) {
+    if (request.IsGood() && *request.mFinished >= aFrom &&
+        *request.mFinished < aTo) {
+      good += ToMillis(request.mTrueService);
+    }
+  }
+  return good / (ToMillis(aTo - aFrom) * kSettings.mSlots);
+}
+
+} // namespace
+
+TEST_CASE("short work behind a swing of drafts is served as if alone")
+{
+  for (const std::uint64_t seed : { 1, 2, 3 }) {
+    CAPTURE(seed);
+    Requests alone;
+    AddStream(
+      alone,
+      { "counter", WorkClass::Short, 4, 100ms, 5s, Instant(), Instant(120s) },
+      seed);
+    AddStream(
+      alone,
+      { "stock", WorkClass::Read, 4, 50ms, 5s, Instant(), Instant(120s) },
+      seed + 10);
+    auto mixed = alone;
+    // Six draft slots carry 3 drafts a second; the swing offers 12.
+    AddStream(mixed,
+              { "drafts",
+                WorkClass::Draft,
+                12,
+                2s,
+                20s,
+                Instant(20s),
+                Instant(60s),
+                20 },
+              seed + 20);
+    const auto base = LatencyQuantile(RunFair(alone), 0.99, IsShort);
+    const auto fair = LatencyQuantile(RunFair(mixed), 0.99, IsShort);
+    const auto fifo = LatencyQuantile(RunFifo(mixed), 0.99, IsShort);
+    MESSAGE("short p99 ms: alone " << base << ", lanes " << fair << ", fifo "
+                                   << fifo);
+    CHECK(fair <= kMaxShortP99Ratio * base);
+    CHECK(fifo > fair);
+  }
+}
+
+TEST_CASE("a small account beside one that offers ten times as much")
+{
+  for (const std::uint64_t seed : { 1, 2, 3 }) {
+    CAPTURE(seed);
+    const auto isSmall = [](const TrialRequest& aRequest) {
+      return aRequest.mEntry.mAccount == AccountId("small");
+    };
+    Requests alone;
+    AddStream(
+      alone,
+      { "small", WorkClass::Draft, 1, 1s, 30s, Instant(), Instant(300s) },
+      seed);
+    auto mixed = alone;
+    AddStream(
+      mixed,
+      { "big", WorkClass::Draft, 10, 1s, 30s, Instant(), Instant(300s) },
+      seed + 10);
+    const auto base = LatencyQuantile(RunFair(alone), 0.95, isSmall);
+    const auto fair = LatencyQuantile(RunFair(mixed), 0.95, isSmall);
+    const auto fifo = LatencyQuantile(RunFifo(mixed), 0.95, isSmall);
+    MESSAGE("small p95 ms: alone " << base << ", fair " << fair << ", fifo "
+                                   << fifo);
+    CHECK(fair <= kMaxSmallP95Ratio * base);
+    CHECK(fifo > fair);
+  }
+}
+
+TEST_CASE("goodput holds at a crest of four times the capacity")
+{
+  for (const std::uint64_t seed : { 1, 2, 3 }) {
+    CAPTURE(seed);
+    // Eight slots; each second offers 32 s of work.
+    Requests crest;
+    AddStream(crest,
+              { "a", WorkClass::Draft, 20, 1s, 6s, Instant(), Instant(120s) },
+              seed);
+    AddStream(
+      crest,
+      { "b", WorkClass::Short, 60, 200ms, 2s, Instant(), Instant(120s) },
+      seed + 10);
+    const auto fairRun = RunFair(crest);
+    const auto fair = Goodput(fairRun, Instant(20s), Instant(120s));
+    const auto fifo = Goodput(RunFifo(crest), Instant(20s), Instant(120s));
+    MESSAGE("goodput at the crest: fair " << fair << ", fifo " << fifo);
+    CHECK(fair >= kMinCrestGoodput);
+    CHECK(fifo < fair);
+    for (const auto& request : fairRun) {
+      CHECK((request.mFinished.has_value() != request.mRefused.has_value()));
+    }
+  }
+}
--- /dev/null
+++ b/packages/traffic/tests/server_queue_test.cpp
@@ -0,0 +1,302 @@
+#include <bilberrytrail/traffic/server_queue.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr Instant kStart{ 100s };
+
+QueueEntry
+Entry(std::uint64_t aTicket,
+      const char* aAccount,
+      WorkClass aClass,
+      Duration aService = 100ms,
+      Duration aDeadline = 1000s)
+{
+  return { Ticket(aTicket), AccountId(aAccount), aClass, 100,
+           aService,        kStart + aDeadline };
+}
+
+// Returns the actions as words such as "grant 1".
+std::string
+Words(const QueueActions& aActions)
+{
+  std::string text;
+  const auto add = [&](const char* aVerb, Ticket aTicket) {
+    text += (text.empty() ? "" : ", ") + std::string(aVerb) + " " +
+            std::to_string(aTicket.Value());
+  };
+  for (const auto& action : aActions) {
+    if (const auto* grant = std::get_if<GrantAction>(&action)) {
+      add("grant", grant->mTicket);
+    } else if (const auto* refuse = std::get_if<RefuseAction>(&action)) {
+      add(ToName(refuse->mReason).data(), refuse->mTicket);
+    } else if (const auto* pause = std::get_if<PauseAction>(&action)) {
+      add("pause", pause->mTicket);
+    } else if (const auto* resume = std::get_if<ResumeAction>(&action)) {
+      add("resume", resume->mTicket);
+    }
+  }
+  return text;
+}
+
+QueueSettings
+Sized(std::uint32_t aSlots, std::uint32_t aShort, std::uint32_t aDraft)
+{
+  QueueSettings settings;
+  settings.mSlots = aSlots;
+  settings.mShortSlots = aShort;
+  settings.mDraftSlots = aDraft;
+  settings.mQuantumTokens = 100;
+  return settings;
+}
+
+} // namespace
+
+TEST_CASE("slots go to classes by their lanes")
+{
+  struct Row
+  {
+    std::string mName;
+    QueueSettings mSettings;
+    const char* mOffered; // r, s or d for each entry
+    std::size_t mGranted;
+  };
+  const Row rows[] = {
+    { "drafts leave slots for short work", Sized(4, 2, 1), "dddd", 2 },
+    { "short work takes all slots alone", Sized(4, 2, 1), "rsrsrs", 4 },
+    { "short work gets the kept slots", Sized(4, 2, 1), "ddddss", 4 },
+    { "one slot serves drafts too", Sized(1, 2, 1), "dd", 1 },
+    { "no slots", Sized(0, 2, 1), "rsd", 0 },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mName);
+    const auto queue = MakeFairServerQueue(row.mSettings);
+    std::uint64_t ticket = 0;
+    for (const char c : std::string(row.mOffered)) {
+      const auto workClass = c == 'r'   ? WorkClass::Read
+                             : c == 's' ? WorkClass::Short
+                                        : WorkClass::Draft;
+      (void)queue->Offer(Entry(ticket++, "a", workClass), kStart);
+    }
+    CHECK(queue->Running() == row.mGranted);
+    CHECK(queue->Waiting() == ticket - row.mGranted);
+  }
+}
+
+TEST_CASE("drafts keep their slots under lasting short work")
+{
+  const auto queue = MakeFairServerQueue(Sized(4, 1, 1));
+  for (std::uint64_t n = 0; n < 8; ++n) {
+    (void)queue->Offer(Entry(n, "a", WorkClass::Short), kStart);
+  }
+  (void)queue->Offer(Entry(9, "a", WorkClass::Draft), kStart);
+  CHECK(Words(queue->Finish(Ticket(0), kStart)) == "grant 9");
+  CHECK(Words(queue->Finish(Ticket(1), kStart)) == "grant 4");
+}
+
+TEST_CASE("accounts take turns inside a lane")
+{
+  const auto queue = MakeFairServerQueue(Sized(1, 0, 1));
+  (void)queue->Offer(Entry(0, "big", WorkClass::Draft), kStart);
+  for (std::uint64_t n = 1; n <= 4; ++n) {
+    (void)queue->Offer(Entry(n, "big", WorkClass::Draft), kStart);
+  }
+  (void)queue->Offer(Entry(11, "small", WorkClass::Draft), kStart);
+  (void)queue->Offer(Entry(12, "small", WorkClass::Draft), kStart);
+  std::string order;
+  std::uint64_t running = 0;
+  for (int n = 0; n < 6; ++n) {
+    const auto actions = queue->Finish(Ticket(running), kStart);
+    REQUIRE(actions.size() == 1);
+    running = std::get<GrantAction>(actions[0]).mTicket.Value();
+    order += std::to_string(running) + " ";
+  }
+  CHECK(order == "1 11 2 12 3 4 ");
+}
+
+TEST_CASE("costs far above the quantum are served in proportion")
+{
+  auto settings = Sized(1, 0, 1);
+  settings.mQuantumTokens = 1;
+  const auto queue = MakeFairServerQueue(settings);
+  const auto offer =
+    [&](std::uint64_t aTicket, const char* aAccount, double aCost) {
+      auto entry = Entry(aTicket, aAccount, WorkClass::Draft);
+      entry.mCostTokens = aCost;
+      (void)queue->Offer(entry, kStart);
+    };
+  offer(0, "x", 1);
+  for (std::uint64_t n = 0; n < 20; ++n) {
+    offer(100 + n, "wide", 40000);
+    offer(200 + n, "narrow", 10000);
+  }
+  std::uint64_t running = 0;
+  int wide = 0;
+  for (int n = 0; n < 15; ++n) {
+    const auto actions = queue->Finish(Ticket(running), kStart);
+    REQUIRE(actions.size() == 1);
+    running = std::get<GrantAction>(actions[0]).mTicket.Value();
+    wide += running < 200 ? 1 : 0;
+  }
+  CHECK(wide == 3);
+}
+
+TEST_CASE("an entry is refused at once when its wait breaks the deadline")
+{
+  struct Row
+  {
+    std::string mName;
+    Duration mDeadline;
+    const char* mWords;
+  };
+  // One slot, 100 ms running and 200 ms waiting before the entry.
+  const Row rows[] = {
+    { "fits", 500ms, "" },
+    { "wait fits, running does not", 350ms, "deadline_too_short 9" },
+    { "wait does not fit", 200ms, "deadline_too_short 9" },
+    { "passed", 0ms, "deadline_too_short 9" },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mName);
+    const auto queue = MakeFairServerQueue(Sized(1, 0, 1));
+    for (std::uint64_t n = 0; n < 3; ++n) {
+      (void)queue->Offer(Entry(n, "a", WorkClass::Short), kStart);
+    }
+    const auto entry = Entry(9, "a", WorkClass::Short, 100ms, row.mDeadline);
+    CHECK(queue->PredictWait(entry, kStart) == Duration(300ms));
+    const auto actions = queue->Offer(entry, kStart);
+    CHECK(Words(actions) == row.mWords);
+    if (!actions.empty()) {
+      const auto wait = std::get<RefuseAction>(actions[0]).mRetryAfter;
+      // After the named wait the same request would be taken.
+      CHECK(wait > 0ms);
+      CHECK(wait <= 300ms);
+    }
+    CHECK(queue->Waiting() == (actions.empty() ? 3 : 2));
+  }
+}
+
+TEST_CASE("a waiting entry is refused as soon as it has no chance")
+{
+  const auto queue = MakeFairServerQueue(Sized(1, 0, 1));
+  (void)queue->Offer(Entry(0, "a", WorkClass::Short), kStart);
+  (void)queue->Offer(Entry(1, "a", WorkClass::Short, 100ms, 1s), kStart);
+  CHECK(queue->Tick(kStart + 800ms).empty());
+  REQUIRE(queue->NextTick(kStart + 800ms) <= kStart + 900ms);
+  CHECK(Words(queue->Tick(kStart + 890ms)) == "deadline_too_short 1");
+  CHECK(queue->Waiting() == 0);
+}
+
+TEST_CASE("a full queue makes room for the account with fewer entries")
+{
+  auto settings = Sized(1, 0, 1);
+  settings.mMaxWaiting = 4;
+  const auto queue = MakeFairServerQueue(settings);
+  for (std::uint64_t n = 0; n < 5; ++n) {
+    (void)queue->Offer(Entry(n, "big", WorkClass::Draft), kStart);
+  }
+  CHECK(Words(queue->Offer(Entry(5, "big", WorkClass::Draft), kStart)) ==
+        "queue_full 5");
+  CHECK(Words(queue->Offer(Entry(6, "small", WorkClass::Short), kStart)) ==
+        "queue_full 4");
+  CHECK(queue->Waiting() == 4);
+}
+
+TEST_CASE("a draft past its estimate is paused at a crest and resumed")
+{
+  struct Row
+  {
+    std::string mName;
+    WorkClass mWaiting;
+    Duration mAfter;
+    const char* mWords;
+  };
+  const Row rows[] = {
+    { "within its estimate", WorkClass::Short, 1900ms, "" },
+    { "past it, short work waits", WorkClass::Short, 2100ms, "pause 0" },
+    { "past it, a draft waits", WorkClass::Draft, 2100ms, "pause 0" },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mName);
+    const auto queue = MakeFairServerQueue(Sized(1, 0, 1));
+    (void)queue->Offer(Entry(0, "a", WorkClass::Draft, 1s), kStart);
+    (void)queue->Offer(Entry(1, "b", row.mWaiting), kStart);
+    const auto now = kStart + row.mAfter;
+    CHECK(Words(queue->Tick(now)) == row.mWords);
+    CHECK(queue->Running() == 1);
+    if (std::string(row.mWords).empty()) {
+      continue;
+    }
+    CHECK(queue->Tick(now).empty());
+    CHECK(Words(queue->ConfirmPaused(Ticket(0), now)) == "grant 1");
+    CHECK(queue->Paused() == 1);
+    CHECK(Words(queue->Finish(Ticket(1), now)) == "resume 0");
+    CHECK(queue->Paused() == 0);
+  }
+}
+
+TEST_CASE("a paused draft is not starved and not lost")
+{
+  const auto queue = MakeFairServerQueue(Sized(1, 0, 1));
+  (void)queue->Offer(Entry(0, "a", WorkClass::Draft, 1s, 60s), kStart);
+  (void)queue->Offer(Entry(1, "b", WorkClass::Draft, 100s), kStart);
+  (void)queue->Offer(Entry(2, "b", WorkClass::Draft), kStart);
+  const auto now = kStart + 3s;
+  (void)queue->Tick(now);
+  (void)queue->ConfirmPaused(Ticket(0), now);
+  SUBCASE("resumed before waiting drafts after the longest pause")
+  {
+    CHECK(Words(queue->Finish(Ticket(1), now + 11s)) == "resume 0");
+  }
+  SUBCASE("refused when its deadline passes")
+  {
+    CHECK(Words(queue->Tick(kStart + 60s)) == "deadline_passed 0");
+    CHECK(queue->Paused() == 0);
+  }
+  SUBCASE("cancelled by its caller")
+  {
+    CHECK(Words(queue->Cancel(Ticket(0), now)).empty());
+    CHECK(queue->Paused() == 0);
+  }
+}
+
+TEST_CASE("a draft that ends while it is being paused is finished")
+{
+  const auto queue = MakeFairServerQueue(Sized(1, 0, 1));
+  (void)queue->Offer(Entry(0, "a", WorkClass::Draft, 1s), kStart);
+  (void)queue->Offer(Entry(1, "b", WorkClass::Short), kStart);
+  CHECK(Words(queue->Tick(kStart + 3s)) == "pause 0");
+  CHECK(Words(queue->Finish(Ticket(0), kStart + 3s)) == "grant 1");
+  CHECK(queue->ConfirmPaused(Ticket(0), kStart + 3s).empty());
+  CHECK(queue->Paused() == 0);
+}
+
+TEST_CASE("both queues cancel, drain and change their slots alike")
+{
+  using Make = std::unique_ptr<ServerQueue> (*)(const QueueSettings&);
+  for (const Make make : { MakeFairServerQueue, MakeFifoServerQueue }) {
+    const auto queue = make(Sized(1, 0, 1));
+    CHECK(Words(queue->Offer(Entry(0, "a", WorkClass::Short), kStart)) ==
+          "grant 0");
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+      CHECK(queue->Offer(Entry(n, "a", WorkClass::Short), kStart).empty());
+    }
+    CHECK(queue->Cancel(Ticket(1), kStart).empty());
+    CHECK(Words(queue->Cancel(Ticket(0), kStart)) == "grant 2");
+    CHECK(Words(queue->SetSlots(2, kStart)) == "grant 3");
+    const auto handedOver = queue->Drain(kStart);
+    REQUIRE(handedOver.size() == 1);
+    CHECK(handedOver[0].mTicket == Ticket(4));
+    CHECK(Words(queue->Offer(Entry(5, "a", WorkClass::Short), kStart)) ==
+          "draining 5");
+    CHECK(queue->Running() == 2);
+    CHECK(queue->Finish(Ticket(2), kStart).empty());
+    CHECK(queue->Finish(Ticket(77), kStart).empty());
+    CHECK(queue->Running() == 1);
+  }
+}
