--- /dev/null
+++ b/packages/orders/include/bilberrytrail/orders/claim_row.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <bilberrytrail/base/error.h>
+#include <bilberrytrail/base/ids.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace bilberrytrail {
+
+// Longest idempotency key that is accepted, in bytes.
+constexpr std::size_t kMaxIdempotencyKeyBytes = 255;
+// Longest answer body that is kept for a resend, in bytes.
+constexpr std::size_t kMaxRecordedBodyBytes = 64 * 1024;
+
+// What is recorded of a non-idempotent call.
+enum class ClaimState : unsigned char
+{
+  // Claimed; whether the call ran is not recorded.
+  Claimed,
+  // The call ran and its answer is recorded.
+  Answered,
+  // The call did not run and never will under this attempt.
+  NotRun
+};
+
+template<>
+struct EnumNames<ClaimState>
+{
+  static constexpr std::array<std::string_view, 3> kNames{ "claimed",
+                                                           "answered",
+                                                           "not_run" };
+};
+
+// The answer of a non-idempotent call as it is kept for a resend.
+struct RecordedAnswer
+{
+  unsigned mStatus = 200;
+  std::string mContentType;
+  std::string mBody;
+  // The body was longer than kMaxRecordedBodyBytes and is not kept.
+  bool mBodyOmitted = false;
+
+  bool operator==(const RecordedAnswer&) const = default;
+};
+
+// The value of a claim row.
+struct ClaimRow
+{
+  ClaimState mState = ClaimState::Claimed;
+  AttemptId mAttempt;
+  // Hash of method, path and body; a resend must have the same.
+  std::string mCallHash;
+  // Wall-clock time of the write in milliseconds since 1970, for retention
+  // only.
+  std::int64_t mWrittenAtMs = 0;
+  RecordedAnswer mAnswer;
+
+  bool operator==(const ClaimRow&) const = default;
+};
+
+// Checks the Idempotency-Key of a non-idempotent call. Fails with
+// InvalidInput when it is absent or too long.
+[[nodiscard]] Result<void>
+CheckIdempotencyKey(std::string_view aKey);
+
+// Returns the key of the claim row: claim/<product>/<account>/<key>, each part
+// percent-encoded so that no part can reach into another.
+[[nodiscard]] std::string
+ClaimRowKey(const ProductId& aProduct,
+            const AccountId& aAccount,
+            const IdempotencyKey& aKey);
+
+// Returns the hash that tells a resend from another call under the same key.
+[[nodiscard]] std::string
+HashCall(std::string_view aMethod,
+         std::string_view aPath,
+         std::string_view aBody);
+
+// Returns the text of a row.
+[[nodiscard]] std::string
+EncodeClaimRow(const ClaimRow& aRow);
+
+// Reads the text of a row. Fails with Corrupt when it is not one.
+[[nodiscard]] Result<ClaimRow>
+DecodeClaimRow(std::string_view aText);
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/orders/src/claim_row.cpp
@@ -0,0 +1,138 @@
+#include <bilberrytrail/orders/claim_row.h>
+
+#include <bilberrytrail/base/digest.h>
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+namespace bilberrytrail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+bool
+IsPlain(char aChar) noexcept
+{
+  return (aChar >= 'a' && aChar <= 'z') || (aChar >= 'A' && aChar <= 'Z') ||
+         (aChar >= '0' && aChar <= '9') || aChar == '-' || aChar == '_' ||
+         aChar == '.';
+}
+
+std::string
+PercentEncode(std::string_view aText)
+{
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string text;
+  for (const char c : aText) {
+    if (IsPlain(c)) {
+      text.push_back(c);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    text.push_back('%');
+    text.push_back(kDigits[byte >> 4U]);
+    text.push_back(kDigits[byte & 15U]);
+  }
+  return text;
+}
+
+// Answer bodies are bytes; JSON text has to be UTF-8.
+Json
+ToBinary(const std::string& aBytes)
+{
+  return Json::binary(std::vector<std::uint8_t>(aBytes.begin(), aBytes.end()));
+}
+
+std::string
+FromBinary(const Json& aValue)
+{
+  const auto& bytes = aValue.get_binary();
+  return { bytes.begin(), bytes.end() };
+}
+
+} // namespace
+
+Result<void>
+CheckIdempotencyKey(std::string_view aKey)
+{
+  if (aKey.empty()) {
+    return Fail(ErrorCode::InvalidInput,
+                "this call may not be repeated: send an Idempotency-Key "
+                "header so that a resend can be recognised");
+  }
+  if (aKey.size() > kMaxIdempotencyKeyBytes) {
+    return Fail(ErrorCode::InvalidInput,
+                "the Idempotency-Key must be at most 255 bytes long");
+  }
+  return Ok();
+}
+
+std::string
+ClaimRowKey(const ProductId& aProduct,
+            const AccountId& aAccount,
+            const IdempotencyKey& aKey)
+{
+  return "claim/" + PercentEncode(aProduct.Text()) + "/" +
+         PercentEncode(aAccount.Text()) + "/" + PercentEncode(aKey.Text());
+}
+
+std::string
+HashCall(std::string_view aMethod,
+         std::string_view aPath,
+         std::string_view aBody)
+{
+  std::string text = std::to_string(aMethod.size()) + ":";
+  text += aMethod;
+  text += std::to_string(aPath.size()) + ":";
+  text += aPath;
+  text += aBody;
+  return Sha256Hex(text);
+}
+
+std::string
+EncodeClaimRow(const ClaimRow& aRow)
+{
+  Json json{ { "state", ToName(aRow.mState) },
+             { "attempt", aRow.mAttempt.Text() },
+             { "call", aRow.mCallHash },
+             { "at", aRow.mWrittenAtMs } };
+  if (aRow.mState == ClaimState::Answered) {
+    json["status"] = aRow.mAnswer.mStatus;
+    json["type"] = ToBinary(aRow.mAnswer.mContentType);
+    json["body"] = ToBinary(aRow.mAnswer.mBody);
+    json["omitted"] = aRow.mAnswer.mBodyOmitted;
+  }
+  const auto bytes = Json::to_msgpack(json);
+  return { bytes.begin(), bytes.end() };
+}
+
+Result<ClaimRow>
+DecodeClaimRow(std::string_view aText)
+{
+  try {
+    const auto json = Json::from_msgpack(aText);
+    const auto state =
+      FromName<ClaimState>(json.at("state").get_ref<const std::string&>());
+    if (!state) {
+      return Fail(ErrorCode::Corrupt, "claim row: unknown state");
+    }
+    ClaimRow row;
+    row.mState = *state;
+    row.mAttempt = AttemptId(json.at("attempt").get<std::string>());
+    row.mCallHash = json.at("call").get<std::string>();
+    row.mWrittenAtMs = json.at("at").get<std::int64_t>();
+    if (row.mState == ClaimState::Answered) {
+      row.mAnswer.mStatus = json.at("status").get<unsigned>();
+      row.mAnswer.mContentType = FromBinary(json.at("type"));
+      row.mAnswer.mBody = FromBinary(json.at("body"));
+      row.mAnswer.mBodyOmitted = json.at("omitted").get<bool>();
+    }
+    return row;
+  } catch (const Json::exception& ec) {
+    return Fail(ErrorCode::Corrupt, std::string("claim row: ") + ec.what());
+  }
+}
+
+} // namespace bilberrytrail
--- a/packages/platform/include/bilberrytrail/platform/table_service.h
+++ b/packages/platform/include/bilberrytrail/platform/table_service.h
@@ -25,6 +25,9 @@
   std::string mKey;
   std::string mValue;
   std::uint64_t mExpectedVersion = 0;
+  // Erases the row instead. A row that is created again later gets a version
+  // greater than every version it had before.
+  bool mErase = false;
 };
 
 // What a transaction came to. When not committed, mCurrent holds the rows
