--- a/packages/orders/include/bilberrytrail/orders/claim.h
+++ b/packages/orders/include/bilberrytrail/orders/claim.h
@@ -144,7 +144,8 @@
     Instant aNow);
   // Returns true when the call may be sent now; it then counts as sent. False
   // when the claim is older than its validity, when the deadline has passed,
-  // or when no send is due: call OnSendSkipped.
+  // or when no send is due: call
+  // OnSendSkipped; no later send is allowed.
   [[nodiscard]] bool BeginSend(Instant aNow);
   // The send was not begun. Records that the call did not run.
   [[nodiscard]] ClaimActions OnSendSkipped(Instant aNow);
@@ -165,6 +166,7 @@
     Claiming,
     ReadingBack,
     Ready,
+    Expired,
     Running,
     Recording,
     Finished
--- /dev/null
+++ b/packages/orders/include/bilberrytrail/orders/claim_batch.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <bilberrytrail/base/call.h>
+#include <bilberrytrail/base/time.h>
+#include <bilberrytrail/platform/table_service.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bilberrytrail {
+
+// Bounds of a batcher.
+struct ClaimBatchLimits
+{
+  // Longest time that a write waits for others.
+  Duration mInterval = 3ms;
+  std::size_t mMaxWrites = 64;
+  std::size_t mMaxBytes = 512 * 1024;
+  // Batches that may be under way at a time.
+  std::size_t mMaxInFlight = 4;
+  // Writes that may wait; further ones are refused before running.
+  std::size_t mMaxWaiting = 4096;
+};
+
+// One transaction to commit.
+struct ClaimBatch
+{
+  std::uint64_t mNumber = 0;
+  std::vector<TableWrite> mWrites;
+};
+
+// What one write came to. An Unknown fate means that the reply of its batch
+// was lost: its owner reads the row back.
+struct SettledWrite
+{
+  std::uint64_t mTicket = 0;
+  CallResult<CommitOutcome> mOutcome;
+};
+
+// Joins the writes of many requests into transactions. A batch that conflicts
+// on some rows settles these and sends the others again at once; a row has at
+// most one write under way.
+//
+//   batcher.Add(ticket, write, now);
+//   while (auto batch = batcher.Poll(now)) {
+//     auto outcome = table.Commit(batch->mWrites, timeout);
+//     for (auto& settled : batcher.OnCommitted(batch->mNumber, outcome)) {...}
+//   }
+class ClaimBatcher
+{
+public:
+  explicit ClaimBatcher(const ClaimBatchLimits& aLimits);
+
+  [[nodiscard]] std::size_t Waiting() const noexcept { return mWaiting.size(); }
+  // Returns the time at which Poll has to be called next; nothing when no
+  // write waits or all transactions are under way.
+  [[nodiscard]] std::optional<Instant> NextPoll() const;
+
+  // Adds a write. Fails with Exhausted when too many wait; it did not run.
+  [[nodiscard]] CallResult<void> Add(std::uint64_t aTicket,
+                                     TableWrite aWrite,
+                                     Instant aNow);
+  // Returns the next transaction when one is due.
+  [[nodiscard]] std::optional<ClaimBatch> Poll(Instant aNow);
+  // Takes what a transaction came to; returns the writes that it settles.
+  [[nodiscard]] std::vector<SettledWrite> OnCommitted(
+    std::uint64_t aNumber,
+    const CallResult<CommitOutcome>& aOutcome);
+
+private:
+  struct Entry
+  {
+    std::uint64_t mTicket = 0;
+    TableWrite mWrite;
+    Instant mDue;
+  };
+
+  [[nodiscard]] bool IsDue(Instant aNow) const;
+  [[nodiscard]] std::vector<Entry> TakeEntries();
+  [[nodiscard]] std::vector<SettledWrite> SplitConflict(
+    std::vector<Entry> aEntries,
+    const CommitOutcome& aOutcome);
+
+  ClaimBatchLimits mLimits;
+  std::deque<Entry> mWaiting;
+  std::map<std::uint64_t, std::vector<Entry>> mInFlight;
+  // Rows that have a write under way.
+  std::set<std::string> mBusyRows;
+  std::uint64_t mLastNumber = 0;
+};
+
+} // namespace bilberrytrail
--- a/packages/orders/src/claim.cpp
+++ b/packages/orders/src/claim.cpp
@@ -161,8 +161,12 @@
 bool
 ClaimedCall::BeginSend(Instant aNow)
 {
+  if (mPhase != Phase::Ready) {
+    return false;
+  }
   const bool isValid = aNow - mClaimedAt < mLimits.mClaimValidity;
-  if (mPhase != Phase::Ready || !isValid || aNow >= mRequest.mDeadline) {
+  if (!isValid || aNow >= mRequest.mDeadline) {
+    mPhase = Phase::Expired;
     return false;
   }
   mPhase = Phase::Running;
@@ -173,7 +177,7 @@
 ClaimActions
 ClaimedCall::OnSendSkipped(Instant /*aNow*/)
 {
-  if (mPhase != Phase::Ready) {
+  if (mPhase != Phase::Ready && mPhase != Phase::Expired) {
     return {};
   }
   return Release("the claim or the deadline ran out before the send", false);
--- /dev/null
+++ b/packages/orders/src/claim_batch.cpp
@@ -0,0 +1,146 @@
+#include <bilberrytrail/orders/claim_batch.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberrytrail {
+
+ClaimBatcher::ClaimBatcher(const ClaimBatchLimits& aLimits)
+  : mLimits(aLimits)
+{
+}
+
+std::optional<Instant>
+ClaimBatcher::NextPoll() const
+{
+  if (mInFlight.size() >= mLimits.mMaxInFlight) {
+    return std::nullopt;
+  }
+  for (const auto& entry : mWaiting) {
+    if (!mBusyRows.contains(entry.mWrite.mKey)) {
+      return entry.mDue;
+    }
+  }
+  return std::nullopt;
+}
+
+CallResult<void>
+ClaimBatcher::Add(std::uint64_t aTicket, TableWrite aWrite, Instant aNow)
+{
+  if (mWaiting.size() >= mLimits.mMaxWaiting) {
+    return FailCall(CallFate::NotRun,
+                    ErrorCode::Exhausted,
+                    "too many table writes are waiting");
+  }
+  mWaiting.push_back(
+    Entry{ aTicket, std::move(aWrite), aNow + mLimits.mInterval });
+  return Ok();
+}
+
+bool
+ClaimBatcher::IsDue(Instant aNow) const
+{
+  const auto next = NextPoll();
+  return next && (*next <= aNow || mWaiting.size() >= mLimits.mMaxWrites);
+}
+
+std::vector<ClaimBatcher::Entry>
+ClaimBatcher::TakeEntries()
+{
+  std::vector<Entry> taken;
+  std::deque<Entry> left;
+  std::size_t bytes = 0;
+  bool isFull = false;
+  for (auto& entry : mWaiting) {
+    const auto size = entry.mWrite.mKey.size() + entry.mWrite.mValue.size();
+    isFull = isFull || taken.size() >= mLimits.mMaxWrites ||
+             (!taken.empty() && bytes + size > mLimits.mMaxBytes);
+    if (isFull || mBusyRows.contains(entry.mWrite.mKey)) {
+      left.push_back(std::move(entry));
+      continue;
+    }
+    bytes += size;
+    mBusyRows.insert(entry.mWrite.mKey);
+    taken.push_back(std::move(entry));
+  }
+  mWaiting = std::move(left);
+  return taken;
+}
+
+std::optional<ClaimBatch>
+ClaimBatcher::Poll(Instant aNow)
+{
+  if (!IsDue(aNow)) {
+    return std::nullopt;
+  }
+  ClaimBatch batch;
+  batch.mNumber = ++mLastNumber;
+  auto entries = TakeEntries();
+  for (const auto& entry : entries) {
+    batch.mWrites.push_back(entry.mWrite);
+  }
+  mInFlight.emplace(batch.mNumber, std::move(entries));
+  return batch;
+}
+
+std::vector<SettledWrite>
+ClaimBatcher::OnCommitted(std::uint64_t aNumber,
+                          const CallResult<CommitOutcome>& aOutcome)
+{
+  const auto it = mInFlight.find(aNumber);
+  if (it == mInFlight.end()) {
+    return {};
+  }
+  auto entries = std::move(it->second);
+  mInFlight.erase(it);
+  for (const auto& entry : entries) {
+    mBusyRows.erase(entry.mWrite.mKey);
+  }
+  if (aOutcome && !aOutcome.value().mCommitted) {
+    return SplitConflict(std::move(entries), aOutcome.value());
+  }
+  std::vector<SettledWrite> settled;
+  settled.reserve(entries.size());
+  for (const auto& entry : entries) {
+    settled.push_back({ entry.mTicket, aOutcome });
+  }
+  return settled;
+}
+
+std::vector<SettledWrite>
+ClaimBatcher::SplitConflict(std::vector<Entry> aEntries,
+                            const CommitOutcome& aOutcome)
+{
+  std::map<std::string, TableRow> conflicts;
+  for (const auto& row : aOutcome.mCurrent) {
+    conflicts.emplace(row.mKey, row);
+  }
+  std::vector<SettledWrite> settled;
+  std::vector<Entry> again;
+  for (auto& entry : aEntries) {
+    const auto it = conflicts.find(entry.mWrite.mKey);
+    if (it != conflicts.end()) {
+      settled.push_back(
+        { entry.mTicket, CommitOutcome{ false, { it->second } } });
+    } else {
+      again.push_back(std::move(entry));
+    }
+  }
+  if (!settled.empty()) {
+    mWaiting.insert(mWaiting.begin(),
+                    std::make_move_iterator(again.begin()),
+                    std::make_move_iterator(again.end()));
+    return settled;
+  }
+  // The conflict names no row of the batch: nothing was written, and sending
+  // the same batch again could go on without end.
+  for (const auto& entry : again) {
+    settled.push_back({ entry.mTicket,
+                        FailCall(CallFate::NotRun,
+                                 ErrorCode::Conflict,
+                                 "the conflict names no row") });
+  }
+  return settled;
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/orders/tests/claim_batch_test.cpp
@@ -0,0 +1,168 @@
+#include "claim_model.h"
+
+#include <bilberrytrail/base/random.h>
+#include <bilberrytrail/orders/claim_batch.h>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr Instant kStart{ 100s };
+
+TableWrite
+MakeWrite(const std::string& aKey, std::uint64_t aVersion = 0)
+{
+  return { aKey, "v", aVersion };
+}
+
+} // namespace
+
+TEST_CASE("writes wait for others within the interval")
+{
+  const ClaimBatchLimits limits;
+  ClaimBatcher batcher(limits);
+  REQUIRE(batcher.Add(1, MakeWrite("a"), kStart));
+  REQUIRE(batcher.Add(2, MakeWrite("b"), kStart + 1ms));
+  CHECK_FALSE(batcher.Poll(kStart + limits.mInterval - 1us));
+  CHECK(batcher.NextPoll() == kStart + limits.mInterval);
+  const auto batch = batcher.Poll(kStart + limits.mInterval);
+  REQUIRE(batch);
+  CHECK(batch->mWrites.size() == 2);
+  CHECK_FALSE(batcher.Poll(kStart + 1s));
+}
+
+TEST_CASE("a batch is bounded in writes and bytes")
+{
+  ClaimBatchLimits limits;
+  limits.mMaxWrites = 3;
+  limits.mMaxBytes = 100;
+  ClaimBatcher batcher(limits);
+  for (std::uint64_t n = 0; n < 4; ++n) {
+    REQUIRE(batcher.Add(n, MakeWrite("k" + std::to_string(n)), kStart));
+  }
+  CHECK(batcher.Poll(kStart)->mWrites.size() == 3);
+  REQUIRE(batcher.Add(9, { "big", std::string(200, 'x'), 0 }, kStart));
+  CHECK(batcher.Poll(kStart + 1s)->mWrites.size() == 1);
+  CHECK(batcher.Poll(kStart + 1s)->mWrites.front().mKey == "big");
+}
+
+TEST_CASE("too many waiting writes are refused before running")
+{
+  ClaimBatchLimits limits;
+  limits.mMaxWaiting = 1;
+  ClaimBatcher batcher(limits);
+  REQUIRE(batcher.Add(1, MakeWrite("a"), kStart));
+  const auto refused = batcher.Add(2, MakeWrite("b"), kStart);
+  REQUIRE_FALSE(refused);
+  CHECK(refused.error().mFate == CallFate::NotRun);
+}
+
+TEST_CASE("two writes of one row are never under way together")
+{
+  ClaimBatcher batcher({});
+  REQUIRE(batcher.Add(1, MakeWrite("a"), kStart));
+  REQUIRE(batcher.Add(2, MakeWrite("a"), kStart));
+  const auto batch = batcher.Poll(kStart + 1s);
+  REQUIRE(batch);
+  CHECK(batch->mWrites.size() == 1);
+  CHECK_FALSE(batcher.Poll(kStart + 1s));
+  const auto settled =
+    batcher.OnCommitted(batch->mNumber, CommitOutcome{ true, {} });
+  REQUIRE(settled.size() == 1);
+  CHECK(settled.front().mTicket == 1);
+  CHECK(batcher.Poll(kStart + 1s)->mWrites.size() == 1);
+}
+
+TEST_CASE("a conflict on one row settles that row and the others still commit")
+{
+  claim_model::Table table;
+  (void)table.Commit({ MakeWrite("b") });
+  ClaimBatcher batcher({});
+  const char* const keys[] = { "a", "b", "c" };
+  for (std::uint64_t n = 0; n < 3; ++n) {
+    REQUIRE(batcher.Add(n, MakeWrite(keys[n]), kStart));
+  }
+  std::map<std::uint64_t, bool> committed;
+  while (const auto batch = batcher.Poll(kStart + 1s)) {
+    const auto outcome = table.Commit(batch->mWrites);
+    for (const auto& it : batcher.OnCommitted(batch->mNumber, outcome)) {
+      committed[it.mTicket] = it.mOutcome.value().mCommitted;
+    }
+  }
+  CHECK(committed == std::map<std::uint64_t, bool>{
+                       { 0, true }, { 1, false }, { 2, true } });
+}
+
+TEST_CASE("a failed batch settles each write with its fate")
+{
+  for (const auto fate : AllOf<CallFate>()) {
+    ClaimBatcher batcher({});
+    REQUIRE(batcher.Add(1, MakeWrite("a"), kStart));
+    REQUIRE(batcher.Add(2, MakeWrite("b"), kStart));
+    const auto batch = batcher.Poll(kStart + 1s);
+    const auto settled = batcher.OnCommitted(
+      batch->mNumber, FailCall(fate, ErrorCode::Timeout, "timeout"));
+    REQUIRE(settled.size() == 2);
+    for (const auto& it : settled) {
+      CHECK(it.mOutcome.error().mFate == fate);
+    }
+    CHECK(batcher.OnCommitted(batch->mNumber, CommitOutcome{}).empty());
+  }
+}
+
+TEST_CASE("a conflict that names no row of the batch ends")
+{
+  ClaimBatcher batcher({});
+  REQUIRE(batcher.Add(1, MakeWrite("a"), kStart));
+  const auto batch = batcher.Poll(kStart + 1s);
+  const auto settled = batcher.OnCommitted(batch->mNumber, CommitOutcome{});
+  REQUIRE(settled.size() == 1);
+  CHECK(settled.front().mOutcome.error().mFate == CallFate::NotRun);
+  CHECK(batcher.Waiting() == 0);
+}
+
+TEST_CASE("every write is settled once under conflicts and lost replies")
+{
+  constexpr std::uint64_t kWrites = 3000;
+  Random random(11);
+  claim_model::Table table;
+  ClaimBatcher batcher({});
+  std::map<std::uint64_t, int> settledCount;
+  std::map<std::uint64_t, std::string> keys;
+  Instant now = kStart;
+  for (std::uint64_t n = 0; n < kWrites || batcher.Waiting() > 0; ++n) {
+    now += 200us;
+    if (n < kWrites) {
+      keys[n] = "k" + std::to_string(random.Below(1500));
+      REQUIRE(batcher.Add(n, { keys[n], std::to_string(n), 0 }, now));
+    }
+    const auto batch = batcher.Poll(now);
+    if (!batch) {
+      continue;
+    }
+    CallResult<CommitOutcome> outcome =
+      FailCall(CallFate::Unknown, ErrorCode::Timeout, "timeout");
+    const auto fault = random.Below(5);
+    if (fault != 0) {
+      const auto real = table.Commit(batch->mWrites);
+      if (fault != 1) {
+        outcome = real;
+      }
+    }
+    for (const auto& it : batcher.OnCommitted(batch->mNumber, outcome)) {
+      ++settledCount[it.mTicket];
+      if (it.mOutcome && it.mOutcome.value().mCommitted) {
+        CHECK(table.Read(keys[it.mTicket])->mValue ==
+              std::to_string(it.mTicket));
+      }
+    }
+  }
+  CHECK(settledCount.size() == kWrites);
+  for (const auto& [ticket, n] : settledCount) {
+    CHECK(n == 1);
+  }
+}
