--- /dev/null
+++ b/packages/cache/tests/prompt_blocks_test.cpp
@@ -0,0 +1,87 @@
+#include <bilberrytrail/cache/prompt_blocks.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr std::uint32_t kBlock = 10;
+
+PromptScope
+MakeScope()
+{
+  return { ProductId("p"), AccountId("a"), ModelId("m"), VersionId("v"), "" };
+}
+
+} // namespace
+
+TEST_CASE("a prompt is cut into whole blocks and a tail")
+{
+  struct Row
+  {
+    std::size_t mBytes;
+    std::size_t mBlocks;
+    std::uint32_t mTail;
+  };
+  const Row rows[] = { { 0, 0, 0 },  { 9, 0, 9 },  { 10, 1, 0 },
+                       { 11, 1, 1 }, { 35, 3, 5 }, { 40, 4, 0 } };
+  for (const auto& row : rows) {
+    const auto cut =
+      CutPrompt(MakeScope(), std::string(row.mBytes, 'x'), "key", kBlock);
+    CHECK(cut.mBlocks.size() == row.mBlocks);
+    CHECK(cut.mTailBytes == row.mTail);
+    CHECK(cut.Root().has_value() == (row.mBlocks > 0));
+  }
+}
+
+TEST_CASE("a longer prompt shares the blocks of its prefix")
+{
+  const std::string text = "aaaaaaaaaabbbbbbbbbbcccccccccc";
+  const auto shorter =
+    CutPrompt(MakeScope(), text.substr(0, 25), "key", kBlock);
+  const auto longer = CutPrompt(MakeScope(), text, "key", kBlock);
+  CHECK(std::equal(
+    shorter.mBlocks.begin(), shorter.mBlocks.end(), longer.mBlocks.begin()));
+  auto other = text;
+  other[0] = 'z';
+  const auto changed = CutPrompt(MakeScope(), other, "key", kBlock);
+  for (std::size_t n = 0; n < changed.mBlocks.size(); ++n) {
+    CHECK(changed.mBlocks[n] != longer.mBlocks[n]);
+  }
+}
+
+TEST_CASE("blocks of different scopes or keys never have equal ids")
+{
+  struct Row
+  {
+    const char* mName;
+    PromptScope mScope;
+    const char* mKey;
+  };
+  const auto base = MakeScope();
+  std::vector<Row> rows(9, Row{ "same", base, "key" });
+  rows[1] = { "account", base, "key" };
+  rows[1].mScope.mAccount = AccountId("b");
+  rows[2].mScope.mVersion = VersionId("w");
+  rows[3].mScope.mModel = ModelId("n");
+  rows[4].mScope.mProduct = ProductId("q");
+  rows[5].mScope.mAdapter = "x";
+  rows[6].mKey = "other key";
+  // The same letters, split differently over the fields.
+  rows[7].mScope.mProduct = ProductId("pa");
+  rows[7].mScope.mAccount = AccountId("");
+  rows[8].mScope.mModel = ModelId("mv");
+  rows[8].mScope.mVersion = VersionId("");
+  const std::string text(50, 'x');
+  std::vector<BlockId> all;
+  for (const auto& row : rows) {
+    const auto cut = CutPrompt(row.mScope, text, row.mKey, kBlock);
+    all.insert(all.end(), cut.mBlocks.begin(), cut.mBlocks.end());
+  }
+  std::sort(all.begin(), all.end());
+  CHECK(std::adjacent_find(all.begin(), all.end()) == all.end());
+  CHECK(all.size() == rows.size() * 5);
+}
--- /dev/null
+++ b/packages/cache/tests/prompt_directory_test.cpp
@@ -0,0 +1,250 @@
+#include <bilberrytrail/cache/prompt_directory.h>
+
+#include <doctest/doctest.h>
+
+#include <functional>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr Instant kStart{ 100s };
+const ServerId kServer("s1");
+const StoreId kStore("t1");
+const PromptKey kKey{ ProductId("p"), AccountId("a"), BlockId(1) };
+const std::vector<BlockId> kBlocks{ BlockId(1), BlockId(2), BlockId(3) };
+
+EngineEvent
+MakeEvent(EngineEventKind aKind,
+          std::uint64_t aSequence,
+          std::vector<BlockId> aBlocks)
+{
+  return { aKind, aSequence, std::nullopt, std::move(aBlocks) };
+}
+
+StoredBlock
+MakeStored(std::uint64_t aBlock, std::uint64_t aGeneration)
+{
+  return { BlockRef{ BlockId(aBlock), Generation(aGeneration), 1000, 7 },
+           StoreTier::Memory };
+}
+
+} // namespace
+
+TEST_CASE("server events decide how much of a prompt a server holds")
+{
+  using K = EngineEventKind;
+  struct Row
+  {
+    const char* mName;
+    std::vector<EngineEvent> mEvents;
+    Duration mLater;
+    std::uint32_t mBlocks;
+    bool mDoubtful;
+  };
+  const auto age = DirectoryLimits().mDoubtfulAge;
+  const auto all = MakeEvent(K::BlockCached, 1, kBlocks);
+  const Row rows[] = {
+    { "all", { all }, 0s, 3, false },
+    { "old but confirmed", { all }, 3600s, 3, false },
+    { "a hole in the prefix",
+      { MakeEvent(K::BlockCached, 1, { BlockId(1), BlockId(3) }) },
+      0s,
+      1,
+      false },
+    { "no first block",
+      { MakeEvent(K::BlockCached, 1, { BlockId(2), BlockId(3) }) },
+      0s,
+      0,
+      false },
+    { "evicted",
+      { all, MakeEvent(K::BlockEvicted, 2, { BlockId(2) }) },
+      0s,
+      1,
+      false },
+    { "gap", { all, MakeEvent(K::Load, 5, {}) }, 0s, 3, true },
+    { "gap, aged", { all, MakeEvent(K::Load, 5, {}) }, age, 0, false },
+    { "gap, confirmed",
+      { all, MakeEvent(K::BlockCached, 5, kBlocks) },
+      age,
+      3,
+      false },
+    { "restart", { all, MakeEvent(K::Load, 1, {}) }, 0s, 0, false },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mName);
+    PromptDirectory directory({});
+    directory.NoteUse(kKey, kBlocks);
+    for (const auto& event : row.mEvents) {
+      directory.OnServerEvent(kServer, event, kStart);
+    }
+    const auto where = directory.Find(kKey, kBlocks, kStart + row.mLater);
+    REQUIRE(where.mServers.size() == (row.mBlocks > 0 ? 1 : 0));
+    if (row.mBlocks > 0) {
+      CHECK(where.mServers.front().mServer == kServer);
+      CHECK(where.mServers.front().mBlocks == row.mBlocks);
+      CHECK(where.mServers.front().mIsDoubtful == row.mDoubtful);
+    }
+  }
+}
+
+TEST_CASE("an inventory replaces what was known of a server")
+{
+  PromptDirectory directory({});
+  directory.NoteUse(kKey, kBlocks);
+  directory.OnServerEvent(
+    kServer, MakeEvent(EngineEventKind::BlockCached, 1, kBlocks), kStart);
+  directory.OnServerEvent(
+    kServer, MakeEvent(EngineEventKind::Load, 9, {}), kStart);
+  directory.OnServerInventory(
+    kServer, 9, std::vector<BlockId>{ BlockId(1) }, kStart);
+  const auto where = directory.Find(kKey, kBlocks, kStart);
+  REQUIRE(where.mServers.size() == 1);
+  CHECK(where.mServers.front().mBlocks == 1);
+  CHECK_FALSE(where.mServers.front().mIsDoubtful);
+  directory.OnServerGone(kServer);
+  // Another server may get the number that the first had.
+  directory.OnServerEvent(
+    ServerId("s2"), MakeEvent(EngineEventKind::Load, 1, {}), kStart);
+  CHECK(directory.Find(kKey, kBlocks, kStart).mServers.empty());
+}
+
+TEST_CASE("store events decide which copies are known")
+{
+  struct Row
+  {
+    const char* mName;
+    std::function<void(PromptDirectory&)> mChange;
+    std::size_t mCopies;
+  };
+  const Row rows[] = {
+    { "sealed", [](PromptDirectory&) {}, 1 },
+    { "freed",
+      [](PromptDirectory& aDirectory) {
+        aDirectory.OnStoreFreed(kStore, MakeStored(1, 4).mRef);
+      },
+      0 },
+    { "an earlier generation freed",
+      [](PromptDirectory& aDirectory) {
+        aDirectory.OnStoreFreed(kStore, MakeStored(1, 3).mRef);
+      },
+      1 },
+    { "inventory without it",
+      [](PromptDirectory& aDirectory) {
+        aDirectory.OnStoreInventory(kStore, { 1, 0, 0, 0, 0, {} });
+      },
+      0 },
+    { "inventory with it",
+      [](PromptDirectory& aDirectory) {
+        aDirectory.OnStoreInventory(kStore,
+                                    { 1, 0, 0, 0, 0, { MakeStored(1, 4) } });
+      },
+      1 },
+    { "new incarnation",
+      [](PromptDirectory& aDirectory) {
+        aDirectory.OnStoreSealed(kStore, 2, MakeStored(3, 1));
+      },
+      0 },
+    { "store gone",
+      [](PromptDirectory& aDirectory) { aDirectory.OnStoreGone(kStore); },
+      0 },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mName);
+    PromptDirectory directory({});
+    directory.NoteUse(kKey, kBlocks);
+    directory.OnStoreSealed(kStore, 1, MakeStored(1, 4));
+    row.mChange(directory);
+    const auto where = directory.Find(kKey, kBlocks, kStart);
+    REQUIRE(where.mCopies.size() == 3);
+    CHECK(where.mCopies.front().size() == row.mCopies);
+  }
+}
+
+TEST_CASE("another account or product finds nothing and changes nothing")
+{
+  PromptDirectory directory({});
+  directory.NoteUse(kKey, kBlocks);
+  directory.OnServerEvent(
+    kServer, MakeEvent(EngineEventKind::BlockCached, 1, kBlocks), kStart);
+  directory.OnStoreSealed(kStore, 1, MakeStored(1, 1));
+  const PromptKey others[] = {
+    { ProductId("p"), AccountId("b"), BlockId(1) },
+    { ProductId("q"), AccountId("a"), BlockId(1) },
+  };
+  for (const auto& other : others) {
+    directory.NoteUse(other, kBlocks);
+    const auto where = directory.Find(other, kBlocks, kStart);
+    CHECK(where.mServers.empty());
+    CHECK(where.mCopies.front().empty());
+  }
+  CHECK(directory.Find(kKey, kBlocks, kStart).mServers.size() == 1);
+}
+
+TEST_CASE("the directory forgets the least recently used prompts")
+{
+  DirectoryLimits limits;
+  limits.mMaxPrompts = 2;
+  PromptDirectory directory(limits);
+  const auto use = [&](std::uint64_t n) {
+    const std::vector<BlockId> blocks{ BlockId(n) };
+    directory.NoteUse({ ProductId("p"), AccountId("a"), BlockId(n) }, blocks);
+    directory.OnStoreSealed(kStore, 1, MakeStored(n, 1));
+  };
+  const auto isKnown = [&](std::uint64_t n) {
+    const std::vector<BlockId> blocks{ BlockId(n) };
+    const PromptKey key{ ProductId("p"), AccountId("a"), BlockId(n) };
+    return !directory.Find(key, blocks, kStart).mCopies.front().empty();
+  };
+  use(1);
+  use(2);
+  use(1);
+  use(3);
+  CHECK(directory.Prompts() == 2);
+  CHECK(isKnown(1));
+  CHECK_FALSE(isKnown(2));
+  CHECK(isKnown(3));
+}
+
+TEST_CASE("a prompt at its bound of blocks keeps those in use")
+{
+  DirectoryLimits limits;
+  limits.mMaxBlocksPerPrompt = 3;
+  PromptDirectory directory(limits);
+  directory.NoteUse(kKey, kBlocks);
+  const std::vector<BlockId> branch{ BlockId(1), BlockId(8), BlockId(9) };
+  directory.NoteUse(kKey, branch);
+  directory.OnStoreSealed(kStore, 1, MakeStored(9, 1));
+  directory.OnStoreSealed(kStore, 1, MakeStored(2, 1));
+  CHECK(directory.Find(kKey, branch, kStart).mCopies[2].size() == 1);
+  CHECK(directory.Find(kKey, kBlocks, kStart).mCopies[1].empty());
+}
+
+TEST_CASE("a daemon's share of the returning prompts fits in memory")
+{
+  constexpr std::uint64_t kPrompts = 120000 / 400;
+  constexpr std::uint64_t kBlocksPerPrompt = 16;
+  constexpr std::size_t kMaxBytes = 8 * 1024 * 1024;
+  PromptDirectory directory({});
+  for (std::uint64_t n = 0; n < kPrompts; ++n) {
+    std::vector<BlockId> blocks;
+    for (std::uint64_t k = 0; k < kBlocksPerPrompt; ++k) {
+      blocks.emplace_back(n * kBlocksPerPrompt + k);
+    }
+    const PromptKey key{ ProductId("p"), AccountId("a"), blocks.front() };
+    directory.NoteUse(key, blocks);
+    for (int k = 0; k < 3; ++k) {
+      directory.OnServerEvent(
+        ServerId("s" + std::to_string(k)),
+        MakeEvent(EngineEventKind::BlockCached, n + 1, blocks),
+        kStart);
+    }
+    for (const auto block : blocks) {
+      directory.OnStoreSealed(kStore, 1, MakeStored(block.Value(), 1));
+    }
+  }
+  MESSAGE("bytes per block entry: ",
+          directory.StateBytes() / (kPrompts * kBlocksPerPrompt));
+  CHECK(directory.Prompts() == kPrompts);
+  CHECK(directory.StateBytes() < kMaxBytes);
+}
--- a/packages/orders/include/bilberrytrail/orders/claim_batch.h
+++ b/packages/orders/include/bilberrytrail/orders/claim_batch.h
@@ -21,7 +21,7 @@
   // Longest time that a write waits for others.
   Duration mInterval = 3ms;
   std::size_t mMaxWrites = 64;
-  std::size_t mMaxBytes = 512 * 1024;
+  std::size_t mMaxBytes = 524288;
   // Batches that may be under way at a time.
   std::size_t mMaxInFlight = 4;
   // Writes that may wait; further ones are refused before running.
--- a/packages/orders/include/bilberrytrail/orders/claim_row.h
+++ b/packages/orders/include/bilberrytrail/orders/claim_row.h
@@ -13,7 +13,7 @@
 // Longest idempotency key that is accepted, in bytes.
 constexpr std::size_t kMaxIdempotencyKeyBytes = 255;
 // Longest answer body that is kept for a resend, in bytes.
-constexpr std::size_t kMaxRecordedBodyBytes = 64 * 1024;
+constexpr std::size_t kMaxRecordedBodyBytes = 65536;
 
 // What is recorded of a non-idempotent call.
 enum class ClaimState : unsigned char
--- a/packages/orders/src/claim_row.cpp
+++ b/packages/orders/src/claim_row.cpp
@@ -52,6 +52,16 @@
   return { bytes.begin(), bytes.end() };
 }
 
+// Appends a field with its length, so that no two lists of fields give the
+// same text.
+void
+AppendField(std::string& aText, std::string_view aField)
+{
+  aText += std::to_string(aField.size());
+  aText += ':';
+  aText += aField;
+}
+
 } // namespace
 
 Result<void>
@@ -83,10 +93,9 @@
          std::string_view aPath,
          std::string_view aBody)
 {
-  std::string text = std::to_string(aMethod.size()) + ":";
-  text += aMethod;
-  text += std::to_string(aPath.size()) + ":";
-  text += aPath;
+  std::string text;
+  AppendField(text, aMethod);
+  AppendField(text, aPath);
   text += aBody;
   return Sha256Hex(text);
 }
--- a/packages/orders/tests/claim_faults_test.cpp
+++ b/packages/orders/tests/claim_faults_test.cpp
@@ -84,6 +84,7 @@
   const auto all = AllInjections();
   for (int n = 0; n < kHistories; ++n) {
     std::vector<Injection> faults;
+    faults.reserve(kFaults);
     for (int k = 0; k < kFaults; ++k) {
       faults.push_back(all[random.Below(all.size())]);
     }
--- a/packages/orders/tests/claim_row_test.cpp
+++ b/packages/orders/tests/claim_row_test.cpp
@@ -34,9 +34,9 @@
 TEST_CASE("row keys of different calls never meet")
 {
   const auto key =
-    [](const char* aProduct, const char* aAccount, const char* k) {
+    [](const char* aProduct, const char* aAccount, const char* aKey) {
       return ClaimRowKey(
-        ProductId(aProduct), AccountId(aAccount), IdempotencyKey(k));
+        ProductId(aProduct), AccountId(aAccount), IdempotencyKey(aKey));
     };
   CHECK(key("p", "a", "k-1") == "claim/p/a/k-1");
   CHECK(key("p", "a/b", "k") != key("p", "a", "b/k"));
