--- /dev/null
+++ b/packages/base/src/log_event.cpp
@@ -0,0 +1,435 @@
+#include <bilberrytrail/base/log_event.h>
+
+#include <array>
+
+namespace bilberrytrail {
+
+namespace {
+
+using enum LogEvent;
+using enum LogLevel;
+
+constexpr std::array kEvents{
+  LogEventInfo{ DaemonStarted,
+                1001,
+                Info,
+                "daemon_started",
+                "The daemon read its settings and begins to work.",
+                "Nothing." },
+  LogEventInfo{ DaemonStopped,
+                1002,
+                Info,
+                "daemon_stopped",
+                "The daemon ends; `status` is its exit status.",
+                "Nothing after a planned stop; else read the lines before." },
+  LogEventInfo{ SettingsRejected,
+                1003,
+                Error,
+                "settings_rejected",
+                "The settings file has a fault; the daemon does not start.",
+                "Mend the named line; try it with `bilberryctl settings "
+                "check`." },
+  LogEventInfo{ Listening,
+                1004,
+                Info,
+                "listening",
+                "A socket of the daemon accepts connections or messages.",
+                "Nothing." },
+  LogEventInfo{ ListenFailed,
+                1005,
+                Error,
+                "listen_failed",
+                "An address of the settings cannot be bound.",
+                "Free the port or correct the address in [listen]." },
+  LogEventInfo{ DaemonReady,
+                1006,
+                Info,
+                "daemon_ready",
+                "The daemon knows the releases and takes new requests.",
+                "Nothing." },
+  LogEventInfo{ DaemonNotReady,
+                1007,
+                Warning,
+                "daemon_not_ready",
+                "The daemon refuses new requests as not run; `reason` says "
+                "why.",
+                "Check the table service and the network to other daemons." },
+  LogEventInfo{ DrainBegun,
+                1008,
+                Info,
+                "drain_begun",
+                "The daemon leaves: it hands over its homes and finishes its "
+                "streams.",
+                "Wait for drain_done; a second SIGTERM ends it at once." },
+  LogEventInfo{ DrainDone,
+                1009,
+                Info,
+                "drain_done",
+                "All streams of a leaving daemon have ended.",
+                "Nothing; the VM may be taken away." },
+  LogEventInfo{ StopForced,
+                1010,
+                Warning,
+                "stop_forced",
+                "The daemon ended with `streams` still running, on a second "
+                "SIGTERM.",
+                "Callers of these streams see them incomplete." },
+  LogEventInfo{ TableDown,
+                1101,
+                Error,
+                "table_down",
+                "The table service does not answer. Non-idempotent calls are "
+                "refused as not run; other work goes on.",
+                "Check the table service." },
+  LogEventInfo{ TableUp,
+                1102,
+                Info,
+                "table_up",
+                "The table service answers again.",
+                "Nothing." },
+  LogEventInfo{ ListStale,
+                1103,
+                Warning,
+                "list_stale",
+                "The list of VMs cannot be read; the last one stays in use.",
+                "Check the platform's list." },
+  LogEventInfo{ ListFresh,
+                1104,
+                Info,
+                "list_fresh",
+                "The list of VMs is read again.",
+                "Nothing." },
+  LogEventInfo{ ObjectStoreFailed,
+                1105,
+                Warning,
+                "object_store_failed",
+                "An object could not be read or written.",
+                "Check the object store." },
+  LogEventInfo{ MemberJoined,
+                1201,
+                Info,
+                "member_joined",
+                "Another daemon joined.",
+                "Nothing." },
+  LogEventInfo{ MemberSuspect,
+                1202,
+                Info,
+                "member_suspect",
+                "Another daemon did not answer a ping, directly or through "
+                "others.",
+                "Nothing for single events; many at once point to the "
+                "network." },
+  LogEventInfo{ MemberDead,
+                1203,
+                Warning,
+                "member_dead",
+                "Another daemon did not refute its suspicion and counts as "
+                "dead.",
+                "Check the VM if it was not taken away on purpose." },
+  LogEventInfo{ MemberLeft,
+                1204,
+                Info,
+                "member_left",
+                "Another daemon left as planned.",
+                "Nothing." },
+  LogEventInfo{ HomeGained,
+                1205,
+                Info,
+                "home_gained",
+                "This daemon is now home to a backend server.",
+                "Nothing." },
+  LogEventInfo{ HomeLost,
+                1206,
+                Info,
+                "home_lost",
+                "Another daemon is now home to a backend server.",
+                "Nothing." },
+  LogEventInfo{ MessageBadMac,
+                1207,
+                Warning,
+                "message_bad_mac",
+                "A message between daemons was not authentic and was "
+                "dropped.",
+                "Compare the site keys; if they agree, look for who sends." },
+  LogEventInfo{ MessageReplayed,
+                1208,
+                Warning,
+                "message_replayed",
+                "A message between daemons was old or seen before and was "
+                "dropped.",
+                "Compare the clocks of the VMs; if they agree, look for who "
+                "sends." },
+  LogEventInfo{ ReleaseAccepted,
+                1301,
+                Info,
+                "release_accepted",
+                "A release note was stored under `number`.",
+                "Nothing." },
+  LogEventInfo{ ReleaseInForce,
+                1302,
+                Info,
+                "release_in_force",
+                "This daemon serves by release `number` from now on.",
+                "Nothing." },
+  LogEventInfo{ ReleaseConflict,
+                1303,
+                Warning,
+                "release_conflict",
+                "A release note was written against a release that is not "
+                "the newest; it was not applied.",
+                "Read the newest with `bilberryctl release show`, rewrite "
+                "the note, apply again." },
+  LogEventInfo{ ReleaseStale,
+                1304,
+                Warning,
+                "release_stale",
+                "Neither the table service nor another daemon confirmed the "
+                "newest release within the bound.",
+                "Check the table service and the network; new work is "
+                "refused as not run." },
+  LogEventInfo{ ReleaseRejected,
+                1305,
+                Warning,
+                "release_rejected",
+                "A release note has faults and was not applied.",
+                "Mend the named lines; try it with `bilberryctl release "
+                "check`." },
+  LogEventInfo{ LeaseTaken,
+                1401,
+                Info,
+                "lease_taken",
+                "This daemon holds the lease of a control shard.",
+                "Nothing." },
+  LogEventInfo{ LeaseLost,
+                1402,
+                Warning,
+                "lease_lost",
+                "The lease of a control shard lapsed or was taken over.",
+                "Nothing for single events; many point to a paused VM or a "
+                "slow table service." },
+  LogEventInfo{ OrderSent,
+                1403,
+                Info,
+                "order_sent",
+                "An order went to a backend server.",
+                "Nothing." },
+  LogEventInfo{ OrderRefused,
+                1404,
+                Warning,
+                "order_refused",
+                "A backend server refused an order, for example one with an "
+                "old fencing number.",
+                "Nothing for single events; the state is compared and "
+                "ordered again." },
+  LogEventInfo{ LoadBegun,
+                1405,
+                Info,
+                "load_begun",
+                "A backend server loads weights.",
+                "Nothing." },
+  LogEventInfo{ LoadDone,
+                1406,
+                Info,
+                "load_done",
+                "A backend server has loaded weights.",
+                "Nothing." },
+  LogEventInfo{ LoadFailed,
+                1407,
+                Error,
+                "load_failed",
+                "A backend server could not load weights.",
+                "Check the weight store and the name of the version." },
+  LogEventInfo{ ServerFound,
+                1501,
+                Info,
+                "server_found",
+                "A backend server of the list answers.",
+                "Nothing." },
+  LogEventInfo{ ServerSlow,
+                1502,
+                Warning,
+                "server_slow",
+                "A backend server answers later than predicted and gets less "
+                "work.",
+                "Look at the VM when it stays so." },
+  LogEventInfo{ ServerRecovered,
+                1503,
+                Info,
+                "server_recovered",
+                "A slow backend server has its full share again.",
+                "Nothing." },
+  LogEventInfo{ ServerDead,
+                1504,
+                Error,
+                "server_dead",
+                "A backend server does not answer; its requests run "
+                "elsewhere where that is safe.",
+                "Restart the VM." },
+  LogEventInfo{ ServerLeaving,
+                1505,
+                Info,
+                "server_leaving",
+                "A backend server gets no new work and finishes what it has.",
+                "Nothing." },
+  LogEventInfo{ RequestRefused,
+                1601,
+                Info,
+                "request_refused",
+                "A request was refused; `reason` and `disposition` say how.",
+                "See the table of refusals in docs/OPERATIONS.md." },
+  LogEventInfo{ RequestRetried,
+                1602,
+                Info,
+                "request_retried",
+                "An idempotent request runs again on another backend server.",
+                "Nothing." },
+  LogEventInfo{ RequestHedged,
+                1603,
+                Debug,
+                "request_hedged",
+                "A late idempotent request runs on a second backend server "
+                "as well.",
+                "Nothing." },
+  LogEventInfo{ StreamResumed,
+                1604,
+                Info,
+                "stream_resumed",
+                "A cut stream goes on from its position on another backend "
+                "server.",
+                "Nothing." },
+  LogEventInfo{ StreamIncomplete,
+                1605,
+                Warning,
+                "stream_incomplete",
+                "A stream ended early and the caller was told so.",
+                "Look for server_dead near it." },
+  LogEventInfo{ VersionMismatch,
+                1606,
+                Warning,
+                "version_mismatch",
+                "A backend server answered with another weight version than "
+                "asked for; the answer was dropped.",
+                "Nothing for single events; the server is ordered again." },
+  LogEventInfo{ ClaimUnknown,
+                1607,
+                Warning,
+                "claim_unknown",
+                "The outcome of a non-idempotent call is not known.",
+                "Ask the order service by its own records before the caller "
+                "orders anew." },
+  LogEventInfo{ QuarantineSuspect,
+                1701,
+                Warning,
+                "quarantine_suspect",
+                "A request was running on a backend server that died.",
+                "Nothing." },
+  LogEventInfo{ QuarantineConvicted,
+                1702,
+                Error,
+                "quarantine_convicted",
+                "A request was running alone on a second backend server that "
+                "died; it is refused from now on.",
+                "Tell the client account; `bilberryctl quarantine clear` "
+                "when the engine is mended." },
+  LogEventInfo{ QuarantineCleared,
+                1703,
+                Info,
+                "quarantine_cleared",
+                "A request is free again: it finished, its time passed or an "
+                "operator cleared it.",
+                "Nothing." },
+  LogEventInfo{ ExportFailed,
+                1801,
+                Info,
+                "export_failed",
+                "Blocks could not be kept on a store VM.",
+                "Nothing for single events; see store_lost." },
+  LogEventInfo{ ImportFailed,
+                1802,
+                Info,
+                "import_failed",
+                "Blocks could not be read back or did not match; they are "
+                "recomputed.",
+                "Nothing for single events; see store_lost." },
+  LogEventInfo{ StoreLost,
+                1803,
+                Warning,
+                "store_lost",
+                "A store VM does not answer; its blocks are forgotten.",
+                "Restart the VM." },
+  LogEventInfo{ LimitReached,
+                1901,
+                Warning,
+                "limit_reached",
+                "A bound of the settings was reached; `limit` names it.",
+                "Add VMs or raise the bound if memory allows." },
+  LogEventInfo{ OperatorAction,
+                1902,
+                Info,
+                "operator_action",
+                "An operator's command changed something.",
+                "Nothing." },
+  LogEventInfo{ OperatorDenied,
+                1903,
+                Warning,
+                "operator_denied",
+                "An operator's command came without a valid token.",
+                "Check the operator's token; else look for who sends." },
+};
+
+constexpr bool
+IsInOrder()
+{
+  for (std::size_t n = 0; n < kEvents.size(); ++n) {
+    if (static_cast<std::size_t>(kEvents[n].mEvent) != n) {
+      return false;
+    }
+  }
+  return kEvents.back().mEvent == OperatorDenied;
+}
+
+static_assert(IsInOrder());
+
+} // namespace
+
+std::span<const LogEventInfo>
+LogEvents() noexcept
+{
+  return kEvents;
+}
+
+const LogEventInfo&
+InfoOf(LogEvent aEvent) noexcept
+{
+  return kEvents[static_cast<std::size_t>(aEvent)];
+}
+
+std::string
+RenderEventCatalogue()
+{
+  std::string text = "# Log events\n"
+                     "\n"
+                     "Each line of the log is one event: the time, the level, "
+                     "`event=NUMBER name=NAME`, then\n"
+                     "fields as `key=value`. Values with spaces or other "
+                     "special characters are quoted.\n"
+                     "Prompts, answers, tokens and keys are never written.\n"
+                     "\n"
+                     "Made by `bilberryctl catalogue events`; a test compares "
+                     "both.\n"
+                     "\n"
+                     "| Event | Level | Name | Meaning | What to do |\n"
+                     "|---|---|---|---|---|\n";
+  for (const auto& event : kEvents) {
+    text += "| " + std::to_string(event.mNumber) + " | ";
+    text += ToName(event.mLevel);
+    text += " | `" + std::string(event.mName) + "` | ";
+    text += event.mMeaning;
+    text += " | ";
+    text += event.mAction;
+    text += " |\n";
+  }
+  return text;
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/base/tests/log_catalogue_test.cpp
@@ -0,0 +1,30 @@
+#include <bilberrytrail/base/log_event.h>
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <iterator>
+#include <set>
+
+using namespace bilberrytrail;
+
+TEST_CASE("docs/EVENTS.md is the catalogue of events")
+{
+  std::ifstream in(BILBERRYTRAIL_SOURCE_DIR "/docs/EVENTS.md");
+  const std::string text{ std::istreambuf_iterator<char>(in), {} };
+  const bool isEqual = text == RenderEventCatalogue();
+  CHECK_MESSAGE(isEqual, "write it with: bilberryctl catalogue events");
+}
+
+TEST_CASE("events have distinct numbers and names, and full rows")
+{
+  std::set<std::uint16_t> numbers;
+  std::set<std::string_view> names;
+  for (const auto& event : LogEvents()) {
+    CAPTURE(event.mName);
+    CHECK(numbers.insert(event.mNumber).second);
+    CHECK(names.insert(event.mName).second);
+    CHECK_FALSE(event.mMeaning.empty());
+    CHECK_FALSE(event.mAction.empty());
+  }
+}
