--- /dev/null
+++ b/packages/daemon/src/control_view.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <bilberrytrail/base/endpoint.h>
+#include <bilberrytrail/base/ids.h>
+#include <bilberrytrail/membership/gossip_message.h>
+#include <bilberrytrail/membership/rendezvous.h>
+#include <bilberrytrail/platform/vm_list.h>
+#include <bilberrytrail/release/release_note.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bilberrytrail {
+
+// One backend server or store VM as this daemon sees it.
+struct ServerView
+{
+  VmEntry mVm;
+  DaemonId mHome;
+};
+
+// The account that a bearer token names.
+struct AccountView
+{
+  ProductId mProduct;
+  AccountId mAccount;
+};
+
+// What a daemon knows of the site at one moment. Built by the control thread,
+// immutable, and read by traffic threads without locks: each request keeps
+// the view it started with.
+struct ControlView
+{
+  DaemonId mSelf;
+  ZoneId mZone;
+  // Empty when the daemon takes new work, else the reason why it does not.
+  std::string mNotReady;
+  bool mDraining = false;
+  std::vector<MemberRecord> mMembers;
+  std::vector<HomeCandidate> mHomes;
+  std::map<ServerId, ServerView> mServers;
+  std::map<ProductId, ProductState> mProducts;
+  // Accounts by the SHA-256 of their token in hexadecimal digits.
+  std::map<std::string, AccountView, std::less<>> mTokens;
+
+  // Returns the live daemon with the id, or null.
+  [[nodiscard]] const MemberRecord* FindMember(const DaemonId& aId) const;
+  // Returns the product's state, or null.
+  [[nodiscard]] const ProductState* FindProduct(const ProductId& aId) const;
+  // Returns the servers of the product with the role that get new work; for
+  // plain services those of the group.
+  [[nodiscard]] std::vector<ServerId> UsableServers(
+    const ProductId& aProduct,
+    VmRole aRole,
+    std::string_view aGroup) const;
+};
+
+using ControlViewPtr = std::shared_ptr<const ControlView>;
+
+// Hands the newest view from the control thread to all others.
+class ControlViewHolder
+{
+public:
+  [[nodiscard]] ControlViewPtr Load() const noexcept { return mView.load(); }
+
+  void Store(ControlViewPtr aView) noexcept { mView.store(std::move(aView)); }
+
+private:
+  std::atomic<ControlViewPtr> mView{ std::make_shared<const ControlView>() };
+};
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/home_message.cpp
@@ -0,0 +1,241 @@
+#include "home_message.h"
+
+#include <bilberrytrail/backend/engine_json.h>
+#include <bilberrytrail/platform/json_fields.h>
+
+namespace bilberrytrail {
+
+namespace {
+
+Json
+ToJson(const StoreCopy& aCopy)
+{
+  return { { "store", aCopy.mStore.Text() },
+           { "incarnation", aCopy.mIncarnation },
+           { "tier", ToName(aCopy.mTier) },
+           { "ref", ToJson(aCopy.mRef) } };
+}
+
+Result<StoreCopy>
+ReadStoreCopy(const Json& aJson)
+{
+  JsonFields fields(aJson);
+  StoreCopy copy;
+  copy.mStore = StoreId(fields.Text("store"));
+  copy.mIncarnation = fields.Unsigned("incarnation");
+  const auto tier = FromName<StoreTier>(fields.Text("tier"));
+  auto ref = ReadBlockRef(fields.Object("ref"));
+  if (!tier) {
+    fields.Reject("tier");
+  }
+  if (auto ok = fields.Check(); !ok) {
+    return std::move(ok).error();
+  }
+  if (!ref) {
+    return std::move(ref).error();
+  }
+  copy.mTier = *tier;
+  copy.mRef = ref.value();
+  return copy;
+}
+
+// Reads an enumerator by its name and marks the field as bad without one.
+template<class E>
+E
+ReadName(JsonFields& aFields, std::string_view aField)
+{
+  const auto value = FromName<E>(aFields.Text(aField));
+  if (!value) {
+    aFields.Reject(aField);
+    return E{};
+  }
+  return *value;
+}
+
+std::string
+Dump(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Json
+EncodeCall(const HomeRequest& aRequest)
+{
+  return { { "attempt", aRequest.mCall.mAttempt.Text() },
+           { "method", aRequest.mCall.mMethod },
+           { "path", aRequest.mCall.mPath },
+           { "content_type", aRequest.mCall.mContentType },
+           { "body", aRequest.mCall.mBody },
+           { "claim", aRequest.mClaimRowKey } };
+}
+
+void
+ReadCall(JsonFields aFields, HomeRequest& aRequest, JsonFields& aOuter)
+{
+  aRequest.mCall.mAttempt = AttemptId(aFields.Text("attempt"));
+  aRequest.mCall.mMethod = aFields.Text("method");
+  aRequest.mCall.mPath = aFields.Text("path");
+  aRequest.mCall.mContentType = aFields.Text("content_type");
+  aRequest.mCall.mBody = aFields.Text("body");
+  aRequest.mClaimRowKey = aFields.Text("claim");
+  if (!aFields.Check()) {
+    aOuter.Reject("call");
+  }
+}
+
+Result<void>
+ReadEngineParts(JsonFields& aFields, HomeRequest& aRequest)
+{
+  auto generate = ReadGenerateRequest(aFields.Object("generate"));
+  if (!generate) {
+    return std::move(generate).error();
+  }
+  aRequest.mGenerate = std::move(generate).value();
+  for (const auto& it : aFields.List("imports")) {
+    auto copy = ReadStoreCopy(it);
+    if (!copy) {
+      return std::move(copy).error();
+    }
+    aRequest.mImports.push_back(std::move(copy).value());
+  }
+  return Ok();
+}
+
+// Reads what a frame carries besides its kind and attempt.
+Result<void>
+ReadFrameParts(JsonFields& aFields, HomeFrame& aFrame)
+{
+  switch (aFrame.mKind) {
+    case FrameKind::Head: {
+      auto head = ReadGenerateHead(aFields.Object("head"));
+      if (!head) {
+        return std::move(head).error();
+      }
+      aFrame.mHead = std::move(head).value();
+      break;
+    }
+    case FrameKind::Chunk:
+      aFrame.mText = aFields.Text("text");
+      [[fallthrough]];
+    case FrameKind::End:
+      aFrame.mPosition = aFields.Unsigned32("position");
+      break;
+    case FrameKind::Answer:
+      aFrame.mAnswer.mStatus = aFields.Unsigned32("status");
+      aFrame.mAnswer.mContentType = aFields.Text("content_type");
+      aFrame.mAnswer.mBody = aFields.Text("body");
+      break;
+    case FrameKind::NotRun:
+    case FrameKind::Broken:
+      aFrame.mReason = ReadName<RefusalReason>(aFields, "reason");
+      aFrame.mText = aFields.Text("text");
+      aFrame.mRetryAfter = Duration(aFields.Unsigned("retry_after_us"));
+      break;
+  }
+  return Ok();
+}
+
+} // namespace
+
+std::string
+EncodeHomeRequest(const HomeRequest& aRequest)
+{
+  Json json = { { "target", ToName(aRequest.mTarget) },
+                { "server", aRequest.mServer.Text() },
+                { "product", aRequest.mProduct.Text() },
+                { "account", aRequest.mAccount.Text() },
+                { "class", ToName(aRequest.mClass) },
+                { "fingerprint", aRequest.mFingerprint },
+                { "time_left_us", aRequest.mTimeLeft.count() },
+                { "cost_tokens", aRequest.mCostTokens } };
+  if (aRequest.mTarget == HomeTarget::Engine) {
+    json["generate"] = ToJson(aRequest.mGenerate);
+    json["imports"] = Json::array();
+    for (const auto& copy : aRequest.mImports) {
+      json["imports"].push_back(ToJson(copy));
+    }
+  } else {
+    json["call"] = EncodeCall(aRequest);
+  }
+  return Dump(json);
+}
+
+Result<HomeRequest>
+DecodeHomeRequest(std::string_view aText)
+{
+  auto json = ParseJson(aText);
+  if (!json) {
+    return std::move(json).error();
+  }
+  JsonFields fields(json.value());
+  HomeRequest request;
+  request.mTarget = ReadName<HomeTarget>(fields, "target");
+  request.mServer = ServerId(fields.Text("server"));
+  request.mProduct = ProductId(fields.Text("product"));
+  request.mAccount = AccountId(fields.Text("account"));
+  request.mClass = ReadName<WorkClass>(fields, "class");
+  request.mFingerprint = fields.Text("fingerprint");
+  request.mTimeLeft = Duration(fields.Unsigned("time_left_us"));
+  request.mCostTokens = fields.Real("cost_tokens");
+  if (request.mTarget == HomeTarget::Service) {
+    ReadCall(JsonFields(fields.Object("call")), request, fields);
+  } else if (auto ok = ReadEngineParts(fields, request); !ok) {
+    return std::move(ok).error();
+  }
+  if (auto ok = fields.Check(); !ok) {
+    return std::move(ok).error();
+  }
+  return request;
+}
+
+std::string
+EncodeHomeFrame(const HomeFrame& aFrame)
+{
+  Json json = { { "kind", ToName(aFrame.mKind) },
+                { "attempt", aFrame.mAttempt.Text() } };
+  switch (aFrame.mKind) {
+    case FrameKind::Head:
+      json["head"] = ToJson(aFrame.mHead);
+      break;
+    case FrameKind::Chunk:
+      json["text"] = aFrame.mText;
+      [[fallthrough]];
+    case FrameKind::End:
+      json["position"] = aFrame.mPosition;
+      break;
+    case FrameKind::Answer:
+      json["status"] = aFrame.mAnswer.mStatus;
+      json["content_type"] = aFrame.mAnswer.mContentType;
+      json["body"] = aFrame.mAnswer.mBody;
+      break;
+    case FrameKind::NotRun:
+    case FrameKind::Broken:
+      json["reason"] = ToName(aFrame.mReason);
+      json["text"] = aFrame.mText;
+      json["retry_after_us"] = aFrame.mRetryAfter.count();
+      break;
+  }
+  return Dump(json);
+}
+
+Result<HomeFrame>
+DecodeHomeFrame(std::string_view aText)
+{
+  auto json = ParseJson(aText);
+  if (!json) {
+    return std::move(json).error();
+  }
+  JsonFields fields(json.value());
+  HomeFrame frame;
+  frame.mKind = ReadName<FrameKind>(fields, "kind");
+  frame.mAttempt = AttemptId(fields.Text("attempt"));
+  if (auto ok = ReadFrameParts(fields, frame); !ok) {
+    return std::move(ok).error();
+  }
+  if (auto ok = fields.Check(); !ok) {
+    return std::move(ok).error();
+  }
+  return frame;
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/home_message.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <bilberrytrail/backend/engine.h>
+#include <bilberrytrail/backend/plain_service.h>
+#include <bilberrytrail/base/error.h>
+#include <bilberrytrail/base/ids.h>
+#include <bilberrytrail/base/time.h>
+#include <bilberrytrail/cache/prompt_directory.h>
+#include <bilberrytrail/traffic/refusal.h>
+#include <bilberrytrail/traffic/work_class.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bilberrytrail {
+
+// Which kind of backend server a request runs on.
+enum class HomeTarget : unsigned char
+{
+  Engine,
+  Service
+};
+
+template<>
+struct EnumNames<HomeTarget>
+{
+  static constexpr std::array<std::string_view, 2> kNames{ "engine",
+                                                           "service" };
+};
+
+// A request as the entry daemon forwards it to the home of the chosen server.
+struct HomeRequest
+{
+  HomeTarget mTarget = HomeTarget::Engine;
+  ServerId mServer;
+  ProductId mProduct;
+  AccountId mAccount;
+  WorkClass mClass = WorkClass::Short;
+  // Identifies the request for the quarantine; equal for a resend.
+  std::string mFingerprint;
+  // Time until the request must have finished.
+  Duration mTimeLeft{};
+  double mCostTokens = 1;
+  // Engine: the attempt, with the prompt, its blocks and the resume point.
+  GenerateRequest mGenerate;
+  // Engine: copies to import before running, in order of blocks.
+  std::vector<StoreCopy> mImports;
+  // Service: the call, and the key of its claim row when it must not be
+  // repeated, else empty.
+  ServiceCall mCall;
+  std::string mClaimRowKey;
+};
+
+// Kinds of frames that a home sends back.
+enum class FrameKind : unsigned char
+{
+  // The engine's answer has begun.
+  Head,
+  Chunk,
+  // The engine's answer has ended whole.
+  End,
+  // The answer of a plain service.
+  Answer,
+  // The request was not run and will not be.
+  NotRun,
+  // The request ran or may have run and gives no (further) answer.
+  Broken
+};
+
+template<>
+struct EnumNames<FrameKind>
+{
+  static constexpr std::array<std::string_view, 6> kNames{
+    "head", "chunk", "end", "answer", "not_run", "broken"
+  };
+};
+
+// One frame of the home's answer, a line of JSON on the wire.
+struct HomeFrame
+{
+  FrameKind mKind = FrameKind::Head;
+  AttemptId mAttempt;
+  // Head.
+  GenerateHead mHead;
+  // Chunk and End: position; Chunk: text.
+  std::uint32_t mPosition = 0;
+  std::string mText;
+  // Answer.
+  ServiceAnswer mAnswer;
+  // NotRun and Broken.
+  RefusalReason mReason = RefusalReason::ServerFailed;
+  Duration mRetryAfter{};
+};
+
+// Encodes and decodes both; decoding fails with Corrupt and never throws.
+[[nodiscard]] std::string
+EncodeHomeRequest(const HomeRequest& aRequest);
+[[nodiscard]] Result<HomeRequest>
+DecodeHomeRequest(std::string_view aText);
+[[nodiscard]] std::string
+EncodeHomeFrame(const HomeFrame& aFrame);
+[[nodiscard]] Result<HomeFrame>
+DecodeHomeFrame(std::string_view aText);
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/peer_channel.cpp
@@ -0,0 +1,85 @@
+#include "peer_channel.h"
+
+namespace bilberrytrail {
+
+namespace {
+
+// A home sends a frame or a blank line at least this often.
+constexpr Duration kFrameTimeout = 5s;
+
+HttpError
+Cut(Error aError)
+{
+  return HttpError{ SendState::MaybeSent,
+                    aError.mCode,
+                    std::move(aError.mMessage) };
+}
+
+} // namespace
+
+Result<Json>
+PeerChannel::Call(const MemberRecord& aPeer,
+                  const std::string& aMethod,
+                  const Json& aParams,
+                  Duration aTimeout)
+{
+  return CallRpc(
+    aMethod, aParams, [&](const std::string& aBody) -> Result<std::string> {
+      HttpRequest request{ "POST", std::string(kRpcPath), {}, aBody };
+      request.mHeaders.push_back(
+        { std::string(kSignatureHeader), mSigner.Sign(aPeer.mId, aBody) });
+      auto response = mClient.Call(aPeer.mEndpoint, request, aTimeout);
+      if (!response) {
+        return Fail(response.error().mCode, response.error().mMessage);
+      }
+      if (response.value().mStatus != 200) {
+        return Fail(ErrorCode::Refused,
+                    "peer answered " +
+                      std::to_string(response.value().mStatus));
+      }
+      return std::move(response).value().mBody;
+    });
+}
+
+Result<void, HttpError>
+PeerChannel::Run(const MemberRecord& aPeer,
+                 const HomeRequest& aRequest,
+                 FrameSink& aSink)
+{
+  HttpRequest request{
+    "POST", std::string(kRunPath), {}, EncodeHomeRequest(aRequest)
+  };
+  request.mHeaders.push_back({ std::string(kSignatureHeader),
+                               mSigner.Sign(aPeer.mId, request.mBody) });
+  auto opened = mClient.Open(aPeer.mEndpoint, request, kFrameTimeout);
+  if (!opened) {
+    return std::move(opened).error();
+  }
+  auto stream = std::move(opened).value();
+  if (stream.Status() != 200) {
+    return HttpError{ SendState::NotSent,
+                      ErrorCode::Refused,
+                      "peer answered " + std::to_string(stream.Status()) };
+  }
+  while (true) {
+    auto line = stream.ReadLine(kFrameTimeout);
+    if (!line) {
+      return Cut(std::move(line).error());
+    }
+    if (!line.value().has_value()) {
+      return Ok();
+    }
+    if (line.value()->empty()) {
+      continue;
+    }
+    auto frame = DecodeHomeFrame(*line.value());
+    if (!frame) {
+      return Cut(std::move(frame).error());
+    }
+    if (auto ok = aSink.Write(frame.value()); !ok) {
+      return Cut(std::move(ok).error());
+    }
+  }
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/peer_channel.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "control_view.h"
+#include "home_message.h"
+
+#include <bilberrytrail/base/time.h>
+#include <bilberrytrail/runtime/http_client.h>
+#include <bilberrytrail/runtime/rpc.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bilberrytrail {
+
+// Signs what one daemon sends to another and checks what it receives.
+class PeerSigner
+{
+public:
+  virtual ~PeerSigner() = default;
+
+  // Returns the signature header's value for a message to the receiver.
+  [[nodiscard]] virtual std::string Sign(const DaemonId& aReceiver,
+                                         std::string_view aBody) = 0;
+  // Fails with Unauthorized when the signature does not match, is old or was
+  // seen before. Returns the sender.
+  [[nodiscard]] virtual Result<DaemonId> Check(std::string_view aSignature,
+                                               std::string_view aBody) = 0;
+};
+
+// Header that carries the signature.
+inline constexpr std::string_view kSignatureHeader = "X-Peer-Signature";
+// Paths that daemons serve to each other.
+inline constexpr std::string_view kRpcPath = "/peer/rpc";
+inline constexpr std::string_view kRunPath = "/peer/run";
+
+// Takes the frames of a home's answer.
+class FrameSink
+{
+public:
+  virtual ~FrameSink() = default;
+
+  // Returns false once nobody wants further frames.
+  [[nodiscard]] virtual bool IsOpen() noexcept = 0;
+  // Takes one frame; fails with Unavailable when the receiver has gone.
+  virtual Result<void> Write(const HomeFrame& aFrame) = 0;
+};
+
+// Calls other daemons from fibers of one traffic thread or of the control
+// thread.
+class PeerChannel
+{
+public:
+  PeerChannel(HttpClient& aClient, PeerSigner& aSigner)
+    : mClient(aClient)
+    , mSigner(aSigner)
+  {
+  }
+
+  // Makes a JSON-RPC call.
+  [[nodiscard]] Result<Json> Call(const MemberRecord& aPeer,
+                                  const std::string& aMethod,
+                                  const Json& aParams,
+                                  Duration aTimeout);
+  // Sends a request to a home and passes each frame to the sink. Returns when
+  // the answer has ended cleanly; NotSent in the error tells that the home
+  // never saw the request.
+  [[nodiscard]] Result<void, HttpError> Run(const MemberRecord& aPeer,
+                                            const HomeRequest& aRequest,
+                                            FrameSink& aSink);
+
+private:
+  HttpClient& mClient;
+  PeerSigner& mSigner;
+};
+
+} // namespace bilberrytrail
--- a/packages/runtime/include/bilberrytrail/runtime/rpc.h
+++ b/packages/runtime/include/bilberrytrail/runtime/rpc.h
@@ -7,17 +7,12 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <string_view>
 
 namespace bilberrytrail {
 
 // Parameters and results of calls between daemons.
 using Json = nlohmann::json;
 
-// Reads JSON text; fails with Corrupt instead of throwing.
-[[nodiscard]] Result<Json>
-ParseJson(std::string_view aText);
-
 // Carries the text of a request to a daemon and returns the response's text.
 using RpcTransport = std::function<Result<std::string>(const std::string&)>;
 
--- a/packages/runtime/src/rpc.cpp
+++ b/packages/runtime/src/rpc.cpp
@@ -34,10 +34,8 @@
   return reply;
 }
 
-} // namespace
-
 Result<Json>
-ParseJson(std::string_view aText)
+FromText(const std::string& aText)
 {
   Json value = Json::parse(aText, nullptr, false);
   if (value.is_discarded()) {
@@ -46,6 +44,8 @@
   return value;
 }
 
+} // namespace
+
 Result<Json>
 CallRpc(const std::string& aMethod,
         const Json& aParams,
@@ -67,7 +67,7 @@
   if (!reply.mDone) {
     return Fail(FromRpcCode(reply.mErrorCode), reply.mText);
   }
-  return ParseJson(reply.mText);
+  return FromText(reply.mText);
 }
 
 std::string
@@ -79,7 +79,7 @@
       if (it == mMethods.end()) {
         return FailedReply(Fail(ErrorCode::NotFound, "no method " + aName));
       }
-      const auto params = ParseJson(aParams);
+      const auto params = FromText(aParams);
       if (!params) {
         return FailedReply(params.error());
       }
