--- a/packages/membership/src/change_queue.cpp
+++ b/packages/membership/src/change_queue.cpp
@@ -47,12 +47,13 @@
   for (auto it = mChanges.begin(); it != mChanges.end(); ++it) {
     order.push_back(it);
   }
-  std::sort(order.begin(), order.end(), [](const auto& aLeft, const auto& aRight) {
-    const Change& left = aLeft->second;
-    const Change& right = aRight->second;
-    return left.mSent != right.mSent ? left.mSent < right.mSent
-                                     : left.mOrder > right.mOrder;
-  });
+  std::sort(
+    order.begin(), order.end(), [](const auto& aLeft, const auto& aRight) {
+      const Change& left = aLeft->second;
+      const Change& right = aRight->second;
+      return left.mSent != right.mSent ? left.mSent < right.mSent
+                                       : left.mOrder > right.mOrder;
+    });
   std::size_t used = 0;
   for (const auto& it : order) {
     Change& change = it->second;
--- a/packages/membership/src/gossip.cpp
+++ b/packages/membership/src/gossip.cpp
@@ -81,8 +81,7 @@
 {
   Instant due = mImpl->mNextPeriod;
   if (mImpl->mProbe && !mImpl->mProbe->mAskedOthers) {
-    due =
-      std::min(due, mImpl->mProbe->mSentAt + mImpl->mSettings.mPingTimeout);
+    due = std::min(due, mImpl->mProbe->mSentAt + mImpl->mSettings.mPingTimeout);
   }
   return due;
 }
@@ -149,8 +148,7 @@
     std::min<std::size_t>(peers.size(), std::bit_width(peers.size()) + 2);
   for (std::size_t n = 0; n < count; ++n) {
     std::swap(peers[n], peers[n + impl.mRandom.Below(peers.size() - n)]);
-    impl.Send(
-      peers[n].mEndpoint, impl.Compose(GossipKind::Notice, 0), actions);
+    impl.Send(peers[n].mEndpoint, impl.Compose(GossipKind::Notice, 0), actions);
   }
   return actions;
 }
--- a/packages/membership/src/gossip_codec.cpp
+++ b/packages/membership/src/gossip_codec.cpp
@@ -126,8 +126,8 @@
   FieldReader fields(aArray, kRecordFields);
   aRecord.mId = DaemonId(fields.Text());
   aRecord.mIncarnation = Incarnation(fields.Unsigned());
-  aRecord.mStatus = static_cast<MemberStatus>(
-    fields.Unsigned(EnumCount<MemberStatus>() - 1));
+  aRecord.mStatus =
+    static_cast<MemberStatus>(fields.Unsigned(EnumCount<MemberStatus>() - 1));
   aRecord.mZone = ZoneId(fields.Text());
   aRecord.mEndpoint.mHost = fields.Text();
   aRecord.mEndpoint.mPort =
--- a/packages/membership/src/gossip_timers.cpp
+++ b/packages/membership/src/gossip_timers.cpp
@@ -107,8 +107,7 @@
   const std::size_t count = std::min(mSettings.mIndirectPings, peers.size());
   for (std::size_t n = 0; n < count; ++n) {
     std::swap(peers[n], peers[n + mRandom.Below(peers.size() - n)]);
-    GossipMessage request =
-      Compose(GossipKind::PingRequest, mProbe->mSequence);
+    GossipMessage request = Compose(GossipKind::PingRequest, mProbe->mSequence);
     request.mTarget = mProbe->mTarget.mId;
     request.mTargetEndpoint = mProbe->mTarget.mEndpoint;
     Send(peers[n].mEndpoint, std::move(request), aActions);
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -65,8 +65,7 @@
 {
   std::vector<MemberRecord> found;
   for (const auto& [id, entry] : mEntries) {
-    if (entry.mRecord.mStatus == MemberStatus::Suspect &&
-        entry.mTime <= aNow) {
+    if (entry.mRecord.mStatus == MemberStatus::Suspect && entry.mTime <= aNow) {
       found.push_back(entry.mRecord);
     }
   }
--- a/packages/membership/src/member_table.h
+++ b/packages/membership/src/member_table.h
@@ -44,9 +44,7 @@
   [[nodiscard]] const MemberRecord* NextLive(const DaemonId& aAfter) const;
 
   // Merges a record; a suspect gets aSuspicion to refute.
-  Outcome Merge(const MemberRecord& aRecord,
-                Instant aNow,
-                Duration aSuspicion);
+  Outcome Merge(const MemberRecord& aRecord, Instant aNow, Duration aSuspicion);
   // Gives all suspects the given time from now on.
   void RestartSuspicions(Instant aNow, Duration aSuspicion);
   // Forgets members that have been dead or left for the given time.
--- a/packages/membership/tests/gossip_codec_test.cpp
+++ b/packages/membership/tests/gossip_codec_test.cpp
@@ -75,10 +75,22 @@
 TEST_CASE("fields out of range are refused")
 {
   GossipMessage wrong = MakeMessage();
-  SUBCASE("status") { wrong.mMembers[0].mStatus = static_cast<MemberStatus>(9); }
-  SUBCASE("kind") { wrong.mKind = static_cast<GossipKind>(9); }
-  SUBCASE("sender without an id") { wrong.mSender.mId = DaemonId(); }
-  SUBCASE("long text") { wrong.mTarget = DaemonId(std::string(200, 'a')); }
+  SUBCASE("status")
+  {
+    wrong.mMembers[0].mStatus = static_cast<MemberStatus>(9);
+  }
+  SUBCASE("kind")
+  {
+    wrong.mKind = static_cast<GossipKind>(9);
+  }
+  SUBCASE("sender without an id")
+  {
+    wrong.mSender.mId = DaemonId();
+  }
+  SUBCASE("long text")
+  {
+    wrong.mTarget = DaemonId(std::string(200, 'a'));
+  }
   SUBCASE("many members")
   {
     wrong.mMembers.assign(kMaxGossipMembers + 1, MemberRecord{});
--- a/packages/membership/tests/gossip_test.cpp
+++ b/packages/membership/tests/gossip_test.cpp
@@ -43,8 +43,9 @@
     std::size_t mCount;
     double mLoss;
   };
-  const Row rows[] = { { 8, 0 },    { 8, 0.1 },   { 32, 0.1 },
-                       { 128, 0.05 }, { 400, 0.05 } };
+  const Row rows[] = {
+    { 8, 0 }, { 8, 0.1 }, { 32, 0.1 }, { 128, 0.05 }, { 400, 0.05 }
+  };
   for (const auto& it : rows) {
     CAPTURE(it.mCount);
     CAPTURE(it.mLoss);
--- a/packages/membership/tests/rendezvous_test.cpp
+++ b/packages/membership/tests/rendezvous_test.cpp
@@ -48,7 +48,8 @@
         CHECK(HomeOf(KeyOf(n), fewer) == home);
       }
     }
-    const double share = static_cast<double>(kKeys) / static_cast<double>(count);
+    const double share =
+      static_cast<double>(kKeys) / static_cast<double>(count);
     CHECK(moved > 0.6 * share);
     CHECK(moved < 1.5 * share);
   }
--- /dev/null
+++ b/packages/release/src/release_note.cpp
@@ -0,0 +1,416 @@
+#include <bilberrytrail/release/release_note.h>
+
+#include "note_error.h"
+#include "note_values.h"
+
+#include <bilberrytrail/base/digest.h>
+#include <bilberrytrail/settings/ini_document.h>
+
+#include <algorithm>
+#include <set>
+#include <span>
+
+namespace bilberrytrail {
+
+namespace {
+
+// One key that a section may have.
+template<class Fields>
+struct FieldRule
+{
+  std::string_view mKey;
+  bool mRequired;
+  std::string_view mExpected;
+  bool (*mRead)(Fields&, std::string_view);
+};
+
+template<class T>
+bool
+Store(std::optional<T>& aField, std::optional<T> aValue)
+{
+  aField = std::move(aValue);
+  return aField.has_value();
+}
+
+template<class T>
+bool
+StoreName(std::optional<T>& aField, std::string_view aText)
+{
+  aField = T(std::string(aText));
+  return IsName(aText);
+}
+
+bool
+StoreTokens(AccountFields& aFields, std::string_view aText)
+{
+  return Store(aFields.mTokenHashes, ReadList(aText)) &&
+         std::all_of(aFields.mTokenHashes->begin(),
+                     aFields.mTokenHashes->end(),
+                     IsSha256);
+}
+
+bool
+IsRepeatableCall(std::string_view aText)
+{
+  const auto blank = aText.find(' ');
+  return blank != std::string_view::npos && blank > 0 &&
+         aText.substr(blank + 1).starts_with('/');
+}
+
+bool
+StoreRepeatable(ServiceFields& aFields, std::string_view aText)
+{
+  return Store(aFields.mRepeatable, ReadList(aText)) &&
+         std::all_of(aFields.mRepeatable->begin(),
+                     aFields.mRepeatable->end(),
+                     IsRepeatableCall);
+}
+
+bool
+StoreTimeout(ServiceFields& aFields, std::string_view aText)
+{
+  constexpr std::uint32_t kMaxTimeoutMs = 3'600'000;
+  const auto n = ReadUnsigned(aText);
+  aFields.mTimeout = std::chrono::milliseconds(n.value_or(0));
+  return n && *n > 0 && *n <= kMaxTimeoutMs;
+}
+
+constexpr FieldRule<AccountFields> kAccountRules[] = {
+  { "token_sha256", true, "a list of SHA-256 hashes", StoreTokens },
+  { "requests_per_second",
+    true,
+    "a positive number",
+    [](AccountFields& aFields, std::string_view aText) {
+      return Store(aFields.mRequestsPerSecond, ReadPositive(aText));
+    } },
+  { "tokens_per_second",
+    true,
+    "a positive number",
+    [](AccountFields& aFields, std::string_view aText) {
+      return Store(aFields.mTokensPerSecond, ReadPositive(aText));
+    } },
+  { "concurrent",
+    true,
+    "a whole number above 0",
+    [](AccountFields& aFields, std::string_view aText) {
+      return Store(aFields.mConcurrent, ReadUnsigned(aText)) &&
+             *aFields.mConcurrent > 0;
+    } },
+};
+
+constexpr FieldRule<ModelFields> kModelRules[] = {
+  { "version",
+    true,
+    "a version's name",
+    [](ModelFields& aFields, std::string_view aText) {
+      return StoreName(aFields.mVersion, aText);
+    } },
+  { "min_servers",
+    true,
+    "a whole number",
+    [](ModelFields& aFields, std::string_view aText) {
+      return Store(aFields.mMinServers, ReadUnsigned(aText));
+    } },
+  { "max_servers",
+    true,
+    "a whole number above 0",
+    [](ModelFields& aFields, std::string_view aText) {
+      return Store(aFields.mMaxServers, ReadUnsigned(aText)) &&
+             *aFields.mMaxServers > 0;
+    } },
+  { "role",
+    false,
+    "a role's name",
+    [](ModelFields& aFields, std::string_view aText) {
+      return StoreName(aFields.mRole, aText);
+    } },
+};
+
+constexpr FieldRule<AdapterFields> kAdapterRules[] = {
+  { "model",
+    true,
+    "a model's name",
+    [](AdapterFields& aFields, std::string_view aText) {
+      return StoreName(aFields.mModel, aText);
+    } },
+};
+
+constexpr FieldRule<ServiceFields> kServiceRules[] = {
+  { "group",
+    true,
+    "a group's name",
+    [](ServiceFields& aFields, std::string_view aText) {
+      return StoreName(aFields.mGroup, aText);
+    } },
+  { "repeatable",
+    false,
+    "a list such as GET /stock, GET /slots",
+    StoreRepeatable },
+  { "timeout_ms",
+    true,
+    "a whole number of milliseconds from 1 to 3600000",
+    StoreTimeout },
+};
+
+std::string
+Quote(std::string_view aText)
+{
+  return "'" + std::string(aText) + "'";
+}
+
+// Builds a ReleaseNote from the entries of an INI text.
+class NoteReader
+{
+public:
+  explicit NoteReader(ReleaseNote& aNote)
+    : mNote(aNote)
+  {
+  }
+
+  Result<void> Read(const std::vector<IniEntry>& aEntries)
+  {
+    std::size_t begin = 0;
+    while (begin < aEntries.size()) {
+      std::size_t end = begin + 1;
+      while (end < aEntries.size() &&
+             aEntries[end].mSection == aEntries[begin].mSection) {
+        ++end;
+      }
+      const std::span section(aEntries.data() + begin, end - begin);
+      if (auto done = ReadSection(section); !done) {
+        return done;
+      }
+      begin = end;
+    }
+    return Finish();
+  }
+
+private:
+  using Section = std::span<const IniEntry>;
+
+  [[nodiscard]] Error FailHere(int aLine, std::string_view aMessage) const
+  {
+    return FailAt(mNote.mFile, aLine, aMessage);
+  }
+
+  Result<void> ReadSection(Section aSection)
+  {
+    const std::string& name = aSection.front().mSection;
+    const int line = aSection.front().mLine;
+    if (!mSections.insert(name).second) {
+      return FailHere(line, "section " + Quote(name) + " appears twice");
+    }
+    std::set<std::string> keys;
+    for (const auto& it : aSection) {
+      if (!keys.insert(it.mKey).second) {
+        return FailHere(it.mLine, Quote(it.mKey) + " appears twice");
+      }
+    }
+    if (name == "release") {
+      return ReadHead(aSection);
+    }
+    if (name == "withdraw") {
+      return ReadWithdraw(aSection);
+    }
+    return ReadItemSection(aSection);
+  }
+
+  Result<void> ReadHead(Section aSection)
+  {
+    for (const auto& it : aSection) {
+      if (it.mKey == "product" && IsName(it.mValue)) {
+        mNote.mProduct = ProductId(it.mValue);
+      } else if (it.mKey == "id" && IsName(it.mValue)) {
+        mNote.mId = it.mValue;
+      } else if (it.mKey == "against" && ReadUnsigned(it.mValue)) {
+        mNote.mAgainst = ReleaseNumber(*ReadUnsigned(it.mValue));
+        mHasAgainst = true;
+      } else {
+        return FailHere(it.mLine,
+                        "expected product, against (a release's number) or "
+                        "id, not " +
+                          Quote(it.mKey + " = " + it.mValue));
+      }
+    }
+    return Ok();
+  }
+
+  Result<void> ReadWithdraw(Section aSection)
+  {
+    for (const auto& it : aSection) {
+      const auto names = ReadList(it.mValue);
+      if (!names || !std::all_of(names->begin(), names->end(), IsName)) {
+        return FailHere(it.mLine, "expected a list of names");
+      }
+      if (it.mKey == "accounts") {
+        Withdraw(*names, it.mLine, mNote.mAccounts);
+      } else if (it.mKey == "models") {
+        Withdraw(*names, it.mLine, mNote.mModels);
+      } else if (it.mKey == "adapters") {
+        Withdraw(*names, it.mLine, mNote.mAdapters);
+      } else if (it.mKey == "services") {
+        Withdraw(*names, it.mLine, mNote.mServices);
+      } else {
+        return FailHere(it.mLine,
+                        "expected accounts, models, adapters or services, "
+                        "not " +
+                          Quote(it.mKey));
+      }
+    }
+    return Ok();
+  }
+
+  template<class Fields>
+  void Withdraw(const std::vector<std::string>& aNames,
+                int aLine,
+                std::vector<NoteItem<Fields>>& aItems)
+  {
+    for (const auto& it : aNames) {
+      aItems.push_back({ NoteVerb::Withdraw, it, aLine, {} });
+    }
+  }
+
+  Result<void> ReadItemSection(Section aSection)
+  {
+    const std::string& title = aSection.front().mSection;
+    const int line = aSection.front().mLine;
+    const auto first = title.find(' ');
+    const auto second = title.find(' ', first + 1);
+    if (first == std::string::npos || second == std::string::npos) {
+      return FailHere(line, "unknown section " + Quote(title));
+    }
+    const auto verb = FromName<NoteVerb>(title.substr(0, first));
+    const std::string kind = title.substr(first + 1, second - first - 1);
+    const std::string name = title.substr(second + 1);
+    if (!verb || *verb == NoteVerb::Withdraw) {
+      return FailHere(line, "expected add or change in " + Quote(title));
+    }
+    if (!IsName(name)) {
+      return FailHere(line, Quote(name) + " is not a name");
+    }
+    if (kind == "account") {
+      return ReadItem(
+        aSection, *verb, name, std::span(kAccountRules), mNote.mAccounts);
+    }
+    if (kind == "model") {
+      return ReadItem(
+        aSection, *verb, name, std::span(kModelRules), mNote.mModels);
+    }
+    if (kind == "adapter") {
+      return ReadItem(
+        aSection, *verb, name, std::span(kAdapterRules), mNote.mAdapters);
+    }
+    if (kind == "service") {
+      return ReadItem(
+        aSection, *verb, name, std::span(kServiceRules), mNote.mServices);
+    }
+    return FailHere(line,
+                    "expected account, model, adapter or service, not " +
+                      Quote(kind));
+  }
+
+  template<class Fields, std::size_t N>
+  Result<void> ReadItem(Section aSection,
+                        NoteVerb aVerb,
+                        const std::string& aName,
+                        std::span<const FieldRule<Fields>, N> aRules,
+                        std::vector<NoteItem<Fields>>& aItems)
+  {
+    NoteItem<Fields> item{ aVerb, aName, aSection.front().mLine, {} };
+    std::set<std::string_view> given;
+    for (const auto& it : aSection) {
+      const auto rule =
+        std::find_if(aRules.begin(), aRules.end(), [&](const auto& aRule) {
+          return aRule.mKey == it.mKey;
+        });
+      if (rule == aRules.end()) {
+        return FailHere(it.mLine, "unknown key " + Quote(it.mKey));
+      }
+      if (!rule->mRead(item.mFields, it.mValue)) {
+        return FailHere(it.mLine,
+                        it.mKey + ": expected " + std::string(rule->mExpected) +
+                          ", not " + Quote(it.mValue));
+      }
+      given.insert(rule->mKey);
+    }
+    for (const auto& it : aRules) {
+      if (aVerb == NoteVerb::Add && it.mRequired && !given.contains(it.mKey)) {
+        return FailHere(item.mLine,
+                        "section " + Quote(aSection.front().mSection) +
+                          " lacks " + Quote(it.mKey));
+      }
+    }
+    aItems.push_back(std::move(item));
+    return Ok();
+  }
+
+  // An item may stand in a note once: adding and withdrawing it, or naming it
+  // in two sections, contradicts itself.
+  template<class Fields>
+  Result<void> CheckOnce(std::vector<NoteItem<Fields>>& aItems,
+                         std::string_view aKind)
+  {
+    std::sort(aItems.begin(), aItems.end(), [](const auto& a, const auto& b) {
+      return a.mLine < b.mLine;
+    });
+    std::map<std::string, NoteVerb> seen;
+    for (const auto& it : aItems) {
+      const auto [found, isNew] = seen.emplace(it.mName, it.mVerb);
+      if (!isNew) {
+        return FailHere(it.mLine,
+                        std::string(aKind) + " " + Quote(it.mName) +
+                          " is in the note as " +
+                          std::string(ToName(found->second)) + " and as " +
+                          std::string(ToName(it.mVerb)));
+      }
+    }
+    return Ok();
+  }
+
+  Result<void> Finish()
+  {
+    if (mNote.mProduct.IsEmpty() || !mHasAgainst) {
+      return FailHere(1, "section [release] must give product and against");
+    }
+    for (const auto& done : { CheckOnce(mNote.mAccounts, "account"),
+                              CheckOnce(mNote.mModels, "model"),
+                              CheckOnce(mNote.mAdapters, "adapter"),
+                              CheckOnce(mNote.mServices, "service") }) {
+      if (!done) {
+        return done;
+      }
+    }
+    if (mNote.mAccounts.empty() && mNote.mModels.empty() &&
+        mNote.mAdapters.empty() && mNote.mServices.empty()) {
+      return FailHere(1, "the note adds, changes and withdraws nothing");
+    }
+    return Ok();
+  }
+
+  ReleaseNote& mNote;
+  std::set<std::string> mSections;
+  bool mHasAgainst = false;
+};
+
+} // namespace
+
+Result<ReleaseNote>
+CheckNote(std::string_view aText, std::string_view aName)
+{
+  auto entries = ParseIni(aText, aName);
+  if (!entries) {
+    return std::move(entries).error();
+  }
+  ReleaseNote note;
+  note.mFile = aName;
+  note.mText = aText;
+  if (auto done = NoteReader(note).Read(entries.value()); !done) {
+    return std::move(done).error();
+  }
+  if (note.mId.empty()) {
+    note.mId = Sha256Hex(aText);
+  }
+  return note;
+}
+
+} // namespace bilberrytrail
