--- /dev/null
+++ b/packages/cache/src/keep_policy.cpp
@@ -0,0 +1,245 @@
+#include <bilberrytrail/cache/keep_policy.h>
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+namespace bilberrytrail {
+
+namespace {
+
+// Blocks scored anew with each offer.
+constexpr std::size_t kRescoredPerOffer = 8;
+
+} // namespace
+
+bool
+KeepPolicy::Rank::operator<(const Rank& aOther) const noexcept
+{
+  return std::make_tuple(mScore, aOther.mDepth, mBlock.Value()) <
+         std::make_tuple(aOther.mScore, mDepth, aOther.mBlock.Value());
+}
+
+KeepPolicy::KeepPolicy(const KeepLimits& aLimits)
+{
+  mMemory.mCapacity = aLimits.mMemoryBytes;
+  mDisk.mCapacity = aLimits.mDiskBytes;
+}
+
+std::optional<StoreTier>
+KeepPolicy::TierOf(BlockId aBlock) const
+{
+  const auto it = mKept.find(aBlock);
+  return it == mKept.end() ? std::nullopt : std::optional(it->second.mTier);
+}
+
+std::uint64_t
+KeepPolicy::UsedBytes(StoreTier aTier) const
+{
+  return TierAt(aTier).mUsed;
+}
+
+KeepPolicy::Tier&
+KeepPolicy::TierAt(StoreTier aTier)
+{
+  return aTier == StoreTier::Memory ? mMemory : mDisk;
+}
+
+const KeepPolicy::Tier&
+KeepPolicy::TierAt(StoreTier aTier) const
+{
+  return aTier == StoreTier::Memory ? mMemory : mDisk;
+}
+
+KeepPolicy::Rank
+KeepPolicy::RankOf(const Kept& aKept)
+{
+  return Rank{ aKept.mScore, aKept.mBlock.mDepth, aKept.mBlock.mBlock };
+}
+
+void
+KeepPolicy::OnUse(BlockId aBlock)
+{
+  ++mUses;
+  NoteUse(aBlock);
+  const auto it = mKept.find(aBlock);
+  if (it != mKept.end()) {
+    it->second.mLastUse = mUses;
+    Rescore(it->second);
+  }
+}
+
+KeepDecision
+KeepPolicy::Offer(const KeepCandidate& aCandidate)
+{
+  KeepDecision decision;
+  RescoreSome();
+  Kept kept;
+  kept.mBlock = aCandidate;
+  kept.mLastUse = ++mUses;
+  kept.mScore = ScoreOf(aCandidate, kept.mLastUse);
+  if (mKept.contains(aCandidate.mBlock) || kept.mScore <= 0) {
+    return decision;
+  }
+  const auto bytes = aCandidate.mBytes;
+  if (const auto victims = FindVictims(StoreTier::Memory, bytes, kept.mScore)) {
+    decision.mAdmit = true;
+    Demote(*victims, decision);
+    Insert(std::move(kept), StoreTier::Memory);
+    return decision;
+  }
+  if (const auto victims = FindVictims(StoreTier::Disk, bytes, kept.mScore)) {
+    decision.mAdmit = true;
+    decision.mTier = StoreTier::Disk;
+    Evict(*victims, decision);
+    Insert(std::move(kept), StoreTier::Disk);
+  }
+  return decision;
+}
+
+void
+KeepPolicy::OnRemoved(BlockId aBlock)
+{
+  if (mKept.contains(aBlock)) {
+    Remove(aBlock);
+  }
+}
+
+std::optional<std::vector<BlockId>>
+KeepPolicy::FindVictims(StoreTier aTier,
+                        std::uint64_t aBytes,
+                        double aScore) const
+{
+  const auto& tier = TierAt(aTier);
+  if (aBytes > tier.mCapacity) {
+    return std::nullopt;
+  }
+  std::vector<BlockId> victims;
+  std::uint64_t used = tier.mUsed;
+  for (auto it = tier.mRanks.begin(); used + aBytes > tier.mCapacity; ++it) {
+    if (ComparesOnAdmission() && it->mScore >= aScore) {
+      return std::nullopt;
+    }
+    victims.push_back(it->mBlock);
+    used -= mKept.at(it->mBlock).mBlock.mBytes;
+  }
+  return victims;
+}
+
+void
+KeepPolicy::Demote(const std::vector<BlockId>& aBlocks, KeepDecision& aDecision)
+{
+  // The most worth first, so that it finds room before the others.
+  for (auto it = aBlocks.rbegin(); it != aBlocks.rend(); ++it) {
+    auto kept = Remove(*it);
+    const auto victims =
+      FindVictims(StoreTier::Disk, kept.mBlock.mBytes, kept.mScore);
+    if (!victims) {
+      aDecision.mEvict.push_back(*it);
+      continue;
+    }
+    Evict(*victims, aDecision);
+    aDecision.mDemote.push_back(*it);
+    Insert(std::move(kept), StoreTier::Disk);
+  }
+}
+
+void
+KeepPolicy::Evict(const std::vector<BlockId>& aBlocks, KeepDecision& aDecision)
+{
+  for (const auto block : aBlocks) {
+    Remove(block);
+    // A block demoted by the same decision is evicted instead.
+    std::erase(aDecision.mDemote, block);
+    aDecision.mEvict.push_back(block);
+  }
+}
+
+void
+KeepPolicy::Insert(Kept aKept, StoreTier aTier)
+{
+  auto& tier = TierAt(aTier);
+  aKept.mTier = aTier;
+  aKept.mIndex = mOrder.size();
+  tier.mUsed += aKept.mBlock.mBytes;
+  tier.mRanks.insert(RankOf(aKept));
+  mOrder.push_back(aKept.mBlock.mBlock);
+  const auto block = aKept.mBlock.mBlock;
+  mKept.insert_or_assign(block, std::move(aKept));
+}
+
+KeepPolicy::Kept
+KeepPolicy::Remove(BlockId aBlock)
+{
+  const auto it = mKept.find(aBlock);
+  auto kept = std::move(it->second);
+  mKept.erase(it);
+  auto& tier = TierAt(kept.mTier);
+  tier.mUsed -= kept.mBlock.mBytes;
+  tier.mRanks.erase(RankOf(kept));
+  const auto last = mOrder.back();
+  mOrder.pop_back();
+  if (kept.mIndex < mOrder.size()) {
+    mOrder[kept.mIndex] = last;
+    mKept.at(last).mIndex = kept.mIndex;
+  }
+  return kept;
+}
+
+void
+KeepPolicy::Rescore(Kept& aKept)
+{
+  auto& ranks = TierAt(aKept.mTier).mRanks;
+  ranks.erase(RankOf(aKept));
+  aKept.mScore = ScoreOf(aKept.mBlock, aKept.mLastUse);
+  ranks.insert(RankOf(aKept));
+}
+
+void
+KeepPolicy::RescoreSome()
+{
+  const auto n = std::min(kRescoredPerOffer, mOrder.size());
+  for (std::size_t k = 0; k < n; ++k) {
+    mCursor = (mCursor + 1) % mOrder.size();
+    Rescore(mKept.at(mOrder[mCursor]));
+  }
+}
+
+FrequencyKeepPolicy::FrequencyKeepPolicy(const KeepLimits& aLimits,
+                                         std::size_t aBlocks)
+  : KeepPolicy(aLimits)
+  , mSketch(aBlocks)
+{
+}
+
+void
+FrequencyKeepPolicy::NoteUse(BlockId aBlock)
+{
+  mSketch.Add(aBlock);
+}
+
+double
+FrequencyKeepPolicy::ScoreOf(const KeepCandidate& aBlock,
+                             std::uint64_t /*aLastUse*/) const
+{
+  const auto saved = std::max(aBlock.mRecompute - aBlock.mTransfer, Duration());
+  // One more than the estimate: a block is offered because it was computed.
+  const double uses = 1.0 + mSketch.Estimate(aBlock.mBlock);
+  return uses * static_cast<double>(saved.count()) /
+         static_cast<double>(std::max<std::uint64_t>(aBlock.mBytes, 1));
+}
+
+void
+LruKeepPolicy::NoteUse(BlockId /*aBlock*/)
+{
+}
+
+double
+LruKeepPolicy::ScoreOf(const KeepCandidate& /*aBlock*/,
+                       std::uint64_t aLastUse) const
+{
+  return static_cast<double>(aLastUse);
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/cache/tests/keep_policy_test.cpp
@@ -0,0 +1,147 @@
+#include <bilberrytrail/base/random.h>
+#include <bilberrytrail/cache/keep_policy.h>
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace bilberrytrail;
+
+namespace {
+
+KeepCandidate
+MakeCandidate(std::uint64_t aBlock,
+              Duration aRecompute = 100ms,
+              std::uint32_t aDepth = 0)
+{
+  return { BlockId(aBlock), 1, aRecompute, 10ms, aDepth };
+}
+
+// Adds the prompt's use and offers the block when it is not kept. Returns
+// true for a hit.
+bool
+Request(KeepPolicy& aPolicy, std::uint64_t aBlock)
+{
+  const bool isHit = aPolicy.TierOf(BlockId(aBlock)).has_value();
+  aPolicy.OnUse(BlockId(aBlock));
+  if (!isHit) {
+    (void)aPolicy.Offer(MakeCandidate(aBlock));
+  }
+  return isHit;
+}
+
+// Prompts that return, mixed with documents that are read once.
+int
+CountHits(KeepPolicy& aPolicy)
+{
+  Random random(21);
+  int hits = 0;
+  std::uint64_t once = 1000000;
+  for (int n = 0; n < 50000; ++n) {
+    const double u = random.Unit();
+    const auto returning = static_cast<std::uint64_t>(u * u * u * 2000);
+    const bool isOnce = random.Below(2) == 0;
+    hits += Request(aPolicy, isOnce ? ++once : returning) ? 1 : 0;
+  }
+  return hits;
+}
+
+} // namespace
+
+TEST_CASE("memory is filled first, then disk, then the least worth is evicted")
+{
+  FrequencyKeepPolicy policy({ 2, 1 }, 100);
+  CHECK(policy.Offer(MakeCandidate(1)).mTier == StoreTier::Memory);
+  CHECK(policy.Offer(MakeCandidate(2)).mTier == StoreTier::Memory);
+  const auto third = policy.Offer(MakeCandidate(3));
+  CHECK(third.mAdmit);
+  CHECK(third.mTier == StoreTier::Disk);
+  CHECK_FALSE(policy.Offer(MakeCandidate(4)).mAdmit);
+  policy.OnUse(BlockId(5));
+  policy.OnUse(BlockId(5));
+  policy.OnUse(BlockId(1));
+  const auto hot = policy.Offer(MakeCandidate(5));
+  CHECK(hot.mTier == StoreTier::Memory);
+  CHECK(hot.mDemote.size() + hot.mEvict.size() == 1);
+  CHECK(policy.TierOf(BlockId(5)) == StoreTier::Memory);
+  CHECK(policy.TierOf(BlockId(1)) == StoreTier::Memory);
+  CHECK(policy.Blocks() == 3);
+}
+
+TEST_CASE("blocks that the link delivers no faster than computing are not kept")
+{
+  FrequencyKeepPolicy policy({ 10, 10 }, 100);
+  CHECK_FALSE(policy.Offer(MakeCandidate(1, 10ms)).mAdmit);
+  CHECK_FALSE(policy.Offer(MakeCandidate(1, 5ms)).mAdmit);
+  CHECK(policy.Offer(MakeCandidate(1, 11ms)).mAdmit);
+  CHECK_FALSE(policy.Offer(MakeCandidate(1, 11ms)).mAdmit);
+  policy.OnRemoved(BlockId(1));
+  CHECK(policy.Offer(MakeCandidate(1, 11ms)).mAdmit);
+}
+
+TEST_CASE("of equal worth the deepest block of a prompt is evicted first")
+{
+  FrequencyKeepPolicy policy({ 3, 0 }, 100);
+  for (std::uint64_t n = 0; n < 3; ++n) {
+    (void)policy.Offer(
+      MakeCandidate(10 + n, 100ms, static_cast<std::uint32_t>(n)));
+  }
+  const auto decision = policy.Offer(MakeCandidate(20, 1s));
+  REQUIRE(decision.mEvict.size() == 1);
+  CHECK(decision.mEvict.front() == BlockId(12));
+}
+
+TEST_CASE("the baseline evicts the least recently used block")
+{
+  LruKeepPolicy policy({ 2, 0 });
+  (void)policy.Offer(MakeCandidate(1));
+  (void)policy.Offer(MakeCandidate(2));
+  policy.OnUse(BlockId(1));
+  const auto decision = policy.Offer(MakeCandidate(3));
+  REQUIRE(decision.mEvict.size() == 1);
+  CHECK(decision.mEvict.front() == BlockId(2));
+}
+
+TEST_CASE("decisions never overfill a tier and never name a block twice")
+{
+  constexpr std::uint64_t kMemory = 50;
+  constexpr std::uint64_t kDisk = 80;
+  FrequencyKeepPolicy frequency({ kMemory, kDisk }, 100);
+  LruKeepPolicy lru({ kMemory, kDisk });
+  for (KeepPolicy* policy : { static_cast<KeepPolicy*>(&frequency),
+                              static_cast<KeepPolicy*>(&lru) }) {
+    Random random(4);
+    std::set<std::uint64_t> held;
+    for (int n = 0; n < 20000; ++n) {
+      auto candidate = MakeCandidate(random.Below(500));
+      candidate.mBytes = 1 + candidate.mBlock.Value() % 9;
+      policy->OnUse(BlockId(random.Below(500)));
+      const auto decision = policy->Offer(candidate);
+      for (const auto block : decision.mEvict) {
+        CHECK(held.erase(block.Value()) == 1);
+        CHECK_FALSE(policy->TierOf(block));
+      }
+      for (const auto block : decision.mDemote) {
+        CHECK(policy->TierOf(block) == StoreTier::Disk);
+      }
+      if (decision.mAdmit) {
+        CHECK(held.insert(candidate.mBlock.Value()).second);
+        CHECK(policy->TierOf(candidate.mBlock) == decision.mTier);
+      }
+      CHECK(policy->UsedBytes(StoreTier::Memory) <= kMemory);
+      CHECK(policy->UsedBytes(StoreTier::Disk) <= kDisk);
+      CHECK(policy->Blocks() == held.size());
+    }
+  }
+}
+
+TEST_CASE("frequency keeps more of what returns than recency does")
+{
+  constexpr KeepLimits kLimits{ 100, 200 };
+  FrequencyKeepPolicy frequency(kLimits, 3000);
+  LruKeepPolicy lru(kLimits);
+  const auto withFrequency = CountHits(frequency);
+  const auto withLru = CountHits(lru);
+  MESSAGE("hits by frequency ", withFrequency, ", by recency ", withLru);
+  CHECK(withFrequency > withLru);
+}
