Add the settings of bilberryd in one table

The table gives each key its type, unit, range, default and help; it parses, checks, prints the defaults and makes docs/SETTINGS.md, which a test compares.

--- /dev/null
+++ b/packages/settings/include/bilberrytrail/settings/daemon_settings.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <bilberrytrail/base/endpoint.h>
+#include <bilberrytrail/base/error.h>
+#include <bilberrytrail/base/ids.h>
+#include <bilberrytrail/base/log_event.h>
+#include <bilberrytrail/base/time.h>
+#include <bilberrytrail/settings/setting_table.h>
+
+#include <cstdint>
+#include <filesystem>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace bilberrytrail {
+
+// Checked settings of bilberryd. The table behind DaemonSettingTable() gives
+// the section, key, range and meaning of each member. Sizes are in bytes.
+//
+//   auto settings = LoadDaemonSettings("bilberryd.ini");
+//   if (!settings) {
+//     return Report(settings.error().mMessage);
+//   }
+struct DaemonSettings
+{
+  // [daemon]
+  DaemonId mName;
+  ZoneId mZone;
+  std::string mRegion;
+  std::string mSiteKeyFile;
+  // The key itself, from the file or from the settings.
+  std::string mSiteKey;
+  std::uint64_t mTrafficThreads = 0;
+
+  // [listen]
+  Endpoint mCallers;
+  Endpoint mOperators;
+  Endpoint mPeers;
+  // Never 0 after parsing unless the port of mPeers is.
+  std::uint64_t mGossipPort = 0;
+
+  // [platform]
+  Endpoint mTable;
+  Endpoint mObjects;
+  Endpoint mList;
+  Duration mPlatformTimeout{};
+
+  // [limits]
+  std::uint64_t mBodyBytes = 0;
+  std::uint64_t mHeaderBytes = 0;
+  Duration mReadTime{};
+  Duration mIdleTime{};
+  std::uint64_t mMaxRequests = 0;
+  std::uint64_t mQueueEntries = 0;
+  std::uint64_t mDirectoryEntries = 0;
+  std::uint64_t mMemoryBytes = 0;
+  std::uint64_t mHistogramSeries = 0;
+
+  // [membership]
+  Duration mGossipPeriod{};
+  Duration mSuspicionTime{};
+  Duration mMessageWindow{};
+
+  // [control]
+  Duration mHeadPoll{};
+  Duration mReleaseBound{};
+  Duration mListPoll{};
+  std::uint64_t mControlShards = 0;
+  Duration mLeaseLength{};
+  Duration mLeaseRenewal{};
+  Duration mOrderTimeout{};
+
+  // [requests]
+  std::uint64_t mBlockBytes = 0;
+  Duration mDefaultDeadline{};
+  Duration mMaxDeadline{};
+  double mRetryBudget = 0;
+  double mHedgeBudget = 0;
+  Duration mQuarantineTime{};
+  Duration mClaimBatchTime{};
+  Duration mKeepOutcomeTime{};
+  Duration mDrainTime{};
+
+  // [operators]
+  std::string mOperatorTokenHash;
+
+  // [log]
+  LogLevel mLogLevel = LogLevel::Info;
+  // Empty for standard error.
+  std::string mLogFile;
+};
+
+// Returns the rows of all settings of bilberryd.
+[[nodiscard]] std::span<const SettingInfo>
+DaemonSettingTable();
+
+// Returns settings with every default; members without one are empty.
+[[nodiscard]] DaemonSettings
+DefaultDaemonSettings();
+
+// Reads settings from an INI text. Fails with InvalidInput and one line
+// "name:line: what was expected" for each fault: unknown, repeated or missing
+// keys, bad values, and keys that contradict each other. Reads no other file.
+[[nodiscard]] Result<DaemonSettings>
+ParseDaemonSettings(std::string_view aText, std::string_view aName);
+
+// Reads settings from a file, and the site key from its file. Fails like
+// ParseDaemonSettings, or when a file cannot be read or the key is short.
+[[nodiscard]] Result<DaemonSettings>
+LoadDaemonSettings(const std::filesystem::path& aPath);
+
+// Returns the text of docs/SETTINGS.md.
+[[nodiscard]] std::string
+RenderSettingsPage();
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/settings/include/bilberrytrail/settings/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace bilberrytrail {
+
+struct IniEntry;
+struct SettingInfo;
+struct DaemonSettings;
+
+} // namespace bilberrytrail
