--- /dev/null
+++ b/packages/base/include/bilberrytrail/base/series.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <bilberrytrail/base/enum_names.h>
+#include <bilberrytrail/base/ids.h>
+
+#include <compare>
+#include <string>
+
+namespace bilberrytrail {
+
+// Whose requests a series of measurements covers. Client accounts of the same
+// name in two products are two.
+struct SeriesLabels
+{
+  ProductId mProduct;
+  AccountId mAccount;
+  std::string mClass;
+
+  auto operator<=>(const SeriesLabels&) const = default;
+};
+
+// Returns the labels of the series that takes what has no room of its own.
+[[nodiscard]] inline SeriesLabels
+OtherLabels()
+{
+  return { ProductId(), AccountId("other"), "other" };
+}
+
+// Lengths of time that are kept as histograms.
+enum class Measure : unsigned char
+{
+  // From the request's arrival to the first token of its answer.
+  FirstToken,
+  // From the request's arrival to the end of its answer.
+  Total,
+  // In the queue of a backend server.
+  QueueWait,
+  // Between the daemon that took the request and the home of the server.
+  Forward,
+  // In the backend server, to the end of the answer.
+  Backend
+};
+
+template<>
+struct EnumNames<Measure>
+{
+  static constexpr std::array<std::string_view, 5> kNames{ "first_token",
+                                                           "total",
+                                                           "queue_wait",
+                                                           "forward",
+                                                           "backend" };
+};
+
+// Occurrences and amounts that are counted.
+enum class Counter : unsigned char
+{
+  Requests,
+  Answered,
+  RefusedNotRun,
+  RefusedUnknown,
+  Incomplete,
+  Retries,
+  Hedges,
+  Resumes,
+  PromptTokens,
+  RecomputedTokens,
+  ImportedBytes,
+  ExportedBytes
+};
+
+template<>
+struct EnumNames<Counter>
+{
+  static constexpr std::array<std::string_view, 12> kNames{
+    "requests",      "answered",          "refused_not_run", "refused_unknown",
+    "incomplete",    "retries",           "hedges",          "resumes",
+    "prompt_tokens", "recomputed_tokens", "imported_bytes",  "exported_bytes"
+  };
+};
+
+} // namespace bilberrytrail
