--- a/packages/daemon/src/control_view.h
+++ b/packages/daemon/src/control_view.h
@@ -17,7 +17,7 @@
 namespace bilberrytrail {
 
 // One backend server or store VM as this daemon sees it.
-struct ServerView
+struct BackendView
 {
   VmEntry mVm;
   DaemonId mHome;
@@ -42,7 +42,7 @@
   bool mDraining = false;
   std::vector<MemberRecord> mMembers;
   std::vector<HomeCandidate> mHomes;
-  std::map<ServerId, ServerView> mServers;
+  std::map<ServerId, BackendView> mServers;
   std::map<ProductId, ProductState> mProducts;
   // Accounts by the SHA-256 of their token in hexadecimal digits.
   std::map<std::string, AccountView, std::less<>> mTokens;
--- /dev/null
+++ b/packages/daemon/src/engine_run.cpp
@@ -0,0 +1,273 @@
+#include "engine_run.h"
+
+#include <bilberrytrail/base/digest.h>
+
+namespace bilberrytrail {
+
+namespace {
+
+// How often a waiting request checks that its caller is still there.
+constexpr Duration kPeerCheckPeriod = 100ms;
+// An engine that sends nothing for so long within an answer counts as failed.
+constexpr Duration kStallTime = 5s;
+constexpr Duration kCancelTimeout = 1s;
+// Tokens after which the decoding speed is learnt.
+constexpr std::uint32_t kSpeedSample = 16;
+
+EnginePriority
+PriorityOf(WorkClass aClass)
+{
+  return IsShortWork(aClass) ? EnginePriority::High : EnginePriority::Normal;
+}
+
+} // namespace
+
+EngineRun::EngineRun(ThreadContext& aThread,
+                     HomedServerPtr aServer,
+                     const HomeRequest& aRequest,
+                     FrameSink& aSink)
+  : mThread(aThread)
+  , mServer(std::move(aServer))
+  , mRequest(aRequest)
+  , mSink(aSink)
+  , mDeadline(MonotonicNow() + aRequest.mTimeLeft)
+  , mAnswer(AttemptId(RandomToken()))
+{
+}
+
+void
+EngineRun::Execute()
+{
+  mPlace = mServer->Queue().Join(mThread.GetLoop(), MakeEntry());
+  if (!AwaitGrant()) {
+    return;
+  }
+  while (RunAttempt() == StepEnd::Paused) {
+    mPlace->ConfirmPaused();
+    if (!AwaitResume()) {
+      return;
+    }
+  }
+}
+
+QueueEntry
+EngineRun::MakeEntry() const
+{
+  QueueEntry entry;
+  entry.mAccount = mRequest.mAccount;
+  entry.mClass = mRequest.mClass;
+  entry.mCostTokens = mRequest.mCostTokens;
+  const double answer = mRequest.mGenerate.mMaxTokens;
+  entry.mService = mServer->EstimateService(
+    std::max(0.0, mRequest.mCostTokens - answer), answer);
+  entry.mDeadline = mDeadline;
+  return entry;
+}
+
+bool
+EngineRun::AwaitGrant()
+{
+  while (true) {
+    const auto action = mPlace->Next(kPeerCheckPeriod);
+    if (!mSink.IsOpen() || mThread.GetLoop().IsStopping()) {
+      return false;
+    }
+    if (!action) {
+      continue;
+    }
+    if (const auto* refusal = std::get_if<RefuseAction>(&*action)) {
+      EndRefused(*refusal);
+      return false;
+    }
+    if (std::holds_alternative<GrantAction>(*action)) {
+      return true;
+    }
+  }
+}
+
+bool
+EngineRun::AwaitResume()
+{
+  while (true) {
+    const auto action = mPlace->Next(kPeerCheckPeriod);
+    if (!mSink.IsOpen() || mThread.GetLoop().IsStopping()) {
+      return false;
+    }
+    if (!action) {
+      continue;
+    }
+    if (const auto* refusal = std::get_if<RefuseAction>(&*action)) {
+      EndRefused(*refusal);
+      return false;
+    }
+    if (std::holds_alternative<ResumeAction>(*action)) {
+      return mAnswer.BeginAttempt(AttemptId(RandomToken())).has_value();
+    }
+  }
+}
+
+GenerateRequest
+EngineRun::NextAttempt() const
+{
+  GenerateRequest generate = mRequest.mGenerate;
+  generate.mAttempt = mAnswer.Attempt();
+  generate.mPriority = PriorityOf(mRequest.mClass);
+  generate.mResumeText += mAnswer.Text();
+  generate.mStartPosition += mAnswer.NextPosition();
+  return generate;
+}
+
+EngineRun::StepEnd
+EngineRun::RunAttempt()
+{
+  auto& engine = mThread.EngineAt(mServer->Vm().mEndpoint);
+  const auto now = MonotonicNow();
+  if (now >= mDeadline) {
+    EndNotRun(RefusalReason::DeadlinePassed, "the deadline has passed");
+    return StepEnd::Finished;
+  }
+  auto stream = engine.Generate(NextAttempt(), mDeadline - now);
+  if (!stream) {
+    const CallError& error = stream.error();
+    mServer->NoteRefusal(MonotonicNow());
+    if (error.mFate == CallFate::NotRun) {
+      EndNotRun(RefusalReason::ServerFailed, error.mError.mMessage);
+    } else {
+      EndBroken(RefusalReason::ServerFailed, error.mError.mMessage);
+    }
+    return StepEnd::Finished;
+  }
+  mServer->NoteReachable();
+  return Relay(*stream.value(), now);
+}
+
+EngineRun::StepEnd
+EngineRun::Relay(GenerateStream& aStream, Instant aSentAt)
+{
+  auto& engine = mThread.EngineAt(mServer->Vm().mEndpoint);
+  const GenerateHead head = aStream.Head();
+  if (head.mVersion != mRequest.mGenerate.mVersion) {
+    (void)engine.Cancel(mAnswer.Attempt(), kCancelTimeout);
+    EndBroken(RefusalReason::ServerFailed,
+              "the server answered with another weight version");
+    return StepEnd::Finished;
+  }
+  if (!mAccepted) {
+    mAccepted = true;
+    (void)mSink.Write({ .mKind = FrameKind::Head,
+                        .mAttempt = mRequest.mGenerate.mAttempt,
+                        .mHead = head });
+  }
+  while (true) {
+    const auto left = mDeadline - MonotonicNow();
+    auto chunk = aStream.Next(mTokens == 0 ? std::max<Duration>(left, 1ms)
+                                           : kStallTime);
+    if (!chunk) {
+      mAnswer.StreamClosed();
+      mServer->NoteRefusal(MonotonicNow());
+      EndBroken(RefusalReason::ServerFailed, chunk.error().mMessage);
+      return StepEnd::Finished;
+    }
+    if (!RelayChunk(chunk.value())) {
+      (void)engine.Cancel(mAnswer.Attempt(), kCancelTimeout);
+      return StepEnd::Finished;
+    }
+    if (mAnswer.State() == AnswerState::Complete) {
+      return StepEnd::Finished;
+    }
+    if (mTokens == 1) {
+      Learn(head, aSentAt);
+    }
+    if (IsPauseWanted()) {
+      (void)engine.Cancel(mAnswer.Attempt(), kCancelTimeout);
+      mAnswer.StreamClosed();
+      return StepEnd::Paused;
+    }
+  }
+}
+
+bool
+EngineRun::RelayChunk(const GenerateChunk& aChunk)
+{
+  const std::uint32_t start = mRequest.mGenerate.mStartPosition;
+  if (aChunk.mPosition < start) {
+    return true;
+  }
+  GenerateChunk local = aChunk;
+  local.mPosition -= start;
+  HomeFrame frame;
+  frame.mAttempt = mRequest.mGenerate.mAttempt;
+  frame.mPosition = aChunk.mPosition;
+  switch (mAnswer.Accept(local)) {
+    case ChunkVerdict::Appended:
+      ++mTokens;
+      frame.mKind = FrameKind::Chunk;
+      frame.mText = aChunk.mText;
+      break;
+    case ChunkVerdict::End:
+      frame.mKind = FrameKind::End;
+      break;
+    case ChunkVerdict::Duplicate:
+    case ChunkVerdict::Foreign:
+      return true;
+    case ChunkVerdict::Gap:
+    case ChunkVerdict::Contradiction:
+      EndBroken(RefusalReason::ServerFailed, "the answer has a gap");
+      return false;
+  }
+  if (mTokens % kSpeedSample == 0 && mTokens > 0) {
+    const auto now = MonotonicNow();
+    mServer->LearnDecode((now - mFirstTokenAt) / mTokens);
+  }
+  return mSink.Write(frame).has_value() && mSink.IsOpen();
+}
+
+void
+EngineRun::Learn(const GenerateHead& aHead, Instant aSentAt)
+{
+  mFirstTokenAt = MonotonicNow();
+  mServer->LearnPrefill(
+    static_cast<double>(aHead.mPromptTokens) - aHead.mCachedTokens,
+    mFirstTokenAt - aSentAt);
+}
+
+bool
+EngineRun::IsPauseWanted()
+{
+  const auto action = mPlace->Next(Duration::zero());
+  return action.has_value() && std::holds_alternative<PauseAction>(*action);
+}
+
+void
+EngineRun::EndNotRun(RefusalReason aReason,
+                     std::string aText,
+                     Duration aRetryAfter)
+{
+  if (mAccepted) {
+    EndBroken(aReason, std::move(aText));
+    return;
+  }
+  (void)mSink.Write({ .mKind = FrameKind::NotRun,
+                      .mAttempt = mRequest.mGenerate.mAttempt,
+                      .mText = std::move(aText),
+                      .mReason = aReason,
+                      .mRetryAfter = aRetryAfter });
+}
+
+void
+EngineRun::EndBroken(RefusalReason aReason, std::string aText)
+{
+  (void)mSink.Write({ .mKind = FrameKind::Broken,
+                      .mAttempt = mRequest.mGenerate.mAttempt,
+                      .mText = std::move(aText),
+                      .mReason = aReason });
+}
+
+void
+EngineRun::EndRefused(const RefuseAction& aRefusal)
+{
+  EndNotRun(
+    aRefusal.mReason, "refused by the server's queue", aRefusal.mRetryAfter);
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/engine_run.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "home_message.h"
+#include "homed_server.h"
+#include "thread_context.h"
+
+#include <bilberrytrail/traffic/answer_assembler.h>
+
+#include <memory>
+
+namespace bilberrytrail {
+
+// Runs one request on an engine at the server's home: waits in the queue,
+// dispatches, relays the answer, and pauses and resumes when the queue says so.
+class EngineRun
+{
+public:
+  EngineRun(ThreadContext& aThread,
+            HomedServerPtr aServer,
+            const HomeRequest& aRequest,
+            FrameSink& aSink);
+
+  // Runs to the end on the calling fiber; the last frame is End, NotRun or
+  // Broken unless the sink has closed.
+  void Execute();
+
+private:
+  enum class StepEnd : unsigned char
+  {
+    Finished,
+    Paused
+  };
+
+  [[nodiscard]] QueueEntry MakeEntry() const;
+  [[nodiscard]] bool AwaitGrant();
+  [[nodiscard]] bool AwaitResume();
+  [[nodiscard]] StepEnd RunAttempt();
+  [[nodiscard]] StepEnd Relay(GenerateStream& aStream, Instant aSentAt);
+  [[nodiscard]] GenerateRequest NextAttempt() const;
+  [[nodiscard]] bool RelayChunk(const GenerateChunk& aChunk);
+  void Learn(const GenerateHead& aHead, Instant aSentAt);
+  // Returns true when the queue wants the request off the server.
+  [[nodiscard]] bool IsPauseWanted();
+  void EndNotRun(RefusalReason aReason,
+                 std::string aText,
+                 Duration aRetryAfter = {});
+  void EndBroken(RefusalReason aReason, std::string aText);
+  void EndRefused(const RefuseAction& aRefusal);
+
+  ThreadContext& mThread;
+  HomedServerPtr mServer;
+  const HomeRequest& mRequest;
+  FrameSink& mSink;
+  Instant mDeadline;
+  std::unique_ptr<QueuePlace> mPlace;
+  AnswerAssembler mAnswer;
+  bool mAccepted = false;
+  Instant mFirstTokenAt{};
+  std::uint32_t mTokens = 0;
+};
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/home_service.cpp
@@ -0,0 +1,151 @@
+#include "home_service.h"
+
+#include "engine_run.h"
+#include "service_run.h"
+
+namespace bilberrytrail {
+
+namespace {
+
+QueueSettings
+MakeQueueSettings(const DaemonSettings& aSettings)
+{
+  QueueSettings settings;
+  settings.mMaxWaiting = aSettings.mQueueEntries;
+  return settings;
+}
+
+} // namespace
+
+HomeService::HomeService(const DaemonSettings& aSettings,
+                         ControlViewHolder& aViews)
+  : mSettings(aSettings)
+  , mViews(aViews)
+{
+}
+
+HomedServerPtr
+HomeService::Find(const ServerId& aServer)
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mServers.find(aServer);
+  if (it != mServers.end()) {
+    return it->second;
+  }
+  const auto view = mViews.Load();
+  const auto listed = view->mServers.find(aServer);
+  if (listed == view->mServers.end()) {
+    return nullptr;
+  }
+  auto server = std::make_shared<HomedServer>(
+    listed->second.mVm, MakeFairServerQueue(MakeQueueSettings(mSettings)));
+  mServers.emplace(aServer, server);
+  return server;
+}
+
+std::vector<HomedServerPtr>
+HomeService::Servers() const
+{
+  const std::lock_guard lock(mMutex);
+  std::vector<HomedServerPtr> servers;
+  servers.reserve(mServers.size());
+  for (const auto& [id, server] : mServers) {
+    servers.push_back(server);
+  }
+  return servers;
+}
+
+std::vector<ServerEstimate>
+HomeService::Estimate(const EstimateQuery& aQuery)
+{
+  const auto now = MonotonicNow();
+  std::vector<ServerEstimate> estimates;
+  for (const auto& id : aQuery.mServers) {
+    const auto server = Find(id);
+    if (server == nullptr) {
+      continue;
+    }
+    ServerEstimate estimate;
+    estimate.mServer = id;
+    const bool isEngine = server->Vm().mRole == VmRole::Engine;
+    estimate.mReady =
+      server->TakesWork(now) &&
+      (!isEngine || server->Serves(aQuery.mModel, aQuery.mVersion));
+    estimate.mService =
+      server->EstimateService(aQuery.mPromptTokens, aQuery.mAnswerTokens);
+    QueueEntry entry;
+    entry.mAccount = aQuery.mAccount;
+    entry.mClass = aQuery.mClass;
+    entry.mCostTokens = aQuery.mPromptTokens + aQuery.mAnswerTokens;
+    entry.mService = estimate.mService;
+    estimate.mQueueWait = server->Queue().PredictWait(entry, now);
+    estimate.mPrefillTokensPerSecond = server->Speed().mPrefillTokensPerSecond;
+    estimate.mResidentBlocks = server->ResidentPrefix(aQuery.mBlocks);
+    estimates.push_back(std::move(estimate));
+  }
+  return estimates;
+}
+
+void
+HomeService::Run(ThreadContext& aThread,
+                 const HomeRequest& aRequest,
+                 FrameSink& aSink)
+{
+  const auto server = Find(aRequest.mServer);
+  if (server == nullptr) {
+    const auto& attempt = aRequest.mTarget == HomeTarget::Engine
+                            ? aRequest.mGenerate.mAttempt
+                            : aRequest.mCall.mAttempt;
+    (void)aSink.Write({ .mKind = FrameKind::NotRun,
+                        .mAttempt = attempt,
+                        .mText = "the server is not listed",
+                        .mReason = RefusalReason::NoServer });
+    return;
+  }
+  if (aRequest.mTarget == HomeTarget::Engine) {
+    EngineRun(aThread, server, aRequest, aSink).Execute();
+  } else {
+    ServiceRun(aThread, server, aRequest, aSink).Execute();
+  }
+}
+
+void
+HomeService::OnView(const ControlView& aView)
+{
+  const auto now = MonotonicNow();
+  for (const auto& [id, listed] : aView.mServers) {
+    if (listed.mHome == aView.mSelf && listed.mVm.mRole != VmRole::Store) {
+      (void)Find(id);
+    }
+  }
+  const std::lock_guard lock(mMutex);
+  for (auto it = mServers.begin(); it != mServers.end();) {
+    const auto listed = aView.mServers.find(it->first);
+    const bool isKept = listed != aView.mServers.end() &&
+                        listed->second.mHome == aView.mSelf &&
+                        !listed->second.mVm.mLeaving;
+    if (!isKept) {
+      it->second->Queue().Drain(now);
+    }
+    const bool isIdle = it->second->Queue().Running() == 0;
+    it = !isKept && isIdle ? mServers.erase(it) : std::next(it);
+  }
+}
+
+void
+HomeService::Tick(Instant aNow)
+{
+  for (const auto& server : Servers()) {
+    server->Queue().Tick(aNow);
+  }
+}
+
+void
+HomeService::DrainAll()
+{
+  for (const auto& server : Servers()) {
+    server->Queue().Drain(MonotonicNow());
+  }
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/homed_server.cpp
@@ -0,0 +1,165 @@
+#include "homed_server.h"
+
+#include <algorithm>
+
+namespace bilberrytrail {
+
+namespace {
+
+// Time without new work after a server refused or could not be reached.
+constexpr Duration kRefusalPause = 500ms;
+// Weight of one observation of speed.
+constexpr double kLearningWeight = 0.1;
+// Speeds assumed before the first observation, tokens per second.
+constexpr double kInitialPrefill = 8000;
+constexpr double kInitialDecode = 30;
+// Blocks remembered as resident on one server.
+constexpr std::size_t kMaxResident = 65536;
+// Prefills of fewer tokens say little about speed.
+constexpr double kMinLearnedTokens = 256;
+
+double
+Blend(double aOld, double aNew)
+{
+  return aOld + kLearningWeight * (aNew - aOld);
+}
+
+double
+Seconds(Duration aLength)
+{
+  return std::chrono::duration<double>(aLength).count();
+}
+
+} // namespace
+
+HomedServer::HomedServer(VmEntry aVm, std::unique_ptr<ServerQueue> aQueue)
+  : mVm(std::move(aVm))
+  , mQueue(std::make_shared<HomeQueue>(std::move(aQueue)))
+  , mSpeed{ kInitialPrefill, kInitialDecode }
+{
+}
+
+std::optional<EngineState>
+HomedServer::State() const
+{
+  const std::lock_guard lock(mMutex);
+  return mState;
+}
+
+bool
+HomedServer::Serves(const ModelId& aModel, const VersionId& aVersion) const
+{
+  const std::lock_guard lock(mMutex);
+  return mState.has_value() &&
+         std::any_of(mState->mVersions.begin(),
+                     mState->mVersions.end(),
+                     [&](const LoadedVersion& aLoaded) {
+                       return aLoaded.mReady && aLoaded.mModel == aModel &&
+                              aLoaded.mVersion == aVersion;
+                     });
+}
+
+bool
+HomedServer::TakesWork(Instant aNow) const
+{
+  const std::lock_guard lock(mMutex);
+  return aNow >= mNoWorkBefore && !(mState.has_value() && mState->mLeaving);
+}
+
+ServerSpeed
+HomedServer::Speed() const
+{
+  const std::lock_guard lock(mMutex);
+  return mSpeed;
+}
+
+Duration
+HomedServer::EstimateService(double aPromptTokens, double aAnswerTokens) const
+{
+  const ServerSpeed speed = Speed();
+  const double seconds = aPromptTokens / speed.mPrefillTokensPerSecond +
+                         aAnswerTokens / speed.mDecodeTokensPerSecond;
+  return FromMillis(seconds * 1000);
+}
+
+std::uint32_t
+HomedServer::ResidentPrefix(std::span<const BlockId> aBlocks) const
+{
+  const std::lock_guard lock(mMutex);
+  std::uint32_t n = 0;
+  while (n < aBlocks.size() && mResident.contains(aBlocks[n])) {
+    ++n;
+  }
+  return n;
+}
+
+void
+HomedServer::NoteCached(std::span<const BlockId> aBlocks)
+{
+  const std::lock_guard lock(mMutex);
+  if (mResident.size() + aBlocks.size() > kMaxResident) {
+    mResident.clear();
+  }
+  mResident.insert(aBlocks.begin(), aBlocks.end());
+}
+
+void
+HomedServer::NoteEvicted(std::span<const BlockId> aBlocks)
+{
+  const std::lock_guard lock(mMutex);
+  for (const auto& block : aBlocks) {
+    mResident.erase(block);
+  }
+}
+
+void
+HomedServer::ForgetResident()
+{
+  const std::lock_guard lock(mMutex);
+  mResident.clear();
+}
+
+void
+HomedServer::SetState(EngineState aState)
+{
+  const std::lock_guard lock(mMutex);
+  mState = std::move(aState);
+}
+
+void
+HomedServer::NoteRefusal(Instant aNow)
+{
+  const std::lock_guard lock(mMutex);
+  mNoWorkBefore = aNow + kRefusalPause;
+}
+
+void
+HomedServer::NoteReachable()
+{
+  const std::lock_guard lock(mMutex);
+  mNoWorkBefore = Instant{};
+}
+
+void
+HomedServer::LearnPrefill(double aTokens, Duration aTime)
+{
+  if (aTokens < kMinLearnedTokens || aTime <= Duration::zero()) {
+    return;
+  }
+  const std::lock_guard lock(mMutex);
+  mSpeed.mPrefillTokensPerSecond =
+    Blend(mSpeed.mPrefillTokensPerSecond, aTokens / Seconds(aTime));
+}
+
+void
+HomedServer::LearnDecode(Duration aTimePerToken)
+{
+  if (aTimePerToken <= Duration::zero()) {
+    return;
+  }
+  const std::lock_guard lock(mMutex);
+  mSpeed.mDecodeTokensPerSecond =
+    Blend(mSpeed.mDecodeTokensPerSecond, 1.0 / Seconds(aTimePerToken));
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/homed_server.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "control_view.h"
+#include "home_queue.h"
+
+#include <bilberrytrail/backend/engine.h>
+#include <bilberrytrail/base/time.h>
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <unordered_set>
+#include <vector>
+
+namespace bilberrytrail {
+
+// Speeds of a server as its home observes them.
+struct ServerSpeed
+{
+  double mPrefillTokensPerSecond = 0;
+  double mDecodeTokensPerSecond = 0;
+};
+
+// A backend server at its home: its queue and what is known of it.
+// Thread-safe.
+class HomedServer
+{
+public:
+  HomedServer(VmEntry aVm, std::unique_ptr<ServerQueue> aQueue);
+
+  [[nodiscard]] const VmEntry& Vm() const noexcept { return mVm; }
+  [[nodiscard]] HomeQueue& Queue() noexcept { return *mQueue; }
+  // Returns the last state that the engine reported.
+  [[nodiscard]] std::optional<EngineState> State() const;
+  // Returns whether the engine reported that it serves the version.
+  [[nodiscard]] bool Serves(const ModelId& aModel,
+                            const VersionId& aVersion) const;
+  // Returns whether new work goes to the server.
+  [[nodiscard]] bool TakesWork(Instant aNow) const;
+  [[nodiscard]] ServerSpeed Speed() const;
+  // Returns the estimated time to run a request of the given size.
+  [[nodiscard]] Duration EstimateService(double aPromptTokens,
+                                         double aAnswerTokens) const;
+
+  // Returns how many of the blocks, from the first on, are resident.
+  [[nodiscard]] std::uint32_t ResidentPrefix(
+    std::span<const BlockId> aBlocks) const;
+
+  void SetState(EngineState aState);
+  // Takes in blocks that the engine cached or evicted.
+  void NoteCached(std::span<const BlockId> aBlocks);
+  void NoteEvicted(std::span<const BlockId> aBlocks);
+  // Forgets which blocks are resident, after missed events or a restart.
+  void ForgetResident();
+  // Notes that the server refuses new work or cannot be reached: it gets no
+  // new work for a while.
+  void NoteRefusal(Instant aNow);
+  void NoteReachable();
+  // Learns from an answer: tokens computed until the first token came, and
+  // the length of one decoding step.
+  void LearnPrefill(double aTokens, Duration aTime);
+  void LearnDecode(Duration aTimePerToken);
+
+private:
+  const VmEntry mVm;
+  std::shared_ptr<HomeQueue> mQueue;
+  mutable std::mutex mMutex;
+  std::optional<EngineState> mState;
+  Instant mNoWorkBefore{};
+  ServerSpeed mSpeed;
+  std::unordered_set<BlockId> mResident;
+};
+
+using HomedServerPtr = std::shared_ptr<HomedServer>;
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/thread_context.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "peer_channel.h"
+
+#include <bilberrytrail/backend/http_backend.h>
+#include <bilberrytrail/platform/http_platform.h>
+#include <bilberrytrail/runtime/http_client.h>
+#include <bilberrytrail/runtime/loop.h>
+
+#include <map>
+#include <memory>
+
+namespace bilberrytrail {
+
+// What one thread needs to reach the outside: its loop, its connections and
+// the adapters that use them. Used on that thread only.
+class ThreadContext
+{
+public:
+  ThreadContext(Loop& aLoop,
+                PeerSigner& aSigner,
+                const Endpoint& aTable);
+
+  [[nodiscard]] Loop& GetLoop() noexcept { return mLoop; }
+  [[nodiscard]] HttpClient& Client() noexcept { return mClient; }
+  [[nodiscard]] PeerChannel& Peers() noexcept { return mPeers; }
+  [[nodiscard]] TableService& Table() noexcept { return *mTable; }
+
+  // Returns the adapter for a backend server.
+  [[nodiscard]] Engine& EngineAt(const Endpoint& aEndpoint);
+  [[nodiscard]] Store& StoreAt(const Endpoint& aEndpoint);
+  [[nodiscard]] PlainService& ServiceAt(const Endpoint& aEndpoint);
+
+private:
+  Loop& mLoop;
+  HttpClient mClient;
+  PeerChannel mPeers;
+  std::unique_ptr<TableService> mTable;
+  std::map<Endpoint, std::unique_ptr<Engine>> mEngines;
+  std::map<Endpoint, std::unique_ptr<Store>> mStores;
+  std::map<Endpoint, std::unique_ptr<PlainService>> mServices;
+};
+
+} // namespace bilberrytrail
