--- a/standins/src/common/fault.h
+++ b/standins/src/common/fault.h
@@ -59,9 +59,6 @@
 class FaultSwitch
 {
 public:
-  // Returns the fault in force without using it up.
-  [[nodiscard]] FaultMode Mode() const noexcept { return mFault.mMode; }
-
   // Sets the fault for the next aCount calls, or for all calls when it is 0.
   void Set(const Fault& aFault, std::uint64_t aCount);
   // Returns the fault for one call and counts it.
--- a/standins/src/common/json_server.cpp
+++ b/standins/src/common/json_server.cpp
@@ -197,6 +197,7 @@
     static_cast<void>(aResponder.Send(ErrorResponse(500, "failed by a fault")));
     return;
   }
+  mActiveFault = fault.mMode;
   auto response = aRespond(aRequest);
   if (fault.mMode == FaultMode::Die) {
     std::_Exit(1);
--- a/standins/src/common/json_server.h
+++ b/standins/src/common/json_server.h
@@ -49,6 +49,10 @@
   // Both must outlive the server.
   JsonServer(Loop& aLoop, FaultTable& aFaults);
 
+  // Returns the fault of the call that is being answered, for faults that the
+  // program carries out itself. Valid until the answer first waits.
+  [[nodiscard]] FaultMode ActiveFault() const noexcept { return mActiveFault; }
+
   void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
 
   // Adds a route that answers at once.
@@ -79,6 +83,7 @@
 
   Loop& mLoop;
   FaultTable& mFaults;
+  FaultMode mActiveFault = FaultMode::Up;
   std::vector<Route> mRoutes;
 };
 
