--- /dev/null
+++ b/packages/release/src/reconcile.cpp
@@ -0,0 +1,396 @@
+#include <bilberrytrail/release/reconcile.h>
+
+#include "server_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bilberrytrail {
+
+namespace {
+
+UsableServers
+Usable(const std::vector<ServerView>& aServers)
+{
+  UsableServers usable;
+  for (const auto& it : aServers) {
+    if (it.mUsable && it.mState) {
+      usable[it.mId] = &it;
+    }
+  }
+  return usable;
+}
+
+double
+DemandOf(const std::vector<ModelDemand>& aDemand, const ModelId& aModel)
+{
+  const auto it =
+    std::find_if(aDemand.begin(), aDemand.end(), [&](const auto& aItem) {
+      return aItem.mModel == aModel;
+    });
+  return it == aDemand.end() ? 0 : it->mServers;
+}
+
+bool
+IsSame(const EngineOrder& aLeft, const EngineOrder& aRight)
+{
+  return aLeft.mKind == aRight.mKind && aLeft.mFencing == aRight.mFencing &&
+         aLeft.mModel == aRight.mModel && aLeft.mVersion == aRight.mVersion &&
+         aLeft.mArgument == aRight.mArgument;
+}
+
+} // namespace
+
+Reconciler::Reconciler(ReconcileSettings aSettings)
+  : mSettings(aSettings)
+{
+}
+
+const std::map<ServerId, ModelId>&
+Reconciler::Placement() const noexcept
+{
+  return mPlacement;
+}
+
+std::uint32_t
+Reconciler::WantedServers(const ModelId& aModel,
+                          const ModelSpec& aSpec,
+                          double aDemand,
+                          std::uint32_t aCurrent,
+                          Instant aNow)
+{
+  const double bounded = std::clamp(std::ceil(std::max(aDemand, 0.0)),
+                                    static_cast<double>(aSpec.mMinServers),
+                                    static_cast<double>(aSpec.mMaxServers));
+  const auto wanted = static_cast<std::uint32_t>(bounded);
+  if (wanted >= aCurrent || aCurrent > aSpec.mMaxServers) {
+    mLowSince.erase(aModel);
+    return wanted;
+  }
+  const Instant since = mLowSince.try_emplace(aModel, aNow).first->second;
+  return aNow - since >= mSettings.mShrinkAfter ? wanted : aCurrent;
+}
+
+// Drops servers that are gone and models that were withdrawn, then shrinks
+// models before others grow into the servers given up.
+void
+Reconciler::Place(const ProductState& aState,
+                  const UsableServers& aUsable,
+                  const std::vector<ModelDemand>& aDemand,
+                  Instant aNow)
+{
+  std::erase_if(mPlacement, [&](const auto& aItem) {
+    return !aUsable.contains(aItem.first) ||
+           !aState.mModels.contains(aItem.second);
+  });
+  AdoptServing(aState, aUsable);
+  std::map<ModelId, std::uint32_t> wanted;
+  for (const auto& [model, spec] : aState.mModels) {
+    const std::uint32_t current = CountPlaced(mPlacement, model);
+    wanted[model] =
+      WantedServers(model, spec, DemandOf(aDemand, model), current, aNow);
+    GiveUpServers(model, wanted[model], aUsable);
+  }
+  // Each model gets its least number before any gets more.
+  for (const auto& [model, spec] : aState.mModels) {
+    TakeServers(model, std::min(spec.mMinServers, wanted[model]), aUsable);
+  }
+  for (const auto& [model, count] : wanted) {
+    TakeServers(model, count, aUsable);
+  }
+}
+
+// A new holder of the shard begins with what the servers serve already.
+void
+Reconciler::AdoptServing(const ProductState& aState,
+                         const UsableServers& aUsable)
+{
+  if (mHasAdopted || aUsable.empty()) {
+    return;
+  }
+  mHasAdopted = true;
+  for (const auto& [id, server] : aUsable) {
+    for (const auto& it : server->mState->mVersions) {
+      const auto model = aState.mModels.find(it.mModel);
+      if (model != aState.mModels.end() &&
+          CountPlaced(mPlacement, it.mModel) < model->second.mMaxServers) {
+        mPlacement.try_emplace(id, it.mModel);
+      }
+    }
+  }
+}
+
+void
+Reconciler::GiveUpServers(const ModelId& aModel,
+                          std::uint32_t aCount,
+                          const UsableServers& aUsable)
+{
+  std::uint32_t current = CountPlaced(mPlacement, aModel);
+  // Those without the model go first.
+  for (const bool loaded : { false, true }) {
+    for (auto it = mPlacement.begin();
+         it != mPlacement.end() && current > aCount;) {
+      const EngineState& state = *aUsable.at(it->first)->mState;
+      if (it->second == aModel && IsServingAny(state, aModel) == loaded) {
+        it = mPlacement.erase(it);
+        --current;
+      } else {
+        ++it;
+      }
+    }
+  }
+}
+
+void
+Reconciler::TakeServers(const ModelId& aModel,
+                        std::uint32_t aCount,
+                        const UsableServers& aUsable)
+{
+  std::uint32_t current = CountPlaced(mPlacement, aModel);
+  // Those that have the model go first.
+  for (const bool loaded : { true, false }) {
+    for (const auto& [id, server] : aUsable) {
+      if (current >= aCount) {
+        return;
+      }
+      if (!mPlacement.contains(id) &&
+          IsServingAny(*server->mState, aModel) == loaded) {
+        mPlacement[id] = aModel;
+        ++current;
+      }
+    }
+  }
+}
+
+// A load ends when the server reports the version as ready, is gone, or has
+// not reported it within the time of an order.
+void
+Reconciler::SettleLoads(const UsableServers& aUsable, Instant aNow)
+{
+  std::erase_if(mLoads, [&](const auto& aItem) {
+    const auto found = aUsable.find(aItem.first);
+    const Load& load = aItem.second;
+    if (found == aUsable.end()) {
+      return true;
+    }
+    const EngineState& state = *found->second->mState;
+    return IsServing(state, load.mWhat.mModel, load.mWhat.mVersion) ||
+           aNow - load.mOrderedAt >= mSettings.mOrderTimeout;
+  });
+}
+
+// Counts the loads that servers report and those ordered but not reported.
+std::uint32_t
+Reconciler::CountLoads(const std::vector<ServerView>& aServers) const
+{
+  std::uint32_t count = 0;
+  for (const auto& it : aServers) {
+    const bool isReported = it.mState && IsLoading(*it.mState);
+    count += isReported || mLoads.contains(it.mId) ? 1U : 0U;
+  }
+  return count;
+}
+
+// A server that loads is not counted on to serve.
+bool
+Reconciler::HasOtherServing(const UsableServers& aUsable,
+                            const ServerId& aServer,
+                            const ModelId& aModel) const
+{
+  return std::any_of(aUsable.begin(), aUsable.end(), [&](const auto& aItem) {
+    const EngineState& state = *aItem.second->mState;
+    return aItem.first != aServer && !mLoads.contains(aItem.first) &&
+           !IsLoading(state) && IsServingAny(state, aModel);
+  });
+}
+
+// A load may take a server out of service for its time. The only server that
+// a model is placed on has to load beside its old version nevertheless.
+bool
+Reconciler::MayInterrupt(const ProductState& aState,
+                         const UsableServers& aUsable,
+                         const ServerView& aServer) const
+{
+  const ModelId& target = mPlacement.at(aServer.mId);
+  return std::all_of(
+    aServer.mState->mVersions.begin(),
+    aServer.mState->mVersions.end(),
+    [&](const LoadedVersion& aHas) {
+      const bool isOnly =
+        aHas.mModel == target && CountPlaced(mPlacement, target) == 1;
+      return !aHas.mReady || !aState.mModels.contains(aHas.mModel) || isOnly ||
+             HasOtherServing(aUsable, aServer.mId, aHas.mModel);
+    });
+}
+
+// Models with the fewest servers on the version in force come first, and
+// among their servers those that serve nothing.
+std::vector<ServerId>
+Reconciler::ServersToLoad(const ProductState& aState,
+                          const UsableServers& aUsable) const
+{
+  struct Candidate
+  {
+    std::size_t mServing = 0;
+    bool mIsBusy = false;
+    ServerId mId;
+
+    auto operator<=>(const Candidate&) const = default;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [id, model] : mPlacement) {
+    const VersionId& version = aState.mModels.at(model).mVersion;
+    const EngineState& state = *aUsable.at(id)->mState;
+    if (IsServing(state, model, version) || IsLoading(state) ||
+        mLoads.contains(id)) {
+      continue;
+    }
+    const auto serving =
+      std::count_if(aUsable.begin(), aUsable.end(), [&](const auto& aItem) {
+        return IsServing(*aItem.second->mState, model, version);
+      });
+    candidates.push_back(
+      { static_cast<std::size_t>(serving), IsServingAny(state, model), id });
+  }
+  std::sort(candidates.begin(), candidates.end());
+  std::vector<ServerId> ids;
+  for (const auto& it : candidates) {
+    ids.push_back(it.mId);
+  }
+  return ids;
+}
+
+void
+Reconciler::OrderLoads(const ProductState& aState,
+                       const std::vector<ServerView>& aServers,
+                       const UsableServers& aUsable,
+                       Instant aNow)
+{
+  std::uint32_t loads = CountLoads(aServers);
+  for (const auto& id : ServersToLoad(aState, aUsable)) {
+    if (loads >= mSettings.mMaxLoads) {
+      return;
+    }
+    if (!MayInterrupt(aState, aUsable, *aUsable.at(id))) {
+      continue;
+    }
+    const ModelId& model = mPlacement.at(id);
+    const VersionId& version = aState.mModels.at(model).mVersion;
+    mLoads[id] = { { model, version, false }, aNow };
+    ++loads;
+    Order(id, { OrderKind::LoadVersion, {}, model, version, {} }, aNow);
+  }
+}
+
+// Unloads versions that are not wanted: those of models placed elsewhere or
+// withdrawn, old ones once the new one is ready, and what a server took from a
+// stale order. The last server of a model keeps it; a version that may still
+// run drafts is waited out.
+void
+Reconciler::OrderUnloads(const ProductState& aState,
+                         const UsableServers& aUsable,
+                         Instant aNow)
+{
+  std::map<std::pair<ServerId, LoadedVersion>, Instant> waiting;
+  for (const auto& [id, server] : aUsable) {
+    const auto placed = mPlacement.find(id);
+    for (const auto& it : server->mState->mVersions) {
+      const auto model = aState.mModels.find(it.mModel);
+      const bool isKnown = model != aState.mModels.end();
+      const bool isHere =
+        placed != mPlacement.end() && placed->second == it.mModel;
+      const bool isWanted =
+        isHere && isKnown && it.mVersion == model->second.mVersion;
+      const bool isReplaced =
+        isKnown &&
+        IsServing(*server->mState, it.mModel, model->second.mVersion);
+      const bool isNeeded =
+        isKnown &&
+        (isHere ? !isReplaced : !HasOtherServing(aUsable, id, it.mModel));
+      if (!it.mReady || isWanted || isNeeded) {
+        continue;
+      }
+      const auto key = std::make_pair(id, it);
+      const auto since = mOldSince.try_emplace(key, aNow).first->second;
+      waiting[key] = since;
+      if (server->mState->mRunning == 0 ||
+          aNow - since >= mSettings.mKeepOldVersion) {
+        Order(id,
+              { OrderKind::UnloadVersion, {}, it.mModel, it.mVersion, {} },
+              aNow);
+      }
+    }
+  }
+  mOldSince = std::move(waiting);
+}
+
+// Orders role and adapters, which need no load from the weight store.
+void
+Reconciler::OrderSettings(const ProductState& aState,
+                          const ServerView& aServer,
+                          const ModelId& aModel,
+                          Instant aNow)
+{
+  const EngineState& state = *aServer.mState;
+  const ModelSpec& spec = aState.mModels.at(aModel);
+  const auto order = [&](OrderKind aKind, const std::string& aArgument) {
+    Order(aServer.mId, { aKind, {}, aModel, spec.mVersion, aArgument }, aNow);
+  };
+  if (!spec.mRole.empty() && state.mRole != spec.mRole) {
+    order(OrderKind::SetRole, spec.mRole);
+  }
+  if (!IsServing(state, aModel, spec.mVersion)) {
+    return;
+  }
+  for (const auto& [name, adapter] : aState.mAdapters) {
+    if (adapter.mModel == aModel && !HasAdapter(state, name)) {
+      order(OrderKind::LoadAdapter, name);
+    }
+  }
+  for (const auto& it : state.mAdapters) {
+    const auto found = aState.mAdapters.find(it);
+    if (found == aState.mAdapters.end() || found->second.mModel != aModel) {
+      order(OrderKind::UnloadAdapter, it);
+    }
+  }
+}
+
+// Sends an order unless the same one is still expected to show its effect.
+void
+Reconciler::Order(const ServerId& aServer, EngineOrder aOrder, Instant aNow)
+{
+  aOrder.mFencing = mFencing;
+  const bool isSent =
+    std::any_of(mSent.begin(), mSent.end(), [&](const Sent& aSent) {
+      return aSent.mServer == aServer && IsSame(aSent.mOrder, aOrder);
+    });
+  if (!isSent) {
+    mSent.push_back({ aServer, aOrder, aNow });
+    mOrders.push_back({ aServer, std::move(aOrder) });
+  }
+}
+
+std::vector<ServerOrder>
+Reconciler::Decide(const ProductState& aState,
+                   const std::vector<ServerView>& aServers,
+                   const std::vector<ModelDemand>& aDemand,
+                   FencingNumber aFencing,
+                   Instant aNow)
+{
+  mFencing = aFencing;
+  mOrders.clear();
+  std::erase_if(mSent, [&](const Sent& aSent) {
+    return aNow - aSent.mAt >= mSettings.mOrderTimeout;
+  });
+  const UsableServers usable = Usable(aServers);
+  Place(aState, usable, aDemand, aNow);
+  SettleLoads(usable, aNow);
+  OrderLoads(aState, aServers, usable, aNow);
+  OrderUnloads(aState, usable, aNow);
+  for (const auto& [id, model] : mPlacement) {
+    OrderSettings(aState, *usable.at(id), model, aNow);
+  }
+  return std::exchange(mOrders, {});
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/release/src/release_body.cpp
@@ -0,0 +1,84 @@
+#include <bilberrytrail/release/release_body.h>
+
+#include "json_fields.h"
+
+namespace bilberrytrail {
+
+namespace {
+
+using nlohmann::json;
+
+std::string
+Dump(const json& aObject)
+{
+  return aObject.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::string
+ReleaseHeadKey(const ProductId& aProduct)
+{
+  return std::string(kReleaseHeadPrefix) + aProduct.Text();
+}
+
+std::string
+ReleaseRowKey(const ProductId& aProduct, ReleaseNumber aNumber)
+{
+  return "release/" + aProduct.Text() + "/" + std::to_string(aNumber.Value());
+}
+
+std::string
+ToText(const ReleaseHead& aHead)
+{
+  return Dump({ { "product", aHead.mProduct.Text() },
+                { "number", aHead.mNumber.Value() },
+                { "note_id", aHead.mNoteId },
+                { "hash", aHead.mHash } });
+}
+
+Result<ReleaseHead>
+ReleaseHeadFromText(std::string_view aText)
+{
+  const json object = json::parse(aText.begin(), aText.end(), nullptr, false);
+  JsonFields fields(object);
+  ReleaseHead head;
+  head.mProduct = ProductId(fields.Text("product"));
+  head.mNumber = ReleaseNumber(fields.Unsigned("number"));
+  head.mNoteId = fields.Text("note_id");
+  head.mHash = fields.Text("hash");
+  if (!fields.IsOk()) {
+    return Fail(ErrorCode::Corrupt, "release head: unexpected content");
+  }
+  return head;
+}
+
+std::string
+ToText(const ReleaseBody& aBody)
+{
+  return Dump({ { "note_id", aBody.mNoteId },
+                { "note", aBody.mNoteText },
+                { "state", ToText(aBody.mState) } });
+}
+
+Result<ReleaseBody>
+ReleaseBodyFromText(std::string_view aText)
+{
+  const json object = json::parse(aText.begin(), aText.end(), nullptr, false);
+  JsonFields fields(object);
+  ReleaseBody body;
+  body.mNoteId = fields.Text("note_id");
+  body.mNoteText = fields.Text("note");
+  const std::string state = fields.Text("state");
+  if (!fields.IsOk()) {
+    return Fail(ErrorCode::Corrupt, "release row: unexpected content");
+  }
+  auto parsed = ProductStateFromText(state);
+  if (!parsed) {
+    return std::move(parsed).error();
+  }
+  body.mState = std::move(parsed).value();
+  return body;
+}
+
+} // namespace bilberrytrail
--- a/standins/src/common/json_server.cpp
+++ b/standins/src/common/json_server.cpp
@@ -70,8 +70,8 @@
     if (pair.substr(0, equals) == aName && equals != std::string_view::npos) {
       return UnescapePathSegment(pair.substr(equals + 1));
     }
-    rest = end == std::string_view::npos ? std::string_view()
-                                         : rest.substr(end + 1);
+    rest =
+      end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
   }
   return std::nullopt;
 }
--- a/standins/src/common/options.cpp
+++ b/standins/src/common/options.cpp
@@ -33,7 +33,9 @@
 } // namespace
 
 Result<Options>
-Options::Parse(int aCount, char** aArguments, std::span<const OptionSpec> aSpecs)
+Options::Parse(int aCount,
+               char** aArguments,
+               std::span<const OptionSpec> aSpecs)
 {
   Options options;
   for (const auto& spec : aSpecs) {
@@ -43,8 +45,8 @@
   optind = 1;
   int n = 0;
   int code = 0;
-  while ((code = getopt_long(
-            aCount, aArguments, "", longOptions.data(), &n)) != -1) {
+  while ((code = getopt_long(aCount, aArguments, "", longOptions.data(), &n)) !=
+         -1) {
     if (code != 0) {
       return Fail(ErrorCode::InvalidInput, "unknown option");
     }
--- a/standins/src/common/options.h
+++ b/standins/src/common/options.h
@@ -34,9 +34,8 @@
 public:
   // Reads the command line. Fails with InvalidInput when an option is unknown
   // or a number is malformed.
-  [[nodiscard]] static Result<Options> Parse(int aCount,
-                                             char** aArguments,
-                                             std::span<const OptionSpec> aSpecs);
+  [[nodiscard]] static Result<Options>
+  Parse(int aCount, char** aArguments, std::span<const OptionSpec> aSpecs);
 
   [[nodiscard]] const std::string& Text(std::string_view aName) const;
   [[nodiscard]] std::uint64_t Unsigned(std::string_view aName) const;
