--- /dev/null
+++ b/packages/release/tests/fake_table.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <bilberrytrail/base/enum_names.h>
+#include <bilberrytrail/platform/table_service.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bilberrytrail {
+
+// What a call to the table meets.
+enum class TableFault : unsigned char
+{
+  None,
+  // Not run, and said so.
+  Down,
+  // Not run, and no reply.
+  LostBefore,
+  // Run, and no reply.
+  LostAfter
+};
+
+template<>
+struct EnumNames<TableFault>
+{
+  static constexpr std::array<std::string_view, 4> kNames{ "none",
+                                                           "down",
+                                                           "lost_before",
+                                                           "lost_after" };
+};
+
+// A table in memory; each call is given its fault.
+class FakeTable
+{
+public:
+  CallResult<std::optional<TableRow>> Read(const std::string& aKey,
+                                           TableFault aFault = TableFault::None)
+  {
+    if (aFault != TableFault::None) {
+      return Failure(aFault);
+    }
+    const auto it = mRows.find(aKey);
+    return it == mRows.end() ? std::optional<TableRow>() : it->second;
+  }
+
+  CallResult<CommitOutcome> Commit(const std::vector<TableWrite>& aWrites,
+                                   TableFault aFault = TableFault::None)
+  {
+    if (aFault == TableFault::Down || aFault == TableFault::LostBefore) {
+      return Failure(aFault);
+    }
+    CommitOutcome outcome = Apply(aWrites);
+    if (aFault == TableFault::LostAfter) {
+      return Failure(aFault);
+    }
+    return outcome;
+  }
+
+  std::map<std::string, TableRow> mRows;
+
+private:
+  static CallError Failure(TableFault aFault)
+  {
+    const bool isNotRun = aFault == TableFault::Down;
+    return FailCall(isNotRun ? CallFate::NotRun : CallFate::Unknown,
+                    ErrorCode::Unavailable,
+                    std::string(ToName(aFault)));
+  }
+
+  CommitOutcome Apply(const std::vector<TableWrite>& aWrites)
+  {
+    CommitOutcome outcome{ true, {} };
+    for (const auto& it : aWrites) {
+      const auto row = mRows.find(it.mKey);
+      const std::uint64_t version =
+        row == mRows.end() ? 0 : row->second.mVersion;
+      if (version != it.mExpectedVersion) {
+        outcome.mCommitted = false;
+        outcome.mCurrent.push_back(
+          row == mRows.end() ? TableRow{ it.mKey, "", 0 } : row->second);
+      }
+    }
+    if (outcome.mCommitted) {
+      for (const auto& it : aWrites) {
+        mRows[it.mKey] = { it.mKey, it.mValue, it.mExpectedVersion + 1 };
+      }
+    }
+    return outcome;
+  }
+};
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/release/tests/lease_test.cpp
@@ -0,0 +1,221 @@
+#include "fake_table.h"
+
+#include <bilberrytrail/base/random.h>
+#include <bilberrytrail/release/lease.h>
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr LeaseSettings kSettings;
+constexpr Duration kStep = 100ms;
+const std::string kKey = LeaseKey(3);
+
+// A daemon with its own view of the lease. A call takes effect at once or
+// late, and its reply may be lost.
+struct Daemon
+{
+  explicit Daemon(const std::string& aName)
+    : mLease(kKey, DaemonId(aName), kSettings)
+  {
+    mLease.SetWanted(true);
+  }
+
+  void Step(FakeTable& aTable, Instant aNow, TableFault aFault)
+  {
+    const auto action = mLease.Tick(aNow);
+    if (!action) {
+      return;
+    }
+    if (const auto* read = std::get_if<LeaseRead>(&*action)) {
+      mLease.OnRead(read->mSequence, aTable.Read(read->mKey, aFault), aNow);
+      return;
+    }
+    const auto& write = std::get<LeaseWrite>(*action);
+    mLease.OnWrite(
+      write.mSequence, aTable.Commit({ write.mWrite }, aFault), aNow);
+  }
+
+  Lease mLease;
+  bool mPaused = false;
+};
+
+Instant
+At(Duration aTime)
+{
+  return Instant() + 1000s + aTime;
+}
+
+void
+RunSteps(FakeTable& aTable,
+         std::vector<Daemon*> aDaemons,
+         Instant& aNow,
+         Duration aLength)
+{
+  for (const Instant end = aNow + aLength; aNow < end; aNow += kStep) {
+    for (Daemon* it : aDaemons) {
+      it->Step(aTable, aNow, TableFault::None);
+    }
+  }
+}
+
+} // namespace
+
+TEST_CASE("one of two daemons gets the lease and keeps it by renewals")
+{
+  FakeTable table;
+  Daemon first("a");
+  Daemon second("b");
+  Instant now = At(0s);
+  RunSteps(table, { &first, &second }, now, 1s);
+  REQUIRE(first.mLease.EpochForOrder(now) == FencingNumber(1));
+  for (int n = 0; n < 60; ++n) {
+    RunSteps(table, { &first, &second }, now, 1s);
+    CHECK(first.mLease.EpochForOrder(now) == FencingNumber(1));
+    CHECK_FALSE(second.mLease.EpochForOrder(now));
+  }
+}
+
+TEST_CASE("a takeover waits out the lease and the longest order")
+{
+  FakeTable table;
+  Daemon first("a");
+  Daemon second("b");
+  Instant now = At(0s);
+  RunSteps(table, { &first, &second }, now, 5s);
+  const Instant stopped = now;
+  while (!second.mLease.EpochForOrder(now)) {
+    RunSteps(table, { &second }, now, kStep);
+    REQUIRE(now - stopped < 20s);
+  }
+  // The holder's last write is up to mRenewAfter before it stopped.
+  CHECK(now - stopped >=
+        kSettings.mLength + kSettings.mLongestOrder - kSettings.mRenewAfter);
+  CHECK(second.mLease.EpochForOrder(now) == FencingNumber(2));
+  CHECK_FALSE(first.mLease.EpochForOrder(now));
+}
+
+TEST_CASE("a lease given back is taken at once, with a higher epoch")
+{
+  FakeTable table;
+  Daemon first("a");
+  Daemon second("b");
+  Instant now = At(0s);
+  RunSteps(table, { &first, &second }, now, 5s);
+  first.mLease.SetWanted(false);
+  RunSteps(table, { &first, &second }, now, 2s);
+  CHECK_FALSE(first.mLease.EpochForOrder(now));
+  CHECK(second.mLease.EpochForOrder(now) == FencingNumber(2));
+  first.mLease.SetWanted(true);
+  CHECK_FALSE(first.mLease.EpochForOrder(now));
+}
+
+TEST_CASE("a holder without the table stops issuing orders in time")
+{
+  FakeTable table;
+  Daemon first("a");
+  Instant now = At(0s);
+  RunSteps(table, { &first }, now, 5s);
+  const Instant down = now;
+  for (; now < down + 10s; now += kStep) {
+    first.Step(table, now, TableFault::Down);
+    if (now - down > kSettings.mLength) {
+      CHECK_FALSE(first.mLease.EpochForOrder(now));
+    }
+  }
+  RunSteps(table, { &first }, now, 12s);
+  CHECK(first.mLease.EpochForOrder(now));
+}
+
+TEST_CASE("a row that cannot be read is never taken over")
+{
+  FakeTable table;
+  table.mRows[kKey] = { kKey, "damaged", 4 };
+  Daemon first("a");
+  Instant now = At(0s);
+  RunSteps(table, { &first }, now, 30s);
+  CHECK_FALSE(first.mLease.EpochForOrder(now));
+  CHECK(table.mRows[kKey].mValue == "damaged");
+}
+
+// Three daemons, each call with a random fault, random pauses in which a
+// daemon does nothing, and writes that take effect late. At no time may two
+// hold the lease, and the epochs of holders must grow.
+TEST_CASE("at most one holder and growing epochs under all faults")
+{
+  struct LateWrite
+  {
+    Instant mAt;
+    TableWrite mWrite;
+  };
+  int holders = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    Random random(seed);
+    FakeTable table;
+    std::vector<Daemon> daemons;
+    std::vector<Instant> pausedUntil(3, At(0s));
+    for (const char* it : { "a", "b", "c" }) {
+      daemons.emplace_back(it);
+    }
+    std::deque<LateWrite> late;
+    std::uint64_t lastEpoch = 0;
+    std::string lastHolder;
+    for (Instant now = At(0s); now < At(120s); now += kStep) {
+      while (!late.empty() && late.front().mAt <= now) {
+        (void)table.Commit({ late.front().mWrite });
+        late.pop_front();
+      }
+      for (std::size_t n = 0; n < daemons.size(); ++n) {
+        if (now < pausedUntil[n]) {
+          continue;
+        }
+        if (random.Below(150) == 0) {
+          pausedUntil[n] = now + Duration(random.Below(15'000'000));
+          continue;
+        }
+        Lease& lease = daemons[n].mLease;
+        const auto action = lease.Tick(now);
+        if (!action) {
+          continue;
+        }
+        const auto fault = random.Below(3) == 0
+                             ? static_cast<TableFault>(random.Below(4))
+                             : TableFault::None;
+        if (const auto* read = std::get_if<LeaseRead>(&*action)) {
+          lease.OnRead(read->mSequence, table.Read(kKey, fault), now);
+          continue;
+        }
+        const auto& write = std::get<LeaseWrite>(*action);
+        if (fault == TableFault::LostBefore) {
+          // The reply never comes; the write may land late.
+          late.push_back({ now + 4s, write.mWrite });
+          continue;
+        }
+        lease.OnWrite(
+          write.mSequence, table.Commit({ write.mWrite }, fault), now);
+      }
+      int count = 0;
+      for (std::size_t n = 0; n < daemons.size(); ++n) {
+        // A paused holder counts too: it may wake at any moment.
+        const auto epoch = daemons[n].mLease.EpochForOrder(now);
+        if (!epoch) {
+          continue;
+        }
+        ++count;
+        ++holders;
+        const std::string name(1, static_cast<char>('a' + n));
+        REQUIRE(epoch->Value() >= lastEpoch);
+        REQUIRE((epoch->Value() > lastEpoch || name == lastHolder));
+        lastEpoch = epoch->Value();
+        lastHolder = name;
+      }
+      REQUIRE(count <= 1);
+    }
+  }
+  CHECK(holders > 10000);
+}
