--- a/packages/cache/include/bilberrytrail/cache/keep_policy.h
+++ b/packages/cache/include/bilberrytrail/cache/keep_policy.h
@@ -118,7 +118,7 @@
   // Moves blocks from memory to disk, evicting from disk what does not fit.
   void Demote(const std::vector<BlockId>& aBlocks, KeepDecision& aDecision);
   void Evict(const std::vector<BlockId>& aBlocks, KeepDecision& aDecision);
-  void Insert(Kept aKept, StoreTier aTier);
+  void Insert(const Kept& aKept, StoreTier aTier);
   Kept Remove(BlockId aBlock);
   void Rescore(Kept& aKept);
   [[nodiscard]] const Tier& TierAt(StoreTier aTier) const;
--- a/packages/cache/src/keep_policy.cpp
+++ b/packages/cache/src/keep_policy.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
-#include <utility>
 
 namespace bilberrytrail {
 
@@ -86,14 +85,14 @@
   if (const auto victims = FindVictims(StoreTier::Memory, bytes, kept.mScore)) {
     decision.mAdmit = true;
     Demote(*victims, decision);
-    Insert(std::move(kept), StoreTier::Memory);
+    Insert(kept, StoreTier::Memory);
     return decision;
   }
   if (const auto victims = FindVictims(StoreTier::Disk, bytes, kept.mScore)) {
     decision.mAdmit = true;
     decision.mTier = StoreTier::Disk;
     Evict(*victims, decision);
-    Insert(std::move(kept), StoreTier::Disk);
+    Insert(kept, StoreTier::Disk);
   }
   return decision;
 }
@@ -132,7 +131,7 @@
 {
   // The most worth first, so that it finds room before the others.
   for (auto it = aBlocks.rbegin(); it != aBlocks.rend(); ++it) {
-    auto kept = Remove(*it);
+    const auto kept = Remove(*it);
     const auto victims =
       FindVictims(StoreTier::Disk, kept.mBlock.mBytes, kept.mScore);
     if (!victims) {
@@ -141,7 +140,7 @@
     }
     Evict(*victims, aDecision);
     aDecision.mDemote.push_back(*it);
-    Insert(std::move(kept), StoreTier::Disk);
+    Insert(kept, StoreTier::Disk);
   }
 }
 
@@ -157,23 +156,22 @@
 }
 
 void
-KeepPolicy::Insert(Kept aKept, StoreTier aTier)
+KeepPolicy::Insert(const Kept& aKept, StoreTier aTier)
 {
   auto& tier = TierAt(aTier);
-  aKept.mTier = aTier;
-  aKept.mIndex = mOrder.size();
-  tier.mUsed += aKept.mBlock.mBytes;
-  tier.mRanks.insert(RankOf(aKept));
-  mOrder.push_back(aKept.mBlock.mBlock);
-  const auto block = aKept.mBlock.mBlock;
-  mKept.insert_or_assign(block, std::move(aKept));
+  auto& kept = mKept.insert_or_assign(aKept.mBlock.mBlock, aKept).first->second;
+  kept.mTier = aTier;
+  kept.mIndex = mOrder.size();
+  tier.mUsed += kept.mBlock.mBytes;
+  tier.mRanks.insert(RankOf(kept));
+  mOrder.push_back(kept.mBlock.mBlock);
 }
 
 KeepPolicy::Kept
 KeepPolicy::Remove(BlockId aBlock)
 {
   const auto it = mKept.find(aBlock);
-  auto kept = std::move(it->second);
+  const auto kept = it->second;
   mKept.erase(it);
   auto& tier = TierAt(kept.mTier);
   tier.mUsed -= kept.mBlock.mBytes;
--- a/packages/cache/src/prompt_directory.cpp
+++ b/packages/cache/src/prompt_directory.cpp
@@ -427,7 +427,7 @@
   }
   std::erase_if(it->second.mStores, [&](const StoreEntry& aEntry) {
     return aEntry.mStore == store &&
-           aEntry.mRef.mGeneration <= aRef.mGeneration;
+           aEntry.mRef.mGeneration.Value() <= aRef.mGeneration.Value();
   });
 }
 
--- a/packages/cache/tests/prefix_planner_test.cpp
+++ b/packages/cache/tests/prefix_planner_test.cpp
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
+#include <unordered_set>
 
 using namespace bilberrytrail;
 
@@ -209,8 +209,9 @@
 TEST_CASE("candidates are the longest holders and random others")
 {
   std::vector<ServerId> servers;
+  servers.reserve(20);
   for (int n = 0; n < 20; ++n) {
-    servers.emplace_back("s" + std::to_string(n));
+    servers.emplace_back(std::string("s").append(std::to_string(n)));
   }
   const std::vector<ServerHolding> holders{
     { ServerId("s1"), 1, false },
@@ -219,11 +220,38 @@
     { ServerId("gone"), 9, false },
   };
   Random random(3);
-  auto picked = PickCandidates(holders, servers, 2, 3, random);
+  const auto picked = PickCandidates(holders, servers, 2, 3, random);
   REQUIRE(picked.size() == 5);
   CHECK(picked[0] == ServerId("s2"));
   CHECK(picked[1] == ServerId("s3"));
-  std::sort(picked.begin(), picked.end());
-  CHECK(std::adjacent_find(picked.begin(), picked.end()) == picked.end());
+  const std::unordered_set<ServerId> distinct(picked.begin(), picked.end());
+  CHECK(distinct.size() == picked.size());
   CHECK(PickCandidates(holders, servers, 2, 100, random).size() == 20);
 }
+
+TEST_CASE("no plan of the least time is slower than a baseline's")
+{
+  Random random(17);
+  for (int n = 0; n < 2000; ++n) {
+    std::vector<PlanCandidate> candidates;
+    const auto count = 1 + random.Below(6);
+    candidates.reserve(count);
+    for (std::uint64_t k = 0; k < count; ++k) {
+      const auto wait =
+        Duration(static_cast<std::int64_t>(random.Below(3000000)));
+      const auto resident = static_cast<std::uint32_t>(random.Below(11));
+      candidates.push_back(MakeCandidate("s", wait, resident));
+    }
+    const auto request =
+      MakeRequest(candidates,
+                  static_cast<std::uint32_t>(random.Below(11)),
+                  random.Below(100) * kBlockBytes);
+    const auto plan = LeastTimePlanner().Choose(request);
+    CHECK(plan.mTimeToFirstToken <=
+          LeastQueuePlanner().Choose(request).mTimeToFirstToken);
+    CHECK(plan.mTimeToFirstToken <=
+          RoundRobinPlanner().Choose(request).mTimeToFirstToken);
+    CHECK(plan.mResidentBlocks + plan.mImports.size() + plan.mRecomputeBlocks ==
+          request.mBlocks);
+  }
+}
--- a/packages/cache/tests/prompt_blocks_test.cpp
+++ b/packages/cache/tests/prompt_blocks_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <unordered_set>
 
 using namespace bilberrytrail;
 
@@ -76,12 +77,10 @@
   rows[8].mScope.mModel = ModelId("mv");
   rows[8].mScope.mVersion = VersionId("");
   const std::string text(50, 'x');
-  std::vector<BlockId> all;
+  std::unordered_set<BlockId> all;
   for (const auto& row : rows) {
     const auto cut = CutPrompt(row.mScope, text, row.mKey, kBlock);
-    all.insert(all.end(), cut.mBlocks.begin(), cut.mBlocks.end());
+    all.insert(cut.mBlocks.begin(), cut.mBlocks.end());
   }
-  std::sort(all.begin(), all.end());
-  CHECK(std::adjacent_find(all.begin(), all.end()) == all.end());
   CHECK(all.size() == rows.size() * 5);
 }
--- a/packages/cache/tests/prompt_directory_test.cpp
+++ b/packages/cache/tests/prompt_directory_test.cpp
@@ -186,14 +186,15 @@
   DirectoryLimits limits;
   limits.mMaxPrompts = 2;
   PromptDirectory directory(limits);
-  const auto use = [&](std::uint64_t n) {
-    const std::vector<BlockId> blocks{ BlockId(n) };
-    directory.NoteUse({ ProductId("p"), AccountId("a"), BlockId(n) }, blocks);
-    directory.OnStoreSealed(kStore, 1, MakeStored(n, 1));
+  const auto use = [&](std::uint64_t aRoot) {
+    const std::vector<BlockId> blocks{ BlockId(aRoot) };
+    directory.NoteUse({ ProductId("p"), AccountId("a"), BlockId(aRoot) },
+                      blocks);
+    directory.OnStoreSealed(kStore, 1, MakeStored(aRoot, 1));
   };
-  const auto isKnown = [&](std::uint64_t n) {
-    const std::vector<BlockId> blocks{ BlockId(n) };
-    const PromptKey key{ ProductId("p"), AccountId("a"), BlockId(n) };
+  const auto isKnown = [&](std::uint64_t aRoot) {
+    const std::vector<BlockId> blocks{ BlockId(aRoot) };
+    const PromptKey key{ ProductId("p"), AccountId("a"), BlockId(aRoot) };
     return !directory.Find(key, blocks, kStart).mCopies.front().empty();
   };
   use(1);
@@ -224,7 +225,7 @@
 {
   constexpr std::uint64_t kPrompts = 120000 / 400;
   constexpr std::uint64_t kBlocksPerPrompt = 16;
-  constexpr std::size_t kMaxBytes = 8 * 1024 * 1024;
+  constexpr std::size_t kMaxBytes = 8388608;
   PromptDirectory directory({});
   for (std::uint64_t n = 0; n < kPrompts; ++n) {
     std::vector<BlockId> blocks;
@@ -235,7 +236,7 @@
     directory.NoteUse(key, blocks);
     for (int k = 0; k < 3; ++k) {
       directory.OnServerEvent(
-        ServerId("s" + std::to_string(k)),
+        ServerId(std::string("s").append(std::to_string(k))),
         MakeEvent(EngineEventKind::BlockCached, n + 1, blocks),
         kStart);
     }
--- /dev/null
+++ b/packages/orders/tests/claim_load_test.cpp
@@ -0,0 +1,195 @@
+#include "claim_model.h"
+
+#include <bilberrytrail/base/random.h>
+#include <bilberrytrail/orders/claim_batch.h>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr int kDaemons = 3;
+constexpr int kKeys = 400;
+constexpr int kRequests = 2000;
+constexpr Duration kTick = 1ms;
+
+// One request on a daemon.
+struct Running
+{
+  std::unique_ptr<ClaimedCall> mCall;
+  std::string mKey;
+  std::string mAttempt;
+  std::optional<ClaimVerdict> mVerdict;
+};
+
+// Requests of several daemons, each with a batcher of its own, on one table.
+class Site
+{
+public:
+  explicit Site(std::uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+    mBatchers.assign(kDaemons, ClaimBatcher({}));
+  }
+
+  void Run()
+  {
+    for (int n = 0; n < kRequests; ++n) {
+      Begin("k" + std::to_string(mRandom.Below(kKeys)));
+      Tick();
+    }
+    for (int n = 0; n < 30000; ++n) {
+      Tick();
+    }
+  }
+
+  std::map<std::string, std::vector<std::string>> mRuns;
+  std::vector<Running> mRequests;
+
+private:
+  struct Later
+  {
+    Instant mAt;
+    std::size_t mRequest = 0;
+    ClaimAction mAction;
+  };
+
+  void Begin(const std::string& aKey)
+  {
+    const auto attempt = "a" + std::to_string(mRequests.size());
+    ClaimRequest request{ aKey, AttemptId(attempt), "hash", 0, mNow + 30s };
+    mRequests.push_back({ std::make_unique<ClaimedCall>(request, ClaimLimits()),
+                          aKey,
+                          attempt,
+                          std::nullopt });
+    const auto n = mRequests.size() - 1;
+    Push(n, mRequests[n].mCall->Start(mNow));
+  }
+
+  void Push(std::size_t aRequest, const ClaimActions& aActions)
+  {
+    for (const auto& action : aActions) {
+      mLater.push_back({ mNow + action.mDelay, aRequest, action });
+    }
+  }
+
+  void Tick()
+  {
+    mNow += kTick;
+    auto later = std::move(mLater);
+    mLater.clear();
+    for (auto& item : later) {
+      if (item.mAt > mNow) {
+        mLater.push_back(std::move(item));
+      } else {
+        Perform(item.mRequest, item.mAction);
+      }
+    }
+    for (auto& batcher : mBatchers) {
+      while (const auto batch = batcher.Poll(mNow)) {
+        Settle(batcher.OnCommitted(batch->mNumber, Commit(*batch)));
+      }
+    }
+  }
+
+  CallResult<CommitOutcome> Commit(const ClaimBatch& aBatch)
+  {
+    const auto fault = mRandom.Below(12);
+    if (fault == 0) {
+      return FailCall(CallFate::NotRun, ErrorCode::Unavailable, "down");
+    }
+    if (fault == 1) {
+      return FailCall(CallFate::Unknown, ErrorCode::Timeout, "timeout");
+    }
+    const auto outcome = mTable.Commit(aBatch.mWrites);
+    if (fault == 2) {
+      return FailCall(CallFate::Unknown, ErrorCode::Timeout, "timeout");
+    }
+    return outcome;
+  }
+
+  void Settle(const std::vector<SettledWrite>& aSettled)
+  {
+    for (const auto& it : aSettled) {
+      const auto n = static_cast<std::size_t>(it.mTicket / 2);
+      auto& call = *mRequests[n].mCall;
+      Push(n,
+           it.mTicket % 2 == 0 ? call.OnClaimWritten(it.mOutcome, mNow)
+                               : call.OnOutcomeWritten(it.mOutcome, mNow));
+    }
+  }
+
+  void Perform(std::size_t aRequest, const ClaimAction& aAction)
+  {
+    auto& request = mRequests[aRequest];
+    auto& call = *request.mCall;
+    const auto ticket = static_cast<std::uint64_t>(aRequest) * 2;
+    auto& batcher = mBatchers[aRequest % kDaemons];
+    switch (aAction.mKind) {
+      case ClaimActionKind::ReadRow:
+        Push(aRequest, call.OnRowRead(mTable.Read(aAction.mWrite.mKey), mNow));
+        break;
+      case ClaimActionKind::WriteClaim:
+        REQUIRE(batcher.Add(ticket, aAction.mWrite, mNow));
+        break;
+      case ClaimActionKind::WriteOutcome:
+        REQUIRE(batcher.Add(ticket + 1, aAction.mWrite, mNow));
+        break;
+      case ClaimActionKind::Invoke:
+        Push(aRequest,
+             call.BeginSend(mNow) ? call.OnServiceResult(Invoke(request), mNow)
+                                  : call.OnSendSkipped(mNow));
+        break;
+      case ClaimActionKind::AnswerCaller:
+        CHECK_FALSE(request.mVerdict);
+        request.mVerdict = aAction.mVerdict;
+        break;
+    }
+  }
+
+  CallResult<RecordedAnswer> Invoke(const Running& aRequest)
+  {
+    const auto fault = mRandom.Below(10);
+    if (fault == 0) {
+      return FailCall(CallFate::NotRun, ErrorCode::Unavailable, "busy");
+    }
+    mRuns[aRequest.mKey].push_back(aRequest.mAttempt);
+    if (fault == 1) {
+      return FailCall(CallFate::Unknown, ErrorCode::Timeout, "timeout");
+    }
+    return RecordedAnswer{ 200, "text/plain", aRequest.mAttempt, false };
+  }
+
+  Random mRandom;
+  Instant mNow{ 100s };
+  claim_model::Table mTable;
+  std::vector<ClaimBatcher> mBatchers;
+  std::vector<Later> mLater;
+};
+
+} // namespace
+
+TEST_CASE("many requests through several batchers run each key at most once")
+{
+  for (const std::uint64_t seed : { 1, 2, 3 }) {
+    CAPTURE(seed);
+    Site site(seed);
+    site.Run();
+    for (const auto& run : site.mRuns) {
+      CAPTURE(run.first);
+      CHECK(run.second.size() == 1);
+    }
+    for (const auto& request : site.mRequests) {
+      CAPTURE(request.mAttempt);
+      REQUIRE(request.mVerdict);
+      CHECK(request.mCall->IsFinished());
+      if (*request.mVerdict == ClaimVerdict::RefuseNotRun) {
+        const auto& runs = site.mRuns[request.mKey];
+        CHECK(std::count(runs.begin(), runs.end(), request.mAttempt) == 0);
+      }
+    }
+  }
+}
