--- a/packages/base/include/bilberrytrail/base/series.h
+++ b/packages/base/include/bilberrytrail/base/series.h
@@ -3,8 +3,8 @@
 #include <bilberrytrail/base/enum_names.h>
 #include <bilberrytrail/base/ids.h>
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace bilberrytrail {
 
@@ -16,7 +16,21 @@
   AccountId mAccount;
   std::string mClass;
 
-  auto operator<=>(const SeriesLabels&) const = default;
+  bool operator==(const SeriesLabels&) const = default;
+  // Orders by product, client account and class.
+  friend bool operator<(const SeriesLabels& aLeft,
+                        const SeriesLabels& aRight) noexcept
+  {
+    return aLeft.Parts() < aRight.Parts();
+  }
+
+private:
+  [[nodiscard]] std::
+    tuple<const std::string&, const std::string&, const std::string&>
+    Parts() const noexcept
+  {
+    return { mProduct.Text(), mAccount.Text(), mClass };
+  }
 };
 
 // Returns the labels of the series that takes what has no room of its own.
