--- /dev/null
+++ b/packages/daemon/src/answer_writer.cpp
@@ -0,0 +1,117 @@
+#include "answer_writer.h"
+
+#include <bilberrytrail/runtime/rpc.h>
+
+namespace bilberrytrail {
+
+namespace {
+
+std::string
+Dump(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace
+
+AnswerWriter::AnswerWriter(RequestContext& aContext, std::string aId)
+  : mContext(aContext)
+  , mId(std::move(aId))
+{
+}
+
+bool
+AnswerWriter::HasBegun() const noexcept
+{
+  return mBegun;
+}
+
+Result<void>
+AnswerWriter::Append(std::string_view aText)
+{
+  if (!mContext.mFirstTokenAt) {
+    mContext.mFirstTokenAt = MonotonicNow();
+  }
+  if (!mContext.mCompletion->mStream) {
+    return Ok();
+  }
+  if (!mBegun) {
+    mBegun = true;
+    if (auto ok = mContext.mResponder.BeginStream(
+          200,
+          { { "Content-Type", "text/event-stream" },
+            { "Cache-Control", "no-store" } });
+        !ok) {
+      return ok;
+    }
+  }
+  return mContext.mResponder.WriteChunk(Event(aText, {}));
+}
+
+Result<void>
+AnswerWriter::Finish(std::string_view aWholeText, std::uint32_t aTokens)
+{
+  const std::string_view reason =
+    aTokens >= mContext.mCompletion->mMaxTokens ? "length" : "stop";
+  if (mContext.mCompletion->mStream) {
+    if (auto ok = Append({}); !ok) {
+      return ok;
+    }
+    if (auto ok = mContext.mResponder.WriteChunk(Event({}, reason) +
+                                                 "data: [DONE]\n\n");
+        !ok) {
+      return ok;
+    }
+    return mContext.mResponder.EndStream();
+  }
+  const Json json = { { "id", mId },
+                      { "object", "text_completion" },
+                      { "model", mContext.mCompletion->mModel.Text() },
+                      { "choices",
+                        { { { "index", 0 },
+                            { "text", aWholeText },
+                            { "finish_reason", reason } } } },
+                      { "usage", { { "completion_tokens", aTokens } } } };
+  return mContext.mResponder.Send(
+    { 200, { { "Content-Type", "application/json" } }, Dump(json) });
+}
+
+void
+AnswerWriter::Break(const Refusal& aRefusal)
+{
+  const std::string event =
+    "event: error\ndata: " + RenderProblem(aRefusal) + "\n\n";
+  if (mContext.mResponder.WriteChunk(event)) {
+    (void)mContext.mResponder.EndStream();
+  }
+}
+
+std::string
+AnswerWriter::Event(std::string_view aText,
+                    std::string_view aFinishReason) const
+{
+  Json choice = { { "index", 0 }, { "text", aText } };
+  choice["finish_reason"] =
+    aFinishReason.empty() ? Json() : Json(std::string(aFinishReason));
+  const Json json = { { "id", mId },
+                      { "object", "text_completion" },
+                      { "model", mContext.mCompletion->mModel.Text() },
+                      { "choices", { choice } } };
+  return "data: " + Dump(json) + "\n\n";
+}
+
+void
+SendRefusal(HttpResponder& aResponder, const Refusal& aRefusal)
+{
+  HttpResponse response;
+  response.mStatus = aRefusal.HttpStatus();
+  response.mHeaders.push_back({ "Content-Type", "application/problem+json" });
+  const auto retryAfter = RenderRetryAfter(aRefusal);
+  if (!retryAfter.empty()) {
+    response.mHeaders.push_back({ "Retry-After", retryAfter });
+  }
+  response.mBody = RenderProblem(aRefusal);
+  (void)aResponder.Send(std::move(response));
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/caller_service.cpp
@@ -0,0 +1,77 @@
+#include "caller_service.h"
+
+#include <bilberrytrail/base/log.h>
+
+namespace bilberrytrail {
+
+namespace {
+
+constexpr std::string_view kHealthPath = "/healthz";
+// Extra work that is available before any request came.
+constexpr double kReserveTokens = 10000;
+constexpr double kMaxSavedTokens = 200000;
+
+} // namespace
+
+CallerService::CallerService(ThreadContext& aThread,
+                             const DaemonSettings& aSettings,
+                             ControlViewHolder& aViews,
+                             HomeService& aHomes,
+                             std::uint64_t aSeed)
+  : mThread(aThread)
+  , mSettings(aSettings)
+  , mViews(aViews)
+  , mLocator(aHomes, aSeed)
+  , mBudget(aSettings.mRetryBudget, kReserveTokens, kMaxSavedTokens)
+  , mRetries(MakeBudgetedRetryPolicy(mBudget))
+  , mEstimator(MakeLearningEstimator(ClassifySettings()))
+{
+  const DispatchParts parts{ aSettings, aHomes,    mLocator,
+                             mBudget,   *mRetries, *mEstimator };
+  mFilters.push_back(MakeReadinessFilter());
+  mFilters.push_back(MakeAuthenticateFilter());
+  mFilters.push_back(MakeDeadlineFilter(aSettings));
+  mFilters.push_back(MakeParseFilter());
+  mFilters.push_back(MakeEstimateFilter(*mEstimator));
+  mFilters.push_back(MakeCompletionDispatcher(parts));
+  mFilters.push_back(MakeServiceDispatcher(parts));
+}
+
+CallerService::~CallerService() = default;
+
+void
+CallerService::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  if (aRequest.mTarget == kHealthPath) {
+    AnswerHealth(aResponder);
+    return;
+  }
+  RequestContext context{ .mHttp = aRequest,
+                          .mResponder = aResponder,
+                          .mThread = mThread,
+                          .mView = mViews.Load(),
+                          .mArrivedAt = MonotonicNow() };
+  for (const auto& filter : mFilters) {
+    const auto refusal = filter->Apply(context);
+    if (refusal) {
+      LogLine(LogEvent::RequestRefused,
+              { { "reason", refusal->Reason() },
+                { "disposition", refusal->GetDisposition() },
+                { "account", context.mAccount.mAccount } });
+      SendRefusal(aResponder, *refusal);
+      return;
+    }
+  }
+}
+
+void
+CallerService::AnswerHealth(HttpResponder& aResponder)
+{
+  const auto view = mViews.Load();
+  const bool isReady = view->mNotReady.empty() && !view->mDraining;
+  (void)aResponder.Send({ isReady ? 200U : 503U,
+                          { { "Content-Type", "text/plain" } },
+                          isReady ? "ready\n" : "not ready\n" });
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/caller_service.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "dispatch.h"
+#include "request_filters.h"
+
+#include <bilberrytrail/runtime/http_server.h>
+
+#include <memory>
+#include <vector>
+
+namespace bilberrytrail {
+
+// Serves callers on one traffic thread: passes each request through the
+// filters, of which the last ones dispatch it.
+class CallerService : public HttpHandler
+{
+public:
+  CallerService(ThreadContext& aThread,
+                const DaemonSettings& aSettings,
+                ControlViewHolder& aViews,
+                HomeService& aHomes,
+                std::uint64_t aSeed);
+  ~CallerService() override;
+
+  void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
+
+private:
+  void AnswerHealth(HttpResponder& aResponder);
+
+  ThreadContext& mThread;
+  const DaemonSettings& mSettings;
+  ControlViewHolder& mViews;
+  ServerLocator mLocator;
+  ExtraWorkBudget mBudget;
+  std::unique_ptr<RetryPolicy> mRetries;
+  std::unique_ptr<WorkEstimator> mEstimator;
+  std::vector<std::unique_ptr<RequestFilter>> mFilters;
+};
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -0,0 +1,324 @@
+#include "dispatch.h"
+
+#include <bilberrytrail/base/digest.h>
+#include <bilberrytrail/traffic/answer_assembler.h>
+
+namespace bilberrytrail {
+
+namespace {
+
+// Pause before the servers are asked again when none can serve.
+constexpr Duration kNoServerPause = 50ms;
+// Longest wait for a server that serves the version.
+constexpr Duration kNoServerPatience = 10s;
+constexpr Duration kNoServerRetry = 1s;
+
+// Takes the frames of one attempt: keeps the ledger and the answer, and
+// writes the answer to the caller.
+class CompletionSink final : public FrameSink
+{
+public:
+  CompletionSink(RequestContext& aContext,
+                 AnswerAssembler& aAnswer,
+                 AnswerWriter& aWriter)
+    : mContext(aContext)
+    , mAnswer(aAnswer)
+    , mWriter(aWriter)
+    , mAttempt(aAnswer.Attempt())
+  {
+  }
+
+  [[nodiscard]] bool IsCallerGone() const noexcept { return mIsCallerGone; }
+  [[nodiscard]] const AttemptEnd& End() const noexcept { return mEnd; }
+
+  [[nodiscard]] bool IsOpen() noexcept override
+  {
+    return !mIsCallerGone && mContext.mResponder.IsPeerOpen();
+  }
+
+  Result<void> Write(const HomeFrame& aFrame) override
+  {
+    if (aFrame.mAttempt != mAttempt) {
+      return Ok();
+    }
+    switch (aFrame.mKind) {
+      case FrameKind::Head:
+        return TakeHead(aFrame);
+      case FrameKind::Chunk:
+        return TakeChunk({ mAttempt, aFrame.mPosition, aFrame.mText, false });
+      case FrameKind::End:
+        return TakeChunk({ mAttempt, aFrame.mPosition, {}, true });
+      case FrameKind::NotRun:
+        mEnd.mNotRun = mContext.mLedger.MarkRejected(mAttempt).has_value();
+        [[fallthrough]];
+      case FrameKind::Broken:
+        mEnd.mReason = aFrame.mReason;
+        mEnd.mText = aFrame.mText;
+        mEnd.mRetryAfter = aFrame.mRetryAfter;
+        return Ok();
+      case FrameKind::Answer:
+        return Fail(ErrorCode::Corrupt, "unexpected frame");
+    }
+    return Ok();
+  }
+
+private:
+  Result<void> TakeHead(const HomeFrame& aFrame)
+  {
+    if (aFrame.mHead.mVersion != mContext.mVersion) {
+      return Fail(ErrorCode::Corrupt, "another weight version answered");
+    }
+    return mContext.mLedger.MarkAccepted(mAttempt);
+  }
+
+  Result<void> TakeChunk(const GenerateChunk& aChunk)
+  {
+    switch (mAnswer.Accept(aChunk)) {
+      case ChunkVerdict::Appended:
+        if (auto ok = mWriter.Append(aChunk.mText); !ok) {
+          mIsCallerGone = true;
+          return ok;
+        }
+        return Ok();
+      case ChunkVerdict::End:
+        return mContext.mLedger.MarkFinished(mAttempt);
+      case ChunkVerdict::Duplicate:
+      case ChunkVerdict::Foreign:
+        return Ok();
+      case ChunkVerdict::Gap:
+      case ChunkVerdict::Contradiction:
+        return Fail(ErrorCode::Corrupt, "the answer has a gap");
+    }
+    return Ok();
+  }
+
+  RequestContext& mContext;
+  AnswerAssembler& mAnswer;
+  AnswerWriter& mWriter;
+  AttemptId mAttempt;
+  AttemptEnd mEnd;
+  bool mIsCallerGone = false;
+};
+
+// One completion from the choice of a server to the end of its answer.
+class CompletionRun
+{
+public:
+  CompletionRun(RequestContext& aContext, const DispatchParts& aParts)
+    : mContext(aContext)
+    , mParts(aParts)
+    , mAnswer(AttemptId(RandomToken()))
+    , mWriter(aContext, "cmpl-" + mAnswer.Attempt().Text())
+  {
+  }
+
+  std::optional<Refusal> Execute();
+
+private:
+  [[nodiscard]] std::optional<ServerChoice> AwaitChoice();
+  [[nodiscard]] HomeRequest MakeRequest(const ServerChoice& aChoice) const;
+  // Runs one attempt; true when the request has ended.
+  [[nodiscard]] bool RunAttempt(const ServerChoice& aChoice);
+  [[nodiscard]] bool MayRetry();
+  [[nodiscard]] std::optional<Refusal> Finish();
+  [[nodiscard]] std::optional<Refusal> GiveUp();
+  [[nodiscard]] Duration TimeLeft() const
+  {
+    return mContext.mDeadline - MonotonicNow();
+  }
+
+  RequestContext& mContext;
+  const DispatchParts& mParts;
+  PromptBlocks mBlocks;
+  AnswerAssembler mAnswer;
+  AnswerWriter mWriter;
+  std::set<ServerId> mTried;
+  AttemptEnd mLast;
+  bool mIsCallerGone = false;
+};
+
+std::optional<Refusal>
+CompletionRun::Execute()
+{
+  const CompletionRequest& request = *mContext.mCompletion;
+  const PromptScope scope{ mContext.mAccount.mProduct,
+                           mContext.mAccount.mAccount,
+                           request.mModel,
+                           mContext.mVersion,
+                           request.mAdapter };
+  mBlocks = CutPrompt(scope,
+                      request.mPrompt,
+                      mParts.mSettings.mSiteKey,
+                      static_cast<std::uint32_t>(mParts.mSettings.mBlockBytes));
+  mParts.mBudget.AddRequest(mContext.mEstimate.CostTokens());
+  while (true) {
+    const auto choice = AwaitChoice();
+    if (!choice) {
+      return GiveUp();
+    }
+    if (RunAttempt(*choice)) {
+      return Finish();
+    }
+    if (!MayRetry()) {
+      return GiveUp();
+    }
+    ++mContext.mRetries;
+  }
+}
+
+std::optional<ServerChoice>
+CompletionRun::AwaitChoice()
+{
+  const auto end =
+    std::min(mContext.mDeadline, MonotonicNow() + kNoServerPatience);
+  while (true) {
+    auto choice = mParts.mLocator.Choose(mContext, mBlocks, mTried);
+    if (choice) {
+      return choice;
+    }
+    if (MonotonicNow() >= end || !mContext.mResponder.IsPeerOpen() ||
+        !mContext.mThread.GetLoop().Sleep(kNoServerPause)) {
+      mLast = { false,
+                RefusalReason::NoServer,
+                "no server serves the model's version now",
+                kNoServerRetry };
+      return std::nullopt;
+    }
+  }
+}
+
+HomeRequest
+CompletionRun::MakeRequest(const ServerChoice& aChoice) const
+{
+  const CompletionRequest& completion = *mContext.mCompletion;
+  HomeRequest request;
+  request.mTarget = HomeTarget::Engine;
+  request.mServer = aChoice.mServer;
+  request.mProduct = mContext.mAccount.mProduct;
+  request.mAccount = mContext.mAccount.mAccount;
+  request.mClass = mContext.mEstimate.mClass;
+  request.mTimeLeft = std::max<Duration>(TimeLeft(), 1ms);
+  request.mCostTokens = mContext.mEstimate.CostTokens();
+  GenerateRequest& generate = request.mGenerate;
+  generate.mAttempt = mAnswer.Attempt();
+  generate.mModel = completion.mModel;
+  generate.mVersion = mContext.mVersion;
+  generate.mAdapter = completion.mAdapter;
+  generate.mPrompt = completion.mPrompt;
+  generate.mBlocks = mBlocks.mBlocks;
+  generate.mBlockBytes = mBlocks.mBlockBytes;
+  generate.mMaxTokens = completion.mMaxTokens;
+  generate.mResumeText = mAnswer.Text();
+  generate.mStartPosition = mAnswer.NextPosition();
+  for (const auto& it : aChoice.mPlan.mImports) {
+    request.mImports.push_back(it.mCopy);
+  }
+  return request;
+}
+
+bool
+CompletionRun::RunAttempt(const ServerChoice& aChoice)
+{
+  mTried.insert(aChoice.mServer);
+  const AttemptId attempt = mAnswer.Attempt();
+  if (!mContext.mLedger.Open(attempt) || !mContext.mLedger.MarkSent(attempt)) {
+    return false;
+  }
+  CompletionSink sink(mContext, mAnswer, mWriter);
+  const auto result =
+    RunAtHome(mContext, mParts.mHomes, MakeRequest(aChoice), sink);
+  mLast = sink.End();
+  mIsCallerGone = sink.IsCallerGone();
+  if (!result && result.error().mSent == SendState::NotSent) {
+    mLast.mNotRun = mContext.mLedger.MarkRejected(attempt).has_value();
+    mLast.mText = "the server's home could not be reached";
+  }
+  if (mAnswer.State() == AnswerState::Open) {
+    mAnswer.StreamClosed();
+  }
+  return mAnswer.State() == AnswerState::Complete || mIsCallerGone;
+}
+
+bool
+CompletionRun::MayRetry()
+{
+  if (mAnswer.State() != AnswerState::Cut ||
+      !mAnswer.BeginAttempt(AttemptId(RandomToken()))) {
+    return false;
+  }
+  if (mLast.mNotRun) {
+    // Nothing ran: another server costs no extra work.
+    return TimeLeft() > Duration::zero();
+  }
+  RetryQuery query;
+  query.mIdempotent = true;
+  query.mCostTokens = mContext.mEstimate.CostTokens();
+  query.mDeadline = mContext.mDeadline;
+  query.mTried.assign(mTried.begin(), mTried.end());
+  query.mCandidates = mContext.mView->UsableServers(
+    mContext.mAccount.mProduct, VmRole::Engine, {});
+  return mParts.mRetries.Decide(query, MonotonicNow()).mVerdict ==
+         RetryVerdict::Retry;
+}
+
+std::optional<Refusal>
+CompletionRun::Finish()
+{
+  const auto answer = mAnswer.Finish();
+  if (!answer) {
+    mContext.mResponder.Abort();
+    return std::nullopt;
+  }
+  const ObservedWork observed{ static_cast<std::uint32_t>(
+                                 mContext.mEstimate.mPromptTokens),
+                               mAnswer.NextPosition() };
+  mParts.mEstimator.Learn(mContext.mShape, mContext.mEstimate.mClass, observed);
+  (void)mWriter.Finish(answer.value().Text(), mAnswer.NextPosition());
+  return std::nullopt;
+}
+
+std::optional<Refusal>
+CompletionRun::GiveUp()
+{
+  const auto retryAfter = mLast.mRetryAfter > Duration::zero()
+                            ? std::optional(mLast.mRetryAfter)
+                            : std::optional<Duration>(kNoServerRetry);
+  if (!mWriter.HasBegun()) {
+    return mContext.Refuse(mLast.mReason, mLast.mText, retryAfter);
+  }
+  mWriter.Break(Refusal::Incomplete(mContext.mLedger,
+                                    RefusalReason::AnswerCut,
+                                    "the answer was cut: " + mLast.mText,
+                                    retryAfter));
+  return std::nullopt;
+}
+
+class CompletionDispatcher final : public RequestFilter
+{
+public:
+  explicit CompletionDispatcher(const DispatchParts& aParts)
+    : mParts(aParts)
+  {
+  }
+
+  std::optional<Refusal> Apply(RequestContext& aContext) override
+  {
+    if (!aContext.mCompletion) {
+      return std::nullopt;
+    }
+    return CompletionRun(aContext, mParts).Execute();
+  }
+
+private:
+  DispatchParts mParts;
+};
+
+} // namespace
+
+std::unique_ptr<RequestFilter>
+MakeCompletionDispatcher(const DispatchParts& aParts)
+{
+  return std::make_unique<CompletionDispatcher>(aParts);
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/control_thread.cpp
@@ -0,0 +1,126 @@
+#include "control_thread.h"
+
+#include <future>
+
+namespace bilberrytrail {
+
+namespace {
+
+GossipSettings
+MakeGossipSettings(const DaemonSettings& aSettings)
+{
+  GossipSettings settings;
+  settings.mPeriod = aSettings.mGossipPeriod;
+  return settings;
+}
+
+FollowerSettings
+MakeFollowerSettings(const DaemonSettings& aSettings)
+{
+  FollowerSettings settings;
+  settings.mPollInterval = aSettings.mHeadPoll;
+  settings.mInForceBound = aSettings.mReleaseBound;
+  return settings;
+}
+
+LeaseSettings
+MakeLeaseSettings(const DaemonSettings& aSettings)
+{
+  LeaseSettings settings;
+  settings.mLength = aSettings.mLeaseLength;
+  settings.mRenewAfter = aSettings.mLeaseRenewal;
+  settings.mLongestOrder = aSettings.mOrderTimeout;
+  return settings;
+}
+
+HttpLimits
+MakeOperatorLimits(const DaemonSettings& aSettings)
+{
+  HttpLimits limits;
+  limits.mHeaderBytes = aSettings.mHeaderBytes;
+  limits.mBodyBytes = aSettings.mBodyBytes;
+  return limits;
+}
+
+} // namespace
+
+ControlThread::ControlThread(const DaemonSettings& aSettings,
+                             const MemberRecord& aSelf,
+                             PeerSigner& aSigner,
+                             ControlViewHolder& aViews,
+                             HomeService& aHomes,
+                             std::function<void()> aDrain)
+  : mSettings(aSettings)
+  , mThread(mLoop, aSigner, aSettings.mTable)
+  , mState(aViews, aSelf.mId, aSelf.mZone)
+  , mMembers(mLoop, aSigner, mState, aSelf, MakeGossipSettings(aSettings))
+  , mReleases(mThread, mState, mMembers, MakeFollowerSettings(aSettings))
+  , mList(mThread, mState, mMembers, aSettings.mList, aSettings.mListPoll)
+  , mMonitor(mThread, mState, aHomes)
+  , mShards(mThread,
+            mState,
+            aHomes,
+            static_cast<std::uint32_t>(aSettings.mControlShards),
+            MakeLeaseSettings(aSettings))
+  , mOperators(aSettings, mState, mReleases, mList, aHomes, std::move(aDrain))
+  , mOperatorServer(mLoop, MakeOperatorLimits(aSettings))
+{
+  mState.OnView([&aHomes](const ControlView& aView) { aHomes.OnView(aView); });
+  mState.OnView([this](const ControlView& aView) { mMonitor.OnView(aView); });
+}
+
+void
+ControlThread::AddMethods(RpcMethods& aMethods)
+{
+  // The control thread answers quickly and never waits for a traffic thread.
+  const auto onControl = [this](auto aCall) {
+    return [this, aCall](const Json& aParams) -> Result<Json> {
+      std::promise<Result<Json>> promise;
+      auto future = promise.get_future();
+      mLoop.Post([&] { promise.set_value(aCall(aParams)); });
+      return future.get();
+    };
+  };
+  aMethods.Add("release.heads", onControl([this](const Json&) -> Result<Json> {
+                 return mReleases.HeadsForPeer();
+               }));
+  aMethods.Add("release.body", onControl([this](const Json& aParams) {
+                 return mReleases.BodyForPeer(aParams);
+               }));
+  aMethods.Add("home.states", [this](const Json& aParams) {
+    return mShards.StatesForPeer(aParams);
+  });
+}
+
+Result<void>
+ControlThread::Start()
+{
+  Endpoint gossip = mSettings.mPeers;
+  if (auto ok = mMembers.Start(gossip); !ok) {
+    return ok;
+  }
+  if (auto port = mOperatorServer.Listen(mSettings.mOperators); !port) {
+    return std::move(port).error();
+  }
+  mOperatorServer.Serve(mOperators);
+  mReleases.Start();
+  mList.Start();
+  mShards.Start();
+  return Ok();
+}
+
+void
+ControlThread::Run()
+{
+  mLoop.Run();
+}
+
+void
+ControlThread::Leave()
+{
+  mShards.Release();
+  mState.SetDraining();
+  mMembers.Leave();
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/control_thread.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "control_state.h"
+#include "home_service.h"
+#include "list_runner.h"
+#include "membership_runner.h"
+#include "operator_service.h"
+#include "release_runner.h"
+#include "server_monitor.h"
+#include "shard_runner.h"
+#include "thread_context.h"
+
+#include <functional>
+#include <memory>
+
+namespace bilberrytrail {
+
+// Everything that runs on the control thread: membership, the list of VMs,
+// releases, leases, the engines' event streams and the operator endpoint.
+class ControlThread
+{
+public:
+  ControlThread(const DaemonSettings& aSettings,
+                const MemberRecord& aSelf,
+                PeerSigner& aSigner,
+                ControlViewHolder& aViews,
+                HomeService& aHomes,
+                std::function<void()> aDrain);
+
+  [[nodiscard]] Loop& GetLoop() noexcept { return mLoop; }
+
+  // Adds the calls that other daemons make to the control thread. They run on
+  // traffic threads and wait for the control thread.
+  void AddMethods(RpcMethods& aMethods);
+  // Binds the sockets and starts the fibers; Run then serves them.
+  [[nodiscard]] Result<void> Start();
+  void Run();
+  // Leaves the membership and gives the leases back. Call on the control
+  // thread.
+  void Leave();
+
+private:
+  const DaemonSettings& mSettings;
+  Loop mLoop;
+  ThreadContext mThread;
+  ControlState mState;
+  MembershipRunner mMembers;
+  ReleaseRunner mReleases;
+  ListRunner mList;
+  ServerMonitor mMonitor;
+  ShardRunner mShards;
+  OperatorService mOperators;
+  HttpServer mOperatorServer;
+};
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/daemon.cpp
@@ -0,0 +1,208 @@
+#include "control_thread.h"
+#include "site_signer.h"
+#include "traffic_thread.h"
+
+#include <bilberrytrail/base/digest.h>
+#include <bilberrytrail/base/log.h>
+#include <bilberrytrail/daemon/daemon.h>
+
+#include <thread>
+
+namespace bilberrytrail {
+
+namespace {
+
+// How often the queues' timers run.
+constexpr Duration kQueueTick = 10ms;
+// Time that other daemons and the balancer get to learn of a planned stop.
+constexpr Duration kLeaveTime = 1s;
+constexpr Duration kDrainCheck = 20ms;
+
+// The id is new at each start, so that a restarted daemon is another member.
+MemberRecord
+MakeSelf(const DaemonSettings& aSettings)
+{
+  constexpr std::size_t kInstanceDigits = 8;
+  MemberRecord self;
+  self.mId = DaemonId(aSettings.mName.Text() + "~" +
+                      RandomToken().substr(0, kInstanceDigits));
+  self.mZone = aSettings.mZone;
+  self.mEndpoint = aSettings.mPeers;
+  return self;
+}
+
+} // namespace
+
+class Daemon::Impl
+{
+public:
+  explicit Impl(DaemonSettings aSettings);
+
+  Result<void> Start();
+  void Drain();
+  void Stop();
+  void Join();
+
+private:
+  void TickQueues();
+  void DrainOnControl();
+  [[nodiscard]] std::size_t ActiveRequests() const;
+
+  const DaemonSettings mSettings;
+  MemberRecord mSelf;
+  SiteSigner mSigner;
+  ControlViewHolder mViews;
+  HomeService mHomes;
+  RpcMethods mMethods;
+  ControlThread mControl;
+  std::vector<std::unique_ptr<TrafficThread>> mTraffic;
+  std::vector<std::thread> mThreads;
+  bool mIsDraining = false;
+};
+
+Daemon::Impl::Impl(DaemonSettings aSettings)
+  : mSettings(std::move(aSettings))
+  , mSelf(MakeSelf(mSettings))
+  , mSigner(mSettings.mSiteKey, mSelf.mId)
+  , mHomes(mSettings, mViews)
+  , mControl(mSettings, mSelf, mSigner, mViews, mHomes, [this] { Drain(); })
+{
+  mControl.AddMethods(mMethods);
+  mMethods.Add("home.estimate", [this](const Json& aParams) -> Result<Json> {
+    const auto query = ReadEstimateQuery(aParams);
+    if (!query) {
+      return query.error();
+    }
+    return ToJson(mHomes.Estimate(query.value()));
+  });
+  for (std::uint64_t n = 0; n < mSettings.mTrafficThreads; ++n) {
+    mTraffic.push_back(
+      std::make_unique<TrafficThread>(mSettings,
+                                      mSigner,
+                                      mViews,
+                                      mHomes,
+                                      mMethods,
+                                      StableHash64(mSelf.mId.Text()) + n));
+  }
+}
+
+Result<void>
+Daemon::Impl::Start()
+{
+  for (auto& traffic : mTraffic) {
+    if (auto ok = traffic->Start(); !ok) {
+      return ok;
+    }
+  }
+  if (auto ok = mControl.Start(); !ok) {
+    return ok;
+  }
+  mTraffic.front()->GetLoop().Spawn([this] { TickQueues(); });
+  mThreads.emplace_back([this] { mControl.Run(); });
+  for (auto& traffic : mTraffic) {
+    mThreads.emplace_back([it = traffic.get()] { it->Run(); });
+  }
+  LogLine(LogEvent::DaemonStarted,
+          { { "daemon", mSelf.mId },
+            { "callers", ToText(mSettings.mCallers) },
+            { "peers", ToText(mSettings.mPeers) } });
+  return Ok();
+}
+
+void
+Daemon::Impl::TickQueues()
+{
+  Loop& loop = mTraffic.front()->GetLoop();
+  while (loop.Sleep(kQueueTick)) {
+    mHomes.Tick(MonotonicNow());
+  }
+}
+
+void
+Daemon::Impl::Drain()
+{
+  mControl.GetLoop().Spawn([this] { DrainOnControl(); });
+}
+
+void
+Daemon::Impl::DrainOnControl()
+{
+  if (mIsDraining) {
+    return;
+  }
+  mIsDraining = true;
+  LogLine(LogEvent::DrainBegun, { { "running", ActiveRequests() } });
+  mControl.Leave();
+  (void)mControl.GetLoop().Sleep(kLeaveTime);
+  mHomes.DrainAll();
+  for (auto& traffic : mTraffic) {
+    traffic->GetLoop().Post([it = traffic.get()] { it->StopAccepting(); });
+  }
+  const auto end = MonotonicNow() + mSettings.mDrainTime;
+  while (ActiveRequests() > 0 && MonotonicNow() < end &&
+         mControl.GetLoop().Sleep(kDrainCheck)) {
+  }
+  LogLine(LogEvent::DrainDone, { { "running", ActiveRequests() } });
+  Stop();
+}
+
+std::size_t
+Daemon::Impl::ActiveRequests() const
+{
+  std::size_t n = 0;
+  for (const auto& traffic : mTraffic) {
+    n += traffic->ActiveRequests();
+  }
+  return n;
+}
+
+void
+Daemon::Impl::Stop()
+{
+  for (auto& traffic : mTraffic) {
+    traffic->GetLoop().Stop();
+  }
+  mControl.GetLoop().Stop();
+}
+
+void
+Daemon::Impl::Join()
+{
+  for (auto& thread : mThreads) {
+    thread.join();
+  }
+  mThreads.clear();
+}
+
+Daemon::Daemon(DaemonSettings aSettings)
+  : mImpl(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Result<void>
+Daemon::Start()
+{
+  return mImpl->Start();
+}
+
+void
+Daemon::Drain()
+{
+  mImpl->Drain();
+}
+
+void
+Daemon::Stop()
+{
+  mImpl->Stop();
+}
+
+void
+Daemon::Join()
+{
+  mImpl->Join();
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/dispatch.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "answer_writer.h"
+#include "home_service.h"
+#include "request_context.h"
+#include "server_locator.h"
+
+#include <bilberrytrail/settings/daemon_settings.h>
+#include <bilberrytrail/traffic/retry_budget.h>
+
+#include <memory>
+
+// The last filter of the pipeline: chooses servers, forwards the request to
+// their homes, relays the answer, and retries or resumes.
+namespace bilberrytrail {
+
+// What the dispatchers of one traffic thread share.
+struct DispatchParts
+{
+  const DaemonSettings& mSettings;
+  HomeService& mHomes;
+  ServerLocator& mLocator;
+  ExtraWorkBudget& mBudget;
+  RetryPolicy& mRetries;
+  WorkEstimator& mEstimator;
+};
+
+// Dispatches completions to engines.
+[[nodiscard]] std::unique_ptr<RequestFilter>
+MakeCompletionDispatcher(const DispatchParts& aParts);
+
+// Dispatches calls of plain services.
+[[nodiscard]] std::unique_ptr<RequestFilter>
+MakeServiceDispatcher(const DispatchParts& aParts);
+
+// How one attempt at a home ended.
+struct AttemptEnd
+{
+  // The home or the way to it stated that nothing ran.
+  bool mNotRun = false;
+  RefusalReason mReason = RefusalReason::ServerFailed;
+  std::string mText;
+  Duration mRetryAfter{};
+};
+
+// Sends a request to the home of its server, in this process or in another,
+// and passes its frames to the sink. Returns what is known when the frames
+// end; the NotRun and Broken frames are passed to the sink as well.
+[[nodiscard]] Result<void, HttpError>
+RunAtHome(RequestContext& aContext,
+          HomeService& aHomes,
+          const HomeRequest& aRequest,
+          FrameSink& aSink);
+
+} // namespace bilberrytrail
--- a/packages/daemon/src/engine_run.cpp
+++ b/packages/daemon/src/engine_run.cpp
@@ -160,8 +160,8 @@
   }
   while (true) {
     const auto left = mDeadline - MonotonicNow();
-    auto chunk = aStream.Next(mTokens == 0 ? std::max<Duration>(left, 1ms)
-                                           : kStallTime);
+    auto chunk =
+      aStream.Next(mTokens == 0 ? std::max<Duration>(left, 1ms) : kStallTime);
     if (!chunk) {
       mAnswer.StreamClosed();
       mServer->NoteRefusal(MonotonicNow());
@@ -226,9 +226,9 @@
 EngineRun::Learn(const GenerateHead& aHead, Instant aSentAt)
 {
   mFirstTokenAt = MonotonicNow();
-  mServer->LearnPrefill(
-    static_cast<double>(aHead.mPromptTokens) - aHead.mCachedTokens,
-    mFirstTokenAt - aSentAt);
+  mServer->LearnPrefill(static_cast<double>(aHead.mPromptTokens) -
+                          aHead.mCachedTokens,
+                        mFirstTokenAt - aSentAt);
 }
 
 bool
--- a/packages/daemon/src/home_message.h
+++ b/packages/daemon/src/home_message.h
@@ -81,14 +81,14 @@
 struct HomeFrame
 {
   FrameKind mKind = FrameKind::Head;
-  AttemptId mAttempt;
+  AttemptId mAttempt{};
   // Head.
-  GenerateHead mHead;
+  GenerateHead mHead{};
   // Chunk and End: position; Chunk: text.
   std::uint32_t mPosition = 0;
-  std::string mText;
+  std::string mText{};
   // Answer.
-  ServiceAnswer mAnswer;
+  ServiceAnswer mAnswer{};
   // NotRun and Broken.
   RefusalReason mReason = RefusalReason::ServerFailed;
   Duration mRetryAfter{};
--- /dev/null
+++ b/packages/daemon/src/membership_runner.cpp
@@ -0,0 +1,137 @@
+#include "membership_runner.h"
+
+#include <bilberrytrail/base/digest.h>
+#include <bilberrytrail/base/log.h>
+
+namespace bilberrytrail {
+
+namespace {
+
+constexpr Duration kTickPeriod = 25ms;
+
+// A datagram is the signature, a line feed and the message.
+std::string
+Pack(std::string aSignature, const std::string& aMessage)
+{
+  aSignature.push_back('\n');
+  return aSignature + aMessage;
+}
+
+LogEvent
+EventOf(MemberStatus aStatus)
+{
+  switch (aStatus) {
+    case MemberStatus::Alive:
+      return LogEvent::MemberJoined;
+    case MemberStatus::Suspect:
+      return LogEvent::MemberSuspect;
+    case MemberStatus::Dead:
+      return LogEvent::MemberDead;
+    case MemberStatus::Left:
+      return LogEvent::MemberLeft;
+  }
+  return LogEvent::MemberDead;
+}
+
+} // namespace
+
+MembershipRunner::MembershipRunner(Loop& aLoop,
+                                   PeerSigner& aSigner,
+                                   ControlState& aState,
+                                   const MemberRecord& aSelf,
+                                   const GossipSettings& aSettings)
+  : mLoop(aLoop)
+  , mSigner(aSigner)
+  , mState(aState)
+  , mSocket(aLoop)
+  , mGossip(aSelf, aSettings, StableHash64(aSelf.mId.Text()))
+{
+}
+
+Result<void>
+MembershipRunner::Start(const Endpoint& aListen)
+{
+  if (auto port = mSocket.Bind(aListen); !port) {
+    return std::move(port).error();
+  }
+  mState.SetMembers(mGossip.LiveMembers());
+  mLoop.Spawn([this] { ReceiveAll(); });
+  mLoop.Spawn([this] { TickAll(); });
+  return Ok();
+}
+
+void
+MembershipRunner::OnNumber(NumberListener aListener)
+{
+  mOnNumber = std::move(aListener);
+}
+
+void
+MembershipRunner::Leave()
+{
+  Perform(mGossip.Leave(MonotonicNow()));
+}
+
+void
+MembershipRunner::ReceiveAll()
+{
+  while (true) {
+    const auto datagram = mSocket.Receive();
+    if (!datagram) {
+      return;
+    }
+    const std::string& bytes = datagram.value().mBody;
+    const auto line = bytes.find('\n');
+    if (line == std::string::npos) {
+      continue;
+    }
+    const std::string_view body = std::string_view(bytes).substr(line + 1);
+    const auto sender = mSigner.Check(bytes.substr(0, line), body);
+    if (!sender) {
+      LogLine(LogEvent::MessageBadMac,
+              { { "from", ToText(datagram.value().mFrom) } });
+      continue;
+    }
+    const auto message = GossipMessageFromBytes(body);
+    if (message) {
+      Perform(mGossip.Receive(message.value(), MonotonicNow()));
+    }
+  }
+}
+
+void
+MembershipRunner::TickAll()
+{
+  while (mLoop.Sleep(kTickPeriod)) {
+    const auto now = MonotonicNow();
+    if (now >= mGossip.NextTick()) {
+      Perform(mGossip.Tick(now));
+    }
+  }
+}
+
+void
+MembershipRunner::Perform(const GossipActions& aActions)
+{
+  bool isChanged = false;
+  for (const auto& action : aActions) {
+    if (const auto* send = std::get_if<SendGossip>(&action)) {
+      const std::string message = ToBytes(send->mMessage);
+      mSocket.Send(send->mTo, Pack(mSigner.Sign(DaemonId(), message), message));
+    } else if (const auto* change = std::get_if<MemberChanged>(&action)) {
+      isChanged = true;
+      LogLine(EventOf(change->mRecord.mStatus),
+              { { "daemon", change->mRecord.mId },
+                { "endpoint", ToText(change->mRecord.mEndpoint) } });
+    } else if (const auto* number = std::get_if<NumberChanged>(&action)) {
+      if (mOnNumber) {
+        mOnNumber(number->mNumber);
+      }
+    }
+  }
+  if (isChanged) {
+    mState.SetMembers(mGossip.LiveMembers());
+  }
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/release_runner.cpp
@@ -0,0 +1,236 @@
+#include "release_runner.h"
+
+#include <bilberrytrail/base/log.h>
+#include <bilberrytrail/platform/json_fields.h>
+
+namespace bilberrytrail {
+
+namespace {
+
+constexpr Duration kTickPeriod = 100ms;
+constexpr Duration kTableTimeout = 1s;
+constexpr Duration kPeerTimeout = 1s;
+constexpr std::size_t kMaxProducts = 1024;
+// Peers asked at once while the table is down.
+constexpr std::size_t kPeersAsked = 3;
+constexpr std::string_view kNumberPrefix = "release/";
+
+} // namespace
+
+ReleaseRunner::ReleaseRunner(ThreadContext& aThread,
+                             ControlState& aState,
+                             MembershipRunner& aMembers,
+                             const FollowerSettings& aSettings)
+  : mThread(aThread)
+  , mState(aState)
+  , mMembers(aMembers)
+  , mFollower(aSettings)
+{
+}
+
+Json
+ReleaseRunner::HeadsForPeer() const
+{
+  Json heads = Json::array();
+  for (const auto& head : mFollower.HeadsInForce()) {
+    heads.push_back(ToText(head));
+  }
+  return { { "heads", std::move(heads) }, { "ready", mFollower.IsReady() } };
+}
+
+Result<Json>
+ReleaseRunner::BodyForPeer(const Json& aParams) const
+{
+  JsonFields fields(aParams);
+  const ProductId product(fields.Text("product"));
+  const ReleaseNumber number(fields.Unsigned("number"));
+  if (auto ok = fields.Check(); !ok) {
+    return std::move(ok).error();
+  }
+  const auto body = mFollower.InForce(product);
+  if (body == nullptr || body->mState.mNumber != number) {
+    return Fail(ErrorCode::NotFound, "not in force here");
+  }
+  return Json{ { "text", ToText(*body) } };
+}
+
+void
+ReleaseRunner::Start()
+{
+  mMembers.OnNumber([this](const SharedNumber& aNumber) {
+    for (const auto& head : mFollower.HeadsInForce()) {
+      if (ReleaseNumberName(head.mProduct) == aNumber.mName) {
+        mFollower.OnNumberHeard(
+          head.mProduct, ReleaseNumber(aNumber.mValue), MonotonicNow());
+      }
+    }
+  });
+  mThread.GetLoop().Spawn([this] { FollowAll(); });
+}
+
+AppendResult
+ReleaseRunner::Apply(const ReleaseNote& aNote)
+{
+  ReleaseAppend append(aNote);
+  AppendStep step = append.Start();
+  while (true) {
+    if (const auto* read = std::get_if<ReadRowStep>(&step)) {
+      step = append.OnRead(mThread.Table().Read(read->mKey, kTableTimeout));
+    } else if (const auto* commit = std::get_if<CommitStep>(&step)) {
+      step =
+        append.OnCommit(mThread.Table().Commit(commit->mWrites, kTableTimeout));
+    } else {
+      const auto& result = std::get<AppendResult>(step);
+      if (result.mOutcome == AppendOutcome::Applied) {
+        mMembers.Members().RaiseNumber(ReleaseNumberName(aNote.mProduct),
+                                       result.mNumber.Value());
+        ScanHeadRows();
+      }
+      return result;
+    }
+  }
+}
+
+void
+ReleaseRunner::FollowAll()
+{
+  do {
+    Perform(mFollower.Tick(MonotonicNow()));
+    UpdateReadiness();
+  } while (mThread.GetLoop().Sleep(kTickPeriod));
+}
+
+void
+ReleaseRunner::Perform(const FollowerActions& aActions)
+{
+  for (const auto& action : aActions) {
+    if (std::holds_alternative<ScanHeads>(action)) {
+      mThread.GetLoop().Spawn([this] { ScanHeadRows(); });
+    } else if (std::holds_alternative<AskPeersForHeads>(action)) {
+      mThread.GetLoop().Spawn([this] { AskPeers(); });
+    } else if (const auto* fetch = std::get_if<FetchRelease>(&action)) {
+      mThread.GetLoop().Spawn([this, it = *fetch] { Fetch(it); });
+    } else if (const auto* inForce = std::get_if<ReleaseInForce>(&action)) {
+      const ReleaseHead& head = inForce->mHead;
+      LogLine(LogEvent::ReleaseInForce,
+              { { "product", head.mProduct }, { "number", head.mNumber } });
+      mMembers.Members().RaiseNumber(ReleaseNumberName(head.mProduct),
+                                     head.mNumber.Value());
+      mState.SetRelease(inForce->mBody);
+    }
+  }
+}
+
+void
+ReleaseRunner::ScanHeadRows()
+{
+  const auto sentAt = MonotonicNow();
+  const auto rows = mThread.Table().Scan(
+    std::string(kReleaseHeadPrefix), kMaxProducts, kTableTimeout);
+  NoteTable(rows.has_value());
+  if (!rows) {
+    Perform(mFollower.OnHeadsFailed(MonotonicNow()));
+    return;
+  }
+  std::vector<ReleaseHead> heads;
+  for (const auto& row : rows.value()) {
+    auto head = ReleaseHeadFromText(row.mValue);
+    if (head) {
+      heads.push_back(std::move(head).value());
+    }
+  }
+  Perform(mFollower.OnHeads(heads, sentAt));
+}
+
+void
+ReleaseRunner::AskPeers()
+{
+  const auto view = mState.View();
+  std::size_t n = 0;
+  for (const auto& peer : view->mMembers) {
+    if (peer.mId == view->mSelf || n++ >= kPeersAsked) {
+      continue;
+    }
+    mThread.GetLoop().Spawn([this, peer] {
+      const auto reply = mThread.Peers().Call(
+        peer, "release.heads", Json::object(), kPeerTimeout);
+      if (!reply || !reply.value().value("ready", false)) {
+        return;
+      }
+      std::vector<ReleaseHead> heads;
+      for (const auto& it : reply.value()["heads"]) {
+        auto head = ReleaseHeadFromText(it.is_string() ? it.get<std::string>()
+                                                       : std::string());
+        if (head) {
+          heads.push_back(std::move(head).value());
+        }
+      }
+      Perform(mFollower.OnPeerHeads(peer.mId, heads, MonotonicNow()));
+    });
+  }
+}
+
+void
+ReleaseRunner::Fetch(const FetchRelease& aFetch)
+{
+  if (aFetch.mFromPeers) {
+    FetchFromPeers(aFetch.mHead);
+    return;
+  }
+  const auto row = mThread.Table().Read(
+    ReleaseRowKey(aFetch.mHead.mProduct, aFetch.mHead.mNumber), kTableTimeout);
+  if (row && row.value().has_value()) {
+    Perform(
+      mFollower.OnBody(aFetch.mHead, row.value()->mValue, MonotonicNow()));
+  }
+}
+
+void
+ReleaseRunner::FetchFromPeers(const ReleaseHead& aHead)
+{
+  const auto view = mState.View();
+  const Json params = { { "product", aHead.mProduct.Text() },
+                        { "number", aHead.mNumber.Value() } };
+  std::size_t n = 0;
+  for (const auto& peer : view->mMembers) {
+    if (peer.mId == view->mSelf || n++ >= kPeersAsked) {
+      continue;
+    }
+    const auto reply =
+      mThread.Peers().Call(peer, "release.body", params, kPeerTimeout);
+    if (reply) {
+      Perform(mFollower.OnBody(
+        aHead, reply.value().value("text", std::string()), MonotonicNow()));
+      return;
+    }
+  }
+}
+
+void
+ReleaseRunner::NoteTable(bool aIsUp)
+{
+  if (mIsTableUp != aIsUp) {
+    mIsTableUp = aIsUp;
+    LogLine(aIsUp ? LogEvent::TableUp : LogEvent::TableDown);
+  }
+}
+
+void
+ReleaseRunner::UpdateReadiness()
+{
+  if (!mFollower.IsReady()) {
+    mState.SetNotReady("the releases in force are not known yet");
+    return;
+  }
+  const auto now = MonotonicNow();
+  for (const auto& head : mFollower.HeadsInForce()) {
+    if (!mFollower.MayAccept(head.mProduct, now)) {
+      mState.SetNotReady(
+        "neither the table service nor another daemon can be reached");
+      return;
+    }
+  }
+  mState.SetNotReady({});
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/release_runner.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "control_state.h"
+#include "membership_runner.h"
+#include "thread_context.h"
+
+#include <bilberrytrail/release/release_follower.h>
+#include <bilberrytrail/release/release_log.h>
+#include <bilberrytrail/runtime/rpc.h>
+
+#include <functional>
+
+namespace bilberrytrail {
+
+// Follows the releases of all products on the control thread: reads heads and
+// bodies from the table or from peers, and appends new release notes.
+class ReleaseRunner
+{
+public:
+  ReleaseRunner(ThreadContext& aThread,
+                ControlState& aState,
+                MembershipRunner& aMembers,
+                const FollowerSettings& aSettings);
+
+  [[nodiscard]] const ReleaseFollower& Follower() const noexcept
+  {
+    return mFollower;
+  }
+  // Returns whether the table answered its last call.
+  [[nodiscard]] bool IsTableUp() const noexcept { return mIsTableUp; }
+  // Returns the heads in force here, for a peer.
+  [[nodiscard]] Json HeadsForPeer() const;
+  // Returns the text of a release in force here, for a peer.
+  [[nodiscard]] Result<Json> BodyForPeer(const Json& aParams) const;
+
+  // Starts the fiber that follows.
+  void Start();
+  // Appends a note on the calling fiber of the control thread.
+  [[nodiscard]] AppendResult Apply(const ReleaseNote& aNote);
+
+private:
+  void FollowAll();
+  void Perform(const FollowerActions& aActions);
+  void ScanHeadRows();
+  void AskPeers();
+  void Fetch(const FetchRelease& aFetch);
+  void FetchFromPeers(const ReleaseHead& aHead);
+  void NoteTable(bool aIsUp);
+  void UpdateReadiness();
+
+  ThreadContext& mThread;
+  ControlState& mState;
+  MembershipRunner& mMembers;
+  ReleaseFollower mFollower;
+  bool mIsTableUp = false;
+};
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/request_context.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "control_view.h"
+#include "thread_context.h"
+
+#include <bilberrytrail/backend/plain_service.h>
+#include <bilberrytrail/base/time.h>
+#include <bilberrytrail/runtime/http_server.h>
+#include <bilberrytrail/traffic/attempt_ledger.h>
+#include <bilberrytrail/traffic/classify.h>
+#include <bilberrytrail/traffic/refusal.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace bilberrytrail {
+
+// What a caller asks of a model.
+struct CompletionRequest
+{
+  ModelId mModel;
+  std::string mAdapter;
+  std::string mPrompt;
+  std::uint32_t mMaxTokens = 0;
+  bool mStream = false;
+};
+
+// What a caller asks of a plain service.
+struct ServiceRequest
+{
+  std::string mService;
+  // Path behind the service's own, with the query.
+  std::string mPath;
+  bool mRepeatable = false;
+  std::string mIdempotencyKey;
+};
+
+// One request on its way through the filters.
+struct RequestContext
+{
+  const HttpRequest& mHttp;
+  HttpResponder& mResponder;
+  ThreadContext& mThread;
+  // The view of control state for the whole request.
+  ControlViewPtr mView;
+  Instant mArrivedAt;
+  Instant mDeadline{};
+  AccountView mAccount{};
+  const ProductState* mProduct = nullptr;
+  std::optional<CompletionRequest> mCompletion{};
+  std::optional<ServiceRequest> mService{};
+  // Weight version in force at admission; it stays through retries.
+  VersionId mVersion{};
+  RequestShape mShape{};
+  WorkEstimate mEstimate{};
+  AttemptLedger mLedger{};
+  std::optional<Instant> mFirstTokenAt{};
+  std::uint32_t mRetries = 0;
+
+  // Refuses with the disposition that the ledger proves.
+  [[nodiscard]] Refusal Refuse(RefusalReason aReason,
+                               std::string aText,
+                               std::optional<Duration> aRetryAfter = {})
+  {
+    return Refusal::From(mLedger, aReason, std::move(aText), aRetryAfter);
+  }
+};
+
+// One step of a request. Returns a refusal when the request ends here.
+class RequestFilter
+{
+public:
+  virtual ~RequestFilter() = default;
+
+  [[nodiscard]] virtual std::optional<Refusal> Apply(
+    RequestContext& aContext) = 0;
+};
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/server_locator.cpp
@@ -0,0 +1,137 @@
+#include "server_locator.h"
+
+#include <algorithm>
+#include <map>
+
+namespace bilberrytrail {
+
+namespace {
+
+// Candidates asked first, and when none of these can serve.
+constexpr std::size_t kFirstCandidates = 4;
+constexpr std::size_t kMoreCandidates = 32;
+constexpr Duration kEstimateTimeout = 200ms;
+// Way to a home and back, until measured.
+constexpr Duration kHomeRoundTrip = 500us;
+
+} // namespace
+
+ServerLocator::ServerLocator(HomeService& aHomes, std::uint64_t aSeed)
+  : mHomes(aHomes)
+  , mRandom(aSeed)
+  , mPlanner(std::make_unique<LeastTimePlanner>())
+{
+}
+
+std::optional<ServerChoice>
+ServerLocator::Choose(RequestContext& aContext,
+                      const PromptBlocks& aBlocks,
+                      const std::set<ServerId>& aTried)
+{
+  const bool isEngine = aContext.mCompletion.has_value();
+  const std::string group =
+    isEngine
+      ? std::string()
+      : aContext.mProduct->mServices.at(aContext.mService->mService).mGroup;
+  auto servers =
+    aContext.mView->UsableServers(aContext.mAccount.mProduct,
+                                  isEngine ? VmRole::Engine : VmRole::Service,
+                                  group);
+  std::erase_if(servers,
+                [&](const ServerId& aId) { return aTried.contains(aId); });
+  for (const std::size_t n : { kFirstCandidates, kMoreCandidates }) {
+    const auto asked = Sample(servers, n);
+    auto choice = Plan(aContext, aBlocks, Ask(aContext, aBlocks, asked));
+    if (choice || asked.size() == servers.size()) {
+      return choice;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<ServerId>
+ServerLocator::Sample(std::vector<ServerId> aServers, std::size_t aCount)
+{
+  const std::size_t count = std::min(aCount, aServers.size());
+  for (std::size_t n = 0; n < count; ++n) {
+    std::swap(aServers[n], aServers[n + mRandom.Below(aServers.size() - n)]);
+  }
+  aServers.resize(count);
+  return aServers;
+}
+
+std::vector<ServerEstimate>
+ServerLocator::Ask(RequestContext& aContext,
+                   const PromptBlocks& aBlocks,
+                   const std::vector<ServerId>& aServers)
+{
+  const ControlView& view = *aContext.mView;
+  std::map<DaemonId, EstimateQuery> queries;
+  for (const auto& id : aServers) {
+    auto& query = queries[view.mServers.at(id).mHome];
+    query.mServers.push_back(id);
+  }
+  std::vector<ServerEstimate> estimates;
+  for (auto& [home, query] : queries) {
+    query.mAccount = aContext.mAccount.mAccount;
+    query.mClass = aContext.mEstimate.mClass;
+    query.mModel =
+      aContext.mCompletion ? aContext.mCompletion->mModel : ModelId();
+    query.mVersion = aContext.mVersion;
+    query.mPromptTokens = aContext.mEstimate.mPromptTokens;
+    query.mAnswerTokens = aContext.mEstimate.mAnswerTokens;
+    query.mBlocks = aBlocks.mBlocks;
+    const auto* peer = view.FindMember(home);
+    if (home == view.mSelf || peer == nullptr) {
+      const auto local = mHomes.Estimate(query);
+      estimates.insert(estimates.end(), local.begin(), local.end());
+      continue;
+    }
+    const auto reply = aContext.mThread.Peers().Call(
+      *peer, "home.estimate", ToJson(query), kEstimateTimeout);
+    if (!reply) {
+      continue;
+    }
+    const auto remote = ReadServerEstimates(reply.value());
+    if (remote) {
+      estimates.insert(
+        estimates.end(), remote.value().begin(), remote.value().end());
+    }
+  }
+  return estimates;
+}
+
+std::optional<ServerChoice>
+ServerLocator::Plan(RequestContext& aContext,
+                    const PromptBlocks& aBlocks,
+                    const std::vector<ServerEstimate>& aEstimates)
+{
+  PlanRequest request;
+  request.mBlocks = static_cast<std::uint32_t>(aBlocks.mBlocks.size());
+  request.mTokensPerBlock = aBlocks.mBlockBytes / kBytesPerToken;
+  request.mTailTokens = aBlocks.mTailBytes / kBytesPerToken;
+  for (const auto& it : aEstimates) {
+    if (!it.mReady) {
+      continue;
+    }
+    const bool isLocal =
+      aContext.mView->mServers.at(it.mServer).mHome == aContext.mView->mSelf;
+    PlanCandidate candidate;
+    candidate.mServer = it.mServer;
+    candidate.mQueueWait = it.mQueueWait;
+    candidate.mRoundTrip = isLocal ? Duration::zero() : kHomeRoundTrip;
+    candidate.mPrefillTokensPerSecond = it.mPrefillTokensPerSecond;
+    candidate.mResidentBlocks = it.mResidentBlocks;
+    request.mCandidates.push_back(std::move(candidate));
+  }
+  PrefixPlan plan = mPlanner->Choose(request);
+  if (plan.mServer.IsEmpty()) {
+    return std::nullopt;
+  }
+  ServerChoice choice;
+  choice.mServer = plan.mServer;
+  choice.mPlan = std::move(plan);
+  return choice;
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/server_locator.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "home_service.h"
+#include "request_context.h"
+
+#include <bilberrytrail/base/random.h>
+#include <bilberrytrail/cache/prefix_planner.h>
+#include <bilberrytrail/cache/prompt_blocks.h>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace bilberrytrail {
+
+// Where a request runs, and what its home said about it.
+struct ServerChoice
+{
+  ServerId mServer;
+  PrefixPlan mPlan;
+};
+
+// Chooses the server of a request on one traffic thread: asks the homes of
+// some candidates for fresh estimates and takes the least time to the first
+// token.
+class ServerLocator
+{
+public:
+  ServerLocator(HomeService& aHomes, std::uint64_t aSeed);
+
+  // Returns the choice among servers not tried yet; nothing when none of
+  // those asked can serve the request now.
+  [[nodiscard]] std::optional<ServerChoice> Choose(
+    RequestContext& aContext,
+    const PromptBlocks& aBlocks,
+    const std::set<ServerId>& aTried);
+
+private:
+  [[nodiscard]] std::vector<ServerId> Sample(std::vector<ServerId> aServers,
+                                             std::size_t aCount);
+  [[nodiscard]] std::vector<ServerEstimate> Ask(
+    RequestContext& aContext,
+    const PromptBlocks& aBlocks,
+    const std::vector<ServerId>& aServers);
+  [[nodiscard]] std::optional<ServerChoice> Plan(
+    RequestContext& aContext,
+    const PromptBlocks& aBlocks,
+    const std::vector<ServerEstimate>& aEstimates);
+
+  HomeService& mHomes;
+  Random mRandom;
+  std::unique_ptr<PrefixPlanner> mPlanner;
+};
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -0,0 +1,78 @@
+#include "traffic_thread.h"
+
+namespace bilberrytrail {
+
+namespace {
+
+HttpLimits
+MakeLimits(const DaemonSettings& aSettings)
+{
+  HttpLimits limits;
+  limits.mHeaderBytes = aSettings.mHeaderBytes;
+  limits.mBodyBytes = aSettings.mBodyBytes;
+  limits.mReadTime = aSettings.mReadTime;
+  limits.mIdleTime = aSettings.mIdleTime;
+  return limits;
+}
+
+// Requests between daemons carry the caller's body and some fields more.
+HttpLimits
+MakePeerLimits(const DaemonSettings& aSettings)
+{
+  constexpr std::size_t kEnvelopeFactor = 4;
+  HttpLimits limits = MakeLimits(aSettings);
+  limits.mBodyBytes *= kEnvelopeFactor;
+  return limits;
+}
+
+} // namespace
+
+TrafficThread::TrafficThread(const DaemonSettings& aSettings,
+                             PeerSigner& aSigner,
+                             ControlViewHolder& aViews,
+                             HomeService& aHomes,
+                             const RpcMethods& aMethods,
+                             std::uint64_t aSeed)
+  : mSettings(aSettings)
+  , mHomes(aHomes)
+  , mThread(mLoop, aSigner, aSettings.mTable)
+  , mCallers(mThread, aSettings, aViews, aHomes, aSeed)
+  , mPeers(mThread, aSigner, aMethods, aHomes)
+  , mCallerServer(mLoop, MakeLimits(aSettings))
+  , mPeerServer(mLoop, MakePeerLimits(aSettings))
+{
+}
+
+std::size_t
+TrafficThread::ActiveRequests() const noexcept
+{
+  return mCallerServer.ActiveRequests() + mPeerServer.ActiveRequests();
+}
+
+Result<void>
+TrafficThread::Start()
+{
+  if (auto port = mCallerServer.Listen(mSettings.mCallers, true); !port) {
+    return std::move(port).error();
+  }
+  if (auto port = mPeerServer.Listen(mSettings.mPeers, true); !port) {
+    return std::move(port).error();
+  }
+  mCallerServer.Serve(mCallers);
+  mPeerServer.Serve(mPeers);
+  return Ok();
+}
+
+void
+TrafficThread::Run()
+{
+  mLoop.Run();
+}
+
+void
+TrafficThread::StopAccepting()
+{
+  mCallerServer.StopAccepting();
+}
+
+} // namespace bilberrytrail
