Test the fates of adapter calls and the parts of the stand-ins

Building the fault tests showed that numbers of a signed type, made in the program, were taken for malformed; the reader accepts all that are not negative.

--- /dev/null
+++ b/packages/backend/tests/engine_fate_test.cpp
@@ -0,0 +1,148 @@
+#include "fake_server.h"
+
+#include <bilberrytrail/backend/http_backend.h>
+
+using namespace bilberrytrail;
+using namespace bilberrytrail::tests;
+
+namespace {
+
+struct Row
+{
+  const char* mName;
+  FakeAnswer mAnswer;
+  CallFate mFate;
+  ErrorCode mCode;
+};
+
+// Answers without success that mean the same for every call.
+const Row kRefusedRows[] = {
+  { "old fencing number",
+    { .mStatus = 412 },
+    CallFate::NotRun,
+    ErrorCode::Refused },
+  { "version not loaded",
+    { .mStatus = 409 },
+    CallFate::NotRun,
+    ErrorCode::Conflict },
+  { "leaving",
+    { .mStatus = 503, .mHeaders = { { "Not-Run", "true" } } },
+    CallFate::NotRun,
+    ErrorCode::Unavailable },
+  { "unavailable",
+    { .mStatus = 503 },
+    CallFate::Unknown,
+    ErrorCode::Unavailable },
+  { "failed", { .mStatus = 500 }, CallFate::Failed, ErrorCode::Internal },
+  { "cut", { .mCut = true }, CallFate::Unknown, ErrorCode::Unavailable },
+};
+
+// Answers with success that are not of the agreed form.
+const Row kMalformedRows[] = {
+  { "not JSON", { .mBody = "hello" }, CallFate::Unknown, ErrorCode::Corrupt },
+  { "no fields", { .mBody = "{}" }, CallFate::Unknown, ErrorCode::Corrupt },
+};
+
+// Beginnings of an answer that are no head.
+const Row kBadHeadRows[] = {
+  { "ends without a head",
+    { .mBody = ": comment\n\n", .mStream = true },
+    CallFate::Unknown,
+    ErrorCode::Unavailable },
+  { "cut before the head",
+    { .mBody = ": comment\n\n", .mCut = true, .mStream = true },
+    CallFate::Unknown,
+    ErrorCode::Unavailable },
+  { "cut within the head",
+    { .mBody = "data: {\"versi", .mCut = true, .mStream = true },
+    CallFate::Unknown,
+    ErrorCode::Unavailable },
+  { "ends within the head",
+    { .mBody = "data: {\"versi", .mStream = true },
+    CallFate::Unknown,
+    ErrorCode::Corrupt },
+  { "head is not JSON",
+    { .mBody = "data: hello\n\n", .mStream = true },
+    CallFate::Unknown,
+    ErrorCode::Corrupt },
+  { "head without a version",
+    { .mBody = "data: {\"prompt_tokens\":1,\"cached_tokens\":0}\n\n",
+      .mStream = true },
+    CallFate::Unknown,
+    ErrorCode::Corrupt },
+};
+
+GenerateRequest
+MakeRequest()
+{
+  GenerateRequest request;
+  request.mAttempt = AttemptId("a1");
+  request.mModel = ModelId("m");
+  request.mVersion = VersionId("v1");
+  request.mPrompt = "fold";
+  return request;
+}
+
+template<class T>
+void
+CheckError(const Row& aRow, const CallResult<T>& aResult)
+{
+  CAPTURE(aRow.mName);
+  REQUIRE_FALSE(aResult.has_value());
+  CHECK(ToName(aResult.error().mFate) == ToName(aRow.mFate));
+  CHECK(ToName(aResult.error().mError.mCode) == ToName(aRow.mCode));
+}
+
+} // namespace
+
+TEST_CASE("an attempt that does not begin has the fate that is known")
+{
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      const auto engine = MakeHttpEngine(aClient, aEndpoint);
+      const auto run = [&](const Row& aRow) {
+        aHandler.mAnswer = aRow.mAnswer;
+        aHandler.mRequests = 0;
+        CheckError(aRow, engine->Generate(MakeRequest(), 5s));
+        CHECK(aHandler.mRequests == 1);
+      };
+      for (const auto& row : kRefusedRows) {
+        run(row);
+      }
+      for (const auto& row : kBadHeadRows) {
+        run(row);
+      }
+      const auto closed = MakeHttpEngine(aClient, ClosedEndpoint());
+      CHECK(closed->Generate(MakeRequest(), 5s).error().mFate ==
+            CallFate::NotRun);
+      auto request = MakeRequest();
+      request.mPrompt = "\xff";
+      CHECK(engine->Generate(request, 5s).error().mFate == CallFate::NotRun);
+    });
+}
+
+TEST_CASE("the other calls of an engine have the fate that is known")
+{
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      const auto engine = MakeHttpEngine(aClient, aEndpoint);
+      for (const auto& row : kRefusedRows) {
+        aHandler.mAnswer = row.mAnswer;
+        CheckError(row, engine->Cancel(AttemptId("a1"), 5s));
+        CheckError(row, engine->SendOrder(EngineOrder(), 5s));
+        CheckError(row, engine->ReadState(5s));
+        CheckError(row, engine->Subscribe(0, 5s));
+        CheckError(row, engine->ImportBlocks(TransferRequest(), 5s));
+        CheckError(row, engine->ExportBlocks(TransferRequest(), 5s));
+      }
+      for (const auto& row : kMalformedRows) {
+        aHandler.mAnswer = row.mAnswer;
+        CheckError(row, engine->ReadState(5s));
+        CheckError(row, engine->ImportBlocks(TransferRequest(), 5s));
+        CheckError(row, engine->ExportBlocks(TransferRequest(), 5s));
+      }
+      aHandler.mAnswer = { .mBody = "{}" };
+      CHECK(engine->Cancel(AttemptId("a1"), 5s).has_value());
+      CHECK(engine->SendOrder(EngineOrder(), 5s).has_value());
+    });
+}
--- /dev/null
+++ b/packages/backend/tests/generate_stream_test.cpp
@@ -0,0 +1,152 @@
+#include "fake_server.h"
+
+#include <bilberrytrail/backend/http_backend.h>
+
+using namespace bilberrytrail;
+using namespace bilberrytrail::tests;
+
+namespace {
+
+constexpr const char* kHead =
+  "data: {\"version\":\"v1\",\"prompt_tokens\":9,\"cached_tokens\":4}\n\n";
+
+// How reading an answer ends.
+struct Row
+{
+  const char* mName;
+  const char* mBody;
+  bool mCut;
+  // Text of the pieces before the end.
+  const char* mText;
+  bool mEnded;
+  ErrorCode mCode;
+};
+
+const Row kRows[] = {
+  { "whole",
+    "data: {\"attempt\":\"a1\",\"position\":0,\"text\":\"x \"}\n\n"
+    ": comment\n\n"
+    "data: {\"attempt\":\"a1\",\"position\":1,\"text\":\"y \"}\n\n"
+    "data: {\"attempt\":\"a1\",\"position\":2,\"end\":true}\n\n",
+    false,
+    "x y ",
+    true,
+    ErrorCode::Internal },
+  { "stops before the end",
+    "data: {\"attempt\":\"a1\",\"position\":0,\"text\":\"x \"}\n\n",
+    false,
+    "x ",
+    false,
+    ErrorCode::Unavailable },
+  { "cut before the end",
+    "data: {\"attempt\":\"a1\",\"position\":0,\"text\":\"x \"}\n\n",
+    true,
+    "x ",
+    false,
+    ErrorCode::Unavailable },
+  { "cut within a piece",
+    "data: {\"attempt\":\"a1\",\"position\":0,\"te",
+    true,
+    "",
+    false,
+    ErrorCode::Unavailable },
+  { "an end of false is no end",
+    "data: "
+    "{\"attempt\":\"a1\",\"position\":0,\"end\":false,\"text\":\"x\"}\n\n",
+    false,
+    "x",
+    false,
+    ErrorCode::Unavailable },
+  { "not JSON", "data: {\n\n", false, "", false, ErrorCode::Corrupt },
+  { "text is no text",
+    "data: {\"attempt\":\"a1\",\"position\":0,\"text\":1}\n\n",
+    false,
+    "",
+    false,
+    ErrorCode::Corrupt },
+  { "no attempt",
+    "data: {\"position\":0,\"text\":\"x\"}\n\n",
+    false,
+    "",
+    false,
+    ErrorCode::Corrupt },
+  { "position below 0",
+    "data: {\"attempt\":\"a1\",\"position\":-1,\"text\":\"x\"}\n\n",
+    false,
+    "",
+    false,
+    ErrorCode::Corrupt },
+};
+
+} // namespace
+
+TEST_CASE("an answer is read up to its end or to what broke it")
+{
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      const auto engine = MakeHttpEngine(aClient, aEndpoint);
+      for (const auto& row : kRows) {
+        CAPTURE(row.mName);
+        aHandler.mAnswer = { .mBody = std::string(kHead) + row.mBody,
+                             .mCut = row.mCut,
+                             .mStream = true };
+        const auto stream = engine->Generate(GenerateRequest(), 5s);
+        REQUIRE(stream.has_value());
+        CHECK(stream.value()->Head().mCachedTokens == 4);
+        std::string text;
+        auto chunk = stream.value()->Next(5s);
+        while (chunk && !chunk.value().mEnd) {
+          text += chunk.value().mText;
+          chunk = stream.value()->Next(5s);
+        }
+        CHECK(text == row.mText);
+        REQUIRE(chunk.has_value() == row.mEnded);
+        if (!row.mEnded) {
+          CHECK(ToName(chunk.error().mCode) == ToName(row.mCode));
+        }
+        CHECK_FALSE(stream.value()->Next(5s).has_value());
+      }
+    });
+}
+
+TEST_CASE("a piece of another attempt is handed on with its id")
+{
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      aHandler.mAnswer = {
+        .mBody = std::string(kHead) +
+                 "data: {\"attempt\":\"a2\",\"position\":7,\"text\":\"z\"}\n\n",
+        .mStream = true
+      };
+      const auto engine = MakeHttpEngine(aClient, aEndpoint);
+      const auto stream = engine->Generate(GenerateRequest(), 5s);
+      REQUIRE(stream.has_value());
+      const auto chunk = stream.value()->Next(5s);
+      CHECK(chunk.value().mAttempt == AttemptId("a2"));
+      CHECK(chunk.value().mPosition == 7);
+    });
+}
+
+TEST_CASE("events are read in order with their sequence numbers")
+{
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      aHandler.mAnswer = { .mBody =
+                             "data: {\"kind\":\"block_cached\",\"sequence\":4,"
+                             "\"blocks\":[18446744073709551615]}\n\n"
+                             "data: {\"kind\":\"load\",\"sequence\":6}\n\n",
+                           .mStream = true };
+      const auto engine = MakeHttpEngine(aClient, aEndpoint);
+      const auto events = engine->Subscribe(3, 5s);
+      REQUIRE(events.has_value());
+      CHECK(aHandler.mLast.mTarget == "/events?after=3");
+      const auto cached = events.value()->Next(5s);
+      REQUIRE(cached.has_value());
+      CHECK(cached.value().mSequence == 4);
+      CHECK(cached.value().mBlocks[0] == BlockId(18446744073709551615ULL));
+      const auto load = events.value()->Next(5s);
+      CHECK(load.error().mCode == ErrorCode::Corrupt);
+      const auto end = events.value()->Next(5s);
+      CHECK(end.error().mCode == ErrorCode::Unavailable);
+    });
+}
--- a/packages/platform/src/json_fields.cpp
+++ b/packages/platform/src/json_fields.cpp
@@ -20,6 +20,15 @@
   return empty;
 }
 
+// Numbers read from a text are unsigned unless negative; those built in the
+// program can be of a signed type.
+bool
+IsUnsigned(const Json& aJson)
+{
+  return aJson.is_number_unsigned() ||
+         (aJson.is_number_integer() && aJson.get<std::int64_t>() >= 0);
+}
+
 } // namespace
 
 Result<Json>
@@ -163,7 +172,7 @@
 JsonFields::UnsignedUpTo(std::string_view aName, std::uint64_t aMost)
 {
   const auto* field = Find(aName);
-  if (field == nullptr || !field->is_number_unsigned() ||
+  if (field == nullptr || !IsUnsigned(*field) ||
       field->get<std::uint64_t>() > aMost) {
     Reject(aName);
     return 0;
--- /dev/null
+++ b/packages/platform/tests/call_fate_test.cpp
@@ -0,0 +1,274 @@
+#include "fake_server.h"
+
+#include <bilberrytrail/platform/http_platform.h>
+
+using namespace bilberrytrail;
+using namespace bilberrytrail::tests;
+
+namespace {
+
+struct Row
+{
+  const char* mName;
+  FakeAnswer mAnswer;
+  bool mDone;
+  CallFate mFate;
+  ErrorCode mCode;
+};
+
+constexpr auto kAnyFate = CallFate::Unknown;
+constexpr auto kAnyCode = ErrorCode::Internal;
+
+// Answers that mean the same for every call.
+const Row kCommonRows[] = {
+  { "bad request",
+    { .mStatus = 400, .mBody = "{}" },
+    false,
+    CallFate::NotRun,
+    ErrorCode::InvalidInput },
+  { "unauthorized",
+    { .mStatus = 401 },
+    false,
+    CallFate::NotRun,
+    ErrorCode::Unauthorized },
+  { "too many",
+    { .mStatus = 429 },
+    false,
+    CallFate::NotRun,
+    ErrorCode::Exhausted },
+  { "unavailable, said to be not run",
+    { .mStatus = 503, .mHeaders = { { "Not-Run", "true" } } },
+    false,
+    CallFate::NotRun,
+    ErrorCode::Unavailable },
+  { "unavailable, said to be run",
+    { .mStatus = 503, .mHeaders = { { "Not-Run", "false" } } },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Unavailable },
+  { "unavailable",
+    { .mStatus = 503 },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Unavailable },
+  { "failed",
+    { .mStatus = 500 },
+    false,
+    CallFate::Failed,
+    ErrorCode::Internal },
+  { "bad gateway",
+    { .mStatus = 502 },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Unknown },
+  { "gateway timeout, said to be not run",
+    { .mStatus = 504, .mHeaders = { { "Not-Run", "true" } } },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Unknown },
+  { "cut before the answer",
+    { .mCut = true },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Unavailable },
+  { "cut within the answer",
+    { .mBody = "{\"comm", .mCut = true, .mStream = true },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Unavailable },
+};
+
+// Answers that are not of the agreed form.
+const Row kMalformedRows[] = {
+  { "not JSON",
+    { .mBody = "<html>" },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Corrupt },
+  { "empty body",
+    { .mBody = "" },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Corrupt },
+  { "not an object",
+    { .mBody = "[1]" },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Corrupt },
+  { "fields missing",
+    { .mBody = "{}" },
+    false,
+    CallFate::Unknown,
+    ErrorCode::Corrupt },
+};
+
+template<class T>
+void
+CheckRow(const Row& aRow, const CallResult<T>& aResult)
+{
+  CAPTURE(aRow.mName);
+  REQUIRE(aResult.has_value() == aRow.mDone);
+  if (!aRow.mDone) {
+    CHECK(ToName(aResult.error().mFate) == ToName(aRow.mFate));
+    CHECK(ToName(aResult.error().mError.mCode) == ToName(aRow.mCode));
+  }
+}
+
+} // namespace
+
+TEST_CASE("a commit has the fate that the answer states")
+{
+  const Row own[] = {
+    { "committed",
+      { .mBody = R"({"committed":true,"current":[]})" },
+      true,
+      kAnyFate,
+      kAnyCode },
+    { "conflict is an answer",
+      { .mBody = R"({"committed":false,"current":[
+           {"key":"a","value":"x","version":3}]})" },
+      true,
+      kAnyFate,
+      kAnyCode },
+    { "version is a text",
+      { .mBody = R"({"committed":false,"current":[
+           {"key":"a","value":"x","version":"3"}]})" },
+      false,
+      CallFate::Unknown,
+      ErrorCode::Corrupt },
+    { "version is negative",
+      { .mBody = R"({"committed":false,"current":[
+           {"key":"a","value":"x","version":-1}]})" },
+      false,
+      CallFate::Unknown,
+      ErrorCode::Corrupt },
+  };
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      const auto table = MakeHttpTableService(aClient, aEndpoint);
+      const auto run = [&](const Row& aRow) {
+        aHandler.mAnswer = aRow.mAnswer;
+        aHandler.mRequests = 0;
+        CheckRow(aRow, table->Commit({ { "a", "x", 2 } }, 5s));
+        CHECK(aHandler.mRequests == 1);
+      };
+      for (const auto& row : own) {
+        run(row);
+      }
+      for (const auto& row : kCommonRows) {
+        run(row);
+      }
+      for (const auto& row : kMalformedRows) {
+        run(row);
+      }
+    });
+}
+
+TEST_CASE("a row is read, absent or refused")
+{
+  const Row own[] = {
+    { "present",
+      { .mBody = R"({"row":{"key":"a","value":"x","version":3}})" },
+      true,
+      kAnyFate,
+      kAnyCode },
+    { "absent", { .mBody = R"({"row":null})" }, true, kAnyFate, kAnyCode },
+    { "no such path is not an absent row",
+      { .mStatus = 404 },
+      false,
+      CallFate::NotRun,
+      ErrorCode::NotFound },
+  };
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      const auto table = MakeHttpTableService(aClient, aEndpoint);
+      const auto run = [&](const Row& aRow) {
+        aHandler.mAnswer = aRow.mAnswer;
+        CheckRow(aRow, table->Read("a", 5s));
+      };
+      for (const auto& row : own) {
+        run(row);
+      }
+      for (const auto& row : kCommonRows) {
+        run(row);
+      }
+      for (const auto& row : kMalformedRows) {
+        run(row);
+      }
+      aHandler.mAnswer = own[0].mAnswer;
+      CHECK(table->Read("a", 5s).value()->mVersion == 3);
+      aHandler.mAnswer = own[1].mAnswer;
+      CHECK_FALSE(table->Read("a", 5s).value().has_value());
+    });
+}
+
+TEST_CASE("a scan and the VM list have the fate that the answer states")
+{
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      const auto table = MakeHttpTableService(aClient, aEndpoint);
+      const auto list = MakeHttpVmList(aClient, aEndpoint);
+      const auto run = [&](const Row& aRow) {
+        aHandler.mAnswer = aRow.mAnswer;
+        CheckRow(aRow, table->Scan("a", 10, 5s));
+        CheckRow(aRow, list->Fetch(5s));
+      };
+      for (const auto& row : kCommonRows) {
+        run(row);
+      }
+      for (const auto& row : kMalformedRows) {
+        run(row);
+      }
+    });
+}
+
+TEST_CASE("an object is read, absent or refused, and any bytes are kept")
+{
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      const auto objects = MakeHttpObjectStore(aClient, aEndpoint);
+      for (const auto& row : kCommonRows) {
+        aHandler.mAnswer = row.mAnswer;
+        CheckRow(row, objects->Get("k", 5s));
+        CheckRow(row, objects->Put("k", "b", 5s));
+      }
+      const std::string bytes("\0\xff\r\n", 4);
+      aHandler.mAnswer = { .mBody = bytes };
+      CHECK(objects->Get("a/b c", 5s).value() == bytes);
+      CHECK(aHandler.mLast.mTarget == "/objects/a%2Fb%20c");
+      REQUIRE(objects->Put("k", bytes, 5s).has_value());
+      CHECK(aHandler.mLast.mBody == bytes);
+      aHandler.mAnswer = { .mStatus = 404 };
+      CHECK_FALSE(objects->Get("k", 5s).value().has_value());
+      CHECK(objects->Put("k", "b", 5s).error().mFate == CallFate::NotRun);
+    });
+}
+
+TEST_CASE("a call that was never sent is not run")
+{
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      const auto closed = MakeHttpTableService(aClient, ClosedEndpoint());
+      CHECK(closed->Commit({}, 5s).error().mFate == CallFate::NotRun);
+
+      const auto table = MakeHttpTableService(aClient, aEndpoint);
+      const auto outcome = table->Commit({ { "k", "\xff", 0 } }, 5s);
+      CHECK(outcome.error().mFate == CallFate::NotRun);
+      CHECK(outcome.error().mError.mCode == ErrorCode::InvalidInput);
+      CHECK(aHandler.mRequests == 0);
+    });
+}
+
+TEST_CASE("a call whose answer is late is unknown")
+{
+  WithFakeServer(
+    [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
+      aHandler.mAnswer = { .mBody = R"({"committed":true,"current":[]})",
+                           .mDelay = 10s };
+      const auto table = MakeHttpTableService(aClient, aEndpoint);
+      const auto outcome = table->Commit({}, 20ms);
+      REQUIRE_FALSE(outcome.has_value());
+      CHECK(outcome.error().mFate == CallFate::Unknown);
+      CHECK(outcome.error().mError.mCode == ErrorCode::Timeout);
+    });
+}
--- /dev/null
+++ b/packages/platform/tests/platform_json_test.cpp
@@ -0,0 +1,64 @@
+#include <bilberrytrail/platform/platform_json.h>
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+
+namespace {
+
+VmEntry
+MakeEntry()
+{
+  VmEntry entry;
+  entry.mName = "e1";
+  entry.mRole = VmRole::Engine;
+  entry.mProduct = ProductId("brotlag");
+  entry.mGroup = "assistant";
+  entry.mZone = ZoneId("nordur-1");
+  entry.mEndpoint = { "10.0.0.1", 65535 };
+  entry.mLeaving = true;
+  entry.mChecksFencing = true;
+  return entry;
+}
+
+} // namespace
+
+TEST_CASE("a VM entry comes back as it was written")
+{
+  const auto entry = MakeEntry();
+  const auto read = ReadVmEntry(ToJson(entry));
+  REQUIRE(read.has_value());
+  CHECK(read.value().mName == entry.mName);
+  CHECK(read.value().mRole == entry.mRole);
+  CHECK(read.value().mProduct == entry.mProduct);
+  CHECK(read.value().mGroup == entry.mGroup);
+  CHECK(read.value().mZone == entry.mZone);
+  CHECK(read.value().mEndpoint == entry.mEndpoint);
+  CHECK(read.value().mLeaving);
+  CHECK(read.value().mChecksFencing);
+}
+
+TEST_CASE("a VM entry with a bad field is corrupt")
+{
+  const std::pair<const char*, Json> rows[] = {
+    { "role", "driver" }, { "role", 1 },          { "port", 65536 },
+    { "port", -1 },       { "leaving", "no" },    { "zone", nullptr },
+    { "host", 7 },        { "product", Json({}) }
+  };
+  for (const auto& [field, value] : rows) {
+    CAPTURE(field);
+    auto json = ToJson(MakeEntry());
+    json[field] = value;
+    const auto read = ReadVmEntry(json);
+    REQUIRE_FALSE(read.has_value());
+    CHECK(read.error().mCode == ErrorCode::Corrupt);
+  }
+}
+
+TEST_CASE("numbers of 64 bits are exact")
+{
+  const TableRow row{ "k", "v", 0xffff'ffff'ffff'ffffULL };
+  const auto text = WriteJson(ToJson(row));
+  const auto read = ReadTableRow(ParseJson(text.value()).value());
+  CHECK(read.value().mVersion == row.mVersion);
+}
