--- a/packages/platform/src/json_fields.cpp
+++ b/packages/platform/src/json_fields.cpp
@@ -9,15 +9,15 @@
 const Json&
 EmptyArray()
 {
-  static const Json empty = Json::array();
-  return empty;
+  static const Json kEmpty = Json::array();
+  return kEmpty;
 }
 
 const Json&
 EmptyObject()
 {
-  static const Json empty = Json::object();
-  return empty;
+  static const Json kEmpty = Json::object();
+  return kEmpty;
 }
 
 // Numbers read from a text are unsigned unless negative; those built in the
--- a/packages/platform/tests/platform_json_test.cpp
+++ b/packages/platform/tests/platform_json_test.cpp
@@ -40,15 +40,20 @@
 
 TEST_CASE("a VM entry with a bad field is corrupt")
 {
-  const std::pair<const char*, Json> rows[] = {
+  struct Row
+  {
+    const char* mField;
+    Json mValue;
+  };
+  const Row rows[] = {
     { "role", "driver" }, { "role", 1 },          { "port", 65536 },
     { "port", -1 },       { "leaving", "no" },    { "zone", nullptr },
     { "host", 7 },        { "product", Json({}) }
   };
-  for (const auto& [field, value] : rows) {
-    CAPTURE(field);
+  for (const auto& row : rows) {
+    CAPTURE(row.mField);
     auto json = ToJson(MakeEntry());
-    json[field] = value;
+    json[row.mField] = row.mValue;
     const auto read = ReadVmEntry(json);
     REQUIRE_FALSE(read.has_value());
     CHECK(read.error().mCode == ErrorCode::Corrupt);
--- a/standins/src/common/options.cpp
+++ b/standins/src/common/options.cpp
@@ -68,9 +68,9 @@
 const std::string&
 Options::Text(std::string_view aName) const
 {
-  static const std::string none;
+  static const std::string kNone;
   const auto it = mValues.find(aName);
-  return it == mValues.end() ? none : it->second;
+  return it == mValues.end() ? kNone : it->second;
 }
 
 std::uint64_t
--- a/standins/tests/common_parts_test.cpp
+++ b/standins/tests/common_parts_test.cpp
@@ -28,6 +28,7 @@
   };
   aArguments.insert(aArguments.begin(), "program");
   std::vector<char*> pointers;
+  pointers.reserve(aArguments.size() + 1);
   for (auto& argument : aArguments) {
     pointers.push_back(argument.data());
   }
--- a/standins/tests/engine_parts_test.cpp
+++ b/standins/tests/engine_parts_test.cpp
@@ -27,6 +27,7 @@
 Sequences(const std::vector<EngineEvent>& aEvents)
 {
   std::vector<std::uint64_t> numbers;
+  numbers.reserve(aEvents.size());
   for (const auto& event : aEvents) {
     numbers.push_back(event.mSequence);
   }
