--- a/packages/release/src/reconcile.cpp
+++ b/packages/release/src/reconcile.cpp
@@ -238,7 +238,8 @@
     auto operator<=>(const Candidate&) const = default;
   };
   std::vector<Candidate> candidates;
-  for (const auto& [id, model] : mPlacement) {
+  for (const auto& [id, placedModel] : mPlacement) {
+    const ModelId& model = placedModel;
     const VersionId& version = aState.mModels.at(model).mVersion;
     const EngineState& state = *aUsable.at(id)->mState;
     if (IsServing(state, model, version) || IsLoading(state) ||
--- a/packages/release/src/release_note.cpp
+++ b/packages/release/src/release_note.cpp
@@ -349,9 +349,10 @@
   Result<void> CheckOnce(std::vector<NoteItem<Fields>>& aItems,
                          std::string_view aKind)
   {
-    std::sort(aItems.begin(), aItems.end(), [](const auto& a, const auto& b) {
-      return a.mLine < b.mLine;
-    });
+    std::sort(
+      aItems.begin(), aItems.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.mLine < aRight.mLine;
+      });
     std::map<std::string, NoteVerb> seen;
     for (const auto& it : aItems) {
       const auto [found, isNew] = seen.emplace(it.mName, it.mVerb);
