Share a lane by start-time fair queueing with a bounded burst

Cause: with deficit round robin a small account's second request in a short time waits for turns of the large one. The queue is split into three sources.

--- a/packages/traffic/include/bilberrytrail/traffic/server_queue.h
+++ b/packages/traffic/include/bilberrytrail/traffic/server_queue.h
@@ -77,8 +77,8 @@
   std::size_t mMaxWaiting = 512;
   // Entries that are paused at once.
   std::size_t mMaxPaused = 16;
-  // Tokens that an account may start in each turn of its lane.
-  double mQuantumTokens = 256;
+  // Tokens that an account which started little may start ahead of others.
+  double mBurstTokens = 8192;
   // A draft that runs longer than this multiple of its estimate is demoted.
   double mDemotionFactor = 2;
   // Shortest run of a demoted draft between two pauses.
@@ -131,8 +131,8 @@
   [[nodiscard]] virtual std::vector<QueueEntry> Drain(Instant aNow) = 0;
 };
 
-// Returns a queue with lanes by work class, deficit round robin by client
-// account inside a lane, and refusal by predicted wait.
+// Returns a queue with lanes by work class, fair sharing among client
+// accounts by estimated tokens inside a lane, and refusal by predicted wait.
 [[nodiscard]] std::unique_ptr<ServerQueue>
 MakeFairServerQueue(const QueueSettings& aSettings);
 
--- a/packages/traffic/src/fair_lane.cpp
+++ b/packages/traffic/src/fair_lane.cpp
@@ -1,8 +1,6 @@
 #include "fair_lane.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 
 namespace bilberrytrail {
 
@@ -60,9 +58,13 @@
 FairLane::Push(QueueEntry aEntry)
 {
   aEntry.mCostTokens = std::max(1.0, aEntry.mCostTokens);
-  auto [it, isNew] = mAccounts.try_emplace(aEntry.mAccount);
+  const bool isNew = !mAccounts.contains(aEntry.mAccount);
+  const double tag = StartTagOf(aEntry.mAccount);
+  const auto it = mAccounts.try_emplace(aEntry.mAccount).first;
   if (isNew) {
-    mTurns.push_back(aEntry.mAccount);
+    it->second.mStartTag = tag;
+    it->second.mOrder = mNextOrder++;
+    mIdleTags.erase(aEntry.mAccount);
   }
   it->second.mService += aEntry.mService;
   it->second.mEntries.push_back(std::move(aEntry));
@@ -72,26 +74,19 @@
 QueueEntry
 FairLane::Pop()
 {
-  for (std::size_t visited = 0;; ++visited) {
-    if (visited == mTurns.size()) {
-      SkipIdleRounds();
-      visited = 0;
-    }
-    const auto it = mAccounts.find(mTurns.front());
-    auto& account = it->second;
-    if (!mTurnBegun) {
-      account.mDeficit += mQuantumTokens;
-      mTurnBegun = true;
-    }
-    const double cost = account.mEntries.front().mCostTokens;
-    if (cost <= account.mDeficit) {
-      account.mDeficit -= cost;
-      return TakeAt(it, 0);
-    }
-    mTurns.push_back(mTurns.front());
-    mTurns.pop_front();
-    mTurnBegun = false;
-  }
+  const auto it = std::min_element(
+    mAccounts.begin(),
+    mAccounts.end(),
+    [](const auto& aLeft, const auto& aRight) {
+      return std::pair(aLeft.second.mStartTag, aLeft.second.mOrder) <
+             std::pair(aRight.second.mStartTag, aRight.second.mOrder);
+    });
+  mVirtualTime = std::max(mVirtualTime, it->second.mStartTag);
+  it->second.mStartTag += it->second.mEntries.front().mCostTokens;
+  std::erase_if(mIdleTags, [&](const auto& aIdle) {
+    return aIdle.second <= mVirtualTime - mBurstTokens;
+  });
+  return TakeAt(it, 0);
 }
 
 std::optional<QueueEntry>
@@ -144,15 +139,29 @@
   return RemoveIf([](const QueueEntry&, Duration) { return true; });
 }
 
+double
+FairLane::StartTagOf(const AccountId& aAccount) const
+{
+  if (const auto it = mAccounts.find(aAccount); it != mAccounts.end()) {
+    return it->second.mStartTag;
+  }
+  const double earliest = mVirtualTime - mBurstTokens;
+  const auto idle = mIdleTags.find(aAccount);
+  return idle == mIdleTags.end() ? earliest : std::max(earliest, idle->second);
+}
+
 Duration
 FairLane::WorkOfOthers(const AccountId& aAccount, Duration aOwn) const
 {
+  const double tag = StartTagOf(aAccount);
   Duration work{};
   for (const auto& [id, account] : mAccounts) {
-    if (id != aAccount) {
-      work +=
-        std::min(account.mService, aOwn + account.mEntries.front().mService);
+    if (id == aAccount) {
+      continue;
     }
+    const bool isAhead = account.mStartTag <= tag;
+    const auto head = isAhead ? account.mEntries.front().mService : Duration();
+    work += std::min(account.mService, aOwn + head);
   }
   return work;
 }
@@ -160,32 +169,20 @@
 QueueEntry
 FairLane::TakeAt(Accounts::iterator aAccount, std::size_t aIndex)
 {
-  auto& entries = aAccount->second.mEntries;
-  const auto at = entries.begin() + static_cast<std::ptrdiff_t>(aIndex);
+  auto& account = aAccount->second;
+  const auto at =
+    account.mEntries.begin() + static_cast<std::ptrdiff_t>(aIndex);
   QueueEntry entry = std::move(*at);
-  entries.erase(at);
-  aAccount->second.mService -= entry.mService;
+  account.mEntries.erase(at);
+  account.mService -= entry.mService;
   --mSize;
-  if (entries.empty()) {
-    const auto turn = std::find(mTurns.begin(), mTurns.end(), aAccount->first);
-    mTurnBegun = mTurnBegun && turn != mTurns.begin();
-    mTurns.erase(turn);
+  if (account.mEntries.empty()) {
+    if (account.mStartTag > mVirtualTime - mBurstTokens) {
+      mIdleTags[aAccount->first] = account.mStartTag;
+    }
     mAccounts.erase(aAccount);
   }
   return entry;
 }
 
-void
-FairLane::SkipIdleRounds()
-{
-  double rounds = std::numeric_limits<double>::max();
-  for (const auto& [id, account] : mAccounts) {
-    const double lack = account.mEntries.front().mCostTokens - account.mDeficit;
-    rounds = std::min(rounds, std::ceil(lack / mQuantumTokens) - 1);
-  }
-  for (auto& [id, account] : mAccounts) {
-    account.mDeficit += std::max(0.0, rounds) * mQuantumTokens;
-  }
-}
-
 } // namespace bilberrytrail
--- a/packages/traffic/src/fair_lane.h
+++ b/packages/traffic/src/fair_lane.h
@@ -9,12 +9,16 @@
 namespace bilberrytrail {
 
 // The waiting entries of one work class: a queue per client account, served
-// by deficit round robin with cost in estimated tokens.
+// by start-time fair queueing with cost in estimated tokens. Each account has
+// a start tag, which grows by the cost of each entry that it starts; the
+// account with the least tag is next. An account that has started little
+// enters up to the burst ahead of the others, which bounds what it can gain by
+// having waited with its requests.
 class FairLane
 {
 public:
-  explicit FairLane(double aQuantumTokens) noexcept
-    : mQuantumTokens(aQuantumTokens)
+  explicit FairLane(double aBurstTokens) noexcept
+    : mBurstTokens(aBurstTokens)
   {
   }
 
@@ -46,22 +50,25 @@
   {
     std::deque<QueueEntry> mEntries;
     Duration mService{};
-    double mDeficit = 0;
+    double mStartTag = 0;
+    // Order in which accounts came, for equal tags.
+    std::uint64_t mOrder = 0;
   };
   using Accounts = std::map<AccountId, Account>;
 
+  // Returns the tag at which the account is, or would enter.
+  [[nodiscard]] double StartTagOf(const AccountId& aAccount) const;
   [[nodiscard]] Duration WorkOfOthers(const AccountId& aAccount,
                                       Duration aOwn) const;
   QueueEntry TakeAt(Accounts::iterator aAccount, std::size_t aIndex);
-  // Gives each account the deficit of as many turns as none can start in.
-  void SkipIdleRounds();
 
-  double mQuantumTokens;
+  double mBurstTokens;
   Accounts mAccounts;
-  // Accounts with waiting entries in the order of their turns.
-  std::deque<AccountId> mTurns;
-  // Whether the first account has had the quantum of its present turn.
-  bool mTurnBegun = false;
+  // Tags of accounts with nothing waiting, where they bar the full burst.
+  std::map<AccountId, double> mIdleTags;
+  // Largest start tag of the entries started so far.
+  double mVirtualTime = 0;
+  std::uint64_t mNextOrder = 0;
   std::size_t mSize = 0;
 };
 
--- a/packages/traffic/src/fair_server_queue.cpp
+++ b/packages/traffic/src/fair_server_queue.cpp
@@ -5,25 +5,12 @@
 namespace bilberrytrail {
 namespace {
 
-// Weight of one observation in the ratio of observed to estimated time.
-constexpr double kRatioWeight = 0.05;
-constexpr double kMinRatio = 0.1;
-constexpr double kMaxRatio = 10;
-// An entry past its estimate is expected to run on for this part of it.
-constexpr double kOverdueShare = 0.25;
 // A waiting entry is refused when this part of its predicted wait is already
 // too long, so that small errors of the prediction refuse nobody.
 constexpr double kHopelessShare = 0.8;
-constexpr Duration kMinRetryAfter = 50ms;
 // Time between two checks of the waiting entries.
 constexpr Duration kTickPeriod = 20ms;
 
-Duration
-Scale(Duration aLength, double aFactor)
-{
-  return std::chrono::duration_cast<Duration>(aLength * aFactor);
-}
-
 } // namespace
 
 std::unique_ptr<ServerQueue>
@@ -34,9 +21,9 @@
 
 FairServerQueue::FairServerQueue(const QueueSettings& aSettings)
   : mSettings(aSettings)
-  , mLanes{ FairLane(aSettings.mQuantumTokens),
-            FairLane(aSettings.mQuantumTokens),
-            FairLane(aSettings.mQuantumTokens) }
+  , mLanes{ FairLane(aSettings.mBurstTokens),
+            FairLane(aSettings.mBurstTokens),
+            FairLane(aSettings.mBurstTokens) }
 {
   mServiceRatio.fill(1.0);
 }
@@ -51,13 +38,6 @@
   return n;
 }
 
-Duration
-FairServerQueue::PredictWait(const QueueEntry& aEntry, Instant aNow) const
-{
-  const auto& lane = LaneOf(aEntry.mClass);
-  return WaitBehind(lane.WorkAhead(aEntry.mAccount), aEntry.mClass, aNow);
-}
-
 std::optional<Instant>
 FairServerQueue::NextTick(Instant aNow) const
 {
@@ -216,24 +196,6 @@
     }));
 }
 
-std::uint32_t
-FairServerQueue::SlotsFor(WorkClass aClass) const noexcept
-{
-  const auto drafts = RunningDrafts();
-  const auto shorts = static_cast<std::uint32_t>(mRunning.size()) - drafts;
-  const auto others = IsShortWork(aClass) ? drafts : shorts;
-  const auto left = mSettings.mSlots > others ? mSettings.mSlots - others : 1;
-  return IsShortWork(aClass) ? left : std::min(left, DraftSlots());
-}
-
-std::uint32_t
-FairServerQueue::DraftSlots() const noexcept
-{
-  return mSettings.mSlots > mSettings.mShortSlots
-           ? mSettings.mSlots - mSettings.mShortSlots
-           : 1;
-}
-
 Duration
 FairServerQueue::Ran(const RunningEntry& aRunning, Instant aNow) const noexcept
 {
@@ -258,45 +220,6 @@
          });
 }
 
-Duration
-FairServerQueue::WaitBehind(Duration aWorkAhead,
-                            WorkClass aClass,
-                            Instant aNow) const
-{
-  const double ratio = mServiceRatio.at(static_cast<std::size_t>(aClass));
-  const auto slots = SlotsFor(aClass);
-  Duration work = Scale(aWorkAhead, ratio);
-  std::uint32_t inUse = 0;
-  for (const auto& [ticket, running] : mRunning) {
-    if (IsShortWork(running.mEntry.mClass) != IsShortWork(aClass)) {
-      continue;
-    }
-    const auto expected = Scale(running.mEntry.mService, ratio);
-    work +=
-      std::max(expected - Ran(running, aNow), Scale(expected, kOverdueShare));
-    ++inUse;
-  }
-  if (inUse < slots && aWorkAhead == Duration()) {
-    return Duration();
-  }
-  return work / slots;
-}
-
-RefuseAction
-FairServerQueue::RefusalFor(const QueueEntry& aEntry,
-                            RefusalReason aReason,
-                            Instant aNow) const
-{
-  const auto wait = PredictWait(aEntry, aNow);
-  auto retryAfter = wait;
-  if (aReason == RefusalReason::DeadlineTooShort) {
-    const auto excess =
-      aNow + wait - LatestStart(aEntry, mSettings.mServiceMargin);
-    retryAfter = std::min(wait, std::max(Duration(), excess));
-  }
-  return { aEntry.mTicket, aReason, std::max(retryAfter, kMinRetryAfter) };
-}
-
 bool
 FairServerQueue::EvictFor(const QueueEntry& aEntry,
                           Instant aNow,
@@ -349,136 +272,4 @@
   });
 }
 
-bool
-FairServerQueue::IsDraftDue(Instant aNow) const
-{
-  const auto drafts = RunningDrafts();
-  if (drafts >= std::min(mSettings.mDraftSlots, DraftSlots())) {
-    return false;
-  }
-  const bool waits =
-    !LaneOf(WorkClass::Draft).IsEmpty() ||
-    std::any_of(mPaused.begin(), mPaused.end(), [&](const auto& aPaused) {
-      return aNow - aPaused.second.mSince >= mSettings.mMaxPause;
-    });
-  const auto spare = mSettings.mSlots - mRunning.size();
-  return waits && spare <= mSettings.mDraftSlots - drafts;
-}
-
-void
-FairServerQueue::FillSlots(Instant aNow, QueueActions& aActions)
-{
-  while (mRunning.size() < mSettings.mSlots) {
-    if (!IsDraftDue(aNow) && GrantShort(aNow, aActions)) {
-      continue;
-    }
-    if (RunningDrafts() < DraftSlots() && GrantDraft(aNow, aActions)) {
-      continue;
-    }
-    return;
-  }
-}
-
-void
-FairServerQueue::Grant(QueueEntry aEntry, Instant aNow, QueueActions& aActions)
-{
-  if (aNow >= aEntry.mDeadline) {
-    aActions.emplace_back(
-      RefusalFor(aEntry, RefusalReason::DeadlinePassed, aNow));
-    return;
-  }
-  const auto ticket = aEntry.mTicket;
-  mRunning.emplace(ticket, RunningEntry{ std::move(aEntry), aNow });
-  aActions.emplace_back(GrantAction{ ticket });
-}
-
-bool
-FairServerQueue::GrantShort(Instant aNow, QueueActions& aActions)
-{
-  if (!HasWaitingShort()) {
-    return false;
-  }
-  if (LaneOf(mNextShort).IsEmpty()) {
-    mNextShort =
-      mNextShort == WorkClass::Read ? WorkClass::Short : WorkClass::Read;
-  }
-  const auto granted = mNextShort;
-  mNextShort = granted == WorkClass::Read ? WorkClass::Short : WorkClass::Read;
-  Grant(LaneOf(granted).Pop(), aNow, aActions);
-  return true;
-}
-
-bool
-FairServerQueue::GrantDraft(Instant aNow, QueueActions& aActions)
-{
-  if (ResumePaused(mSettings.mMaxPause, aNow, aActions)) {
-    return true;
-  }
-  auto& lane = LaneOf(WorkClass::Draft);
-  if (lane.IsEmpty()) {
-    return ResumePaused(Duration(), aNow, aActions);
-  }
-  Grant(lane.Pop(), aNow, aActions);
-  return true;
-}
-
-bool
-FairServerQueue::ResumePaused(Duration aMinPause,
-                              Instant aNow,
-                              QueueActions& aActions)
-{
-  const auto it = std::min_element(
-    mPaused.begin(), mPaused.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.mSince < aRight.second.mSince;
-    });
-  if (it == mPaused.end() || aNow - it->second.mSince < aMinPause) {
-    return false;
-  }
-  const auto ticket = it->first;
-  mRunning.emplace(
-    ticket,
-    RunningEntry{ std::move(it->second.mEntry), aNow, it->second.mRanBefore });
-  mPaused.erase(it);
-  aActions.emplace_back(ResumeAction{ ticket });
-  return true;
-}
-
-void
-FairServerQueue::PauseDemoted(Instant aNow, QueueActions& aActions)
-{
-  std::vector<RunningEntry*> demoted;
-  std::size_t pausing = 0;
-  for (auto& [ticket, running] : mRunning) {
-    pausing += running.mPausing ? 1 : 0;
-    if (!running.mPausing && IsDemoted(running, aNow) &&
-        aNow - running.mStarted >= mSettings.mMinRun) {
-      demoted.push_back(&running);
-    }
-  }
-  std::sort(demoted.begin(), demoted.end(), [&](auto* aLeft, auto* aRight) {
-    return Ran(*aLeft, aNow) > Ran(*aRight, aNow);
-  });
-  const auto waiting = Waiting();
-  for (auto* running : demoted) {
-    if (pausing >= waiting ||
-        mPaused.size() + pausing >= mSettings.mMaxPaused) {
-      return;
-    }
-    running->mPausing = true;
-    ++pausing;
-    aActions.emplace_back(PauseAction{ running->mEntry.mTicket });
-  }
-}
-
-void
-FairServerQueue::Learn(const RunningEntry& aRunning, Instant aNow)
-{
-  const auto service = std::max(aRunning.mEntry.mService, Duration(1));
-  const double observed = static_cast<double>(Ran(aRunning, aNow).count()) /
-                          static_cast<double>(service.count());
-  auto& ratio =
-    mServiceRatio.at(static_cast<std::size_t>(aRunning.mEntry.mClass));
-  ratio += kRatioWeight * (std::clamp(observed, kMinRatio, kMaxRatio) - ratio);
-}
-
 } // namespace bilberrytrail
--- a/packages/traffic/src/fair_server_queue.h
+++ b/packages/traffic/src/fair_server_queue.h
@@ -7,6 +7,13 @@
 
 namespace bilberrytrail {
 
+// Returns the length of time multiplied by a factor.
+[[nodiscard]] inline Duration
+Scale(Duration aLength, double aFactor)
+{
+  return std::chrono::duration_cast<Duration>(aLength * aFactor);
+}
+
 // A draft or other entry that holds a slot.
 struct RunningEntry
 {
