Build a plan's list of imports once per candidate

Copying the list for each number of imports grew with the square of the prompt's blocks. A late outcome is shown not to touch a row that was erased and claimed anew.

--- a/packages/cache/src/prefix_planner.cpp
+++ b/packages/cache/src/prefix_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 namespace bilberrytrail {
@@ -169,18 +170,23 @@
 {
   const auto resident = std::min(aCandidate.mResidentBlocks, aRequest.mBlocks);
   ImportSchedule schedule(aRequest);
+  std::optional<PrefixPlan> best;
   for (std::uint32_t end = resident; end <= aRequest.mBlocks; ++end) {
     auto plan = PlanFrom(aRequest, aCandidate, end, schedule.EndsAt());
     plan.mResidentBlocks = resident;
-    plan.mImports = schedule.Imports();
     if (aCandidate.mIsDoubtful && resident > 0) {
       plan.mTimeToFirstToken = DoubtfulTime(aRequest, aCandidate, plan);
     }
-    KeepBetter(aBest, std::move(plan));
+    KeepBetter(best, std::move(plan));
     if (end < aRequest.mBlocks && !schedule.Add(end)) {
       break;
     }
   }
+  // The schedule's first imports are those of the best plan.
+  const auto n = aRequest.mBlocks - resident - best->mRecomputeBlocks;
+  const auto& imports = schedule.Imports();
+  best->mImports.assign(imports.begin(), imports.begin() + n);
+  KeepBetter(aBest, std::move(*best));
 }
 
 void
--- a/packages/orders/tests/claim_model.h
+++ b/packages/orders/tests/claim_model.h
@@ -116,7 +116,7 @@
   }
 
   std::map<std::string, TableRow> mRows;
-  // Versions start high, so that none equals the expected one plus one.
+  // Versions count over all rows, so that one is never given twice.
   std::uint64_t mLast = 0;
 };
 
--- a/packages/orders/tests/claim_retention_test.cpp
+++ b/packages/orders/tests/claim_retention_test.cpp
@@ -1,3 +1,5 @@
+#include "claim_model.h"
+
 #include <bilberrytrail/orders/claim_retention.h>
 
 #include <doctest/doctest.h>
@@ -28,3 +30,35 @@
     }
   }
 }
+
+TEST_CASE(
+  "a late outcome does not touch a row that was erased and claimed anew")
+{
+  constexpr Instant kStart{ 100s };
+  claim_model::Table table;
+  const auto claim = [&](const char* aAttempt) {
+    ClaimedCall call({ "k", AttemptId(aAttempt), "hash", 0, kStart + 30s },
+                     ClaimLimits());
+    (void)call.Start(kStart);
+    const auto actions = call.OnRowRead(table.Read("k"), kStart);
+    REQUIRE(actions.front().mKind == ClaimActionKind::WriteClaim);
+    (void)call.OnClaimWritten(table.Commit({ actions.front().mWrite }), kStart);
+    return call;
+  };
+  auto late = claim("late");
+  REQUIRE(late.BeginSend(kStart));
+  const auto kept = std::chrono::milliseconds(kClaimRetention).count();
+  REQUIRE(
+    table.Commit(EraseExpiredClaims({ *table.Read("k") }, kept, 1)).mCommitted);
+  const auto anew = claim("anew");
+
+  auto actions = late.OnServiceResult(RecordedAnswer(), kStart);
+  while (!late.IsFinished()) {
+    REQUIRE(actions.front().mKind == ClaimActionKind::WriteOutcome);
+    actions =
+      late.OnOutcomeWritten(table.Commit({ actions.front().mWrite }), kStart);
+  }
+  const auto row = DecodeClaimRow(table.Read("k")->mValue);
+  CHECK(row.value().mAttempt == AttemptId("anew"));
+  CHECK(row.value().mState == ClaimState::Claimed);
+}
