--- /dev/null
+++ b/packages/ctl/src/histogram_bars.cpp
@@ -0,0 +1,110 @@
+#include "histogram_bars.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <vector>
+
+namespace bilberrytrail {
+
+namespace {
+
+constexpr std::size_t kMaxRows = 20;
+constexpr double kBarWidth = 40;
+
+struct Bar
+{
+  double mLower = 0;
+  double mUpper = 0;
+  double mCount = 0;
+};
+
+// Reads the bins of a series; malformed ones are left out.
+std::vector<Bar>
+ReadBars(const Json& aSeries)
+{
+  std::vector<Bar> bars;
+  for (const auto& bin : ListOf(aSeries, "bins")) {
+    if (bin.is_array() && bin.size() == 3 &&
+        std::ranges::all_of(
+          bin, [](const Json& aPart) { return aPart.is_number(); })) {
+      bars.push_back(
+        { bin[0].get<double>(), bin[1].get<double>(), bin[2].get<double>() });
+    }
+  }
+  return bars;
+}
+
+// Joins neighbours until at most kMaxRows are left.
+std::vector<Bar>
+JoinBars(const std::vector<Bar>& aBars)
+{
+  const auto width = (aBars.size() + kMaxRows - 1) / kMaxRows;
+  std::vector<Bar> joined;
+  for (std::size_t n = 0; n < aBars.size(); ++n) {
+    if (n % width == 0) {
+      joined.push_back(aBars[n]);
+      continue;
+    }
+    joined.back().mUpper = aBars[n].mUpper;
+    joined.back().mCount += aBars[n].mCount;
+  }
+  return joined;
+}
+
+template<class... Values>
+std::string
+Format(const char* aFormat, Values... aValues)
+{
+  std::array<char, 160> buf{};
+  const int n = std::snprintf(buf.data(), buf.size(), aFormat, aValues...);
+  const auto size = static_cast<std::size_t>(std::max(n, 0));
+  return { buf.data(), std::min(size, buf.size() - 1) };
+}
+
+std::string
+RenderBars(const std::vector<Bar>& aBars)
+{
+  double most = 1;
+  for (const auto& bar : aBars) {
+    most = std::max(most, bar.mCount);
+  }
+  std::string text;
+  for (const auto& bar : aBars) {
+    const auto share = std::clamp(bar.mCount / most, 0.0, 1.0);
+    const auto width = static_cast<std::size_t>(share * kBarWidth + 0.5);
+    text +=
+      Format("  %9.1f - %9.1f ms %9.0f ", bar.mLower, bar.mUpper, bar.mCount);
+    text += std::string(std::max<std::size_t>(width, 1), '#') + "\n";
+  }
+  return text;
+}
+
+std::string
+RenderSeries(const Json& aSeries)
+{
+  auto text = TextOf(aSeries, "product") + "/" + TextOf(aSeries, "account") +
+              " " + TextOf(aSeries, "class") + " " +
+              TextOf(aSeries, "measure") + "\n";
+  text += "  count " + NumberOf(aSeries, "count");
+  text += Format("  p50 %.1f ms  p90 %.1f ms  p99 %.1f ms  max %.1f ms\n",
+                 RealOf(aSeries, "p50"),
+                 RealOf(aSeries, "p90"),
+                 RealOf(aSeries, "p99"),
+                 RealOf(aSeries, "max"));
+  return text + RenderBars(JoinBars(ReadBars(aSeries)));
+}
+
+} // namespace
+
+std::string
+RenderHistogramBars(const Json& aJson)
+{
+  std::string text;
+  for (const auto& series : ListOf(aJson, "series")) {
+    text += (text.empty() ? "" : "\n") + RenderSeries(series);
+  }
+  return text.empty() ? "no times recorded\n" : text;
+}
+
+} // namespace bilberrytrail
--- a/packages/daemon/src/peer_channel.cpp
+++ b/packages/daemon/src/peer_channel.cpp
@@ -49,8 +49,8 @@
   HttpRequest request{
     "POST", std::string(kRunPath), {}, EncodeHomeRequest(aRequest)
   };
-  request.mHeaders.push_back({ std::string(kSignatureHeader),
-                               mSigner.Sign(aPeer.mId, request.mBody) });
+  request.mHeaders.push_back(
+    { std::string(kSignatureHeader), mSigner.Sign(aPeer.mId, request.mBody) });
   auto opened = mClient.Open(aPeer.mEndpoint, request, kFrameTimeout);
   if (!opened) {
     return std::move(opened).error();
--- a/packages/release/src/apply_note.cpp
+++ b/packages/release/src/apply_note.cpp
@@ -153,8 +153,7 @@
   ProductState next = aState;
   next.mProduct = aNote.mProduct;
   next.mNumber = aState.mNumber.Next();
-  if (auto done =
-        ApplyItems(aNote, aNote.mAccounts, "account", next.mAccounts);
+  if (auto done = ApplyItems(aNote, aNote.mAccounts, "account", next.mAccounts);
       !done) {
     return std::move(done).error();
   }
@@ -162,13 +161,11 @@
       !done) {
     return std::move(done).error();
   }
-  if (auto done =
-        ApplyItems(aNote, aNote.mAdapters, "adapter", next.mAdapters);
+  if (auto done = ApplyItems(aNote, aNote.mAdapters, "adapter", next.mAdapters);
       !done) {
     return std::move(done).error();
   }
-  if (auto done =
-        ApplyItems(aNote, aNote.mServices, "service", next.mServices);
+  if (auto done = ApplyItems(aNote, aNote.mServices, "service", next.mServices);
       !done) {
     return std::move(done).error();
   }
--- a/packages/release/src/release_note.cpp
+++ b/packages/release/src/release_note.cpp
@@ -304,9 +304,8 @@
       return ReadItem(
         aSection, *verb, name, std::span(kServiceRules), mNote.mServices);
     }
-    return FailHere(line,
-                    "expected account, model, adapter or service, not " +
-                      Quote(kind));
+    return FailHere(
+      line, "expected account, model, adapter or service, not " + Quote(kind));
   }
 
   template<class Fields, std::size_t N>
