--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -53,8 +53,8 @@
 Result<void>
 StoreNumber(CommandLine& aLine, std::string_view aText)
 {
-  if (!std::ranges::all_of(aText,
-                           [](char c) { return c >= '0' && c <= '9'; }) ||
+  if (!std::ranges::all_of(
+        aText, [](char aChar) { return aChar >= '0' && aChar <= '9'; }) ||
       aText.empty()) {
     return Fail(ErrorCode::InvalidInput, "--number: expected a number");
   }
@@ -94,6 +94,31 @@
   return Ok();
 }
 
+// Refuses shortened names of options, which getopt_long takes: "--token" must
+// not stand for "--token-file", or a token would end up on command lines.
+Result<void>
+CheckOptionNames(const std::vector<std::string>& aWords)
+{
+  for (const auto& word : aWords) {
+    if (word == "--") {
+      break;
+    }
+    if (!word.starts_with("--")) {
+      continue;
+    }
+    const auto name = word.substr(2, word.find('=') - 2);
+    const bool isKnown =
+      std::ranges::any_of(kOptions, [&](const option& aOption) {
+        return aOption.name != nullptr && name == aOption.name;
+      });
+    if (!isKnown) {
+      return Fail(ErrorCode::InvalidInput,
+                  "unknown option; see bilberryctl --help");
+    }
+  }
+  return Ok();
+}
+
 // Finds the command whose words begin the list, and removes them.
 const CommandInfo*
 TakeCommand(std::vector<std::string>& aWords)
@@ -144,6 +169,9 @@
 Result<CommandLine>
 ParseCommandLine(const std::vector<std::string>& aWords)
 {
+  if (const auto done = CheckOptionNames(aWords); !done) {
+    return done.error();
+  }
   std::vector<std::string> words{ "bilberryctl" };
   words.insert(words.end(), aWords.begin(), aWords.end());
   std::vector<char*> pointers;
--- a/packages/ctl/src/histogram_bars.cpp
+++ b/packages/ctl/src/histogram_bars.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <vector>
 
@@ -72,7 +73,7 @@
   std::string text;
   for (const auto& bar : aBars) {
     const auto share = std::clamp(bar.mCount / most, 0.0, 1.0);
-    const auto width = static_cast<std::size_t>(share * kBarWidth + 0.5);
+    const auto width = static_cast<std::size_t>(std::lround(share * kBarWidth));
     text +=
       Format("  %9.1f - %9.1f ms %9.0f ", bar.mLower, bar.mUpper, bar.mCount);
     text += std::string(std::max<std::size_t>(width, 1), '#') + "\n";
--- a/packages/ctl/src/run.cpp
+++ b/packages/ctl/src/run.cpp
@@ -148,7 +148,7 @@
 }
 
 std::string
-EndLine(std::string aText)
+EndLine(const std::string& aText)
 {
   return aText.ends_with('\n') ? aText : aText + "\n";
 }
