--- /dev/null
+++ b/packages/base/include/bilberrytrail/base/base64.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <bilberrytrail/base/error.h>
+
+#include <string>
+#include <string_view>
+
+namespace bilberrytrail {
+
+// Returns the bytes in Base64 with padding, for texts that must be UTF-8.
+[[nodiscard]] std::string
+ToBase64(std::string_view aBytes);
+
+// Returns the bytes of a Base64 text. Fails with Corrupt on anything else.
+[[nodiscard]] Result<std::string>
+FromBase64(std::string_view aText);
+
+} // namespace bilberrytrail
--- a/packages/daemon/src/home_message.cpp
+++ b/packages/daemon/src/home_message.cpp
@@ -1,6 +1,7 @@
 #include "home_message.h"
 
 #include <bilberrytrail/backend/engine_json.h>
+#include <bilberrytrail/base/base64.h>
 #include <bilberrytrail/platform/json_fields.h>
 
 namespace bilberrytrail {
@@ -52,6 +53,18 @@
   return *value;
 }
 
+// Reads bytes that are not text and marks the field as bad without them.
+std::string
+ReadBytes(JsonFields& aFields, std::string_view aField)
+{
+  auto bytes = FromBase64(aFields.Text(aField));
+  if (!bytes) {
+    aFields.Reject(aField);
+    return {};
+  }
+  return std::move(bytes).value();
+}
+
 std::string
 Dump(const Json& aJson)
 {
@@ -65,7 +78,7 @@
            { "method", aRequest.mCall.mMethod },
            { "path", aRequest.mCall.mPath },
            { "content_type", aRequest.mCall.mContentType },
-           { "body", aRequest.mCall.mBody },
+           { "body", ToBase64(aRequest.mCall.mBody) },
            { "claim", aRequest.mClaimRowKey } };
 }
 
@@ -76,7 +89,7 @@
   aRequest.mCall.mMethod = aFields.Text("method");
   aRequest.mCall.mPath = aFields.Text("path");
   aRequest.mCall.mContentType = aFields.Text("content_type");
-  aRequest.mCall.mBody = aFields.Text("body");
+  aRequest.mCall.mBody = ReadBytes(aFields, "body");
   aRequest.mClaimRowKey = aFields.Text("claim");
   if (!aFields.Check()) {
     aOuter.Reject("call");
@@ -123,7 +136,7 @@
     case FrameKind::Answer:
       aFrame.mAnswer.mStatus = aFields.Unsigned32("status");
       aFrame.mAnswer.mContentType = aFields.Text("content_type");
-      aFrame.mAnswer.mBody = aFields.Text("body");
+      aFrame.mAnswer.mBody = ReadBytes(aFields, "body");
       break;
     case FrameKind::NotRun:
     case FrameKind::Broken:
@@ -206,7 +219,7 @@
     case FrameKind::Answer:
       json["status"] = aFrame.mAnswer.mStatus;
       json["content_type"] = aFrame.mAnswer.mContentType;
-      json["body"] = aFrame.mAnswer.mBody;
+      json["body"] = ToBase64(aFrame.mAnswer.mBody);
       break;
     case FrameKind::NotRun:
     case FrameKind::Broken:
--- a/packages/daemon/src/release_runner.cpp
+++ b/packages/daemon/src/release_runner.cpp
@@ -13,7 +13,6 @@
 constexpr std::size_t kMaxProducts = 1024;
 // Peers asked at once while the table is down.
 constexpr std::size_t kPeersAsked = 3;
-constexpr std::string_view kNumberPrefix = "release/";
 
 } // namespace
 
@@ -58,11 +57,17 @@
 ReleaseRunner::Start()
 {
   mMembers.OnNumber([this](const SharedNumber& aNumber) {
-    for (const auto& head : mFollower.HeadsInForce()) {
-      if (ReleaseNumberName(head.mProduct) == aNumber.mName) {
-        mFollower.OnNumberHeard(
-          head.mProduct, ReleaseNumber(aNumber.mValue), MonotonicNow());
-      }
+    const std::string prefix = ReleaseNumberName(ProductId());
+    if (!aNumber.mName.starts_with(prefix)) {
+      return;
+    }
+    const ProductId product(aNumber.mName.substr(prefix.size()));
+    mFollower.OnNumberHeard(
+      product, ReleaseNumber(aNumber.mValue), MonotonicNow());
+    const auto inForce = mFollower.InForce(product);
+    if (inForce == nullptr ||
+        inForce->mState.mNumber.Value() < aNumber.mValue) {
+      mThread.GetLoop().Spawn([this] { ScanHeadRows(); });
     }
   });
   mThread.GetLoop().Spawn([this] { FollowAll(); });
--- a/packages/orders/src/claim_row.cpp
+++ b/packages/orders/src/claim_row.cpp
@@ -1,11 +1,10 @@
 #include <bilberrytrail/orders/claim_row.h>
 
+#include <bilberrytrail/base/base64.h>
 #include <bilberrytrail/base/digest.h>
 
 #include <nlohmann/json.hpp>
 
-#include <vector>
-
 namespace bilberrytrail {
 
 namespace {
@@ -38,18 +37,12 @@
   return text;
 }
 
-// Answer bodies are bytes; JSON text has to be UTF-8.
-Json
-ToBinary(const std::string& aBytes)
-{
-  return Json::binary(std::vector<std::uint8_t>(aBytes.begin(), aBytes.end()));
-}
-
+// Answer bodies are bytes; rows are JSON text, which has to be UTF-8.
 std::string
-FromBinary(const Json& aValue)
+DecodeField(const Json& aValue)
 {
-  const auto& bytes = aValue.get_binary();
-  return { bytes.begin(), bytes.end() };
+  auto bytes = FromBase64(aValue.get_ref<const std::string&>());
+  return bytes ? std::move(bytes).value() : std::string();
 }
 
 // Appends a field with its length, so that no two lists of fields give the
@@ -109,19 +102,18 @@
              { "at", aRow.mWrittenAtMs } };
   if (aRow.mState == ClaimState::Answered) {
     json["status"] = aRow.mAnswer.mStatus;
-    json["type"] = ToBinary(aRow.mAnswer.mContentType);
-    json["body"] = ToBinary(aRow.mAnswer.mBody);
+    json["type"] = ToBase64(aRow.mAnswer.mContentType);
+    json["body"] = ToBase64(aRow.mAnswer.mBody);
     json["omitted"] = aRow.mAnswer.mBodyOmitted;
   }
-  const auto bytes = Json::to_msgpack(json);
-  return { bytes.begin(), bytes.end() };
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Result<ClaimRow>
 DecodeClaimRow(std::string_view aText)
 {
   try {
-    const auto json = Json::from_msgpack(aText);
+    const auto json = Json::parse(aText);
     const auto state =
       FromName<ClaimState>(json.at("state").get_ref<const std::string&>());
     if (!state) {
@@ -134,8 +126,8 @@
     row.mWrittenAtMs = json.at("at").get<std::int64_t>();
     if (row.mState == ClaimState::Answered) {
       row.mAnswer.mStatus = json.at("status").get<unsigned>();
-      row.mAnswer.mContentType = FromBinary(json.at("type"));
-      row.mAnswer.mBody = FromBinary(json.at("body"));
+      row.mAnswer.mContentType = DecodeField(json.at("type"));
+      row.mAnswer.mBody = DecodeField(json.at("body"));
       row.mAnswer.mBodyOmitted = json.at("omitted").get<bool>();
     }
     return row;
