--- a/packages/ctl/src/json_text.cpp
+++ b/packages/ctl/src/json_text.cpp
@@ -59,7 +59,7 @@
 NumberOf(const Json& aJson, const char* aKey)
 {
   const auto& member = Member(aJson, aKey);
-  return member.is_number() ? member.dump() : "0";
+  return member.is_number() ? member.dump() : "-";
 }
 
 std::uint64_t
--- a/packages/ctl/src/json_text.h
+++ b/packages/ctl/src/json_text.h
@@ -20,7 +20,7 @@
 [[nodiscard]] std::string
 NoteOf(const Json& aJson, const char* aKey);
 
-// Returns the number as text, "0" without one.
+// Returns the number as text, "-" without one.
 [[nodiscard]] std::string
 NumberOf(const Json& aJson, const char* aKey);
 
--- a/packages/ctl/src/render.cpp
+++ b/packages/ctl/src/render.cpp
@@ -71,16 +71,17 @@
                     "REPORT_MS" });
   for (const auto& one : ListOf(aJson, "servers")) {
     const auto product = TextOf(one, "product");
-    const auto release = CountOf(one, "release");
-    const auto lag = std::max(newest[product], release) - release;
+    const auto release = NumberOf(one, "release");
+    const auto behind = CountOf(one, "release");
+    const auto lag = std::max(newest[product], behind) - behind;
     table.Add({ TextOf(one, "name"),
                 product,
                 TextOf(one, "role"),
                 TextOf(one, "zone"),
                 TextOf(one, "home"),
                 TextOf(one, "state"),
-                std::to_string(release),
-                std::to_string(lag),
+                release,
+                release == "-" ? release : std::to_string(lag),
                 NumberOf(one, "queued"),
                 NumberOf(one, "running"),
                 NumberOf(one, "report_age_ms") });
@@ -106,7 +107,9 @@
 {
   std::string text =
     "answered by " + TextOf(aJson, "daemon") + " in " + TextOf(aJson, "zone");
-  text += FlagOf(aJson, "ready") ? ": ready" : ": not ready";
+  text += FlagOf(aJson, "ready")
+            ? ": ready"
+            : ": not ready (" + TextOf(aJson, "not_ready") + ")";
   text += FlagOf(aJson, "draining") ? ", draining" : "";
   text += FlagOf(aJson, "table_up") ? ", table up" : ", TABLE DOWN";
   text += ", list " + NumberOf(aJson, "list_age_ms") + " ms old\n";
--- a/packages/ctl/tests/render_test.cpp
+++ b/packages/ctl/tests/render_test.cpp
@@ -70,6 +70,20 @@
       "       50.1 -      56.2 ms        30 #############\n"
       "       56.2 -      63.1 ms        90 "
       "########################################\n" },
+    { Command::Status,
+      R"({"daemon":"d","zone":"z","ready":false,"not_ready":"no release",
+          "table_up":false,"list_age_ms":1,
+          "products":[{"product":"p","release":5}],
+          "servers":[{"name":"s","product":"p"}]})",
+      "answered by d in z: not ready (no release), TABLE DOWN, list 1 ms old\n"
+      "p: release 5\n"
+      "\n"
+      "DAEMON  ZONE  STATE  ENDPOINT\n"
+      "\n"
+      "SERVER  PRODUCT  ROLE  ZONE  HOME  STATE  RELEASE  LAG  QUEUED  "
+      "RUNNING  REPORT_MS\n"
+      "s       p                                 -        -    -       "
+      "-        -\n" },
     { Command::Histograms, "{}", "no times recorded\n" },
     { Command::DrainServer, R"({"draining":true})", "drain has begun\n" },
     { Command::QuarantineList,
