--- a/tests/process/local_site.cpp
+++ b/tests/process/local_site.cpp
@@ -134,7 +134,8 @@
   Send(site, "first time:", prompt);
   const double first = Recomputed(site);
   for (const auto& engine : site.Engines()) {
-    (void)site.Call(engine.mEndpoint, { "POST", "/evict", {}, R"({"keep":0})" });
+    (void)site.Call(engine.mEndpoint,
+                    { "POST", "/evict", {}, R"({"keep":0})" });
   }
   Send(site, "again after eviction:", prompt);
   const double second = Recomputed(site) - first;
