--- a/packages/backend/src/http_engine.cpp
+++ b/packages/backend/src/http_engine.cpp
@@ -124,11 +124,7 @@
     if (!json) {
       return json.error();
     }
-    auto state = ReadEngineState(json.value());
-    if (!state) {
-      return ToMalformed(std::move(state).error());
-    }
-    return std::move(state).value();
+    return ToAnswer(ReadEngineState(json.value()));
   }
 
   CallResult<std::unique_ptr<EngineEventStream>> Subscribe(
@@ -209,10 +205,7 @@
     if (auto ok = fields.Check(); !ok) {
       return ToMalformed(std::move(ok).error());
     }
-    if (!refs) {
-      return ToMalformed(std::move(refs).error());
-    }
-    return std::move(refs).value();
+    return ToAnswer(std::move(refs));
   }
 
   HttpClient& mClient;
--- a/packages/backend/src/http_store.cpp
+++ b/packages/backend/src/http_store.cpp
@@ -9,16 +9,6 @@
 
 namespace {
 
-template<class T>
-CallResult<T>
-ToAnswer(Result<T> aResult)
-{
-  if (!aResult) {
-    return ToMalformed(std::move(aResult).error());
-  }
-  return std::move(aResult).value();
-}
-
 class HttpStore final : public Store
 {
 public:
--- a/packages/platform/include/bilberrytrail/platform/http_call.h
+++ b/packages/platform/include/bilberrytrail/platform/http_call.h
@@ -33,6 +33,18 @@
 [[nodiscard]] CallError
 ToMalformed(Error aError);
 
+// Returns what was read from an answer; Unknown with Corrupt when it is
+// malformed.
+template<class T>
+[[nodiscard]] CallResult<T>
+ToAnswer(Result<T> aResult)
+{
+  if (!aResult) {
+    return ToMalformed(std::move(aResult).error());
+  }
+  return std::move(aResult).value();
+}
+
 // Makes a request with a JSON body; NotRun when it cannot be written.
 [[nodiscard]] CallResult<HttpRequest>
 MakeJsonRequest(std::string aMethod, std::string aTarget, const Json& aBody);
--- a/packages/platform/src/http_platform.cpp
+++ b/packages/platform/src/http_platform.cpp
@@ -8,16 +8,6 @@
 
 namespace {
 
-template<class T>
-CallResult<T>
-ToAnswer(Result<T> aResult)
-{
-  if (!aResult) {
-    return ToMalformed(std::move(aResult).error());
-  }
-  return std::move(aResult).value();
-}
-
 class HttpTableService final : public TableService
 {
 public:
--- a/packages/platform/tests/platform_json_test.cpp
+++ b/packages/platform/tests/platform_json_test.cpp
@@ -45,11 +45,10 @@
     const char* mField;
     Json mValue;
   };
-  const Row rows[] = {
-    { "role", "driver" }, { "role", 1 },          { "port", 65536 },
-    { "port", -1 },       { "leaving", "no" },    { "zone", nullptr },
-    { "host", 7 },        { "product", Json({}) }
-  };
+  const Row rows[] = { { "role", "driver" }, { "role", 1 },
+                       { "port", 65536 },    { "port", -1 },
+                       { "leaving", "no" },  { "zone", nullptr },
+                       { "host", 7 },        { "product", Json({}) } };
   for (const auto& row : rows) {
     CAPTURE(row.mField);
     auto json = ToJson(MakeEntry());
--- a/standins/src/common/json_server.cpp
+++ b/standins/src/common/json_server.cpp
@@ -82,6 +82,14 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+std::uint64_t
+ReadNumber(std::string_view aText)
+{
+  std::uint64_t value = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  return value;
+}
+
 std::string
 UnescapePathSegment(std::string_view aText)
 {
--- a/standins/src/common/json_server.h
+++ b/standins/src/common/json_server.h
@@ -33,6 +33,10 @@
 [[nodiscard]] std::string_view
 PathOf(std::string_view aTarget);
 
+// Returns the number that a text begins with; 0 when there is none.
+[[nodiscard]] std::uint64_t
+ReadNumber(std::string_view aText);
+
 // Undoes the escapes of one segment of a path.
 [[nodiscard]] std::string
 UnescapePathSegment(std::string_view aText);
--- a/standins/src/engine/engine_server.cpp
+++ b/standins/src/engine/engine_server.cpp
@@ -4,7 +4,6 @@
 #include <bilberrytrail/platform/http_call.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace bilberrytrail::standins {
@@ -18,16 +17,6 @@
 constexpr Duration kWeightRetryDelay = 200ms;
 constexpr std::uint64_t kFullSpeedLoads = 2;
 
-std::uint64_t
-ReadNumber(const std::optional<std::string>& aText)
-{
-  std::uint64_t value = 0;
-  if (aText) {
-    std::from_chars(aText->data(), aText->data() + aText->size(), value);
-  }
-  return value;
-}
-
 } // namespace
 
 EngineServer::EngineServer(Loop& aLoop, EngineSettings aSettings)
@@ -94,8 +83,9 @@
     "GET",
     "/events",
     [this](const HttpRequest& aRequest, HttpResponder& aResponder) {
-      StreamEvents(ReadNumber(QueryValue(aRequest.mTarget, "after")),
-                   aResponder);
+      StreamEvents(
+        ReadNumber(QueryValue(aRequest.mTarget, "after").value_or("0")),
+        aResponder);
     });
 }
 
--- a/standins/src/engine/transfer.cpp
+++ b/standins/src/engine/transfer.cpp
@@ -1,10 +1,8 @@
 #include "engine/transfer.h"
 
-#include "engine/answer_text.h"
+#include "common/json_server.h"
 #include "engine/kv_content.h"
 
-#include <charconv>
-
 namespace bilberrytrail::standins {
 
 namespace {
@@ -20,14 +18,6 @@
          "?generation=" + std::to_string(aRef.mGeneration.Value());
 }
 
-std::uint64_t
-ReadNumber(std::string_view aText)
-{
-  std::uint64_t value = 0;
-  std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  return value;
-}
-
 } // namespace
 
 std::vector<BlockRef>
--- a/standins/src/store/store_server.cpp
+++ b/standins/src/store/store_server.cpp
@@ -4,7 +4,6 @@
 #include <bilberrytrail/backend/store_json.h>
 
 #include <algorithm>
-#include <charconv>
 #include <random>
 
 namespace bilberrytrail::standins {
@@ -51,14 +50,6 @@
   return aResult ? JsonResponse(Json::object()) : ToResponse(aResult.error());
 }
 
-std::uint64_t
-ReadNumber(std::string_view aText)
-{
-  std::uint64_t value = 0;
-  std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  return value;
-}
-
 // Reads block and generation of a /blocks/ID?generation=N target.
 BlockRef
 ReadTarget(const HttpRequest& aRequest)
