--- a/packages/release/tests/lease_test.cpp
+++ b/packages/release/tests/lease_test.cpp
@@ -114,6 +114,73 @@
   CHECK_FALSE(first.mLease.EpochForOrder(now));
 }
 
+TEST_CASE("a lost reply is settled by reading back, from when it was sent")
+{
+  FakeTable table;
+  Daemon first("a");
+  Instant now = At(0s);
+  first.Step(table, now, TableFault::None);
+  const Instant sent = now + kStep;
+  first.Step(table, sent, TableFault::LostAfter);
+  CHECK_FALSE(first.mLease.EpochForOrder(sent));
+  now = sent + kSettings.mReadInterval;
+  first.Step(table, now, TableFault::None);
+  CHECK(first.mLease.EpochForOrder(now) == FencingNumber(1));
+  CHECK(first.mLease.EpochForOrder(sent + kSettings.mLength - 1us));
+  CHECK_FALSE(first.mLease.EpochForOrder(sent + kSettings.mLength));
+}
+
+// The first write lands late, after a second one was sent that does not land:
+// the row must count as made by the first, not by the second.
+TEST_CASE("a row made by an earlier write does not prove a later one")
+{
+  FakeTable table;
+  Daemon first("a");
+  const Instant start = At(0s);
+  first.Step(table, start, TableFault::None);
+  std::vector<std::pair<Instant, TableWrite>> writes;
+  Instant now = start + kStep;
+  for (; writes.size() < 2; now += kStep) {
+    REQUIRE(now < start + 10s);
+    const auto action = first.mLease.Tick(now);
+    if (action && std::holds_alternative<LeaseWrite>(*action)) {
+      writes.emplace_back(now, std::get<LeaseWrite>(*action).mWrite);
+    } else if (action) {
+      first.mLease.OnRead(
+        std::get<LeaseRead>(*action).mSequence, table.Read(kKey), now);
+    }
+  }
+  REQUIRE(table.Commit({ writes[0].second }).value().mCommitted);
+  for (const Instant end = now + 4s; now < end; now += kStep) {
+    if (const auto action = first.mLease.Tick(now)) {
+      const auto* read = std::get_if<LeaseRead>(&*action);
+      REQUIRE(read != nullptr);
+      first.mLease.OnRead(read->mSequence, table.Read(kKey), now);
+      break;
+    }
+  }
+  const Instant end = writes[0].first + kSettings.mLength;
+  REQUIRE(now < end);
+  CHECK(first.mLease.EpochForOrder(end - 1us) == FencingNumber(1));
+  CHECK_FALSE(first.mLease.EpochForOrder(end));
+}
+
+TEST_CASE("a holder that gives back issues no more orders under its epoch")
+{
+  for (const TableFault it : AllOf<TableFault>()) {
+    CAPTURE(ToName(it));
+    FakeTable table;
+    Daemon first("a");
+    Instant now = At(0s);
+    RunSteps(table, { &first }, now, 1s);
+    REQUIRE(first.mLease.EpochForOrder(now));
+    first.mLease.SetWanted(false);
+    first.Step(table, now, it);
+    first.mLease.SetWanted(true);
+    CHECK_FALSE(first.mLease.EpochForOrder(now));
+  }
+}
+
 TEST_CASE("a holder without the table stops issuing orders in time")
 {
   FakeTable table;
--- a/packages/release/tests/release_log_test.cpp
+++ b/packages/release/tests/release_log_test.cpp
@@ -101,6 +101,16 @@
   CHECK(Holds(table, 2, "b"));
 }
 
+TEST_CASE("a note of the same id with another text is a conflict")
+{
+  FakeTable table;
+  ReleaseNote first = MakeNote(0, "a");
+  ReleaseNote second = MakeNote(0, "b");
+  second.mId = first.mId;
+  CHECK(Operator(first).Finish(table).mOutcome == AppendOutcome::Applied);
+  CHECK(Operator(second).Finish(table).mOutcome == AppendOutcome::Conflict);
+}
+
 TEST_CASE("the outcome of an append is true under every pair of faults")
 {
   constexpr int kSteps = 6;
