--- a/packages/membership/tests/gossip_test.cpp
+++ b/packages/membership/tests/gossip_test.cpp
@@ -187,6 +187,59 @@
   CHECK(shuttle.AllCount(16));
 }
 
+TEST_CASE("a process met at an address proves the earlier one there dead")
+{
+  Gossip gossip({ .mId = DaemonId("a#0"),
+                  .mIncarnation = {},
+                  .mStatus = MemberStatus::Alive,
+                  .mZone = ZoneId("z"),
+                  .mEndpoint = GossipShuttle::AddressOf(0) },
+                kSettings,
+                1);
+  const Instant now = Instant() + 1000s;
+  GossipMessage message;
+  message.mSender.mEndpoint = GossipShuttle::AddressOf(1);
+  for (const char* id : { "b#0", "b#1" }) {
+    message.mSender.mId = DaemonId(id);
+    (void)gossip.Receive(message, now);
+    const auto live = gossip.LiveMembers();
+    REQUIRE(live.size() == 2);
+    CHECK(live[1].mId == DaemonId(id));
+  }
+}
+
+TEST_CASE("a process blames nobody for answers missed while it was paused")
+{
+  Gossip gossip({ .mId = DaemonId("a#0"),
+                  .mIncarnation = {},
+                  .mStatus = MemberStatus::Alive,
+                  .mZone = ZoneId("z"),
+                  .mEndpoint = GossipShuttle::AddressOf(0) },
+                kSettings,
+                1);
+  Instant now = Instant() + 1000s;
+  GossipMessage message;
+  for (const std::size_t n : { 1UL, 2UL }) {
+    message.mSender.mId = DaemonId("peer-" + std::to_string(n));
+    message.mSender.mEndpoint = GossipShuttle::AddressOf(n);
+    // One of them is suspect already.
+    message.mSender.mStatus =
+      n == 2 ? MemberStatus::Suspect : MemberStatus::Alive;
+    (void)gossip.Receive(message, now);
+  }
+  (void)gossip.Tick(now);
+  now += 60s;
+  bool asks = false;
+  for (const auto& it : gossip.Tick(now)) {
+    CHECK_FALSE(std::holds_alternative<MemberChanged>(it));
+    const auto* send = std::get_if<SendGossip>(&it);
+    asks = asks ||
+           (send != nullptr && send->mMessage.mKind == GossipKind::SyncRequest);
+  }
+  CHECK(asks);
+  CHECK(gossip.LiveMembers().size() == 3);
+}
+
 TEST_CASE("the platform's list makes nobody a member and removes nobody")
 {
   GossipShuttle shuttle(10);
