--- a/packages/release/src/release_note.cpp
+++ b/packages/release/src/release_note.cpp
@@ -1,6 +1,7 @@
 #include <bilberrytrail/release/release_note.h>
 
 #include "note_error.h"
+#include "note_rules.h"
 #include "note_values.h"
 
 #include <bilberrytrail/base/digest.h>
@@ -14,144 +15,6 @@
 
 namespace {
 
-// One key that a section may have.
-template<class Fields>
-struct FieldRule
-{
-  std::string_view mKey;
-  bool mRequired;
-  std::string_view mExpected;
-  bool (*mRead)(Fields&, std::string_view);
-};
-
-template<class T>
-bool
-Store(std::optional<T>& aField, std::optional<T> aValue)
-{
-  aField = std::move(aValue);
-  return aField.has_value();
-}
-
-template<class T>
-bool
-StoreName(std::optional<T>& aField, std::string_view aText)
-{
-  aField = T(std::string(aText));
-  return IsName(aText);
-}
-
-bool
-StoreTokens(AccountFields& aFields, std::string_view aText)
-{
-  return Store(aFields.mTokenHashes, ReadList(aText)) &&
-         std::all_of(aFields.mTokenHashes->begin(),
-                     aFields.mTokenHashes->end(),
-                     IsSha256);
-}
-
-bool
-IsRepeatableCall(std::string_view aText)
-{
-  const auto blank = aText.find(' ');
-  return blank != std::string_view::npos && blank > 0 &&
-         aText.substr(blank + 1).starts_with('/');
-}
-
-bool
-StoreRepeatable(ServiceFields& aFields, std::string_view aText)
-{
-  return Store(aFields.mRepeatable, ReadList(aText)) &&
-         std::all_of(aFields.mRepeatable->begin(),
-                     aFields.mRepeatable->end(),
-                     IsRepeatableCall);
-}
-
-bool
-StoreTimeout(ServiceFields& aFields, std::string_view aText)
-{
-  constexpr std::uint32_t kMaxTimeoutMs = 3'600'000;
-  const auto n = ReadUnsigned(aText);
-  aFields.mTimeout = std::chrono::milliseconds(n.value_or(0));
-  return n && *n > 0 && *n <= kMaxTimeoutMs;
-}
-
-constexpr FieldRule<AccountFields> kAccountRules[] = {
-  { "token_sha256", true, "a list of SHA-256 hashes", StoreTokens },
-  { "requests_per_second",
-    true,
-    "a positive number",
-    [](AccountFields& aFields, std::string_view aText) {
-      return Store(aFields.mRequestsPerSecond, ReadPositive(aText));
-    } },
-  { "tokens_per_second",
-    true,
-    "a positive number",
-    [](AccountFields& aFields, std::string_view aText) {
-      return Store(aFields.mTokensPerSecond, ReadPositive(aText));
-    } },
-  { "concurrent",
-    true,
-    "a whole number above 0",
-    [](AccountFields& aFields, std::string_view aText) {
-      return Store(aFields.mConcurrent, ReadUnsigned(aText)) &&
-             *aFields.mConcurrent > 0;
-    } },
-};
-
-constexpr FieldRule<ModelFields> kModelRules[] = {
-  { "version",
-    true,
-    "a version's name",
-    [](ModelFields& aFields, std::string_view aText) {
-      return StoreName(aFields.mVersion, aText);
-    } },
-  { "min_servers",
-    true,
-    "a whole number",
-    [](ModelFields& aFields, std::string_view aText) {
-      return Store(aFields.mMinServers, ReadUnsigned(aText));
-    } },
-  { "max_servers",
-    true,
-    "a whole number above 0",
-    [](ModelFields& aFields, std::string_view aText) {
-      return Store(aFields.mMaxServers, ReadUnsigned(aText)) &&
-             *aFields.mMaxServers > 0;
-    } },
-  { "role",
-    false,
-    "a role's name",
-    [](ModelFields& aFields, std::string_view aText) {
-      return StoreName(aFields.mRole, aText);
-    } },
-};
-
-constexpr FieldRule<AdapterFields> kAdapterRules[] = {
-  { "model",
-    true,
-    "a model's name",
-    [](AdapterFields& aFields, std::string_view aText) {
-      return StoreName(aFields.mModel, aText);
-    } },
-};
-
-constexpr FieldRule<ServiceFields> kServiceRules[] = {
-  { "group",
-    true,
-    "a group's name",
-    [](ServiceFields& aFields, std::string_view aText) {
-      return StoreName(aFields.mGroup, aText);
-    } },
-  { "repeatable",
-    false,
-    "a list such as GET /stock, GET /slots",
-    StoreRepeatable },
-  { "timeout_ms",
-    true,
-    "a whole number of milliseconds from 1 to 3600000",
-    StoreTimeout },
-};
-
 std::string
 Quote(std::string_view aText)
 {
@@ -289,30 +152,26 @@
       return FailHere(line, Quote(name) + " is not a name");
     }
     if (kind == "account") {
-      return ReadItem(
-        aSection, *verb, name, std::span(kAccountRules), mNote.mAccounts);
+      return ReadItem(aSection, *verb, name, AccountRules(), mNote.mAccounts);
     }
     if (kind == "model") {
-      return ReadItem(
-        aSection, *verb, name, std::span(kModelRules), mNote.mModels);
+      return ReadItem(aSection, *verb, name, ModelRules(), mNote.mModels);
     }
     if (kind == "adapter") {
-      return ReadItem(
-        aSection, *verb, name, std::span(kAdapterRules), mNote.mAdapters);
+      return ReadItem(aSection, *verb, name, AdapterRules(), mNote.mAdapters);
     }
     if (kind == "service") {
-      return ReadItem(
-        aSection, *verb, name, std::span(kServiceRules), mNote.mServices);
+      return ReadItem(aSection, *verb, name, ServiceRules(), mNote.mServices);
     }
     return FailHere(
       line, "expected account, model, adapter or service, not " + Quote(kind));
   }
 
-  template<class Fields, std::size_t N>
+  template<class Fields>
   Result<void> ReadItem(Section aSection,
                         NoteVerb aVerb,
                         const std::string& aName,
-                        std::span<const FieldRule<Fields>, N> aRules,
+                        std::span<const FieldRule<Fields>> aRules,
                         std::vector<NoteItem<Fields>>& aItems)
   {
     NoteItem<Fields> item{ aVerb, aName, aSection.front().mLine, {} };
