--- a/packages/release/include/bilberrytrail/release/release_follower.h
+++ b/packages/release/include/bilberrytrail/release/release_follower.h
@@ -104,6 +104,7 @@
     ReleaseHead mKnown;
     // Newest number heard of, perhaps without its head.
     ReleaseNumber mHeard;
+    Instant mHeardAt;
     // Since when a newer release has been known of.
     std::optional<Instant> mBehindSince;
     Instant mNextFetch;
@@ -112,6 +113,7 @@
   void Note(const ReleaseHead& aHead, Instant aNow);
   void Hear(Product& aProduct, ReleaseNumber aNumber, Instant aNow);
   void Contact(Instant aAt);
+  void DropFalseNumbers(Instant aSentAt);
   void FetchMissing(Instant aNow, FollowerActions& aActions);
 
   FollowerSettings mSettings;
--- a/packages/release/src/release_follower.cpp
+++ b/packages/release/src/release_follower.cpp
@@ -81,6 +81,7 @@
   for (const auto& it : aHeads) {
     Note(it, aSentAt);
   }
+  DropFalseNumbers(aSentAt);
   FollowerActions actions;
   FetchMissing(aSentAt, actions);
   return actions;
@@ -161,7 +162,10 @@
 void
 ReleaseFollower::Hear(Product& aProduct, ReleaseNumber aNumber, Instant aNow)
 {
-  aProduct.mHeard = std::max(aProduct.mHeard, aNumber);
+  if (aNumber > aProduct.mHeard) {
+    aProduct.mHeard = aNumber;
+    aProduct.mHeardAt = aNow;
+  }
   if (aProduct.mHeard > aProduct.mInForce.mNumber && !aProduct.mBehindSince) {
     aProduct.mBehindSince = aNow;
   }
@@ -173,6 +177,23 @@
   mLastContact = mLastContact ? std::max(*mLastContact, aAt) : aAt;
 }
 
+// A number heard before the table was asked, and higher than the table's, does
+// not exist: it must not keep new work out.
+void
+ReleaseFollower::DropFalseNumbers(Instant aSentAt)
+{
+  for (auto& [id, product] : mProducts) {
+    if (product.mHeard <= product.mKnown.mNumber ||
+        aSentAt <= product.mHeardAt) {
+      continue;
+    }
+    product.mHeard = product.mKnown.mNumber;
+    if (product.mInForce.mNumber >= product.mHeard) {
+      product.mBehindSince.reset();
+    }
+  }
+}
+
 void
 ReleaseFollower::FetchMissing(Instant aNow, FollowerActions& aActions)
 {
--- a/packages/release/tests/release_follower_test.cpp
+++ b/packages/release/tests/release_follower_test.cpp
@@ -169,6 +169,21 @@
   }
 }
 
+TEST_CASE("a heard number that the table does not know keeps no work out")
+{
+  const Duration bound = kSettings.mInForceBound;
+  const Release current = MakeRelease(5);
+  ReleaseFollower follower = Following(5, At(0s));
+  follower.OnNumberHeard(kProduct, ReleaseNumber(900), At(1s));
+  // Asked before the number was heard: proves nothing.
+  (void)follower.OnHeads({ current.mHead }, At(1s));
+  follower.OnNumberHeard(kProduct, ReleaseNumber(900), At(2s + bound));
+  CHECK_FALSE(follower.MayAccept(kProduct, At(2s + bound)));
+  (void)follower.OnHeads({ current.mHead }, At(3s + bound));
+  CHECK(follower.MayAccept(kProduct, At(3s + bound)));
+  CHECK(InForce(follower) == 5);
+}
+
 TEST_CASE("a fetch that brought nothing is repeated")
 {
   ReleaseFollower follower = Following(5, At(0s));
