--- a/packages/traffic/tests/server_health_test.cpp
+++ b/packages/traffic/tests/server_health_test.cpp
@@ -146,7 +146,9 @@
     }
   }
   for (int server = 0; server < 9; ++server) {
-    CHECK(health->Weight(ServerId("s" + std::to_string(server)), kStart) == 1);
+    const ServerId id("s" + std::to_string(server));
+    CHECK(health->Weight(id, kStart) == 1);
+    CHECK(!health->TakeProbe(id, kStart + 1s));
   }
 }
 
