Pause drafts for short work that waits

Cause: when short work itself surges beyond its kept slots, it waits for drafts to end. Trial: 30 short requests a second more for 20 s over a crest of drafts, short p99 against alone.

--- a/packages/traffic/include/bilberrytrail/traffic/server_queue.h
+++ b/packages/traffic/include/bilberrytrail/traffic/server_queue.h
@@ -81,7 +81,7 @@
   double mBurstTokens = 8192;
   // A draft that runs longer than this multiple of its estimate is demoted.
   double mDemotionFactor = 2;
-  // Shortest run of a demoted draft between two pauses.
+  // Shortest run of a draft between two pauses.
   Duration mMinRun = 500ms;
   // A draft that was paused for so long is resumed before waiting drafts.
   Duration mMaxPause = 10s;
--- a/packages/traffic/src/fair_server_queue.cpp
+++ b/packages/traffic/src/fair_server_queue.cpp
@@ -50,6 +50,9 @@
   if (Waiting() > 0) {
     consider(aNow + kTickPeriod);
   }
+  if (mSurgeSlots > 0) {
+    consider(mSurgeEnd);
+  }
   for (const auto& [ticket, running] : mRunning) {
     const auto demotion =
       Scale(running.mEntry.mService, mSettings.mDemotionFactor);
@@ -130,8 +133,9 @@
     return actions;
   }
   const auto ran = Ran(it->second, aNow);
-  mPaused.emplace(aTicket,
-                  PausedEntry{ std::move(it->second.mEntry), aNow, ran });
+  const bool isDemoted = IsDemoted(it->second, aNow);
+  mPaused.emplace(
+    aTicket, PausedEntry{ std::move(it->second.mEntry), aNow, ran, isDemoted });
   mRunning.erase(it);
   FillSlots(aNow, actions);
   return actions;
@@ -144,6 +148,7 @@
   RefuseHopeless(aNow, actions);
   FillSlots(aNow, actions);
   PauseDemoted(aNow, actions);
+  PauseForShort(aNow, actions);
   return actions;
 }
 
--- a/packages/traffic/src/fair_server_queue.h
+++ b/packages/traffic/src/fair_server_queue.h
@@ -30,6 +30,7 @@
   QueueEntry mEntry;
   Instant mSince;
   Duration mRanBefore{};
+  bool mDemoted = false;
 };
 
 // See MakeFairServerQueue.
@@ -86,8 +87,23 @@
   void Grant(QueueEntry aEntry, Instant aNow, QueueActions& aActions);
   bool GrantShort(Instant aNow, QueueActions& aActions);
   bool GrantDraft(Instant aNow, QueueActions& aActions);
-  bool ResumePaused(Duration aMinPause, Instant aNow, QueueActions& aActions);
+  // Resumes the draft that was paused first. Without aAlsoDemoted, demoted ones
+  // count only after the longest pause.
+  bool ResumePaused(bool aAlsoDemoted, Instant aNow, QueueActions& aActions);
+  [[nodiscard]] bool IsResumeDue(const PausedEntry& aPaused,
+                                 Instant aNow) const noexcept;
+  // Pauses as many demoted drafts as entries wait.
   void PauseDemoted(Instant aNow, QueueActions& aActions);
+  // Pauses as many drafts as short entries wait, but for those that have the
+  // slots kept for drafts.
+  void PauseForShort(Instant aNow, QueueActions& aActions);
+  // Pauses the given drafts, those first that ran longest, until aCount are
+  // being paused in all.
+  void PauseLongest(std::vector<RunningEntry*> aDrafts,
+                    std::size_t aCount,
+                    Instant aNow,
+                    QueueActions& aActions);
+  [[nodiscard]] std::size_t CountPausing() const noexcept;
   void Learn(const RunningEntry& aRunning, Instant aNow);
 
   QueueSettings mSettings;
@@ -97,6 +113,10 @@
   // Observed running time over estimated running time, by work class.
   std::array<double, EnumCount<WorkClass>()> mServiceRatio;
   WorkClass mNextShort = WorkClass::Read;
+  // Slots that short work needed when it last had to wait, kept for it until
+  // mSurgeEnd.
+  std::uint32_t mSurgeSlots = 0;
+  Instant mSurgeEnd;
   bool mDraining = false;
 };
 
--- a/packages/traffic/src/fair_server_queue_slots.cpp
+++ b/packages/traffic/src/fair_server_queue_slots.cpp
@@ -5,6 +5,12 @@
 // Who gets a free slot, and which drafts are paused for it.
 
 namespace bilberrytrail {
+namespace {
+
+// Time for which slots are kept after short work had to wait.
+constexpr Duration kSurgeHold = 3s;
+
+} // namespace
 
 bool
 FairServerQueue::IsDraftDue(Instant aNow) const
@@ -25,6 +31,9 @@
 void
 FairServerQueue::FillSlots(Instant aNow, QueueActions& aActions)
 {
+  if (aNow >= mSurgeEnd) {
+    mSurgeSlots = 0;
+  }
   while (mRunning.size() < mSettings.mSlots) {
     if (!IsDraftDue(aNow) && GrantShort(aNow, aActions)) {
       continue;
@@ -68,27 +77,37 @@
 bool
 FairServerQueue::GrantDraft(Instant aNow, QueueActions& aActions)
 {
-  if (ResumePaused(mSettings.mMaxPause, aNow, aActions)) {
+  if (ResumePaused(false, aNow, aActions)) {
     return true;
   }
   auto& lane = LaneOf(WorkClass::Draft);
   if (lane.IsEmpty()) {
-    return ResumePaused(Duration(), aNow, aActions);
+    return ResumePaused(true, aNow, aActions);
   }
   Grant(lane.Pop(), aNow, aActions);
   return true;
 }
 
 bool
-FairServerQueue::ResumePaused(Duration aMinPause,
+FairServerQueue::IsResumeDue(const PausedEntry& aPaused,
+                             Instant aNow) const noexcept
+{
+  return !aPaused.mDemoted || aNow - aPaused.mSince >= mSettings.mMaxPause;
+}
+
+bool
+FairServerQueue::ResumePaused(bool aAlsoDemoted,
                               Instant aNow,
                               QueueActions& aActions)
 {
-  const auto it = std::min_element(
-    mPaused.begin(), mPaused.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.mSince < aRight.second.mSince;
-    });
-  if (it == mPaused.end() || aNow - it->second.mSince < aMinPause) {
+  auto it = mPaused.end();
+  for (auto at = mPaused.begin(); at != mPaused.end(); ++at) {
+    if ((aAlsoDemoted || IsResumeDue(at->second, aNow)) &&
+        (it == mPaused.end() || at->second.mSince < it->second.mSince)) {
+      it = at;
+    }
+  }
+  if (it == mPaused.end()) {
     return false;
   }
   const auto ticket = it->first;
@@ -104,27 +123,76 @@
 FairServerQueue::PauseDemoted(Instant aNow, QueueActions& aActions)
 {
   std::vector<RunningEntry*> demoted;
-  std::size_t pausing = 0;
   for (auto& [ticket, running] : mRunning) {
-    pausing += running.mPausing ? 1 : 0;
-    if (!running.mPausing && IsDemoted(running, aNow) &&
-        aNow - running.mStarted >= mSettings.mMinRun) {
+    if (IsDemoted(running, aNow)) {
       demoted.push_back(&running);
     }
   }
-  std::sort(demoted.begin(), demoted.end(), [&](auto* aLeft, auto* aRight) {
+  PauseLongest(std::move(demoted), Waiting(), aNow, aActions);
+}
+
+void
+FairServerQueue::PauseForShort(Instant aNow, QueueActions& aActions)
+{
+  const auto running = RunningDrafts();
+  const auto pausable =
+    running > mSettings.mDraftSlots ? running - mSettings.mDraftSlots : 0;
+  const auto waiting =
+    LaneOf(WorkClass::Read).size() + LaneOf(WorkClass::Short).size();
+  if (waiting == 0) {
+    return;
+  }
+  // One more, for the next request to come.
+  const auto needed = mRunning.size() - running + waiting + 1;
+  const auto most = mSettings.mSlots > mSettings.mDraftSlots
+                      ? mSettings.mSlots - mSettings.mDraftSlots
+                      : 0;
+  mSurgeSlots = static_cast<std::uint32_t>(std::min<std::size_t>(needed, most));
+  mSurgeEnd = aNow + kSurgeHold;
+  std::vector<RunningEntry*> drafts;
+  for (auto& [ticket, entry] : mRunning) {
+    if (!IsShortWork(entry.mEntry.mClass)) {
+      drafts.push_back(&entry);
+    }
+  }
+  PauseLongest(std::move(drafts),
+               std::min<std::size_t>(pausable, waiting),
+               aNow,
+               aActions);
+}
+
+void
+FairServerQueue::PauseLongest(std::vector<RunningEntry*> aDrafts,
+                              std::size_t aCount,
+                              Instant aNow,
+                              QueueActions& aActions)
+{
+  std::sort(aDrafts.begin(), aDrafts.end(), [&](auto* aLeft, auto* aRight) {
     return Ran(*aLeft, aNow) > Ran(*aRight, aNow);
   });
-  const auto waiting = Waiting();
-  for (auto* running : demoted) {
-    if (pausing >= waiting ||
-        mPaused.size() + pausing >= mSettings.mMaxPaused) {
+  auto pausing = CountPausing();
+  for (auto* running : aDrafts) {
+    if (pausing >= aCount || mPaused.size() + pausing >= mSettings.mMaxPaused) {
       return;
     }
+    const bool isFresh = running->mRanBefore > Duration() &&
+                         aNow - running->mStarted < mSettings.mMinRun;
+    if (running->mPausing || isFresh) {
+      continue;
+    }
     running->mPausing = true;
     ++pausing;
     aActions.emplace_back(PauseAction{ running->mEntry.mTicket });
   }
 }
 
+std::size_t
+FairServerQueue::CountPausing() const noexcept
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRunning.begin(), mRunning.end(), [](const auto& aRunning) {
+      return aRunning.second.mPausing;
+    }));
+}
+
 } // namespace bilberrytrail
--- a/packages/traffic/src/fair_server_queue_wait.cpp
+++ b/packages/traffic/src/fair_server_queue_wait.cpp
@@ -37,9 +37,8 @@
 std::uint32_t
 FairServerQueue::DraftSlots() const noexcept
 {
-  return mSettings.mSlots > mSettings.mShortSlots
-           ? mSettings.mSlots - mSettings.mShortSlots
-           : 1;
+  const auto kept = std::max(mSettings.mShortSlots, mSurgeSlots);
+  return mSettings.mSlots > kept ? mSettings.mSlots - kept : 1;
 }
 
 Duration
--- a/packages/traffic/tests/queue_trial_test.cpp
+++ b/packages/traffic/tests/queue_trial_test.cpp
@@ -57,6 +57,12 @@
 
 TEST_CASE("short work behind a swing of drafts is served as if alone")
 {
+  double surgePerSecond = 0;
+  SUBCASE("steady short work") {}
+  SUBCASE("short work surges too, far above its kept slots")
+  {
+    surgePerSecond = 30;
+  }
   for (const std::uint64_t seed : kSeeds) {
     CAPTURE(seed);
     Requests alone;
@@ -68,6 +74,17 @@
       alone,
       { "stock", WorkClass::Read, 4, 50ms, 5s, Instant(), Instant(120s) },
       seed + 10);
+    if (surgePerSecond > 0) {
+      AddStream(alone,
+                { "counter",
+                  WorkClass::Short,
+                  surgePerSecond,
+                  100ms,
+                  5s,
+                  Instant(30s),
+                  Instant(50s) },
+                seed + 30);
+    }
     auto mixed = alone;
     // Six draft slots carry 3 drafts a second; the swing offers 12.
     AddStream(mixed,
--- a/packages/traffic/tests/server_queue_test.cpp
+++ b/packages/traffic/tests/server_queue_test.cpp
@@ -280,6 +280,31 @@
   }
 }
 
+TEST_CASE("drafts in their estimates are paused for short work that waits")
+{
+  const auto queue = MakeFairServerQueue(Sized(4, 1, 2));
+  for (std::uint64_t n = 0; n < 4; ++n) {
+    (void)queue->Offer(Entry(n, "a", WorkClass::Draft, 10s), kStart);
+  }
+  for (std::uint64_t n = 10; n < 14; ++n) {
+    (void)queue->Offer(Entry(n, "b", WorkClass::Short), kStart + 1s);
+  }
+  const auto now = kStart + 1020ms;
+  // Three drafts run; two keep their slots.
+  const auto paused = queue->Tick(now);
+  REQUIRE(Words(paused) == "pause 0");
+  CHECK(queue->Tick(now).empty());
+  CHECK(Words(queue->ConfirmPaused(Ticket(0), now)) == "grant 11");
+  CHECK(Words(queue->Finish(Ticket(10), now)) == "grant 12");
+  CHECK(Words(queue->Finish(Ticket(11), now)) == "grant 13");
+  // The slot stays with short work for a while, then the paused draft goes on
+  // before the one that waits.
+  CHECK(queue->Finish(Ticket(12), now + 1s).empty());
+  REQUIRE(queue->NextTick(now + 1s).has_value());
+  CHECK(queue->Tick(now + 2999ms).empty());
+  CHECK(Words(queue->Tick(now + 3s)) == "resume 0");
+}
+
 TEST_CASE("a paused draft is not starved and not lost")
 {
   const auto queue = MakeFairServerQueue(Sized(1, 0, 1));
