Seal messages between daemons with sequence and time

Cause: the first signature covered sender, receiver and body only, so a captured message could be sent again.

--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -46,14 +46,14 @@
 
 ControlThread::ControlThread(const DaemonSettings& aSettings,
                              const MemberRecord& aSelf,
-                             PeerSigner& aSigner,
+                             PeerSeal& aSeal,
                              ControlViewHolder& aViews,
                              HomeService& aHomes,
                              std::function<void()> aDrain)
   : mSettings(aSettings)
-  , mThread(mLoop, aSigner, aSettings.mTable)
+  , mThread(mLoop, aSeal, aSettings.mTable)
   , mState(aViews, aSelf.mId, aSelf.mZone)
-  , mMembers(mLoop, aSigner, mState, aSelf, MakeGossipSettings(aSettings))
+  , mMembers(mLoop, aSeal, mState, aSelf, MakeGossipSettings(aSettings))
   , mReleases(mThread, mState, mMembers, MakeFollowerSettings(aSettings))
   , mList(mThread, mState, mMembers, aSettings.mList, aSettings.mListPoll)
   , mMonitor(mThread, mState, aHomes)
--- a/packages/daemon/src/control_thread.h
+++ b/packages/daemon/src/control_thread.h
@@ -22,7 +22,7 @@
 public:
   ControlThread(const DaemonSettings& aSettings,
                 const MemberRecord& aSelf,
-                PeerSigner& aSigner,
+                PeerSeal& aSeal,
                 ControlViewHolder& aViews,
                 HomeService& aHomes,
                 std::function<void()> aDrain);
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -1,5 +1,5 @@
 #include "control_thread.h"
-#include "site_signer.h"
+#include "site_seal.h"
 #include "traffic_thread.h"
 
 #include <bilberrytrail/base/digest.h>
@@ -50,7 +50,7 @@
 
   const DaemonSettings mSettings;
   MemberRecord mSelf;
-  SiteSigner mSigner;
+  SiteSeal mSeal;
   ControlViewHolder mViews;
   HomeService mHomes;
   RpcMethods mMethods;
@@ -63,9 +63,9 @@
 Daemon::Impl::Impl(DaemonSettings aSettings)
   : mSettings(std::move(aSettings))
   , mSelf(MakeSelf(mSettings))
-  , mSigner(mSettings.mSiteKey, mSelf.mId)
+  , mSeal(mSettings.mSiteKey, mSelf.mId, mSettings.mMessageWindow)
   , mHomes(mSettings, mViews)
-  , mControl(mSettings, mSelf, mSigner, mViews, mHomes, [this] { Drain(); })
+  , mControl(mSettings, mSelf, mSeal, mViews, mHomes, [this] { Drain(); })
 {
   mControl.AddMethods(mMethods);
   mMethods.Add("home.estimate", [this](const Json& aParams) -> Result<Json> {
@@ -78,7 +78,7 @@
   for (std::uint64_t n = 0; n < mSettings.mTrafficThreads; ++n) {
     mTraffic.push_back(
       std::make_unique<TrafficThread>(mSettings,
-                                      mSigner,
+                                      mSeal,
                                       mViews,
                                       mHomes,
                                       mMethods,
--- a/packages/daemon/src/membership_runner.cpp
+++ b/packages/daemon/src/membership_runner.cpp
@@ -9,14 +9,6 @@
 
 constexpr Duration kTickPeriod = 25ms;
 
-// A datagram is the signature, a line feed and the message.
-std::string
-Pack(std::string aSignature, const std::string& aMessage)
-{
-  aSignature.push_back('\n');
-  return aSignature + aMessage;
-}
-
 LogEvent
 EventOf(MemberStatus aStatus)
 {
@@ -36,12 +28,12 @@
 } // namespace
 
 MembershipRunner::MembershipRunner(Loop& aLoop,
-                                   PeerSigner& aSigner,
+                                   PeerSeal& aSeal,
                                    ControlState& aState,
                                    const MemberRecord& aSelf,
                                    const GossipSettings& aSettings)
   : mLoop(aLoop)
-  , mSigner(aSigner)
+  , mSeal(aSeal)
   , mState(aState)
   , mSocket(aLoop)
   , mGossip(aSelf, aSettings, StableHash64(aSelf.mId.Text()))
@@ -80,19 +72,11 @@
     if (!datagram) {
       return;
     }
-    const std::string& bytes = datagram.value().mBody;
-    const auto line = bytes.find('\n');
-    if (line == std::string::npos) {
-      continue;
-    }
-    const std::string_view body = std::string_view(bytes).substr(line + 1);
-    const auto sender = mSigner.Check(bytes.substr(0, line), body);
-    if (!sender) {
-      LogLine(LogEvent::MessageBadMac,
-              { { "from", ToText(datagram.value().mFrom) } });
+    const auto opened = mSeal.OpenForAny(datagram.value().mBody);
+    if (!opened) {
       continue;
     }
-    const auto message = GossipMessageFromBytes(body);
+    const auto message = GossipMessageFromBytes(opened.value().mBody);
     if (message) {
       Perform(mGossip.Receive(message.value(), MonotonicNow()));
     }
@@ -116,8 +100,7 @@
   bool isChanged = false;
   for (const auto& action : aActions) {
     if (const auto* send = std::get_if<SendGossip>(&action)) {
-      const std::string message = ToBytes(send->mMessage);
-      mSocket.Send(send->mTo, Pack(mSigner.Sign(DaemonId(), message), message));
+      mSocket.Send(send->mTo, mSeal.SealForAny(ToBytes(send->mMessage)));
     } else if (const auto* change = std::get_if<MemberChanged>(&action)) {
       isChanged = true;
       LogLine(EventOf(change->mRecord.mStatus),
--- a/packages/daemon/src/membership_runner.h
+++ b/packages/daemon/src/membership_runner.h
@@ -19,7 +19,7 @@
   using NumberListener = std::function<void(const SharedNumber&)>;
 
   MembershipRunner(Loop& aLoop,
-                   PeerSigner& aSigner,
+                   PeerSeal& aSeal,
                    ControlState& aState,
                    const MemberRecord& aSelf,
                    const GossipSettings& aSettings);
@@ -39,7 +39,7 @@
   void Perform(const GossipActions& aActions);
 
   Loop& mLoop;
-  PeerSigner& mSigner;
+  PeerSeal& mSeal;
   ControlState& mState;
   DatagramSocket mSocket;
   Gossip mGossip;
--- a/packages/daemon/src/peer_channel.cpp
+++ b/packages/daemon/src/peer_channel.cpp
@@ -25,9 +25,9 @@
 {
   return CallRpc(
     aMethod, aParams, [&](const std::string& aBody) -> Result<std::string> {
-      HttpRequest request{ "POST", std::string(kRpcPath), {}, aBody };
-      request.mHeaders.push_back(
-        { std::string(kSignatureHeader), mSigner.Sign(aPeer.mId, aBody) });
+      const HttpRequest request{
+        "POST", std::string(kRpcPath), {}, mSeal.Seal(aPeer.mId, aBody)
+      };
       auto response = mClient.Call(aPeer.mEndpoint, request, aTimeout);
       if (!response) {
         return Fail(response.error().mCode, response.error().mMessage);
@@ -37,7 +37,11 @@
                     "peer answered " +
                       std::to_string(response.value().mStatus));
       }
-      return std::move(response).value().mBody;
+      auto reply = mSeal.Open(response.value().mBody);
+      if (!reply) {
+        return std::move(reply).error();
+      }
+      return std::move(reply).value().mBody;
     });
 }
 
@@ -46,11 +50,11 @@
                  const HomeRequest& aRequest,
                  FrameSink& aSink)
 {
-  HttpRequest request{
-    "POST", std::string(kRunPath), {}, EncodeHomeRequest(aRequest)
-  };
-  request.mHeaders.push_back(
-    { std::string(kSignatureHeader), mSigner.Sign(aPeer.mId, request.mBody) });
+  const HttpRequest request{ "POST",
+                             std::string(kRunPath),
+                             {},
+                             mSeal.Seal(aPeer.mId,
+                                        EncodeHomeRequest(aRequest)) };
   auto opened = mClient.Open(aPeer.mEndpoint, request, kFrameTimeout);
   if (!opened) {
     return std::move(opened).error();
--- a/packages/daemon/src/peer_channel.h
+++ b/packages/daemon/src/peer_channel.h
@@ -2,6 +2,7 @@
 
 #include "control_view.h"
 #include "home_message.h"
+#include "peer_seal.h"
 
 #include <bilberrytrail/base/time.h>
 #include <bilberrytrail/runtime/http_client.h>
@@ -13,23 +14,6 @@
 
 namespace bilberrytrail {
 
-// Signs what one daemon sends to another and checks what it receives.
-class PeerSigner
-{
-public:
-  virtual ~PeerSigner() = default;
-
-  // Returns the signature header's value for a message to the receiver.
-  [[nodiscard]] virtual std::string Sign(const DaemonId& aReceiver,
-                                         std::string_view aBody) = 0;
-  // Fails with Unauthorized when the signature does not match, is old or was
-  // seen before. Returns the sender.
-  [[nodiscard]] virtual Result<DaemonId> Check(std::string_view aSignature,
-                                               std::string_view aBody) = 0;
-};
-
-// Header that carries the signature.
-inline constexpr std::string_view kSignatureHeader = "X-Peer-Signature";
 // Paths that daemons serve to each other.
 inline constexpr std::string_view kRpcPath = "/peer/rpc";
 inline constexpr std::string_view kRunPath = "/peer/run";
@@ -51,9 +35,9 @@
 class PeerChannel
 {
 public:
-  PeerChannel(HttpClient& aClient, PeerSigner& aSigner)
+  PeerChannel(HttpClient& aClient, PeerSeal& aSeal)
     : mClient(aClient)
-    , mSigner(aSigner)
+    , mSeal(aSeal)
   {
   }
 
@@ -71,7 +55,7 @@
 
 private:
   HttpClient& mClient;
-  PeerSigner& mSigner;
+  PeerSeal& mSeal;
 };
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/peer_service.cpp
+++ b/packages/daemon/src/peer_service.cpp
@@ -38,11 +38,11 @@
 } // namespace
 
 PeerService::PeerService(ThreadContext& aThread,
-                         PeerSigner& aSigner,
+                         PeerSeal& aSeal,
                          const RpcMethods& aMethods,
                          HomeService& aHomes)
   : mThread(aThread)
-  , mSigner(aSigner)
+  , mSeal(aSeal)
   , mMethods(aMethods)
   , mHomes(aHomes)
 {
@@ -51,23 +51,26 @@
 void
 PeerService::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
 {
-  const auto signature = FindHeader(aRequest.mHeaders, kSignatureHeader);
-  const auto sender = mSigner.Check(signature, aRequest.mBody);
-  if (!sender) {
-    Refuse(aResponder, 401, sender.error().mMessage);
-  } else if (aRequest.mTarget == kRpcPath) {
-    (void)aResponder.Send({ 200, {}, mMethods.Serve(aRequest.mBody) });
+  const auto message = mSeal.Open(aRequest.mBody);
+  if (!message) {
+    Refuse(aResponder, 401, message.error().mMessage);
+    return;
+  }
+  const PeerMessage& opened = message.value();
+  if (aRequest.mTarget == kRpcPath) {
+    const std::string reply = mMethods.Serve(opened.mBody);
+    (void)aResponder.Send({ 200, {}, mSeal.Seal(opened.mSender, reply) });
   } else if (aRequest.mTarget == kRunPath) {
-    Run(aRequest, aResponder);
+    Run(opened.mBody, aResponder);
   } else {
     Refuse(aResponder, 404, "no such path");
   }
 }
 
 void
-PeerService::Run(const HttpRequest& aRequest, HttpResponder& aResponder)
+PeerService::Run(const std::string& aBody, HttpResponder& aResponder)
 {
-  const auto request = DecodeHomeRequest(aRequest.mBody);
+  const auto request = DecodeHomeRequest(aBody);
   if (!request) {
     Refuse(aResponder, 400, request.error().mMessage);
     return;
--- a/packages/daemon/src/peer_service.h
+++ b/packages/daemon/src/peer_service.h
@@ -9,23 +9,23 @@
 namespace bilberrytrail {
 
 // Serves other daemons on one traffic thread: JSON-RPC calls, and requests
-// for servers that this daemon is home to. Messages without a valid signature
-// are refused.
+// for servers that this daemon is home to. Messages that are not
+// authentic are refused.
 class PeerService : public HttpHandler
 {
 public:
   PeerService(ThreadContext& aThread,
-              PeerSigner& aSigner,
+              PeerSeal& aSeal,
               const RpcMethods& aMethods,
               HomeService& aHomes);
 
   void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
 
 private:
-  void Run(const HttpRequest& aRequest, HttpResponder& aResponder);
+  void Run(const std::string& aBody, HttpResponder& aResponder);
 
   ThreadContext& mThread;
-  PeerSigner& mSigner;
+  PeerSeal& mSeal;
   const RpcMethods& mMethods;
   HomeService& mHomes;
 };
--- a/packages/daemon/src/thread_context.cpp
+++ b/packages/daemon/src/thread_context.cpp
@@ -3,11 +3,11 @@
 namespace bilberrytrail {
 
 ThreadContext::ThreadContext(Loop& aLoop,
-                             PeerSigner& aSigner,
+                             PeerSeal& aSeal,
                              const Endpoint& aTable)
   : mLoop(aLoop)
   , mClient(aLoop)
-  , mPeers(mClient, aSigner)
+  , mPeers(mClient, aSeal)
   , mTable(MakeHttpTableService(mClient, aTable))
 {
 }
--- a/packages/daemon/src/thread_context.h
+++ b/packages/daemon/src/thread_context.h
@@ -17,7 +17,7 @@
 class ThreadContext
 {
 public:
-  ThreadContext(Loop& aLoop, PeerSigner& aSigner, const Endpoint& aTable);
+  ThreadContext(Loop& aLoop, PeerSeal& aSeal, const Endpoint& aTable);
 
   [[nodiscard]] Loop& GetLoop() noexcept { return mLoop; }
   [[nodiscard]] HttpClient& Client() noexcept { return mClient; }
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -28,16 +28,16 @@
 } // namespace
 
 TrafficThread::TrafficThread(const DaemonSettings& aSettings,
-                             PeerSigner& aSigner,
+                             PeerSeal& aSeal,
                              ControlViewHolder& aViews,
                              HomeService& aHomes,
                              const RpcMethods& aMethods,
                              std::uint64_t aSeed)
   : mSettings(aSettings)
   , mHomes(aHomes)
-  , mThread(mLoop, aSigner, aSettings.mTable)
+  , mThread(mLoop, aSeal, aSettings.mTable)
   , mCallers(mThread, aSettings, aViews, aHomes, aSeed)
-  , mPeers(mThread, aSigner, aMethods, aHomes)
+  , mPeers(mThread, aSeal, aMethods, aHomes)
   , mCallerServer(mLoop, MakeLimits(aSettings))
   , mPeerServer(mLoop, MakePeerLimits(aSettings))
 {
--- a/packages/daemon/src/traffic_thread.h
+++ b/packages/daemon/src/traffic_thread.h
@@ -12,7 +12,7 @@
 {
 public:
   TrafficThread(const DaemonSettings& aSettings,
-                PeerSigner& aSigner,
+                PeerSeal& aSeal,
                 ControlViewHolder& aViews,
                 HomeService& aHomes,
                 const RpcMethods& aMethods,
