Serve status, histograms, metrics and the release log to operators

Cause: bilberryctl had subcommands without a daemon behind them. Change: any daemon answers for the whole site by asking the homes; counters and Boost.Histogram series per client account and class; drain of another daemon is passed on to it; query values are decoded.

--- a/packages/daemon/src/answer_writer.cpp
+++ b/packages/daemon/src/answer_writer.cpp
@@ -79,6 +79,7 @@
 void
 AnswerWriter::Break(const Refusal& aRefusal)
 {
+  mContext.mIncomplete = true;
   const std::string event =
     "event: error\ndata: " + RenderProblem(aRefusal) + "\n\n";
   if (mContext.mResponder.WriteChunk(event)) {
--- a/packages/daemon/src/caller_service.cpp
+++ b/packages/daemon/src/caller_service.cpp
@@ -17,10 +17,12 @@
                              const DaemonSettings& aSettings,
                              ControlViewHolder& aViews,
                              HomeService& aHomes,
+                             DaemonMetrics& aMetrics,
                              std::uint64_t aSeed)
   : mThread(aThread)
   , mSettings(aSettings)
   , mViews(aViews)
+  , mMetrics(aMetrics)
   , mLocator(aHomes, aSeed)
   , mBudget(aSettings.mRetryBudget, kReserveTokens, kMaxSavedTokens)
   , mRetries(MakeBudgetedRetryPolicy(mBudget))
@@ -58,10 +60,12 @@
               { { "reason", refusal->Reason() },
                 { "disposition", refusal->GetDisposition() },
                 { "account", context.mAccount.mAccount } });
+      mMetrics.NoteRefused(context, *refusal);
       SendRefusal(aResponder, *refusal);
       return;
     }
   }
+  mMetrics.NoteEnded(context, MonotonicNow());
 }
 
 void
--- a/packages/daemon/src/caller_service.h
+++ b/packages/daemon/src/caller_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon_metrics.h"
 #include "dispatch.h"
 #include "request_filters.h"
 
@@ -19,6 +20,7 @@
                 const DaemonSettings& aSettings,
                 ControlViewHolder& aViews,
                 HomeService& aHomes,
+                DaemonMetrics& aMetrics,
                 std::uint64_t aSeed);
   ~CallerService() override;
 
@@ -30,6 +32,7 @@
   ThreadContext& mThread;
   const DaemonSettings& mSettings;
   ControlViewHolder& mViews;
+  DaemonMetrics& mMetrics;
   ServerLocator mLocator;
   ExtraWorkBudget mBudget;
   std::unique_ptr<RetryPolicy> mRetries;
--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -266,6 +266,7 @@
 {
   const auto answer = mAnswer.Finish();
   if (!answer) {
+    mContext.mIncomplete = true;
     mContext.mResponder.Abort();
     return std::nullopt;
   }
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -1,5 +1,7 @@
 #include "control_thread.h"
 
+#include "site_status.h"
+
 #include <future>
 
 namespace bilberrytrail {
@@ -49,8 +51,11 @@
                              PeerSeal& aSeal,
                              ControlViewHolder& aViews,
                              HomeService& aHomes,
+                             const DaemonMetrics& aMetrics,
                              std::function<void()> aDrain)
   : mSettings(aSettings)
+  , mHomes(aHomes)
+  , mDrain(std::move(aDrain))
   , mThread(mLoop, aSeal, aSettings.mTable)
   , mState(aViews, aSelf.mId, aSelf.mZone)
   , mMembers(mLoop, aSeal, mState, aSelf, MakeGossipSettings(aSettings))
@@ -62,7 +67,14 @@
             aHomes,
             static_cast<std::uint32_t>(aSettings.mControlShards),
             MakeLeaseSettings(aSettings))
-  , mOperators(aSettings, mState, mReleases, mList, aHomes, std::move(aDrain))
+  , mOperators(aSettings,
+               mThread,
+               mState,
+               mReleases,
+               mList,
+               aHomes,
+               aMetrics,
+               mDrain)
   , mOperatorServer(mLoop, MakeOperatorLimits(aSettings))
 {
   mState.OnView([&aHomes](const ControlView& aView) { aHomes.OnView(aView); });
@@ -87,6 +99,13 @@
   aMethods.Add("release.body", onControl([this](const Json& aParams) {
                  return mReleases.BodyForPeer(aParams);
                }));
+  aMethods.Add("home.status", [this](const Json&) -> Result<Json> {
+    return Json{ { "servers", DescribeHomedServers(*mState.View(), mHomes) } };
+  });
+  aMethods.Add("control.drain", [this](const Json&) -> Result<Json> {
+    mDrain();
+    return Json::object();
+  });
   aMethods.Add("home.states", [this](const Json& aParams) {
     return mShards.StatesForPeer(aParams);
   });
--- a/packages/daemon/src/control_thread.h
+++ b/packages/daemon/src/control_thread.h
@@ -25,6 +25,7 @@
                 PeerSeal& aSeal,
                 ControlViewHolder& aViews,
                 HomeService& aHomes,
+                const DaemonMetrics& aMetrics,
                 std::function<void()> aDrain);
 
   [[nodiscard]] Loop& GetLoop() noexcept { return mLoop; }
@@ -41,6 +42,8 @@
 
 private:
   const DaemonSettings& mSettings;
+  HomeService& mHomes;
+  std::function<void()> mDrain;
   Loop mLoop;
   ThreadContext mThread;
   ControlState mState;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -53,6 +53,7 @@
   SiteSeal mSeal;
   ControlViewHolder mViews;
   HomeService mHomes;
+  DaemonMetrics mMetrics;
   RpcMethods mMethods;
   ControlThread mControl;
   std::vector<std::unique_ptr<TrafficThread>> mTraffic;
@@ -65,7 +66,10 @@
   , mSelf(MakeSelf(mSettings))
   , mSeal(mSettings.mSiteKey, mSelf.mId, mSettings.mMessageWindow)
   , mHomes(mSettings, mViews)
-  , mControl(mSettings, mSelf, mSeal, mViews, mHomes, [this] { Drain(); })
+  , mMetrics(mSettings.mHistogramSeries)
+  , mControl(mSettings, mSelf, mSeal, mViews, mHomes, mMetrics, [this] {
+    Drain();
+  })
 {
   mControl.AddMethods(mMethods);
   mMethods.Add("home.estimate", [this](const Json& aParams) -> Result<Json> {
@@ -82,6 +86,7 @@
                                       mViews,
                                       mHomes,
                                       mMethods,
+                                      mMetrics,
                                       StableHash64(mSelf.mId.Text()) + n));
   }
 }
--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -46,6 +46,13 @@
   return mState;
 }
 
+std::optional<Duration>
+HomedServer::ReportAge(Instant aNow) const
+{
+  const std::lock_guard lock(mMutex);
+  return mState ? std::optional<Duration>(aNow - mReportedAt) : std::nullopt;
+}
+
 bool
 HomedServer::Serves(const ModelId& aModel, const VersionId& aVersion) const
 {
@@ -124,6 +131,7 @@
 {
   const std::lock_guard lock(mMutex);
   mState = std::move(aState);
+  mReportedAt = MonotonicNow();
 }
 
 void
--- a/packages/daemon/src/homed_server.h
+++ b/packages/daemon/src/homed_server.h
@@ -33,6 +33,8 @@
   [[nodiscard]] HomeQueue& Queue() noexcept { return *mQueue; }
   // Returns the last state that the engine reported.
   [[nodiscard]] std::optional<EngineState> State() const;
+  // Returns the time since the engine's last report.
+  [[nodiscard]] std::optional<Duration> ReportAge(Instant aNow) const;
   // Returns whether the engine reported that it serves the version.
   [[nodiscard]] bool Serves(const ModelId& aModel,
                             const VersionId& aVersion) const;
@@ -67,6 +69,7 @@
   std::shared_ptr<HomeQueue> mQueue;
   mutable std::mutex mMutex;
   std::optional<EngineState> mState;
+  Instant mReportedAt{};
   Instant mNoWorkBefore{};
   ServerSpeed mSpeed;
   std::unordered_set<BlockId> mResident;
--- a/packages/daemon/src/operator_service.cpp
+++ b/packages/daemon/src/operator_service.cpp
@@ -1,5 +1,7 @@
 #include "operator_service.h"
 
+#include "site_status.h"
+
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/log.h>
 #include <bilberrytrail/platform/json_fields.h>
@@ -10,6 +12,19 @@
 
 namespace {
 
+constexpr Duration kTableTimeout = 1s;
+constexpr Duration kPeerTimeout = 1s;
+constexpr std::size_t kMaxLogRows = 100;
+
+// An operator names a daemon by its name or by its id, which has the
+// instance of the process behind '~'.
+bool
+IsNameOf(std::string_view aName, const DaemonId& aId)
+{
+  const std::string_view id = aId.Text();
+  return id == aName || id.substr(0, id.rfind('~')) == aName;
+}
+
 HttpResponse
 Answer(unsigned aStatus, const Json& aJson)
 {
@@ -31,8 +46,28 @@
   return target.substr(0, target.find('?'));
 }
 
-// Returns the value of a query parameter, or an empty view.
-std::string_view
+// Returns the text with each %XX replaced by its byte.
+std::string
+PercentDecode(std::string_view aText)
+{
+  constexpr int kHex = 16;
+  std::string text;
+  for (std::size_t n = 0; n < aText.size(); ++n) {
+    unsigned char byte = 0;
+    if (aText[n] == '%' && n + 2 < aText.size() &&
+        std::from_chars(aText.data() + n + 1, aText.data() + n + 3, byte, kHex)
+            .ptr == aText.data() + n + 3) {
+      text.push_back(static_cast<char>(byte));
+      n += 2;
+    } else {
+      text.push_back(aText[n]);
+    }
+  }
+  return text;
+}
+
+// Returns the value of a query parameter, or an empty text.
+std::string
 QueryOf(const HttpRequest& aRequest, std::string_view aName)
 {
   std::string_view target = aRequest.mTarget;
@@ -45,7 +80,7 @@
     const auto part = target.substr(0, target.find('&'));
     target.remove_prefix(std::min(target.size(), part.size() + 1));
     if (part.starts_with(aName) && part.substr(aName.size()).starts_with('=')) {
-      return part.substr(aName.size() + 1);
+      return PercentDecode(part.substr(aName.size() + 1));
     }
   }
   return {};
@@ -69,6 +104,22 @@
   return { { "line", line }, { "message", text } };
 }
 
+HttpResponse
+NotRun(std::string_view aText)
+{
+  return Answer(503, { { "disposition", "not_run" }, { "message", aText } });
+}
+
+HttpResponse
+ShowBody(const ReleaseBody& aBody)
+{
+  return Answer(200,
+                { { "product", aBody.mState.mProduct.Text() },
+                  { "number", aBody.mState.mNumber.Value() },
+                  { "id", aBody.mNoteId },
+                  { "note", aBody.mNoteText } });
+}
+
 HttpResponse
 Faults(const std::string& aMessage)
 {
@@ -78,16 +129,20 @@
 } // namespace
 
 OperatorService::OperatorService(const DaemonSettings& aSettings,
+                                 ThreadContext& aThread,
                                  ControlState& aState,
                                  ReleaseRunner& aReleases,
                                  ListRunner& aList,
                                  HomeService& aHomes,
+                                 const DaemonMetrics& aMetrics,
                                  std::function<void()> aDrain)
   : mSettings(aSettings)
+  , mThread(aThread)
   , mState(aState)
   , mReleases(aReleases)
   , mList(aList)
   , mHomes(aHomes)
+  , mMetrics(aMetrics)
   , mDrain(std::move(aDrain))
 {
 }
@@ -127,9 +182,18 @@
   if (path == "/operator/release/show") {
     return Show(aRequest);
   }
+  if (path == "/operator/release/log") {
+    return Log(aRequest);
+  }
   if (path == "/operator/status") {
     return Status();
   }
+  if (path == "/operator/histograms") {
+    return Histograms(aRequest);
+  }
+  if (path == "/operator/metrics") {
+    return { 200, { { "Content-Type", "text/plain" } }, mMetrics.Text() };
+  }
   return Message(404, "no such path");
 }
 
@@ -187,7 +251,11 @@
 HttpResponse
 OperatorService::Show(const HttpRequest& aRequest)
 {
-  const ProductId product{ std::string(QueryOf(aRequest, "product")) };
+  const ProductId product(QueryOf(aRequest, "product"));
+  const std::string number = QueryOf(aRequest, "number");
+  if (!number.empty()) {
+    return ShowNumber(product, number);
+  }
   const auto body = mReleases.Follower().InForce(product);
   if (body == nullptr) {
     return Answer(200,
@@ -196,11 +264,61 @@
                     { "id", "" },
                     { "note", "" } });
   }
-  return Answer(200,
-                { { "product", product.Text() },
-                  { "number", body->mState.mNumber.Value() },
-                  { "id", body->mNoteId },
-                  { "note", body->mNoteText } });
+  return ShowBody(*body);
+}
+
+HttpResponse
+OperatorService::ShowNumber(const ProductId& aProduct, std::string_view aNumber)
+{
+  std::uint64_t n = 0;
+  const auto [end, ec] =
+    std::from_chars(aNumber.data(), aNumber.data() + aNumber.size(), n);
+  if (ec != std::errc() || end != aNumber.data() + aNumber.size()) {
+    return Message(400, "number must be a whole number");
+  }
+  const auto row = mThread.Table().Read(
+    ReleaseRowKey(aProduct, ReleaseNumber(n)), kTableTimeout);
+  if (!row) {
+    return NotRun(row.error().mError.mMessage);
+  }
+  if (!row.value()) {
+    return Message(404, "no such release");
+  }
+  const auto body = ReleaseBodyFromText(row.value()->mValue);
+  return body ? ShowBody(body.value()) : Message(500, body.error().mMessage);
+}
+
+HttpResponse
+OperatorService::Log(const HttpRequest& aRequest)
+{
+  const ProductId product(QueryOf(aRequest, "product"));
+  const auto newest = mReleases.Follower().InForce(product);
+  Json releases = Json::array();
+  std::uint64_t n = newest == nullptr ? 0 : newest->mState.mNumber.Value();
+  for (; n > 0 && releases.size() < kMaxLogRows; --n) {
+    const auto row = mThread.Table().Read(
+      ReleaseRowKey(product, ReleaseNumber(n)), kTableTimeout);
+    if (!row) {
+      return NotRun(row.error().mError.mMessage);
+    }
+    const auto body = row.value() ? ReleaseBodyFromText(row.value()->mValue)
+                                  : Fail(ErrorCode::NotFound, "missing");
+    releases.push_back({ { "number", n },
+                         { "id", body ? body.value().mNoteId : "" },
+                         { "time_ms", 0 } });
+  }
+  return Answer(
+    200,
+    { { "product", product.Text() }, { "releases", std::move(releases) } });
+}
+
+HttpResponse
+OperatorService::Histograms(const HttpRequest& aRequest)
+{
+  return { 200,
+           { { "Content-Type", "application/json" } },
+           mMetrics.HistogramsJson(QueryOf(aRequest, "account"),
+                                   QueryOf(aRequest, "class")) };
 }
 
 HttpResponse
@@ -216,8 +334,7 @@
                 { "table_up", mReleases.IsTableUp() },
                 { "list_age_ms", ToMillis(mList.Age(now)) },
                 { "products", Json::array() },
-                { "daemons", Json::array() },
-                { "servers", Json::array() } };
+                { "daemons", Json::array() } };
   for (const auto& [id, product] : view->mProducts) {
     json["products"].push_back(
       { { "product", id.Text() }, { "release", product.mNumber.Value() } });
@@ -228,29 +345,7 @@
                                 { "state", ToName(member.mStatus) },
                                 { "endpoint", ToText(member.mEndpoint) } });
   }
-  for (const auto& [id, server] : view->mServers) {
-    Json row = { { "name", id.Text() },
-                 { "product", server.mVm.mProduct.Text() },
-                 { "role", ToName(server.mVm.mRole) },
-                 { "zone", server.mVm.mZone.Text() },
-                 { "home", server.mHome.Text() },
-                 { "state", server.mVm.mLeaving ? "leaving" : "serving" } };
-    if (server.mHome == view->mSelf && server.mVm.mRole != VmRole::Store) {
-      if (const auto homed = mHomes.Find(id)) {
-        row["queued"] = homed->Queue().Waiting();
-        row["running"] = homed->Queue().Running();
-        row["versions"] = Json::array();
-        if (const auto state = homed->State()) {
-          for (const auto& it : state->mVersions) {
-            row["versions"].push_back({ { "model", it.mModel.Text() },
-                                        { "version", it.mVersion.Text() },
-                                        { "ready", it.mReady } });
-          }
-        }
-      }
-    }
-    json["servers"].push_back(std::move(row));
-  }
+  json["servers"] = DescribeAllServers(*view, mHomes, mThread);
   return Answer(200, json);
 }
 
@@ -270,13 +365,37 @@
     mState.SetLeaving(server);
   } else {
     const std::string daemon = fields.Text("daemon");
-    if (!fields.Check() || daemon != mState.View()->mSelf.Text()) {
-      return Message(404, "not this daemon: " + daemon);
+    if (const auto ok = fields.Check(); !ok) {
+      return Message(400, ok.error().mMessage);
     }
-    mDrain();
+    return DrainDaemon(daemon);
   }
-  LogLine(LogEvent::OperatorAction, { { "action", "drain" } });
+  LogLine(LogEvent::OperatorAction, { { "action", "drain_server" } });
   return Answer(200, { { "draining", true } });
 }
 
+HttpResponse
+OperatorService::DrainDaemon(const std::string& aName)
+{
+  const auto view = mState.View();
+  for (const auto& member : view->mMembers) {
+    if (!IsNameOf(aName, member.mId)) {
+      continue;
+    }
+    LogLine(LogEvent::OperatorAction,
+            { { "action", "drain_daemon" }, { "daemon", member.mId } });
+    if (member.mId == view->mSelf) {
+      mDrain();
+      return Answer(200, { { "draining", true } });
+    }
+    const auto reply = mThread.Peers().Call(
+      member, "control.drain", Json::object(), kPeerTimeout);
+    return reply ? Answer(200, { { "draining", true } })
+                 : Answer(503,
+                          { { "disposition", "unknown" },
+                            { "message", reply.error().mMessage } });
+  }
+  return Message(404, "no such daemon: " + aName);
+}
+
 } // namespace bilberrytrail
--- a/packages/daemon/src/request_context.h
+++ b/packages/daemon/src/request_context.h
@@ -57,6 +57,8 @@
   AttemptLedger mLedger{};
   std::optional<Instant> mFirstTokenAt{};
   std::uint32_t mRetries = 0;
+  // The answer began and did not reach its caller whole.
+  bool mIncomplete = false;
 
   // Refuses with the disposition that the ledger proves.
   [[nodiscard]] Refusal Refuse(RefusalReason aReason,
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -32,11 +32,12 @@
                              ControlViewHolder& aViews,
                              HomeService& aHomes,
                              const RpcMethods& aMethods,
+                             DaemonMetrics& aMetrics,
                              std::uint64_t aSeed)
   : mSettings(aSettings)
   , mHomes(aHomes)
   , mThread(mLoop, aSeal, aSettings.mTable)
-  , mCallers(mThread, aSettings, aViews, aHomes, aSeed)
+  , mCallers(mThread, aSettings, aViews, aHomes, aMetrics, aSeed)
   , mPeers(mThread, aSeal, aMethods, aHomes)
   , mCallerServer(mLoop, MakeLimits(aSettings))
   , mPeerServer(mLoop, MakePeerLimits(aSettings))
--- a/packages/daemon/src/traffic_thread.h
+++ b/packages/daemon/src/traffic_thread.h
@@ -16,6 +16,7 @@
                 ControlViewHolder& aViews,
                 HomeService& aHomes,
                 const RpcMethods& aMethods,
+                DaemonMetrics& aMetrics,
                 std::uint64_t aSeed);
 
   [[nodiscard]] Loop& GetLoop() noexcept { return mLoop; }
--- a/tools/lint.py
+++ b/tools/lint.py
@@ -58,7 +58,10 @@
 
 def lint(entry):
     """Returns the linter's findings for one source; empty when clean."""
-    key = CACHE / fingerprint(entry)
+    try:
+        key = CACHE / fingerprint(entry)
+    except subprocess.CalledProcessError as error:
+        return f"{entry['file']}: does not compile: {error.stderr.decode()}"
     if key.exists():
         return ""
     run = subprocess.run(["clang-tidy", "--quiet", "-p", BUILD, entry["file"]],
