--- /dev/null
+++ b/packages/runtime/src/http_responder_impl.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <bilberrytrail/runtime/http_server.h>
+
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+
+namespace bilberrytrail {
+
+// Answers one request over a connection of the server. The stream and the
+// limits must outlive it.
+class HttpResponderImpl final : public HttpResponder
+{
+public:
+  HttpResponderImpl(boost::beast::tcp_stream& aStream,
+                    const HttpLimits& aLimits,
+                    bool aKeepAlive);
+
+  [[nodiscard]] bool HasBegun() const noexcept override { return mBegun; }
+  // Returns true once the whole answer was written.
+  [[nodiscard]] bool IsComplete() const noexcept { return mComplete; }
+  [[nodiscard]] bool IsKeepAlive() const noexcept { return mKeepAlive; }
+  [[nodiscard]] bool IsPeerOpen() noexcept override;
+
+  Result<void> Send(HttpResponse aResponse) override;
+  Result<void> BeginStream(unsigned aStatus, HttpHeaders aHeaders) override;
+  Result<void> WriteChunk(std::string_view aData) override;
+  Result<void> EndStream() override;
+  void Abort() override;
+
+private:
+  template<class Message>
+  void Prepare(Message& aMessage,
+               unsigned aStatus,
+               const HttpHeaders& aHeaders);
+  Result<void> Checked(const boost::beast::error_code& aCode);
+  Result<void> Finish(const boost::beast::error_code& aCode);
+
+  boost::beast::tcp_stream& mStream;
+  const HttpLimits& mLimits;
+  bool mKeepAlive;
+  bool mBegun = false;
+  bool mComplete = false;
+};
+
+} // namespace bilberrytrail
--- a/packages/runtime/src/http_server.cpp
+++ b/packages/runtime/src/http_server.cpp
@@ -1,3 +1,4 @@
+#include "http_responder_impl.h"
 #include "loop_impl.h"
 #include "socket_state.h"
 #include "use_fiber.h"
@@ -6,7 +7,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -31,12 +31,6 @@
 // so that it gets to see the refusal.
 constexpr Duration kLingerTime = 1s;
 
-Error
-PeerGone(const beast::error_code& aCode)
-{
-  return Fail(ErrorCode::Unavailable, "peer has gone: " + aCode.message());
-}
-
 // The status that answers a request which could not be read; 0 for none.
 unsigned
 RefusalStatus(const beast::error_code& aCode)
@@ -58,117 +52,6 @@
   return 0;
 }
 
-class ResponderImpl final : public HttpResponder
-{
-public:
-  ResponderImpl(beast::tcp_stream& aStream,
-                const HttpLimits& aLimits,
-                bool aKeepAlive)
-    : mStream(aStream)
-    , mLimits(aLimits)
-    , mKeepAlive(aKeepAlive)
-  {
-  }
-
-  [[nodiscard]] bool HasBegun() const noexcept override { return mBegun; }
-  [[nodiscard]] bool IsComplete() const noexcept { return mComplete; }
-  [[nodiscard]] bool IsKeepAlive() const noexcept { return mKeepAlive; }
-
-  [[nodiscard]] bool IsPeerOpen() noexcept override
-  {
-    return mStream.socket().is_open() &&
-           PeekSocket(mStream.socket().native_handle()) != SocketState::Closed;
-  }
-
-  Result<void> Send(HttpResponse aResponse) override
-  {
-    mBegun = true;
-    http::response<http::string_body> response;
-    Prepare(response, aResponse.mStatus, aResponse.mHeaders);
-    response.body() = std::move(aResponse.mBody);
-    response.prepare_payload();
-    mStream.expires_after(mLimits.mWriteTime);
-    const auto [ec, n] = http::async_write(mStream, response, kUseFiber);
-    return Finish(ec);
-  }
-
-  Result<void> BeginStream(unsigned aStatus, HttpHeaders aHeaders) override
-  {
-    mBegun = true;
-    http::response<http::empty_body> response;
-    Prepare(response, aStatus, aHeaders);
-    response.chunked(true);
-    http::response_serializer<http::empty_body> serializer(response);
-    mStream.expires_after(mLimits.mWriteTime);
-    const auto [ec, n] =
-      http::async_write_header(mStream, serializer, kUseFiber);
-    return Checked(ec);
-  }
-
-  Result<void> WriteChunk(std::string_view aData) override
-  {
-    if (aData.empty()) {
-      return Ok();
-    }
-    mStream.expires_after(mLimits.mWriteTime);
-    const auto [ec, n] = asio::async_write(
-      mStream,
-      http::make_chunk(asio::const_buffer(aData.data(), aData.size())),
-      kUseFiber);
-    return Checked(ec);
-  }
-
-  Result<void> EndStream() override
-  {
-    mStream.expires_after(mLimits.mWriteTime);
-    const auto [ec, n] =
-      asio::async_write(mStream, http::make_chunk_last(), kUseFiber);
-    return Finish(ec);
-  }
-
-  void Abort() override
-  {
-    mBegun = true;
-    mKeepAlive = false;
-    beast::error_code ec;
-    mStream.socket().set_option(asio::socket_base::linger(true, 0), ec);
-    mStream.socket().close(ec);
-  }
-
-private:
-  template<class Message>
-  void Prepare(Message& aMessage, unsigned aStatus, const HttpHeaders& aHeaders)
-  {
-    aMessage.result(aStatus);
-    aMessage.version(11);
-    aMessage.keep_alive(mKeepAlive);
-    for (const auto& header : aHeaders) {
-      aMessage.insert(header.mName, header.mValue);
-    }
-  }
-
-  Result<void> Checked(const beast::error_code& aCode)
-  {
-    if (aCode) {
-      mKeepAlive = false;
-      return PeerGone(aCode);
-    }
-    return Ok();
-  }
-
-  Result<void> Finish(const beast::error_code& aCode)
-  {
-    mComplete = !aCode;
-    return Checked(aCode);
-  }
-
-  beast::tcp_stream& mStream;
-  const HttpLimits& mLimits;
-  bool mKeepAlive;
-  bool mBegun = false;
-  bool mComplete = false;
-};
-
 HttpRequest
 TakeRequest(RequestParser& aParser)
 {
@@ -360,7 +243,7 @@
   if (status == 0 || !aStream.socket().is_open()) {
     return;
   }
-  ResponderImpl responder(aStream, mLimits, false);
+  HttpResponderImpl responder(aStream, mLimits, false);
   const auto sent = responder.Send(
     { status,
       { { "Content-Type", "application/problem+json" } },
@@ -387,7 +270,7 @@
 {
   const bool keepAlive = aParser.get().keep_alive() && !mStopped;
   const HttpRequest request = TakeRequest(aParser);
-  ResponderImpl responder(aStream, mLimits, keepAlive);
+  HttpResponderImpl responder(aStream, mLimits, keepAlive);
   aStream.expires_never();
   ++mActive;
   aHandler.Handle(request, responder);
