--- a/packages/daemon/src/home_queue.cpp
+++ b/packages/daemon/src/home_queue.cpp
@@ -7,7 +7,7 @@
 Ticket
 TicketOf(const QueueAction& aAction)
 {
-  return std::visit([](const auto& it) { return it.mTicket; }, aAction);
+  return std::visit([](const auto& aOne) { return aOne.mTicket; }, aAction);
 }
 
 } // namespace
--- a/tests/process/operator_test.cpp
+++ b/tests/process/operator_test.cpp
@@ -19,7 +19,7 @@
 };
 
 CtlResult
-RunCtl(Site& aSite, std::vector<std::string> aArguments)
+RunCtl(Site& aSite, const std::vector<std::string>& aArguments)
 {
   ::setenv("BILBERRYTRAIL_TOKEN", Site::OperatorToken().c_str(), 1);
   ::setenv(
@@ -37,7 +37,7 @@
 std::string
 WriteNote(Site& aSite, const std::string& aName, const std::string& aText)
 {
-  const std::string file = aSite.Folder() + "/" + aName;
+  std::string file = aSite.Folder() + "/" + aName;
   std::ofstream(file) << aText;
   return file;
 }
@@ -72,7 +72,7 @@
     const auto file = WriteNote(site, "2.ini", other);
     const auto result = RunCtl(site, { "release", "apply", file });
     CHECK(result.mStatus == 3);
-    CHECK(result.mOutput.find("1") != std::string::npos);
+    CHECK(result.mOutput.find('1') != std::string::npos);
   }
   SUBCASE("the same note again is accepted as applied already")
   {
--- a/tests/site/process.cpp
+++ b/tests/site/process.cpp
@@ -15,8 +15,6 @@
 #include <thread>
 #include <utility>
 
-extern char** environ;
-
 namespace bilberrytrail {
 
 namespace {
@@ -131,7 +129,10 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t n = sizeof(address);
-  ::bind(handle, reinterpret_cast<sockaddr*>(&address), n);
+  if (::bind(handle, reinterpret_cast<sockaddr*>(&address), n) != 0) {
+    std::cerr << "cannot bind a port\n";
+    std::exit(EXIT_FAILURE);
+  }
   ::getsockname(handle, reinterpret_cast<sockaddr*>(&address), &n);
   ::close(handle);
   return ntohs(address.sin_port);
