--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -133,6 +133,7 @@
   AnswerAssembler mAnswer;
   AnswerWriter mWriter;
   std::set<ServerId> mTried;
+  ServerId mLastServer;
   AttemptEnd mLast;
   bool mIsCallerGone = false;
 };
@@ -172,6 +173,7 @@
   const auto end =
     std::min(mContext.mDeadline, MonotonicNow() + kNoServerPatience);
   while (true) {
+    mContext.mRouting = mParts.mHomes.View();
     auto choice = mParts.mLocator.Choose(mContext, mBlocks, mTried);
     if (choice) {
       return choice;
@@ -220,6 +222,7 @@
 CompletionRun::RunAttempt(const ServerChoice& aChoice)
 {
   mTried.insert(aChoice.mServer);
+  mLastServer = aChoice.mServer;
   const AttemptId attempt = mAnswer.Attempt();
   if (!mContext.mLedger.Open(attempt) || !mContext.mLedger.MarkSent(attempt)) {
     return false;
@@ -231,6 +234,7 @@
   mIsCallerGone = sink.IsCallerGone();
   if (!result && result.error().mSent == SendState::NotSent) {
     mLast.mNotRun = mContext.mLedger.MarkRejected(attempt).has_value();
+    mLast.mReason = RefusalReason::Draining;
     mLast.mText = "the server's home could not be reached";
   }
   if (mAnswer.State() == AnswerState::Open) {
@@ -248,6 +252,10 @@
   }
   if (mLast.mNotRun) {
     // Nothing ran: another server costs no extra work.
+    if (mLast.IsHomeLost()) {
+      mTried.erase(mLastServer);
+      (void)mContext.mThread.GetLoop().Sleep(kHomeLostPause);
+    }
     return TimeLeft() > Duration::zero();
   }
   RetryQuery query;
@@ -255,7 +263,7 @@
   query.mCostTokens = mContext.mEstimate.CostTokens();
   query.mDeadline = mContext.mDeadline;
   query.mTried.assign(mTried.begin(), mTried.end());
-  query.mCandidates = mContext.mView->UsableServers(
+  query.mCandidates = mParts.mHomes.View()->UsableServers(
     mContext.mAccount.mProduct, VmRole::Engine, {});
   return mParts.mRetries.Decide(query, MonotonicNow()).mVerdict ==
          RetryVerdict::Retry;
--- a/packages/daemon/src/control_state.cpp
+++ b/packages/daemon/src/control_state.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Dead daemons that views name.
+constexpr std::size_t kMaxDead = 1024;
+
 bool
 IsSameVm(const VmEntry& aLeft, const VmEntry& aRight)
 {
@@ -40,6 +43,27 @@
   Publish();
 }
 
+void
+ControlState::NoteDead(const DaemonId& aDaemon, bool aIsDead)
+{
+  std::erase(mDead, aDaemon);
+  if (aIsDead) {
+    mDead.push_front(aDaemon);
+    mDead.resize(std::min(mDead.size(), kMaxDead));
+  }
+}
+
+void
+ControlState::SetListedLeaving(const ServerId& aServer)
+{
+  for (auto& vm : mVms) {
+    if (vm.mName == aServer.Text() && !vm.mLeaving) {
+      vm.mLeaving = true;
+      Publish();
+    }
+  }
+}
+
 void
 ControlState::SetVms(std::vector<VmEntry> aVms)
 {
@@ -80,12 +104,21 @@
 }
 
 void
-ControlState::SetLeaving(const ServerId& aServer)
+ControlState::SetClosing()
 {
-  mLeaving.push_back(aServer);
+  mClosing = true;
   Publish();
 }
 
+void
+ControlState::SetLeaving(const ServerId& aServer)
+{
+  if (std::find(mLeaving.begin(), mLeaving.end(), aServer) == mLeaving.end()) {
+    mLeaving.push_back(aServer);
+    Publish();
+  }
+}
+
 void
 ControlState::Publish()
 {
@@ -94,7 +127,9 @@
   view->mZone = mZone;
   view->mNotReady = mNotReady;
   view->mDraining = mDraining;
+  view->mClosing = mClosing;
   view->mMembers = mMembers;
+  view->mDead.insert(mDead.begin(), mDead.end());
   for (const auto& member : mMembers) {
     view->mHomes.push_back({ member.mId, member.mZone, 1.0 });
   }
--- a/packages/daemon/src/control_state.h
+++ b/packages/daemon/src/control_state.h
@@ -4,6 +4,7 @@
 
 #include <bilberrytrail/release/release_body.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,15 +21,30 @@
   ControlState(ControlViewHolder& aViews, DaemonId aSelf, ZoneId aZone);
 
   [[nodiscard]] ControlViewPtr View() const { return mViews.Load(); }
+  // Returns the VMs as listed.
+  [[nodiscard]] const std::vector<VmEntry>& Vms() const noexcept
+  {
+    return mVms;
+  }
+  // Returns the servers marked as leaving by operators.
+  [[nodiscard]] const std::vector<ServerId>& Leaving() const noexcept
+  {
+    return mLeaving;
+  }
 
   // Calls the function with each new view.
   void OnView(std::function<void(const ControlView&)> aListener);
   void SetMembers(std::vector<MemberRecord> aMembers);
+  // Notes whether a daemon is dead; views show it with the next change.
+  void NoteDead(const DaemonId& aDaemon, bool aIsDead);
   void SetVms(std::vector<VmEntry> aVms);
+  // Marks a server as leaving until the next list says what it is.
+  void SetListedLeaving(const ServerId& aServer);
   void SetRelease(std::shared_ptr<const ReleaseBody> aBody);
   // Names why no new work is taken; empty when it is.
   void SetNotReady(std::string aReason);
   void SetDraining();
+  void SetClosing();
   // Marks a server as leaving until the list drops it.
   void SetLeaving(const ServerId& aServer);
 
@@ -42,7 +58,10 @@
   ZoneId mZone;
   std::string mNotReady = "starting";
   bool mDraining = false;
+  bool mClosing = false;
   std::vector<MemberRecord> mMembers;
+  // Dead daemons, the last one first.
+  std::deque<DaemonId> mDead;
   std::vector<VmEntry> mVms;
   std::vector<ServerId> mLeaving;
   std::map<ProductId, std::shared_ptr<const ReleaseBody>> mReleases;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -60,7 +60,7 @@
   , mState(aViews, aSelf.mId, aSelf.mZone)
   , mMembers(mLoop, aSeal, mState, aSelf, MakeGossipSettings(aSettings))
   , mReleases(mThread, mState, mMembers, MakeFollowerSettings(aSettings))
-  , mList(mThread, mState, mMembers, aSettings.mList, aSettings.mListPoll)
+  , mList(mThread, mState, mMembers, aSettings)
   , mMonitor(mThread, mState, aHomes)
   , mShards(mThread,
             mState,
@@ -106,6 +106,12 @@
     mDrain();
     return Json::object();
   });
+  aMethods.Add("list.vms", onControl([this](const Json& aParams) {
+                 return mList.ListForPeer(aParams);
+               }));
+  aMethods.Add("list.leaving", onControl([this](const Json& aParams) {
+                 return mList.TakeLeaving(aParams);
+               }));
   aMethods.Add("home.states", [this](const Json& aParams) {
     return mShards.StatesForPeer(aParams);
   });
@@ -142,4 +148,10 @@
   mMembers.Leave();
 }
 
+void
+ControlThread::Close()
+{
+  mState.SetClosing();
+}
+
 } // namespace bilberrytrail
--- a/packages/daemon/src/control_thread.h
+++ b/packages/daemon/src/control_thread.h
@@ -39,6 +39,9 @@
   // Leaves the membership and gives the leases back. Call on the control
   // thread.
   void Leave();
+  // Refuses new work of callers, once the others know of the stop. Call on
+  // the control thread.
+  void Close();
 
 private:
   const DaemonSettings& mSettings;
--- a/packages/daemon/src/control_view.h
+++ b/packages/daemon/src/control_view.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,9 +40,14 @@
   ZoneId mZone;
   // Empty when the daemon takes new work, else the reason why it does not.
   std::string mNotReady;
+  // The daemon is stopping: balancers and other daemons send no new work.
   bool mDraining = false;
+  // The daemon takes no new work any more.
+  bool mClosing = false;
   std::vector<MemberRecord> mMembers;
   std::vector<HomeCandidate> mHomes;
+  // Daemons that died not long ago; those that left are not among them.
+  std::set<DaemonId> mDead;
   std::map<ServerId, BackendView> mServers;
   std::map<ProductId, ProductState> mProducts;
   // Accounts by the SHA-256 of their token in hexadecimal digits.
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -139,7 +139,10 @@
   LogLine(LogEvent::DrainBegun, { { "running", ActiveRequests() } });
   mControl.Leave();
   (void)mControl.GetLoop().Sleep(kLeaveTime);
-  mHomes.DrainAll();
+  mControl.Close();
+  if (mViews.Load()->FindMember(mSelf.mId) == nullptr) {
+    mHomes.DrainAll();
+  }
   for (auto& traffic : mTraffic) {
     traffic->GetLoop().Post([it = traffic.get()] { it->StopAccepting(); });
   }
--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/dispatch.cpp
@@ -8,7 +8,7 @@
           const HomeRequest& aRequest,
           FrameSink& aSink)
 {
-  const ControlView& view = *aContext.mView;
+  const ControlView& view = *aContext.mRouting;
   const auto server = view.mServers.find(aRequest.mServer);
   const DaemonId home =
     server == view.mServers.end() ? view.mSelf : server->second.mHome;
--- a/packages/daemon/src/dispatch.h
+++ b/packages/daemon/src/dispatch.h
@@ -41,8 +41,18 @@
   RefusalReason mReason = RefusalReason::ServerFailed;
   std::string mText;
   Duration mRetryAfter{};
+
+  // Returns whether nothing ran because the server's home stops, moved or
+  // could not be reached: the server itself may be chosen again.
+  [[nodiscard]] bool IsHomeLost() const noexcept
+  {
+    return mNotRun && mReason == RefusalReason::Draining;
+  }
 };
 
+// Pause before a server is chosen whose home was lost.
+inline constexpr Duration kHomeLostPause = 50ms;
+
 // Sends a request to the home of its server, in this process or in another,
 // and passes its frames to the sink. Returns what is known when the frames
 // end; the NotRun and Broken frames are passed to the sink as well.
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -69,7 +69,7 @@
     estimate.mServer = id;
     const bool isEngine = server->Vm().mRole == VmRole::Engine;
     estimate.mReady =
-      server->TakesWork(now) &&
+      server->TakesWork(now) && !IsLeaving(id) &&
       (!isEngine || server->Serves(aQuery.mModel, aQuery.mVersion));
     estimate.mService =
       server->EstimateService(aQuery.mPromptTokens, aQuery.mAnswerTokens);
@@ -92,13 +92,13 @@
                  FrameSink& aSink)
 {
   const auto server = Find(aRequest.mServer);
-  if (server == nullptr) {
+  if (server == nullptr || IsLeaving(aRequest.mServer)) {
     const auto& attempt = aRequest.mTarget == HomeTarget::Engine
                             ? aRequest.mGenerate.mAttempt
                             : aRequest.mCall.mAttempt;
     (void)aSink.Write({ .mKind = FrameKind::NotRun,
                         .mAttempt = attempt,
-                        .mText = "the server is not listed",
+                        .mText = "the server is not listed or leaves",
                         .mReason = RefusalReason::NoServer });
     return;
   }
@@ -109,6 +109,14 @@
   }
 }
 
+bool
+HomeService::IsLeaving(const ServerId& aServer) const
+{
+  const auto view = mViews.Load();
+  const auto it = view->mServers.find(aServer);
+  return it != view->mServers.end() && it->second.mVm.mLeaving;
+}
+
 void
 HomeService::OnView(const ControlView& aView)
 {
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -62,6 +62,8 @@
   [[nodiscard]] std::vector<HomedServerPtr> Servers() const;
   [[nodiscard]] std::vector<ServerEstimate> Estimate(
     const EstimateQuery& aQuery);
+  // Returns the newest view.
+  [[nodiscard]] ControlViewPtr View() const noexcept { return mViews.Load(); }
 
   // Runs a request to its end on the calling fiber.
   void Run(ThreadContext& aThread,
@@ -76,6 +78,8 @@
   void DrainAll();
 
 private:
+  [[nodiscard]] bool IsLeaving(const ServerId& aServer) const;
+
   const DaemonSettings& mSettings;
   ControlViewHolder& mViews;
   mutable std::mutex mMutex;
--- a/packages/daemon/src/membership_runner.cpp
+++ b/packages/daemon/src/membership_runner.cpp
@@ -62,6 +62,11 @@
 MembershipRunner::Leave()
 {
   Perform(mGossip.Leave(MonotonicNow()));
+  // The last daemon of a site stays home to all servers until it ends.
+  auto others = mGossip.LiveMembers();
+  if (!others.empty()) {
+    mState.SetMembers(std::move(others));
+  }
 }
 
 void
@@ -103,6 +108,8 @@
       mSocket.Send(send->mTo, mSeal.SealForAny(ToBytes(send->mMessage)));
     } else if (const auto* change = std::get_if<MemberChanged>(&action)) {
       isChanged = true;
+      mState.NoteDead(change->mRecord.mId,
+                      change->mRecord.mStatus == MemberStatus::Dead);
       LogLine(EventOf(change->mRecord.mStatus),
               { { "daemon", change->mRecord.mId },
                 { "endpoint", ToText(change->mRecord.mEndpoint) } });
--- a/packages/daemon/src/operator_service.cpp
+++ b/packages/daemon/src/operator_service.cpp
@@ -212,7 +212,19 @@
   if (const auto ok = fields.Check(); !ok) {
     return Message(400, ok.error().mMessage);
   }
+  const auto earlier = mReleases.FindNote(product, id);
+  if (earlier && earlier.value()) {
+    const bool isSame = earlier.value()->mNoteText == text;
+    const std::uint64_t number = earlier.value()->mState.mNumber.Value();
+    return isSame ? Answer(200, { { "number", number }, { "already", true } })
+                  : Answer(409, { { "conflict_with", number }, { "id", id } });
+  }
   auto note = CheckNote(text, "note");
+  if (!note && !earlier) {
+    return Answer(503,
+                  { { "disposition", "unknown" },
+                    { "message", earlier.error().mError.mMessage } });
+  }
   if (!note) {
     return Faults(note.error().mMessage);
   }
@@ -362,7 +374,7 @@
     if (!mState.View()->mServers.contains(server)) {
       return Message(404, "no such server");
     }
-    mState.SetLeaving(server);
+    mList.OrderLeaving(server);
   } else {
     const std::string daemon = fields.Text("daemon");
     if (const auto ok = fields.Check(); !ok) {
--- a/packages/daemon/src/peer_channel.cpp
+++ b/packages/daemon/src/peer_channel.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-// A home sends a frame or a blank line at least this often.
-constexpr Duration kFrameTimeout = 5s;
+// Longest silence of a home, which sends a frame or a blank line every
+// kKeepAlivePeriod.
+constexpr Duration kFrameTimeout = 5 * kKeepAlivePeriod;
 
 HttpError
 Cut(Error aError)
@@ -65,8 +66,27 @@
                       ErrorCode::Refused,
                       "peer answered " + std::to_string(stream.Status()) };
   }
+  const auto run = mRuns.insert(mRuns.end(), OpenRun{ aPeer.mId, stream });
+  auto result = Relay(stream, aSink);
+  mRuns.erase(run);
+  return result;
+}
+
+void
+PeerChannel::CutDead(const ControlView& aView)
+{
+  for (auto& run : mRuns) {
+    if (aView.mDead.contains(run.mPeer)) {
+      run.mStream.Cancel();
+    }
+  }
+}
+
+Result<void, HttpError>
+PeerChannel::Relay(HttpStream& aStream, FrameSink& aSink)
+{
   while (true) {
-    auto line = stream.ReadLine(kFrameTimeout);
+    auto line = aStream.ReadLine(kFrameTimeout);
     if (!line) {
       return Cut(std::move(line).error());
     }
--- a/packages/daemon/src/peer_channel.h
+++ b/packages/daemon/src/peer_channel.h
@@ -9,6 +9,7 @@
 #include <bilberrytrail/runtime/rpc.h>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 
@@ -17,6 +18,8 @@
 // Paths that daemons serve to each other.
 inline constexpr std::string_view kRpcPath = "/peer/rpc";
 inline constexpr std::string_view kRunPath = "/peer/run";
+// Longest silence of a home that runs a request; then it sends a blank line.
+inline constexpr Duration kKeepAlivePeriod = 1s;
 
 // Takes the frames of a home's answer.
 class FrameSink
@@ -52,10 +55,24 @@
   [[nodiscard]] Result<void, HttpError> Run(const MemberRecord& aPeer,
                                             const HomeRequest& aRequest,
                                             FrameSink& aSink);
+  // Cuts the answers of peers that have died: a VM that was lost or is frozen
+  // closes no connection. Runs on the thread's loop, several times a second.
+  void CutDead(const ControlView& aView);
 
 private:
+  // An answer that is being read.
+  struct OpenRun
+  {
+    DaemonId mPeer;
+    HttpStream& mStream;
+  };
+
+  [[nodiscard]] static Result<void, HttpError> Relay(HttpStream& aStream,
+                                                     FrameSink& aSink);
+
   HttpClient& mClient;
   PeerSeal& mSeal;
+  std::list<OpenRun> mRuns;
 };
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/peer_service.cpp
+++ b/packages/daemon/src/peer_service.cpp
@@ -6,29 +6,6 @@
 
 namespace {
 
-// Writes frames as lines of a chunked response.
-class LineSink final : public FrameSink
-{
-public:
-  explicit LineSink(HttpResponder& aResponder)
-    : mResponder(aResponder)
-  {
-  }
-
-  [[nodiscard]] bool IsOpen() noexcept override
-  {
-    return mResponder.IsPeerOpen();
-  }
-
-  Result<void> Write(const HomeFrame& aFrame) override
-  {
-    return mResponder.WriteChunk(EncodeHomeFrame(aFrame) + "\n");
-  }
-
-private:
-  HttpResponder& mResponder;
-};
-
 void
 Refuse(HttpResponder& aResponder, unsigned aStatus, std::string aText)
 {
@@ -67,6 +44,15 @@
   }
 }
 
+void
+PeerService::KeepAlive()
+{
+  const auto now = MonotonicNow();
+  for (auto* sink : mSinks) {
+    sink->KeepAlive(now);
+  }
+}
+
 void
 PeerService::Run(const std::string& aBody, HttpResponder& aResponder)
 {
@@ -78,8 +64,11 @@
   if (!aResponder.BeginStream(200, {})) {
     return;
   }
-  LineSink sink(aResponder);
+  LineSink sink(mThread.GetLoop(), aResponder);
+  const auto it = mSinks.insert(mSinks.end(), &sink);
   mHomes.Run(mThread, request.value(), sink);
+  sink.Finish();
+  mSinks.erase(it);
   (void)aResponder.EndStream();
 }
 
--- a/packages/daemon/src/peer_service.h
+++ b/packages/daemon/src/peer_service.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "home_service.h"
+#include "line_sink.h"
 #include "peer_channel.h"
 
 #include <bilberrytrail/runtime/http_server.h>
 #include <bilberrytrail/runtime/rpc.h>
 
+#include <list>
+
 namespace bilberrytrail {
 
 // Serves other daemons on one traffic thread: JSON-RPC calls, and requests
@@ -20,6 +23,9 @@
               HomeService& aHomes);
 
   void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
+  // Writes blank lines to entries whose requests wait. Runs on the thread's
+  // loop, several times a second.
+  void KeepAlive();
 
 private:
   void Run(const std::string& aBody, HttpResponder& aResponder);
@@ -28,6 +34,8 @@
   PeerSeal& mSeal;
   const RpcMethods& mMethods;
   HomeService& mHomes;
+  // Answers that are being written.
+  std::list<LineSink*> mSinks;
 };
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/release_runner.cpp
+++ b/packages/daemon/src/release_runner.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kTableTimeout = 1s;
 constexpr Duration kPeerTimeout = 1s;
 constexpr std::size_t kMaxProducts = 1024;
+// Older releases that are read when a note's id is looked up.
+constexpr std::uint64_t kReleasesLookedAt = 1000;
 // Peers asked at once while the table is down.
 constexpr std::size_t kPeersAsked = 3;
 
@@ -73,6 +75,52 @@
   mThread.GetLoop().Spawn([this] { FollowAll(); });
 }
 
+CallResult<std::optional<ReleaseBody>>
+ReleaseRunner::FindNote(const ProductId& aProduct, const std::string& aId)
+{
+  const auto inForce = mFollower.InForce(aProduct);
+  if (inForce != nullptr && inForce->mNoteId == aId) {
+    return std::optional(*inForce);
+  }
+  const std::uint64_t known =
+    inForce == nullptr ? 0 : inForce->mState.mNumber.Value();
+  // Releases that are not in force here yet, then the older ones.
+  for (std::uint64_t n = known + 1;; ++n) {
+    auto body = ReadRelease(aProduct, ReleaseNumber(n));
+    if (!body || (body.value() && body.value()->mNoteId == aId)) {
+      return body;
+    }
+    if (!body.value()) {
+      break;
+    }
+  }
+  const std::uint64_t oldest =
+    known > kReleasesLookedAt ? known - kReleasesLookedAt : 0;
+  for (std::uint64_t n = known; n > oldest + 1; --n) {
+    auto body = ReadRelease(aProduct, ReleaseNumber(n - 1));
+    if (!body || (body.value() && body.value()->mNoteId == aId)) {
+      return body;
+    }
+  }
+  return std::optional<ReleaseBody>();
+}
+
+CallResult<std::optional<ReleaseBody>>
+ReleaseRunner::ReadRelease(const ProductId& aProduct, ReleaseNumber aNumber)
+{
+  auto row =
+    mThread.Table().Read(ReleaseRowKey(aProduct, aNumber), kTableTimeout);
+  if (!row) {
+    return std::move(row).error();
+  }
+  if (!row.value().has_value()) {
+    return std::optional<ReleaseBody>();
+  }
+  auto body = ReleaseBodyFromText(row.value()->mValue);
+  // A row that cannot be read is some other note.
+  return std::optional(body ? std::move(body).value() : ReleaseBody());
+}
+
 AppendResult
 ReleaseRunner::Apply(const ReleaseNote& aNote)
 {
@@ -227,6 +275,10 @@
     mState.SetNotReady("the releases in force are not known yet");
     return;
   }
+  if (mState.Vms().empty()) {
+    mState.SetNotReady("the list of VMs is not known yet");
+    return;
+  }
   const auto now = MonotonicNow();
   for (const auto& head : mFollower.HeadsInForce()) {
     if (!mFollower.MayAccept(head.mProduct, now)) {
--- a/packages/daemon/src/release_runner.h
+++ b/packages/daemon/src/release_runner.h
@@ -9,6 +9,8 @@
 #include <bilberrytrail/runtime/rpc.h>
 
 #include <functional>
+#include <optional>
+#include <string>
 
 namespace bilberrytrail {
 
@@ -33,6 +35,11 @@
   // Returns the text of a release in force here, for a peer.
   [[nodiscard]] Result<Json> BodyForPeer(const Json& aParams) const;
 
+  // Returns the release that the note with the id became, or nothing when
+  // there is none. Fails when the table does not answer.
+  [[nodiscard]] CallResult<std::optional<ReleaseBody>> FindNote(
+    const ProductId& aProduct,
+    const std::string& aId);
   // Starts the fiber that follows.
   void Start();
   // Appends a note on the calling fiber of the control thread.
@@ -45,6 +52,9 @@
   void AskPeers();
   void Fetch(const FetchRelease& aFetch);
   void FetchFromPeers(const ReleaseHead& aHead);
+  [[nodiscard]] CallResult<std::optional<ReleaseBody>> ReadRelease(
+    const ProductId& aProduct,
+    ReleaseNumber aNumber);
   void NoteTable(bool aIsUp);
   void UpdateReadiness();
 
--- a/packages/daemon/src/request_context.h
+++ b/packages/daemon/src/request_context.h
@@ -44,6 +44,8 @@
   ThreadContext& mThread;
   // The view of control state for the whole request.
   ControlViewPtr mView;
+  // Newer view by which servers and homes are chosen; taken before each choice.
+  ControlViewPtr mRouting = mView;
   Instant mArrivedAt;
   Instant mDeadline{};
   AccountView mAccount{};
--- a/packages/daemon/src/request_filters.cpp
+++ b/packages/daemon/src/request_filters.cpp
@@ -24,7 +24,7 @@
   std::optional<Refusal> Apply(RequestContext& aContext) override
   {
     const ControlView& view = *aContext.mView;
-    if (view.mDraining) {
+    if (view.mClosing) {
       return aContext.Refuse(RefusalReason::Draining,
                              "this daemon is stopping; another one serves you",
                              Duration::zero());
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -33,10 +33,10 @@
     isEngine
       ? std::string()
       : aContext.mProduct->mServices.at(aContext.mService->mService).mGroup;
-  auto servers =
-    aContext.mView->UsableServers(aContext.mAccount.mProduct,
-                                  isEngine ? VmRole::Engine : VmRole::Service,
-                                  group);
+  auto servers = aContext.mRouting->UsableServers(aContext.mAccount.mProduct,
+                                                  isEngine ? VmRole::Engine
+                                                           : VmRole::Service,
+                                                  group);
   std::erase_if(servers,
                 [&](const ServerId& aId) { return aTried.contains(aId); });
   for (const std::size_t n : { kFirstCandidates, kMoreCandidates }) {
@@ -65,7 +65,7 @@
                    const PromptBlocks& aBlocks,
                    const std::vector<ServerId>& aServers)
 {
-  const ControlView& view = *aContext.mView;
+  const ControlView& view = *aContext.mRouting;
   std::map<DaemonId, EstimateQuery> queries;
   for (const auto& id : aServers) {
     auto& query = queries[view.mServers.at(id).mHome];
@@ -114,8 +114,8 @@
     if (!it.mReady) {
       continue;
     }
-    const bool isLocal =
-      aContext.mView->mServers.at(it.mServer).mHome == aContext.mView->mSelf;
+    const bool isLocal = aContext.mRouting->mServers.at(it.mServer).mHome ==
+                         aContext.mRouting->mSelf;
     PlanCandidate candidate;
     candidate.mServer = it.mServer;
     candidate.mQueueWait = it.mQueueWait;
--- a/packages/daemon/src/service_dispatch.cpp
+++ b/packages/daemon/src/service_dispatch.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration kServiceRetry = 1s;
+// Longest wait for a server that takes work.
+constexpr Duration kNoServerPatience = 2s;
 
 // Takes the frames of one attempt at a service call.
 class ServiceSink final : public FrameSink
@@ -79,8 +81,7 @@
     std::set<ServerId> tried;
     AttemptEnd last;
     while (true) {
-      const auto choice =
-        mParts.mLocator.Choose(aContext, PromptBlocks(), tried);
+      const auto choice = AwaitChoice(aContext, tried);
       if (!choice) {
         return GiveUp(aContext, tried.empty() ? NoServer() : last);
       }
@@ -100,8 +101,13 @@
       last = sink.End();
       if (!result && result.error().mSent == SendState::NotSent) {
         last.mNotRun = aContext.mLedger.MarkRejected(attempt).has_value();
+        last.mReason = RefusalReason::Draining;
         last.mText = "the server's home could not be reached";
       }
+      if (last.IsHomeLost()) {
+        tried.erase(choice->mServer);
+        (void)aContext.mThread.GetLoop().Sleep(kHomeLostPause);
+      }
       if (!MayRetry(aContext, last, tried)) {
         return GiveUp(aContext, last);
       }
@@ -110,6 +116,23 @@
   }
 
 private:
+  // Waits a moment for a server, as its home may just change.
+  std::optional<ServerChoice> AwaitChoice(RequestContext& aContext,
+                                          const std::set<ServerId>& aTried)
+  {
+    const auto end =
+      std::min(aContext.mDeadline, MonotonicNow() + kNoServerPatience);
+    while (true) {
+      aContext.mRouting = mParts.mHomes.View();
+      auto choice = mParts.mLocator.Choose(aContext, PromptBlocks(), aTried);
+      if (choice || MonotonicNow() >= end ||
+          !aContext.mResponder.IsPeerOpen() ||
+          !aContext.mThread.GetLoop().Sleep(kHomeLostPause)) {
+        return choice;
+      }
+    }
+  }
+
   static AttemptEnd NoServer()
   {
     return { false,
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// How often answers of peers are checked against the membership.
+constexpr Duration kPeerWatchPeriod = 100ms;
+
 HttpLimits
 MakeLimits(const DaemonSettings& aSettings)
 {
@@ -35,6 +38,7 @@
                              DaemonMetrics& aMetrics,
                              std::uint64_t aSeed)
   : mSettings(aSettings)
+  , mViews(aViews)
   , mHomes(aHomes)
   , mThread(mLoop, aSeal, aSettings.mTable)
   , mCallers(mThread, aSettings, aViews, aHomes, aMetrics, aSeed)
@@ -61,9 +65,19 @@
   }
   mCallerServer.Serve(mCallers);
   mPeerServer.Serve(mPeers);
+  mLoop.Spawn([this] { WatchPeers(); });
   return Ok();
 }
 
+void
+TrafficThread::WatchPeers()
+{
+  while (mLoop.Sleep(kPeerWatchPeriod)) {
+    mThread.Peers().CutDead(*mViews.Load());
+    mPeers.KeepAlive();
+  }
+}
+
 void
 TrafficThread::Run()
 {
--- a/packages/daemon/src/traffic_thread.h
+++ b/packages/daemon/src/traffic_thread.h
@@ -29,7 +29,10 @@
   void StopAccepting();
 
 private:
+  void WatchPeers();
+
   const DaemonSettings& mSettings;
+  ControlViewHolder& mViews;
   HomeService& mHomes;
   Loop mLoop;
   ThreadContext mThread;
--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -31,6 +31,9 @@
   // Reads up to and including the next line feed and returns the line without
   // it; nothing at the clean end, Corrupt when the end cuts a line.
   [[nodiscard]] Result<std::optional<std::string>> ReadLine(Duration aTimeout);
+  // Closes the connection: a read that waits, and every later one, fails.
+  // Call on the loop's thread.
+  void Cancel();
 
 private:
   std::unique_ptr<Impl> mImpl;
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -166,6 +166,7 @@
   beast::error_code ReadHead(Duration aTimeout);
   Result<std::optional<std::string>> Read(Duration aTimeout);
   Result<std::optional<std::string>> ReadLine(Duration aTimeout);
+  void Cancel();
 
 private:
   void ReleaseWhenDone();
@@ -266,6 +267,15 @@
   }
 }
 
+// The connection itself is released by the read that fails.
+void
+HttpStream::Impl::Cancel()
+{
+  if (mConnection != nullptr) {
+    mConnection->mStream.close();
+  }
+}
+
 HttpStream::HttpStream(std::unique_ptr<Impl> aImpl)
   : mImpl(std::move(aImpl))
 {
@@ -300,6 +310,12 @@
   return mImpl->ReadLine(aTimeout);
 }
 
+void
+HttpStream::Cancel()
+{
+  mImpl->Cancel();
+}
+
 HttpClient::HttpClient(Loop& aLoop)
   : mImpl(std::make_shared<Impl>(aLoop))
 {
--- a/packages/settings/include/bilberrytrail/settings/daemon_settings.h
+++ b/packages/settings/include/bilberrytrail/settings/daemon_settings.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bilberrytrail {
 
@@ -61,6 +62,9 @@
   Duration mGossipPeriod{};
   Duration mSuspicionTime{};
   Duration mMessageWindow{};
+  std::string mSeedText;
+  // The addresses in mSeedText.
+  std::vector<Endpoint> mSeeds;
 
   // [control]
   Duration mHeadPoll{};
--- a/packages/settings/src/daemon_settings.cpp
+++ b/packages/settings/src/daemon_settings.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <sstream>
 
 namespace bilberrytrail {
 
@@ -69,6 +70,7 @@
               std::string_view aExpected);
   void CheckListen();
   void CheckSiteKey();
+  void ReadSeeds();
   void AddFault(int aLine, std::string_view aText);
 
   std::string mName;
@@ -184,11 +186,28 @@
          "[daemon] site_key of at least 32 bytes");
 }
 
+void
+Reader::ReadSeeds()
+{
+  std::istringstream words(mSettings.mSeedText);
+  std::string word;
+  while (words >> word) {
+    auto seed = ParseEndpoint(word);
+    Expect(seed.has_value(),
+           { "membership.seeds" },
+           "[membership] seeds of the form IP:PORT, separated by spaces");
+    if (seed) {
+      mSettings.mSeeds.push_back(std::move(seed).value());
+    }
+  }
+}
+
 void
 Reader::CheckClashes()
 {
   const auto& s = mSettings;
   CheckSiteKey();
+  ReadSeeds();
   CheckListen();
   Expect(s.mLeaseRenewal * 2 <= s.mLeaseLength,
          { "control.lease_renewal", "control.lease_length" },
--- a/packages/settings/tests/daemon_settings_test.cpp
+++ b/packages/settings/tests/daemon_settings_test.cpp
@@ -56,6 +56,9 @@
     { "[membership]\ngossip_period = 3s\n",
       "+2: expected [membership] gossip_period of at most half of "
       "suspicion_time" },
+    { "[membership]\nseeds = 10.0.0.2:7002 10.0.0.3\n",
+      "+2: expected [membership] seeds of the form IP:PORT, separated by "
+      "spaces" },
     { "[requests]\nmax_deadline = 59s\n",
       "+2: expected [requests] default_deadline of at most max_deadline" },
     { "[limits]\nbody_bytes = 129MiB\n",
--- /dev/null
+++ b/tests/process/leaving_server_test.cpp
@@ -0,0 +1,109 @@
+#include "running_site.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <thread>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr int kTokens = 250;
+
+// How the news that a server leaves reaches the first daemon, and what fails
+// at that moment.
+enum class News : unsigned char
+{
+  Listed,
+  ListedToOneThenListDown,
+  DrainedWithListDown,
+  ListedAndHomeKilled
+};
+
+struct Row
+{
+  const char* mName;
+  News mNews;
+};
+
+constexpr Row kRows[] = {
+  { "listed as leaving", News::Listed },
+  { "list down after one daemon read it", News::ListedToOneThenListDown },
+  { "drained by an operator while the list is down",
+    News::DrainedWithListDown },
+  { "listed, and the home is killed", News::ListedAndHomeKilled },
+};
+
+bool
+IsLeavingAt(RunningSite& aSite, std::size_t aDaemon)
+{
+  const Json status = aSite.Status(aDaemon);
+  const Json servers = status.value("servers", Json::array());
+  return std::any_of(servers.begin(), servers.end(), [](const Json& aServer) {
+    return aServer.value("name", "") == "engine-1" &&
+           aServer.value("state", "") == "leaving";
+  });
+}
+
+// Spreads the news; returns when daemon 0 knows.
+void
+Spread(RunningSite& aSite, News aNews)
+{
+  const auto& platform = aSite->Platform().mEndpoint;
+  const bool isHidden = aNews == News::ListedToOneThenListDown;
+  if (aNews == News::DrainedWithListDown) {
+    aSite->SetFault(platform, R"({"list":"down"})");
+    const auto drained =
+      aSite->Operate(0, "POST", "/operator/drain", R"({"server":"engine-1"})");
+    REQUIRE(drained.mStatus == 200);
+  } else {
+    for (std::size_t n = 1; isHidden && n < 3; ++n) {
+      aSite->Daemons()[n].mProcess->Signal(SIGSTOP);
+    }
+    aSite->PublishList({ "engine-1" });
+  }
+  REQUIRE(aSite->Await(kPatience, [&] { return IsLeavingAt(aSite, 0); }));
+  if (isHidden) {
+    aSite->SetFault(platform, R"({"list":"down"})");
+    for (std::size_t n = 1; n < 3; ++n) {
+      aSite->Daemons()[n].mProcess->Signal(SIGCONT);
+    }
+  }
+}
+
+} // namespace
+
+TEST_CASE("A leaving server gets no new work 3 s after the news reached any "
+          "daemon, and finishes what it runs")
+{
+  for (const auto& row : kRows) {
+    CAPTURE(row.mName);
+    RunningSite site;
+    const std::size_t home = site.HomeOf("engine-1");
+    const std::size_t entry = home == 0 ? 1 : 0;
+    const std::string prompt = std::string("long guide ") + row.mName;
+    const auto running = site.StreamOn(0, entry, prompt, kTokens);
+    Spread(site, row.mNews);
+    const auto toldAt = MonotonicNow();
+    if (row.mNews == News::ListedAndHomeKilled) {
+      site.Kill(site->Daemons()[home]);
+    }
+    std::this_thread::sleep_until(toldAt + kLeavingBound);
+    const auto before = site.Count(site->Engines()[0], "attempts");
+    for (std::size_t n = 0; n < 3; ++n) {
+      if (row.mNews == News::ListedAndHomeKilled && n == home) {
+        continue;
+      }
+      for (int it = 0; it < 10; ++it) {
+        const std::string text =
+          "short " + std::to_string(n) + "/" + std::to_string(it);
+        CHECK(site.Complete(n, text, 1).mText == ExpectedText(text, 1));
+      }
+    }
+    CHECK(site.Count(site->Engines()[0], "attempts") == before);
+    const auto answer = running->Take();
+    CHECK(answer.mDone);
+    CHECK(answer.mText == ExpectedText(prompt, kTokens));
+  }
+}
--- a/tests/site/site.cpp
+++ b/tests/site/site.cpp
@@ -66,7 +66,8 @@
 StreamCompletion(const Endpoint& aEndpoint,
                  const std::string& aToken,
                  const std::string& aBody,
-                 Duration aTimeout)
+                 Duration aTimeout,
+                 const TextListener& aOnText)
 {
   constexpr std::string_view kData = "data: ";
   Loop loop;
@@ -108,6 +109,9 @@
           answer.mFirstToken = MonotonicNow() - start;
         }
         answer.mText += text;
+        if (aOnText) {
+          aOnText(answer.mText);
+        }
       }
     }
     loop.Stop();
@@ -269,6 +273,15 @@
   sections["listen"] += "callers = " + ToText(aDaemon.mCallers) +
                         "\noperators = " + ToText(aDaemon.mOperators) +
                         "\npeers = " + ToText(aDaemon.mEndpoint) + "\n";
+  std::string seeds;
+  for (const auto& daemon : mDaemons) {
+    if (daemon.mName != aDaemon.mName) {
+      seeds += " " + ToText(daemon.mEndpoint);
+    }
+  }
+  if (!seeds.empty()) {
+    sections["membership"] += "seeds =" + seeds + "\n";
+  }
   const std::string platform = ToText(mPlatform.mEndpoint);
   sections["platform"] += "table = " + platform + "\nobjects = " + platform +
                           "\nlist = " + platform + "\n";
--- a/tests/site/site.h
+++ b/tests/site/site.h
@@ -6,6 +6,7 @@
 #include <bilberrytrail/base/time.h>
 #include <bilberrytrail/runtime/http.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -146,12 +147,16 @@
   Duration mTotal{};
 };
 
-// Makes one streamed completion.
+// Takes the text of an answer so far.
+using TextListener = std::function<void(const std::string&)>;
+
+// Makes one streamed completion; the listener is called after each piece.
 [[nodiscard]] StreamedAnswer
 StreamCompletion(const Endpoint& aEndpoint,
                  const std::string& aToken,
                  const std::string& aBody,
-                 Duration aTimeout = 30s);
+                 Duration aTimeout = 30s,
+                 const TextListener& aOnText = {});
 
 // A release note for a product with the model "guide", the service "orders"
 // and accounts "large" and "small" whose tokens are "token-large" and
