--- a/packages/daemon/src/site_status.cpp
+++ b/packages/daemon/src/site_status.cpp
@@ -85,7 +85,9 @@
       listed.mVm.mRole == VmRole::Store ? nullptr : aHomes.Find(id);
     if (server != nullptr) {
       const auto state = server->State();
-      row["state"] = StateName(*server, state);
+      if (!listed.mVm.mLeaving) {
+        row["state"] = StateName(*server, state);
+      }
       row["queued"] = server->Queue().Waiting();
       row["running"] = server->Queue().Running();
       if (state) {
