Give the release package's JSON reader a name of its own

Two classes named JsonFields in one namespace broke the one-definition rule: without inlining, no release came in force, as the reader of the platform's answers ran in place of the release's. Seen in an unoptimised build, where every process test stopped at the first release.

--- a/packages/release/src/lease.cpp
+++ b/packages/release/src/lease.cpp
@@ -1,6 +1,6 @@
 #include <bilberrytrail/release/lease.h>
 
-#include "json_fields.h"
+#include "row_fields.h"
 
 namespace bilberrytrail {
 
@@ -19,7 +19,7 @@
 LeaseRowFromText(std::string_view aText)
 {
   const json object = json::parse(aText.begin(), aText.end(), nullptr, false);
-  JsonFields fields(object);
+  RowFields fields(object);
   LeaseRow row;
   row.mHolder = DaemonId(fields.Text("holder"));
   row.mEpoch = FencingNumber(fields.Unsigned("epoch"));
--- a/packages/release/src/product_state.cpp
+++ b/packages/release/src/product_state.cpp
@@ -1,6 +1,6 @@
 #include <bilberrytrail/release/product_state.h>
 
-#include "json_fields.h"
+#include "row_fields.h"
 
 #include <bilberrytrail/base/digest.h>
 
@@ -43,7 +43,7 @@
 }
 
 void
-Decode(JsonFields& aFields, AccountSpec& aSpec)
+Decode(RowFields& aFields, AccountSpec& aSpec)
 {
   aSpec.mTokenHashes = aFields.Texts("token_sha256");
   aSpec.mRequestsPerSecond = aFields.Real("requests_per_second");
@@ -52,7 +52,7 @@
 }
 
 void
-Decode(JsonFields& aFields, ModelSpec& aSpec)
+Decode(RowFields& aFields, ModelSpec& aSpec)
 {
   aSpec.mVersion = VersionId(aFields.Text("version"));
   aSpec.mMinServers = aFields.Unsigned32("min_servers");
@@ -61,13 +61,13 @@
 }
 
 void
-Decode(JsonFields& aFields, AdapterSpec& aSpec)
+Decode(RowFields& aFields, AdapterSpec& aSpec)
 {
   aSpec.mModel = ModelId(aFields.Text("model"));
 }
 
 void
-Decode(JsonFields& aFields, ServiceSpec& aSpec)
+Decode(RowFields& aFields, ServiceSpec& aSpec)
 {
   aSpec.mGroup = aFields.Text("group");
   aSpec.mRepeatable = aFields.Texts("repeatable");
@@ -103,7 +103,7 @@
 DecodeAll(const json& aObject, std::map<Key, Spec>& aItems)
 {
   for (const auto& it : aObject.items()) {
-    JsonFields fields(it.value());
+    RowFields fields(it.value());
     Decode(fields, aItems[Key(it.key())]);
     if (!fields.IsOk()) {
       return false;
@@ -130,7 +130,7 @@
 ProductStateFromText(std::string_view aText)
 {
   const json object = json::parse(aText.begin(), aText.end(), nullptr, false);
-  JsonFields fields(object);
+  RowFields fields(object);
   ProductState state;
   state.mProduct = ProductId(fields.Text("product"));
   state.mNumber = ReleaseNumber(fields.Unsigned("number"));
--- a/packages/release/src/release_body.cpp
+++ b/packages/release/src/release_body.cpp
@@ -1,6 +1,6 @@
 #include <bilberrytrail/release/release_body.h>
 
-#include "json_fields.h"
+#include "row_fields.h"
 
 namespace bilberrytrail {
 
@@ -41,7 +41,7 @@
 ReleaseHeadFromText(std::string_view aText)
 {
   const json object = json::parse(aText.begin(), aText.end(), nullptr, false);
-  JsonFields fields(object);
+  RowFields fields(object);
   ReleaseHead head;
   head.mProduct = ProductId(fields.Text("product"));
   head.mNumber = ReleaseNumber(fields.Unsigned("number"));
@@ -65,7 +65,7 @@
 ReleaseBodyFromText(std::string_view aText)
 {
   const json object = json::parse(aText.begin(), aText.end(), nullptr, false);
-  JsonFields fields(object);
+  RowFields fields(object);
   ReleaseBody body;
   body.mNoteId = fields.Text("note_id");
   body.mNoteText = fields.Text("note");
--- a/packages/release/src/json_fields.h
+++ b/packages/release/src/row_fields.h
@@ -11,10 +11,10 @@
 
 // Reads the members of a JSON object. After one that is missing or of another
 // type the reader has failed and gives empty values; nothing throws.
-class JsonFields
+class RowFields
 {
 public:
-  explicit JsonFields(const nlohmann::json& aObject)
+  explicit RowFields(const nlohmann::json& aObject)
     : mObject(aObject)
     , mOk(aObject.is_object())
   {
