Let a cut answer resume on a server that refused earlier

The dispatcher never chose a server again that had refused before the answer began, so that an answer cut later found no other server and ended as incomplete. Only servers on which an attempt broke stay excluded.

--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -132,7 +132,10 @@
   PromptBlocks mBlocks;
   AnswerAssembler mAnswer;
   AnswerWriter mWriter;
+  // Servers that are not chosen now: those that refused since the last attempt
+  // that ran, and those on which an attempt ran and broke.
   std::set<ServerId> mTried;
+  std::set<ServerId> mBroken;
   ServerId mLastServer;
   AttemptEnd mLast;
   bool mIsCallerGone = false;
@@ -258,6 +261,9 @@
     }
     return TimeLeft() > Duration::zero();
   }
+  // A server that refused before may take work by now.
+  mBroken.insert(mLastServer);
+  mTried = mBroken;
   RetryQuery query;
   query.mIdempotent = true;
   query.mCostTokens = mContext.mEstimate.CostTokens();
--- a/tests/process/engine_fault_test.cpp
+++ b/tests/process/engine_fault_test.cpp
@@ -58,7 +58,7 @@
 {
   RunningSite site;
   for (const auto& row : kRows) {
-    CAPTURE(row.mName);
+    CAPTURE(std::string(row.mName));
     const std::string prompt = std::string("hem ") + row.mName;
     const auto stream =
       site.StreamOn(0, (site.HomeOf("engine-1") + 1) % 3, prompt, kTokens);
@@ -101,7 +101,12 @@
   for (const auto& engine : site->Engines()) {
     before += site.Count(engine, "attempts");
   }
-  const auto answer = site.Complete(0, "nobody takes this", 5);
+  const auto answer =
+    site->Call(site->Daemons()[0].mCallers,
+               { "POST",
+                 "/v1/completions",
+                 { { "Authorization", "Bearer token-large" } },
+                 R"({"model":"guide","max_tokens":5,"prompt":"nobody"})" });
   CAPTURE(answer.mBody);
   CHECK(answer.mStatus == 503);
   CHECK(answer.mBody.find("\"not_run\"") != std::string::npos);
--- a/tests/process/leaving_server_test.cpp
+++ b/tests/process/leaving_server_test.cpp
@@ -78,7 +78,7 @@
           "daemon, and finishes what it runs")
 {
   for (const auto& row : kRows) {
-    CAPTURE(row.mName);
+    CAPTURE(std::string(row.mName));
     RunningSite site;
     const std::size_t home = site.HomeOf("engine-1");
     const std::size_t entry = home == 0 ? 1 : 0;
--- a/tests/process/order_fault_test.cpp
+++ b/tests/process/order_fault_test.cpp
@@ -88,7 +88,7 @@
 {
   RunningSite site(OrderShape());
   for (const auto& row : kRows) {
-    CAPTURE(row.mOrder);
+    CAPTURE(std::string(row.mOrder));
     if (row.mPlatform != nullptr) {
       site->SetFault(site->Platform().mEndpoint, row.mPlatform);
     }
