Let a thread's adapters come from an abstract factory

Cause: EngineRun, ServiceRun and the dispatchers could only be run over HTTP. Change: ThreadContext takes an AdapterFactory; the HTTP one is the default.

--- a/packages/daemon/src/peer_channel.h
+++ b/packages/daemon/src/peer_channel.h
@@ -43,18 +43,19 @@
     , mSeal(aSeal)
   {
   }
+  virtual ~PeerChannel() = default;
 
   // Makes a JSON-RPC call.
-  [[nodiscard]] Result<Json> Call(const MemberRecord& aPeer,
-                                  const std::string& aMethod,
-                                  const Json& aParams,
-                                  Duration aTimeout);
+  [[nodiscard]] virtual Result<Json> Call(const MemberRecord& aPeer,
+                                          const std::string& aMethod,
+                                          const Json& aParams,
+                                          Duration aTimeout);
   // Sends a request to a home and passes each frame to the sink. Returns when
   // the answer has ended cleanly; NotSent in the error tells that the home
   // never saw the request.
-  [[nodiscard]] Result<void, HttpError> Run(const MemberRecord& aPeer,
-                                            const HomeRequest& aRequest,
-                                            FrameSink& aSink);
+  [[nodiscard]] virtual Result<void, HttpError> Run(const MemberRecord& aPeer,
+                                                    const HomeRequest& aRequest,
+                                                    FrameSink& aSink);
   // Cuts the answers of peers that have died: a VM that was lost or is frozen
   // closes no connection. Runs on the thread's loop, several times a second.
   void CutDead(const ControlView& aView);
--- a/packages/daemon/src/thread_context.cpp
+++ b/packages/daemon/src/thread_context.cpp
@@ -5,10 +5,17 @@
 ThreadContext::ThreadContext(Loop& aLoop,
                              PeerSeal& aSeal,
                              const Endpoint& aTable)
+  : ThreadContext(aLoop, MakeHttpAdapterFactory(aSeal, aTable))
+{
+}
+
+ThreadContext::ThreadContext(Loop& aLoop,
+                             std::unique_ptr<AdapterFactory> aAdapters)
   : mLoop(aLoop)
   , mClient(aLoop)
-  , mPeers(mClient, aSeal)
-  , mTable(MakeHttpTableService(mClient, aTable))
+  , mAdapters(std::move(aAdapters))
+  , mPeers(mAdapters->MakePeers(mClient))
+  , mTable(mAdapters->MakeTable(mClient))
 {
 }
 
@@ -17,7 +24,7 @@
 {
   auto& engine = mEngines[aEndpoint];
   if (engine == nullptr) {
-    engine = MakeHttpEngine(mClient, aEndpoint);
+    engine = mAdapters->MakeEngine(mClient, aEndpoint);
   }
   return *engine;
 }
@@ -27,7 +34,7 @@
 {
   auto& store = mStores[aEndpoint];
   if (store == nullptr) {
-    store = MakeHttpStore(mClient, aEndpoint);
+    store = mAdapters->MakeStore(mClient, aEndpoint);
   }
   return *store;
 }
@@ -37,7 +44,7 @@
 {
   auto& service = mServices[aEndpoint];
   if (service == nullptr) {
-    service = MakeHttpPlainService(mClient, aEndpoint);
+    service = mAdapters->MakeService(mClient, aEndpoint);
   }
   return *service;
 }
--- a/packages/daemon/src/thread_context.h
+++ b/packages/daemon/src/thread_context.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "peer_channel.h"
+#include "adapter_factory.h"
 
-#include <bilberrytrail/backend/http_backend.h>
-#include <bilberrytrail/platform/http_platform.h>
 #include <bilberrytrail/runtime/http_client.h>
 #include <bilberrytrail/runtime/loop.h>
 
@@ -18,10 +16,11 @@
 {
 public:
   ThreadContext(Loop& aLoop, PeerSeal& aSeal, const Endpoint& aTable);
+  ThreadContext(Loop& aLoop, std::unique_ptr<AdapterFactory> aAdapters);
 
   [[nodiscard]] Loop& GetLoop() noexcept { return mLoop; }
   [[nodiscard]] HttpClient& Client() noexcept { return mClient; }
-  [[nodiscard]] PeerChannel& Peers() noexcept { return mPeers; }
+  [[nodiscard]] PeerChannel& Peers() noexcept { return *mPeers; }
   [[nodiscard]] TableService& Table() noexcept { return *mTable; }
 
   // Returns the adapter for a backend server.
@@ -32,7 +31,8 @@
 private:
   Loop& mLoop;
   HttpClient mClient;
-  PeerChannel mPeers;
+  std::unique_ptr<AdapterFactory> mAdapters;
+  std::unique_ptr<PeerChannel> mPeers;
   std::unique_ptr<TableService> mTable;
   std::map<Endpoint, std::unique_ptr<Engine>> mEngines;
   std::map<Endpoint, std::unique_ptr<Store>> mStores;
