Record traces of requests behind a setting

Change: [trace] file appends one line of JSON for each admitted request, in the form that tests/traces replays; identifiers are hashed under the site's key.

--- a/packages/daemon/src/caller_service.cpp
+++ b/packages/daemon/src/caller_service.cpp
@@ -1,5 +1,7 @@
 #include "caller_service.h"
 
+#include "trace_recorder.h"
+
 #include <bilberrytrail/base/log.h>
 
 namespace bilberrytrail {
@@ -35,6 +37,7 @@
   mFilters.push_back(MakeDeadlineFilter(aSettings));
   mFilters.push_back(MakeParseFilter());
   mFilters.push_back(MakeEstimateFilter(*mEstimator));
+  mFilters.push_back(MakeTraceFilter(aSettings));
   mFilters.push_back(MakeCompletionDispatcher(parts));
   mFilters.push_back(MakeServiceDispatcher(parts));
 }
--- a/packages/settings/include/bilberrytrail/settings/daemon_settings.h
+++ b/packages/settings/include/bilberrytrail/settings/daemon_settings.h
@@ -93,6 +93,10 @@
   LogLevel mLogLevel = LogLevel::Info;
   // Empty for standard error.
   std::string mLogFile;
+
+  // [trace]
+  // Empty when requests are not recorded.
+  std::string mTraceFile;
 };
 
 // Returns the rows of all settings of bilberryd.
--- a/packages/settings/src/daemon_setting_rows.cpp
+++ b/packages/settings/src/daemon_setting_rows.cpp
@@ -441,6 +441,16 @@
          false,
          "File to append the log to; standard error when it is not set." },
        &DaemonSettings::mLogFile },
+  Row{ { "trace",
+         "file",
+         Text,
+         0,
+         0,
+         "",
+         false,
+         "File to append a trace of requests to, with identifiers hashed; "
+         "nothing is recorded when it is not set." },
+       &DaemonSettings::mTraceFile },
 };
 
 template<class T, auto Part>
