Refuse at once when every server was tried, and reopen homes after a flap

Cause: a completion that every server had refused waited ten seconds for another one; a caller that had gone was served further attempts; a queue that was drained while the home moved away stayed closed when the home came back with work running. Change: no wait when all usable servers were tried, no attempt for a caller that has gone, and a fresh queue for a server that is the home's own again.

--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -157,6 +157,10 @@
     if (!choice) {
       return GiveUp();
     }
+    if (!mContext.mResponder.IsPeerOpen()) {
+      mContext.mResponder.Abort();
+      return std::nullopt;
+    }
     if (RunAttempt(*choice)) {
       return Finish();
     }
@@ -178,7 +182,11 @@
     if (choice) {
       return choice;
     }
-    if (MonotonicNow() >= end || !mContext.mResponder.IsPeerOpen() ||
+    if (!mTried.empty() && !ServerLocator::HasOther(mContext, mTried)) {
+      return std::nullopt;
+    }
+    if (MonotonicNow() >= end ||
+        !mContext.mResponder.IsPeerOpen() ||
         !mContext.mThread.GetLoop().Sleep(kNoServerPause)) {
       mLast = { false,
                 RefusalReason::NoServer,
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -69,7 +69,7 @@
     estimate.mServer = id;
     const bool isEngine = server->Vm().mRole == VmRole::Engine;
     estimate.mReady =
-      server->TakesWork(now) && !IsLeaving(id) &&
+      server->TakesWork(now) && !server->IsDrained() && !IsLeaving(id) &&
       (!isEngine || server->Serves(aQuery.mModel, aQuery.mVersion));
     estimate.mService =
       server->EstimateService(aQuery.mPromptTokens, aQuery.mAnswerTokens);
@@ -133,7 +133,9 @@
                         listed->second.mHome == aView.mSelf &&
                         !listed->second.mVm.mLeaving;
     if (!isKept) {
-      it->second->Queue().Drain(now);
+      it->second->Drain(now);
+    } else if (it->second->IsDrained() && !mIsStopping) {
+      it->second->Reopen(MakeFairServerQueue(MakeQueueSettings(mSettings)));
     }
     const bool isIdle = it->second->Queue().Running() == 0;
     it = !isKept && isIdle ? mServers.erase(it) : std::next(it);
@@ -151,8 +153,12 @@
 void
 HomeService::DrainAll()
 {
+  {
+    const std::lock_guard lock(mMutex);
+    mIsStopping = true;
+  }
   for (const auto& server : Servers()) {
-    server->Queue().Drain(MonotonicNow());
+    server->Drain(MonotonicNow());
   }
 }
 
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -78,12 +78,15 @@
   void DrainAll();
 
 private:
+  // Returns whether this daemon's list has the server as leaving; it then gets
+  // no new work, whatever the asker's view says.
   [[nodiscard]] bool IsLeaving(const ServerId& aServer) const;
 
   const DaemonSettings& mSettings;
   ControlViewHolder& mViews;
   mutable std::mutex mMutex;
   std::map<ServerId, HomedServerPtr> mServers;
+  bool mIsStopping = false;
 };
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -34,11 +34,43 @@
 
 HomedServer::HomedServer(VmEntry aVm, std::unique_ptr<ServerQueue> aQueue)
   : mVm(std::move(aVm))
-  , mQueue(std::make_shared<HomeQueue>(std::move(aQueue)))
+  , mQueues{ std::make_shared<HomeQueue>(std::move(aQueue)) }
   , mSpeed{ kInitialPrefill, kInitialDecode }
 {
 }
 
+HomeQueue&
+HomedServer::Queue() const
+{
+  const std::lock_guard lock(mMutex);
+  return *mQueues.back();
+}
+
+bool
+HomedServer::IsDrained() const
+{
+  const std::lock_guard lock(mMutex);
+  return mIsDrained;
+}
+
+void
+HomedServer::Drain(Instant aNow)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mIsDrained = true;
+  }
+  Queue().Drain(aNow);
+}
+
+void
+HomedServer::Reopen(std::unique_ptr<ServerQueue> aQueue)
+{
+  const std::lock_guard lock(mMutex);
+  mQueues.push_back(std::make_shared<HomeQueue>(std::move(aQueue)));
+  mIsDrained = false;
+}
+
 std::optional<EngineState>
 HomedServer::State() const
 {
--- a/packages/daemon/src/homed_server.h
+++ b/packages/daemon/src/homed_server.h
@@ -30,7 +30,9 @@
   HomedServer(VmEntry aVm, std::unique_ptr<ServerQueue> aQueue);
 
   [[nodiscard]] const VmEntry& Vm() const noexcept { return mVm; }
-  [[nodiscard]] HomeQueue& Queue() noexcept { return *mQueue; }
+  // Returns the present queue; it lives as long as the server.
+  [[nodiscard]] HomeQueue& Queue() const;
+  [[nodiscard]] bool IsDrained() const;
   // Returns the last state that the engine reported.
   [[nodiscard]] std::optional<EngineState> State() const;
   // Returns the time since the engine's last report.
@@ -49,6 +51,10 @@
   [[nodiscard]] std::uint32_t ResidentPrefix(
     std::span<const BlockId> aBlocks) const;
 
+  // Refuses all waiting work and takes no more.
+  void Drain(Instant aNow);
+  // Takes work again after Drain, through a fresh queue.
+  void Reopen(std::unique_ptr<ServerQueue> aQueue);
   void SetState(EngineState aState);
   // Takes in blocks that the engine cached or evicted.
   void NoteCached(std::span<const BlockId> aBlocks);
@@ -66,7 +72,9 @@
 
 private:
   const VmEntry mVm;
-  std::shared_ptr<HomeQueue> mQueue;
+  // The last one takes work; earlier ones were drained.
+  std::vector<std::shared_ptr<HomeQueue>> mQueues;
+  bool mIsDrained = false;
   mutable std::mutex mMutex;
   std::optional<EngineState> mState;
   Instant mReportedAt{};
--- a/packages/daemon/src/list_runner.cpp
+++ b/packages/daemon/src/list_runner.cpp
@@ -2,11 +2,12 @@
 
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/log.h>
-#include <algorithm>
 #include <bilberrytrail/platform/http_platform.h>
 #include <bilberrytrail/platform/json_fields.h>
 #include <bilberrytrail/platform/platform_json.h>
 
+#include <algorithm>
+
 namespace bilberrytrail {
 
 namespace {
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -27,6 +27,28 @@
 ServerLocator::Choose(RequestContext& aContext,
                       const PromptBlocks& aBlocks,
                       const std::set<ServerId>& aTried)
+{
+  const auto servers = Untried(aContext, aTried);
+  for (const std::size_t n : { kFirstCandidates, kMoreCandidates }) {
+    const auto asked = Sample(servers, n);
+    auto choice = Plan(aContext, aBlocks, Ask(aContext, aBlocks, asked));
+    if (choice || asked.size() == servers.size()) {
+      return choice;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+ServerLocator::HasOther(const RequestContext& aContext,
+                        const std::set<ServerId>& aTried)
+{
+  return !Untried(aContext, aTried).empty();
+}
+
+std::vector<ServerId>
+ServerLocator::Untried(const RequestContext& aContext,
+                       const std::set<ServerId>& aTried)
 {
   const bool isEngine = aContext.mCompletion.has_value();
   const std::string group =
@@ -39,14 +61,7 @@
                                                   group);
   std::erase_if(servers,
                 [&](const ServerId& aId) { return aTried.contains(aId); });
-  for (const std::size_t n : { kFirstCandidates, kMoreCandidates }) {
-    const auto asked = Sample(servers, n);
-    auto choice = Plan(aContext, aBlocks, Ask(aContext, aBlocks, asked));
-    if (choice || asked.size() == servers.size()) {
-      return choice;
-    }
-  }
-  return std::nullopt;
+  return servers;
 }
 
 std::vector<ServerId>
--- a/packages/daemon/src/server_locator.h
+++ b/packages/daemon/src/server_locator.h
@@ -36,7 +36,14 @@
     const PromptBlocks& aBlocks,
     const std::set<ServerId>& aTried);
 
+  // Returns whether there is a usable server that was not tried.
+  [[nodiscard]] static bool HasOther(const RequestContext& aContext,
+                                     const std::set<ServerId>& aTried);
+
 private:
+  [[nodiscard]] static std::vector<ServerId> Untried(
+    const RequestContext& aContext,
+    const std::set<ServerId>& aTried);
   [[nodiscard]] std::vector<ServerId> Sample(std::vector<ServerId> aServers,
                                              std::size_t aCount);
   [[nodiscard]] std::vector<ServerEstimate> Ask(
--- a/packages/daemon/src/service_dispatch.cpp
+++ b/packages/daemon/src/service_dispatch.cpp
@@ -85,6 +85,9 @@
       if (!choice) {
         return GiveUp(aContext, tried.empty() ? NoServer() : last);
       }
+      if (!aContext.mResponder.IsPeerOpen()) {
+        return GiveUp(aContext, last);
+      }
       tried.insert(choice->mServer);
       auto request = MakeRequest(aContext, choice->mServer);
       const AttemptId attempt = request.mCall.mAttempt;
@@ -125,7 +128,9 @@
     while (true) {
       aContext.mRouting = mParts.mHomes.View();
       auto choice = mParts.mLocator.Choose(aContext, PromptBlocks(), aTried);
-      if (choice || MonotonicNow() >= end ||
+      const bool isLast =
+        !aTried.empty() && !ServerLocator::HasOther(aContext, aTried);
+      if (choice || isLast || MonotonicNow() >= end ||
           !aContext.mResponder.IsPeerOpen() ||
           !aContext.mThread.GetLoop().Sleep(kHomeLostPause)) {
         return choice;
