--- /dev/null
+++ b/tests/faults/home_service_test.cpp
@@ -0,0 +1,81 @@
+#include "home_service.h"
+
+#include <doctest/doctest.h>
+
+namespace bilberrytrail {
+namespace {
+
+const ServerId kServer{ "engine-a" };
+
+std::shared_ptr<const ControlView>
+MakeView(const std::string& aHome, bool aLeaving)
+{
+  auto view = std::make_shared<ControlView>();
+  view->mSelf = DaemonId("self");
+  BackendView& server = view->mServers[kServer];
+  server.mVm.mName = kServer.Text();
+  server.mVm.mRole = VmRole::Service;
+  server.mVm.mLeaving = aLeaving;
+  server.mHome = DaemonId(aHome);
+  return view;
+}
+
+bool
+IsReady(HomeService& aHomes)
+{
+  EstimateQuery query;
+  query.mServers = { kServer };
+  const auto estimates = aHomes.Estimate(query);
+  return estimates.size() == 1 && estimates.front().mReady;
+}
+
+// Joins the queue; true when a slot is granted at once.
+bool
+IsGranted(Loop& aLoop, HomedServer& aServer)
+{
+  const auto place = aServer.Queue().Join(aLoop, QueueEntry());
+  const auto action = place->Next(Duration::zero());
+  return action.has_value() && std::holds_alternative<GrantAction>(*action);
+}
+
+struct View
+{
+  const char* mHome;
+  bool mLeaving;
+  bool mIsReady;
+};
+
+TEST_CASE("a home takes work for its server again after each kind of flap")
+{
+  const std::vector<std::vector<View>> rows = {
+    { { "self", false, true } },
+    { { "self", true, false } },
+    { { "self", true, false }, { "self", false, true } },
+    { { "other", false, false }, { "self", false, true } },
+    { { "other", false, false }, { "self", true, false } },
+  };
+  for (const auto& row : rows) {
+    Loop loop;
+    ControlViewHolder views;
+    const DaemonSettings settings = DefaultDaemonSettings();
+    HomeService homes(settings, views);
+    views.Store(MakeView("self", false));
+    const auto server = homes.Find(kServer);
+    // A request runs all the while, so that the server is kept.
+    auto running = server->Queue().Join(loop, QueueEntry());
+    for (const auto& it : row) {
+      views.Store(MakeView(it.mHome, it.mLeaving));
+      homes.OnView(*views.Load());
+      CAPTURE(it.mHome);
+      CAPTURE(it.mLeaving);
+      CHECK(IsReady(homes) == it.mIsReady);
+      CHECK(IsGranted(loop, *server) == it.mIsReady);
+    }
+    homes.DrainAll();
+    homes.OnView(*views.Load());
+    CHECK_FALSE(IsReady(homes));
+  }
+}
+
+} // namespace
+} // namespace bilberrytrail
