--- a/packages/daemon/src/list_runner.cpp
+++ b/packages/daemon/src/list_runner.cpp
@@ -2,6 +2,7 @@
 
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/log.h>
+#include <bilberrytrail/platform/http_platform.h>
 #include <bilberrytrail/platform/json_fields.h>
 #include <bilberrytrail/platform/platform_json.h>
 
