--- a/tests/faults/request_world.cpp
+++ b/tests/faults/request_world.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t kMaxSeries = 16;
+
 constexpr std::string_view kProduct = "shop";
 constexpr std::string_view kModel = "guide";
 constexpr std::string_view kFirstAccount = "acme";
@@ -159,8 +161,9 @@
   : mId(std::move(aName))
   , mSettings(MakeSettings())
   , mHomes(mSettings, mViews)
+  , mMetrics(kMaxSeries)
   , mThread(aWorld.mLoop, MakeFakeAdapters(aWorld, *this))
-  , mCallers(mThread, mSettings, mViews, mHomes, kFaultSeed)
+  , mCallers(mThread, mSettings, mViews, mHomes, mMetrics, kFaultSeed)
 {
 }
 
--- a/tests/faults/world_node.h
+++ b/tests/faults/world_node.h
@@ -40,6 +40,7 @@
   DaemonSettings mSettings;
   ControlViewHolder mViews;
   HomeService mHomes;
+  DaemonMetrics mMetrics;
   NoSeal mSeal;
   ThreadContext mThread;
   CallerService mCallers;
