--- /dev/null
+++ b/bench/idle.cmake
@@ -0,0 +1,1 @@
+bilberrytrail_add_bench(idle DEPENDS bilberrytrail_bench)
--- /dev/null
+++ b/bench/overhead.cmake
@@ -0,0 +1,1 @@
+bilberrytrail_add_bench(overhead DEPENDS bilberrytrail_bench)
--- a/packages/membership/tests/gossip_shuttle.h
+++ b/packages/membership/tests/gossip_shuttle.h
@@ -28,6 +28,7 @@
     bool mPaused = false;
     int mSide = 0;
     std::uint64_t mBytesSent = 0;
+    std::uint64_t mMessagesSent = 0;
     std::map<DaemonId, MemberStatus> mSeen{};
   };
 
@@ -132,6 +133,7 @@
   {
     std::string bytes = ToBytes(aSend.mMessage);
     aNode.mBytesSent += bytes.size();
+    ++aNode.mMessagesSent;
     if (mRandom.Unit() >= mLoss) {
       mFlights.emplace(mNow + kLatency,
                        Flight{ aSend.mTo, aNode.mSide, std::move(bytes) });
--- a/packages/traffic/tests/server_choice_test.cpp
+++ b/packages/traffic/tests/server_choice_test.cpp
@@ -1,9 +1,7 @@
-#include <bilberrytrail/traffic/server_choice.h>
-#include <bilberrytrail/traffic/server_health.h>
+#include "slow_server_driver.h"
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
 #include <string>
 
 using namespace bilberrytrail;
@@ -16,72 +14,19 @@
   return { ServerId("s"), aWeight, aWait, aFirst, aPreferred };
 }
 
-// Returns the 0.99 quantile in ms of the time of reads over nine servers, each
-// with one slot, of which the first is slow from 10 s to 20 s; of the requests
-// from that time only.
+// Returns the 0.99 quantile in milliseconds of the trial.
 double
 SlowServerP99(ServerChooser& aChooser,
               ServerHealth& aHealth,
               std::uint64_t aSeed,
               int aSlowdown = 10)
 {
-  constexpr std::size_t kServers = 9;
-  constexpr Duration kService = 20ms;
-  Random random(aSeed);
-  std::vector<Instant> freeAt(kServers);
-  struct Pending
-  {
-    std::size_t mServer;
-    Instant mEnd;
-    Duration mTook;
-    // Multiples of the predicted time that were told as overdue.
-    std::int64_t mTold = 1;
-  };
-  std::vector<Pending> pending;
-  std::vector<double> millis;
-  for (Instant now{}; now < Instant(30s);
-       now += Duration(static_cast<std::int64_t>(random.Below(10000)))) {
-    std::vector<ServerCandidate> candidates;
-    for (std::size_t n = 0; n < kServers; ++n) {
-      const ServerId id("s" + std::to_string(n));
-      for (auto& run : pending) {
-        if (run.mServer != n) {
-          continue;
-        }
-        const auto since = now - (run.mEnd - run.mTook);
-        if (run.mEnd <= now) {
-          aHealth.AddSample(id, { kService, run.mTook }, run.mEnd);
-        } else if (since / kService > run.mTold) {
-          run.mTold = since / kService;
-          aHealth.AddOverdue(id, { kService, since }, now);
-        }
-      }
-      const auto queued = std::max(Duration(), freeAt[n] - now);
-      const bool isSlow = n == 0 && now >= Instant(10s) && now < Instant(20s);
-      // The estimate does not know that the server is slow.
-      const auto believed = isSlow ? queued / aSlowdown : queued;
-      candidates.push_back(
-        { id, aHealth.Weight(id, now), believed, kService, false });
-      if (aHealth.TakeProbe(id, now)) {
-        candidates.back().mPreferred = true;
-        candidates.back().mWeight = 1;
-      }
-    }
-    std::erase_if(pending, [&](const auto& aRun) { return aRun.mEnd <= now; });
-    const auto chosen = aChooser.Choose(candidates, random);
-    REQUIRE(chosen.has_value());
-    const bool isSlow =
-      *chosen == 0 && now >= Instant(10s) && now < Instant(20s);
-    const auto took = isSlow ? aSlowdown * kService : kService;
-    const auto start = std::max(now, freeAt[*chosen]);
-    freeAt[*chosen] = start + took;
-    pending.push_back({ *chosen, start + took, took });
-    if (now >= Instant(10s) && now < Instant(20s)) {
-      millis.push_back(ToMillis(start + took - now));
-    }
-  }
-  std::sort(millis.begin(), millis.end());
-  return millis[millis.size() * 99 / 100];
+  SlowServerTrial trial;
+  trial.mSeed = aSeed;
+  trial.mSlowdown = aSlowdown;
+  const auto millis = SlowServerDriver(trial, aChooser, aHealth).Run();
+  REQUIRE(millis.has_value());
+  return *millis;
 }
 
 } // namespace
