--- a/bench/view.cpp
+++ b/bench/view.cpp
@@ -6,8 +6,10 @@
 #include "report.h"
 #include "timing.h"
 
+#include <bilberrytrail/backend/engine_json.h>
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/membership/rendezvous.h>
+#include <bilberrytrail/platform/platform_json.h>
 #include <bilberrytrail/release/release_body.h>
 
 namespace {
@@ -171,11 +173,32 @@
   PrintSlope(section, "token_lookup_micros", lookup);
 }
 
+// Bytes of what is read or sent again and again.
+void
+MeasureSizes()
+{
+  const auto size = [](const Json& aJson) {
+    return static_cast<double>(aJson.dump().size());
+  };
+  EngineState state;
+  state.mVersions = { { ModelId("model-1"), VersionId("v1"), true },
+                      { ModelId("model-2"), VersionId("v1"), true } };
+  state.mRole = "serve";
+  state.mRunning = 3;
+  state.mSlots = 8;
+  state.mTokensPerSecond = 400;
+  const EngineEvent event{ EngineEventKind::Load, 12345, state, {} };
+  PrintSlope("sizes", "list_entry_bytes", size(ToJson(MakeVms(4000).back())));
+  PrintSlope("sizes", "engine_state_bytes", size(ToJson(state)));
+  PrintSlope("sizes", "engine_report_bytes", size(ToJson(event)));
+}
+
 } // namespace
 
 int
 main()
 {
+  MeasureSizes();
   MeasureRendezvous(57);
   MeasureRendezvous(400);
   MeasureRebuild(57);
