--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -31,7 +31,7 @@
 PRODUCTS = 2
 SECONDS_PER_DAY = 86400
 
-# Assumed: the letter gives no number for these.
+# Assumed: no size is stated for these.
 STORES = SERVERS
 ORDER_SHARE = 0.1
 
@@ -43,6 +43,7 @@
 STATE_PULLS_PER_S = 4
 REPORTS_PER_S = 10
 REPORT_CHANGE_PER_S = 0.5
+STATE_CHANGES_PER_S = 0.01
 SHARE_RENEWALS_PER_S = 0.2
 CLAIM_HOMES = 8
 CLAIM_INTERVAL_S = 0.003
@@ -100,7 +101,7 @@
     return [
         (
             "caller entry",
-            f"{figure(requests)} requests in progress a second",
+            f"{figure(requests)} requests/s",
             f"{figure(2 * requests)}/s to homes",
             core(per_request * requests),
             "bounded by max_requests",
@@ -243,7 +244,7 @@
     body = slope(f"release_{ACCOUNTS}", "body_bytes")
     changes = CHANGES_PER_DAY / SECONDS_PER_DAY
     pull = STATE_PULLS_PER_S * (SERVERS * state + DAEMONS * EXCHANGE_BYTES)
-    push = SERVERS * REPORT_CHANGE_PER_S * 0.02 * (state + EXCHANGE_BYTES)
+    push = SERVERS * STATE_CHANGES_PER_S * (state + EXCHANGE_BYTES)
     rows = [
         ("gossip, sent", gossip, gossip),
         (
