Give a server's queue the slots that the server reports

Cause: HomeQueue::SetSlots was called by nobody, so each queue ran 8 requests at once whatever the engine reported: too many for a smaller engine, too few for a larger one. Change: HomedServer::SetState passes a changed number on.

--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -122,8 +122,16 @@
 void
 HomedServer::SetState(EngineState aState)
 {
-  const std::lock_guard lock(mMutex);
-  mState = std::move(aState);
+  const std::uint32_t slots = aState.mSlots;
+  {
+    const std::lock_guard lock(mMutex);
+    const bool isChanged = !mState || mState->mSlots != slots;
+    mState = std::move(aState);
+    if (!isChanged || slots == 0) {
+      return;
+    }
+  }
+  mQueue->SetSlots(slots, MonotonicNow());
 }
 
 void
