--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -306,7 +306,7 @@
                             ? std::optional(mLast.mRetryAfter)
                             : std::optional<Duration>(kNoServerRetry);
   if (!mWriter.HasBegun()) {
-    return mContext.Refuse(mLast.mReason, mLast.mText, retryAfter);
+    return mContext.Refuse(mLast.CallerReason(), mLast.mText, retryAfter);
   }
   mWriter.Break(Refusal::Incomplete(mContext.mLedger,
                                     RefusalReason::AnswerCut,
--- a/packages/daemon/src/dispatch.h
+++ b/packages/daemon/src/dispatch.h
@@ -42,6 +42,14 @@
   std::string mText;
   Duration mRetryAfter{};
 
+  // Returns the reason to give to the caller: when the last server did not
+  // run the request, no server is left that takes it.
+  [[nodiscard]] RefusalReason CallerReason() const noexcept
+  {
+    return mNotRun && mReason == RefusalReason::ServerFailed
+             ? RefusalReason::NoServer
+             : mReason;
+  }
   // Returns whether nothing ran because the server's home stops, moved or
   // could not be reached: the server itself may be chosen again.
   [[nodiscard]] bool IsHomeLost() const noexcept
--- a/packages/daemon/src/service_dispatch.cpp
+++ b/packages/daemon/src/service_dispatch.cpp
@@ -201,7 +201,7 @@
     const auto retryAfter = aLast.mReason == RefusalReason::Conflict
                               ? std::optional<Duration>()
                               : std::max(aLast.mRetryAfter, kServiceRetry);
-    return aContext.Refuse(aLast.mReason, aLast.mText, retryAfter);
+    return aContext.Refuse(aLast.CallerReason(), aLast.mText, retryAfter);
   }
 
   static void SendAnswer(RequestContext& aContext, const ServiceAnswer& aAnswer)
