--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -68,6 +68,9 @@
 {
   const std::lock_guard lock(mMutex);
   mQueues.push_back(std::make_shared<HomeQueue>(std::move(aQueue)));
+  if (mState && mState->mSlots > 0) {
+    mQueues.back()->SetSlots(mState->mSlots, MonotonicNow());
+  }
   mIsDrained = false;
 }
 
@@ -171,7 +174,7 @@
       return;
     }
   }
-  mQueue->SetSlots(slots, MonotonicNow());
+  Queue().SetSlots(slots, MonotonicNow());
 }
 
 void
