--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -185,8 +185,7 @@
     if (!mTried.empty() && !ServerLocator::HasOther(mContext, mTried)) {
       return std::nullopt;
     }
-    if (MonotonicNow() >= end ||
-        !mContext.mResponder.IsPeerOpen() ||
+    if (MonotonicNow() >= end || !mContext.mResponder.IsPeerOpen() ||
         !mContext.mThread.GetLoop().Sleep(kNoServerPause)) {
       mLast = { false,
                 RefusalReason::NoServer,
--- a/tests/faults/request_world.cpp
+++ b/tests/faults/request_world.cpp
@@ -160,7 +160,8 @@
   , mSettings(MakeSettings())
   , mHomes(mSettings, mViews)
   , mThread(aWorld.mLoop, MakeFakeAdapters(aWorld, *this))
-  , mCallers(mThread, mSettings, mViews, mHomes, kFaultSeed)
+  , mMetrics(mSettings.mHistogramSeries)
+  , mCallers(mThread, mSettings, mViews, mHomes, mMetrics, kFaultSeed)
 {
 }
 
--- a/tests/faults/world_node.h
+++ b/tests/faults/world_node.h
@@ -42,6 +42,7 @@
   HomeService mHomes;
   NoSeal mSeal;
   ThreadContext mThread;
+  DaemonMetrics mMetrics;
   CallerService mCallers;
 };
 
