--- a/tests/faults/world_node.h
+++ b/tests/faults/world_node.h
@@ -40,9 +40,9 @@
   DaemonSettings mSettings;
   ControlViewHolder mViews;
   HomeService mHomes;
-  DaemonMetrics mMetrics;
   NoSeal mSeal;
   ThreadContext mThread;
+  DaemonMetrics mMetrics;
   CallerService mCallers;
 };
 
