Import returning prompts from store VMs

Cause: after an eviction every prompt was computed anew; the modules of the cache package were not wired in. The prompt's home now keeps the directory, the store's home exports what the policy admits and gives places on the link, and a request's import runs while it waits in the queue. Whatever fails is recomputed; blocks that may have been read in another state are cut from the request until the server has evicted them.

--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -62,6 +62,7 @@
   , mReleases(mThread, mState, mMembers, MakeFollowerSettings(aSettings))
   , mList(mThread, mState, mMembers, aSettings)
   , mMonitor(mThread, mState, aHomes)
+  , mStores(mThread, mState, aHomes.Cache())
   , mShards(mThread,
             mState,
             aHomes,
@@ -79,6 +80,7 @@
 {
   mState.OnView([&aHomes](const ControlView& aView) { aHomes.OnView(aView); });
   mState.OnView([this](const ControlView& aView) { mMonitor.OnView(aView); });
+  mState.OnView([this](const ControlView& aView) { mStores.OnView(aView); });
 }
 
 void
@@ -131,6 +133,7 @@
   mReleases.Start();
   mList.Start();
   mShards.Start();
+  mStores.Start();
   return Ok();
 }
 
--- a/packages/daemon/src/control_thread.h
+++ b/packages/daemon/src/control_thread.h
@@ -8,6 +8,7 @@
 #include "release_runner.h"
 #include "server_monitor.h"
 #include "shard_runner.h"
+#include "store_runner.h"
 #include "thread_context.h"
 
 #include <functional>
@@ -54,6 +55,7 @@
   ReleaseRunner mReleases;
   ListRunner mList;
   ServerMonitor mMonitor;
+  StoreRunner mStores;
   ShardRunner mShards;
   OperatorService mOperators;
   HttpServer mOperatorServer;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -72,6 +72,7 @@
   })
 {
   mControl.AddMethods(mMethods);
+  mHomes.Cache().AddMethods(mMethods);
   mMethods.Add("home.estimate", [this](const Json& aParams) -> Result<Json> {
     const auto query = ReadEstimateQuery(aParams);
     if (!query) {
--- a/packages/daemon/src/engine_run.cpp
+++ b/packages/daemon/src/engine_run.cpp
@@ -23,6 +23,7 @@
 } // namespace
 
 EngineRun::EngineRun(ThreadContext& aThread,
+                     KeptCache& aCache,
                      HomedServerPtr aServer,
                      const HomeRequest& aRequest,
                      FrameSink& aSink)
@@ -31,6 +32,7 @@
   , mRequest(aRequest)
   , mSink(aSink)
   , mDeadline(MonotonicNow() + aRequest.mTimeLeft)
+  , mPrefix(aThread, aCache, mServer, aRequest)
   , mAnswer(AttemptId(RandomToken()))
 {
 }
@@ -39,6 +41,7 @@
 EngineRun::Execute()
 {
   mPlace = mServer->Queue().Join(mThread.GetLoop(), MakeEntry());
+  mPrefix.Start();
   if (!AwaitGrant()) {
     return;
   }
@@ -112,6 +115,7 @@
   GenerateRequest generate = mRequest.mGenerate;
   generate.mAttempt = mAnswer.Attempt();
   generate.mPriority = PriorityOf(mRequest.mClass);
+  generate.mBlocks.resize(mPrefix.UsableBlocks());
   generate.mResumeText += mAnswer.Text();
   generate.mStartPosition += mAnswer.NextPosition();
   return generate;
@@ -121,6 +125,7 @@
 EngineRun::RunAttempt()
 {
   auto& engine = mThread.EngineAt(mServer->Vm().mEndpoint);
+  mPrefix.Await(mDeadline);
   const auto now = MonotonicNow();
   if (now >= mDeadline) {
     EndNotRun(RefusalReason::DeadlinePassed, "the deadline has passed");
@@ -152,6 +157,7 @@
               "the server answered with another weight version");
     return StepEnd::Finished;
   }
+  mPrefix.OnHead(head);
   if (!mAccepted) {
     mAccepted = true;
     (void)mSink.Write({ .mKind = FrameKind::Head,
@@ -226,6 +232,7 @@
 EngineRun::Learn(const GenerateHead& aHead, Instant aSentAt)
 {
   mFirstTokenAt = MonotonicNow();
+  mPrefix.OnFirstToken();
   mServer->LearnPrefill(static_cast<double>(aHead.mPromptTokens) -
                           aHead.mCachedTokens,
                         mFirstTokenAt - aSentAt);
--- a/packages/daemon/src/engine_run.h
+++ b/packages/daemon/src/engine_run.h
@@ -2,6 +2,7 @@
 
 #include "home_message.h"
 #include "homed_server.h"
+#include "prefix_import.h"
 #include "thread_context.h"
 
 #include <bilberrytrail/traffic/answer_assembler.h>
@@ -16,6 +17,7 @@
 {
 public:
   EngineRun(ThreadContext& aThread,
+            KeptCache& aCache,
             HomedServerPtr aServer,
             const HomeRequest& aRequest,
             FrameSink& aSink);
@@ -53,6 +55,7 @@
   FrameSink& mSink;
   Instant mDeadline;
   std::unique_ptr<QueuePlace> mPlace;
+  PrefixImport mPrefix;
   AnswerAssembler mAnswer;
   bool mAccepted = false;
   Instant mFirstTokenAt{};
--- a/packages/daemon/src/home_message.cpp
+++ b/packages/daemon/src/home_message.cpp
@@ -1,5 +1,7 @@
 #include "home_message.h"
 
+#include "directory_message.h"
+
 #include <bilberrytrail/backend/engine_json.h>
 #include <bilberrytrail/base/base64.h>
 #include <bilberrytrail/platform/json_fields.h>
@@ -8,38 +10,6 @@
 
 namespace {
 
-Json
-ToJson(const StoreCopy& aCopy)
-{
-  return { { "store", aCopy.mStore.Text() },
-           { "incarnation", aCopy.mIncarnation },
-           { "tier", ToName(aCopy.mTier) },
-           { "ref", ToJson(aCopy.mRef) } };
-}
-
-Result<StoreCopy>
-ReadStoreCopy(const Json& aJson)
-{
-  JsonFields fields(aJson);
-  StoreCopy copy;
-  copy.mStore = StoreId(fields.Text("store"));
-  copy.mIncarnation = fields.Unsigned("incarnation");
-  const auto tier = FromName<StoreTier>(fields.Text("tier"));
-  auto ref = ReadBlockRef(fields.Object("ref"));
-  if (!tier) {
-    fields.Reject("tier");
-  }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  if (!ref) {
-    return std::move(ref).error();
-  }
-  copy.mTier = *tier;
-  copy.mRef = ref.value();
-  return copy;
-}
-
 // Reads an enumerator by its name and marks the field as bad without one.
 template<class E>
 E
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -21,6 +21,7 @@
                          ControlViewHolder& aViews)
   : mSettings(aSettings)
   , mViews(aViews)
+  , mCache(aSettings, aViews)
 {
 }
 
@@ -103,7 +104,7 @@
     return;
   }
   if (aRequest.mTarget == HomeTarget::Engine) {
-    EngineRun(aThread, server, aRequest, aSink).Execute();
+    EngineRun(aThread, mCache, server, aRequest, aSink).Execute();
   } else {
     ServiceRun(aThread, server, aRequest, aSink).Execute();
   }
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -3,6 +3,7 @@
 #include "control_view.h"
 #include "home_message.h"
 #include "homed_server.h"
+#include "kept_cache.h"
 #include "thread_context.h"
 
 #include <bilberrytrail/settings/daemon_settings.h>
@@ -54,6 +55,7 @@
 public:
   HomeService(const DaemonSettings& aSettings, ControlViewHolder& aViews);
 
+  [[nodiscard]] KeptCache& Cache() noexcept { return mCache; }
   // Returns the server when the platform lists it, else null. A daemon that
   // is asked for a server of another home serves it all the same: the asker's
   // view is newer or older, and the difference costs only speed.
@@ -84,6 +86,7 @@
 
   const DaemonSettings& mSettings;
   ControlViewHolder& mViews;
+  KeptCache mCache;
   mutable std::mutex mMutex;
   std::map<ServerId, HomedServerPtr> mServers;
   bool mIsStopping = false;
--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -15,6 +15,8 @@
 constexpr double kInitialDecode = 30;
 // Blocks remembered as resident on one server.
 constexpr std::size_t kMaxResident = 65536;
+// With more blocks that it may not use, a server uses none.
+constexpr std::size_t kMaxDistrusted = 65536;
 // Prefills of fewer tokens say little about speed.
 constexpr double kMinLearnedTokens = 256;
 
@@ -135,6 +137,20 @@
   return n;
 }
 
+std::size_t
+HomedServer::TrustedPrefix(std::span<const BlockId> aBlocks) const
+{
+  const std::lock_guard lock(mMutex);
+  if (mDistrusted.size() >= kMaxDistrusted) {
+    return 0;
+  }
+  const auto it =
+    std::find_if(aBlocks.begin(), aBlocks.end(), [&](BlockId aBlock) {
+      return mDistrusted.contains(aBlock);
+    });
+  return static_cast<std::size_t>(it - aBlocks.begin());
+}
+
 void
 HomedServer::NoteCached(std::span<const BlockId> aBlocks)
 {
@@ -151,14 +167,27 @@
   const std::lock_guard lock(mMutex);
   for (const auto& block : aBlocks) {
     mResident.erase(block);
+    mDistrusted.erase(block);
   }
 }
 
 void
+HomedServer::Distrust(BlockId aBlock)
+{
+  const std::lock_guard lock(mMutex);
+  if (mDistrusted.size() < kMaxDistrusted) {
+    mDistrusted.insert(aBlock);
+  }
+}
+
+std::vector<BlockId>
 HomedServer::ForgetResident()
 {
   const std::lock_guard lock(mMutex);
+  std::vector<BlockId> resident(mResident.begin(), mResident.end());
   mResident.clear();
+  mDistrusted.clear();
+  return resident;
 }
 
 void
--- a/packages/daemon/src/homed_server.h
+++ b/packages/daemon/src/homed_server.h
@@ -51,6 +51,11 @@
   [[nodiscard]] std::uint32_t ResidentPrefix(
     std::span<const BlockId> aBlocks) const;
 
+  // Returns how many of the blocks, from the first on, the server may be asked
+  // to use.
+  [[nodiscard]] std::size_t TrustedPrefix(
+    std::span<const BlockId> aBlocks) const;
+
   // Refuses all waiting work and takes no more.
   void Drain(Instant aNow);
   // Takes work again after Drain, through a fresh queue.
@@ -59,8 +64,11 @@
   // Takes in blocks that the engine cached or evicted.
   void NoteCached(std::span<const BlockId> aBlocks);
   void NoteEvicted(std::span<const BlockId> aBlocks);
-  // Forgets which blocks are resident, after missed events or a restart.
-  void ForgetResident();
+  // The server may have read the block from a store in a state that was not
+  // the one asked for: it is not used until the server has evicted it.
+  void Distrust(BlockId aBlock);
+  // Forgets which blocks are resident, after a restart; returns them.
+  std::vector<BlockId> ForgetResident();
   // Notes that the server refuses new work or cannot be reached: it gets no
   // new work for a while.
   void NoteRefusal(Instant aNow);
@@ -81,6 +89,7 @@
   Instant mNoWorkBefore{};
   ServerSpeed mSpeed;
   std::unordered_set<BlockId> mResident;
+  std::unordered_set<BlockId> mDistrusted;
 };
 
 using HomedServerPtr = std::shared_ptr<HomedServer>;
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -10,6 +10,8 @@
 // Candidates asked first, and when none of these can serve.
 constexpr std::size_t kFirstCandidates = 4;
 constexpr std::size_t kMoreCandidates = 32;
+// Servers asked because they hold the longest prefixes.
+constexpr std::size_t kMaxHolders = 3;
 constexpr Duration kEstimateTimeout = 200ms;
 // Way to a home and back, until measured.
 constexpr Duration kHomeRoundTrip = 500us;
@@ -29,9 +31,11 @@
                       const std::set<ServerId>& aTried)
 {
   const auto servers = Untried(aContext, aTried);
+  const auto where = Locate(aContext, aBlocks);
   for (const std::size_t n : { kFirstCandidates, kMoreCandidates }) {
-    const auto asked = Sample(servers, n);
-    auto choice = Plan(aContext, aBlocks, Ask(aContext, aBlocks, asked));
+    const auto asked =
+      PickCandidates(where.mServers, servers, kMaxHolders, n, mRandom);
+    auto choice = Plan(aContext, aBlocks, Ask(aContext, aBlocks, asked), where);
     if (choice || asked.size() == servers.size()) {
       return choice;
     }
@@ -64,15 +68,19 @@
   return servers;
 }
 
-std::vector<ServerId>
-ServerLocator::Sample(std::vector<ServerId> aServers, std::size_t aCount)
+PromptLocations
+ServerLocator::Locate(RequestContext& aContext, const PromptBlocks& aBlocks)
 {
-  const std::size_t count = std::min(aCount, aServers.size());
-  for (std::size_t n = 0; n < count; ++n) {
-    std::swap(aServers[n], aServers[n + mRandom.Below(aServers.size() - n)]);
+  const auto root = aBlocks.Root();
+  if (!root) {
+    return {};
   }
-  aServers.resize(count);
-  return aServers;
+  DirectoryQuery query;
+  query.mKey = { aContext.mAccount.mProduct,
+                 aContext.mAccount.mAccount,
+                 *root };
+  query.mBlocks = aBlocks.mBlocks;
+  return mHomes.Cache().Find(aContext.mThread, query);
 }
 
 std::vector<ServerEstimate>
@@ -119,7 +127,8 @@
 std::optional<ServerChoice>
 ServerLocator::Plan(RequestContext& aContext,
                     const PromptBlocks& aBlocks,
-                    const std::vector<ServerEstimate>& aEstimates)
+                    const std::vector<ServerEstimate>& aEstimates,
+                    const PromptLocations& aWhere)
 {
   PlanRequest request;
   request.mBlocks = static_cast<std::uint32_t>(aBlocks.mBlocks.size());
@@ -139,6 +148,8 @@
     candidate.mResidentBlocks = it.mResidentBlocks;
     request.mCandidates.push_back(std::move(candidate));
   }
+  request.mCopies = aWhere.mCopies;
+  request.mLinks = mHomes.Cache().Links(aContext.mThread, aWhere);
   PrefixPlan plan = mPlanner->Choose(request);
   if (plan.mServer.IsEmpty()) {
     return std::nullopt;
--- a/packages/daemon/src/server_locator.h
+++ b/packages/daemon/src/server_locator.h
@@ -44,8 +44,8 @@
   [[nodiscard]] static std::vector<ServerId> Untried(
     const RequestContext& aContext,
     const std::set<ServerId>& aTried);
-  [[nodiscard]] std::vector<ServerId> Sample(std::vector<ServerId> aServers,
-                                             std::size_t aCount);
+  [[nodiscard]] PromptLocations Locate(RequestContext& aContext,
+                                       const PromptBlocks& aBlocks);
   [[nodiscard]] std::vector<ServerEstimate> Ask(
     RequestContext& aContext,
     const PromptBlocks& aBlocks,
@@ -53,7 +53,8 @@
   [[nodiscard]] std::optional<ServerChoice> Plan(
     RequestContext& aContext,
     const PromptBlocks& aBlocks,
-    const std::vector<ServerEstimate>& aEstimates);
+    const std::vector<ServerEstimate>& aEstimates,
+    const PromptLocations& aWhere);
 
   HomeService& mHomes;
   Random mRandom;
--- a/packages/daemon/src/server_monitor.cpp
+++ b/packages/daemon/src/server_monitor.cpp
@@ -88,8 +88,9 @@
                          EngineEvent aEvent,
                          std::uint64_t& aSequence)
 {
+  const ServerId id(aServer.Vm().mName);
   if (aEvent.mSequence < aSequence) {
-    aServer.ForgetResident();
+    mHomes.Cache().NoteEvicted(id, aServer.ForgetResident());
   }
   aSequence = aEvent.mSequence;
   switch (aEvent.mKind) {
@@ -100,9 +101,11 @@
       break;
     case EngineEventKind::BlockCached:
       aServer.NoteCached(aEvent.mBlocks);
+      mHomes.Cache().NoteCached(id, aEvent.mBlocks);
       break;
     case EngineEventKind::BlockEvicted:
       aServer.NoteEvicted(aEvent.mBlocks);
+      mHomes.Cache().NoteEvicted(id, aEvent.mBlocks);
       break;
   }
 }
--- a/packages/settings/include/bilberrytrail/settings/daemon_settings.h
+++ b/packages/settings/include/bilberrytrail/settings/daemon_settings.h
@@ -86,6 +86,12 @@
   Duration mKeepOutcomeTime{};
   Duration mDrainTime{};
 
+  // [cache]
+  // 1 when evicted prompts are imported from store VMs, else 0.
+  std::uint64_t mKeptCache = 0;
+  std::uint64_t mKvBytesPerToken = 0;
+  std::uint64_t mLinkBytesPerSecond = 0;
+
   // [operators]
   std::string mOperatorTokenHash;
 
--- a/tests/site/site.cpp
+++ b/tests/site/site.cpp
@@ -285,6 +285,8 @@
   const std::string platform = ToText(mPlatform.mEndpoint);
   sections["platform"] += "table = " + platform + "\nobjects = " + platform +
                           "\nlist = " + platform + "\n";
+  // What the stand-in engine takes for each token.
+  sections["cache"] += "kv_bytes_per_token = 16B\n";
   sections["operators"] += "token_hash = " + Sha256Hex(OperatorToken()) + "\n";
   const std::string file = mFolder + "/" + aDaemon.mName + ".ini";
   std::ofstream out(file);
