Count prompts in computation when a server is chosen

Cause: servers with free slots all had an estimated wait of zero, so concurrent long prompts went to the same server. The home adds the time of the prompts that the server computes now.

--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -79,7 +79,8 @@
     entry.mClass = aQuery.mClass;
     entry.mCostTokens = aQuery.mPromptTokens + aQuery.mAnswerTokens;
     entry.mService = estimate.mService;
-    estimate.mQueueWait = server->Queue().PredictWait(entry, now);
+    estimate.mQueueWait =
+      server->Queue().PredictWait(entry, now) + server->PrefillBacklog();
     estimate.mPrefillTokensPerSecond = server->Speed().mPrefillTokensPerSecond;
     estimate.mResidentBlocks = server->ResidentPrefix(aQuery.mBlocks);
     estimates.push_back(std::move(estimate));
--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -126,6 +126,13 @@
   return FromMillis(seconds * 1000);
 }
 
+Duration
+HomedServer::PrefillBacklog() const
+{
+  const std::lock_guard lock(mMutex);
+  return FromMillis(mPrefillTokens / mSpeed.mPrefillTokensPerSecond * 1000);
+}
+
 std::uint32_t
 HomedServer::ResidentPrefix(std::span<const BlockId> aBlocks) const
 {
@@ -171,6 +178,20 @@
   }
 }
 
+void
+HomedServer::BeginPrefill(double aTokens)
+{
+  const std::lock_guard lock(mMutex);
+  mPrefillTokens += aTokens;
+}
+
+void
+HomedServer::EndPrefill(double aTokens)
+{
+  const std::lock_guard lock(mMutex);
+  mPrefillTokens = std::max(0.0, mPrefillTokens - aTokens);
+}
+
 void
 HomedServer::Distrust(BlockId aBlock)
 {
--- a/packages/daemon/src/homed_server.h
+++ b/packages/daemon/src/homed_server.h
@@ -47,6 +47,10 @@
   [[nodiscard]] Duration EstimateService(double aPromptTokens,
                                          double aAnswerTokens) const;
 
+  // Returns the time that the server needs for the prompts that it is
+  // computing.
+  [[nodiscard]] Duration PrefillBacklog() const;
+
   // Returns how many of the blocks, from the first on, are resident.
   [[nodiscard]] std::uint32_t ResidentPrefix(
     std::span<const BlockId> aBlocks) const;
@@ -64,6 +68,10 @@
   // Takes in blocks that the engine cached or evicted.
   void NoteCached(std::span<const BlockId> aBlocks);
   void NoteEvicted(std::span<const BlockId> aBlocks);
+  // Notes that the server computes so many tokens of a prompt, and that it has
+  // done so or given up.
+  void BeginPrefill(double aTokens);
+  void EndPrefill(double aTokens);
   // The server may have read the block from a store in a state that was not
   // the one asked for: it is not used until the server has evicted it.
   void Distrust(BlockId aBlock);
@@ -90,6 +98,7 @@
   ServerSpeed mSpeed;
   std::unordered_set<BlockId> mResident;
   std::unordered_set<BlockId> mDistrusted;
+  double mPrefillTokens = 0;
 };
 
 using HomedServerPtr = std::shared_ptr<HomedServer>;
--- a/packages/daemon/src/prefix_import.cpp
+++ b/packages/daemon/src/prefix_import.cpp
@@ -349,6 +349,7 @@
 PrefixImport::~PrefixImport()
 {
   mJob->Abandon();
+  EndPrefill();
   if (mIsClaimed) {
     mCache.Inflight().Finish(mRequest.mServer, mRequest.mGenerate.mAttempt);
   }
@@ -375,6 +376,24 @@
     mJob->Await(aDeadline);
     AwaitOthers(aDeadline);
   }
+  BeginPrefill();
+}
+
+void
+PrefixImport::BeginPrefill()
+{
+  EndPrefill();
+  const std::span<const BlockId> blocks(mRequest.mGenerate.mBlocks);
+  const auto missing = blocks.size() - mServer->ResidentPrefix(blocks);
+  mPrefillTokens = static_cast<double>(missing) *
+                   mRequest.mGenerate.mBlockBytes / kBytesPerToken;
+  mServer->BeginPrefill(mPrefillTokens);
+}
+
+void
+PrefixImport::EndPrefill()
+{
+  mServer->EndPrefill(std::exchange(mPrefillTokens, 0));
 }
 
 void
@@ -425,6 +444,7 @@
 void
 PrefixImport::OnFirstToken()
 {
+  EndPrefill();
   const std::span<const BlockId> blocks(mRequest.mGenerate.mBlocks);
   if (blocks.empty() || !mCache.IsEnabled()) {
     return;
--- a/packages/daemon/src/prefix_import.h
+++ b/packages/daemon/src/prefix_import.h
@@ -51,6 +51,8 @@
   class Job;
 
   void AwaitOthers(Instant aDeadline);
+  void BeginPrefill();
+  void EndPrefill();
 
   ThreadContext& mThread;
   KeptCache& mCache;
@@ -58,6 +60,8 @@
   const HomeRequest& mRequest;
   std::shared_ptr<Job> mJob;
   bool mIsClaimed = false;
+  // Tokens that the server computes for the request now.
+  double mPrefillTokens = 0;
 };
 
 } // namespace bilberrytrail
