--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -21,6 +21,7 @@
                          ControlViewHolder& aViews)
   : mSettings(aSettings)
   , mViews(aViews)
+  , mCache(aSettings, aViews)
 {
 }
 
@@ -78,7 +79,8 @@
     entry.mClass = aQuery.mClass;
     entry.mCostTokens = aQuery.mPromptTokens + aQuery.mAnswerTokens;
     entry.mService = estimate.mService;
-    estimate.mQueueWait = server->Queue().PredictWait(entry, now);
+    estimate.mQueueWait =
+      server->Queue().PredictWait(entry, now) + server->PrefillBacklog();
     estimate.mPrefillTokensPerSecond = server->Speed().mPrefillTokensPerSecond;
     estimate.mResidentBlocks = server->ResidentPrefix(aQuery.mBlocks);
     estimates.push_back(std::move(estimate));
@@ -103,7 +105,7 @@
     return;
   }
   if (aRequest.mTarget == HomeTarget::Engine) {
-    EngineRun(aThread, server, aRequest, aSink).Execute();
+    EngineRun(aThread, mCache, server, aRequest, aSink).Execute();
   } else {
     ServiceRun(aThread, server, aRequest, aSink).Execute();
   }
--- a/packages/daemon/src/homed_server.h
+++ b/packages/daemon/src/homed_server.h
@@ -47,10 +47,19 @@
   [[nodiscard]] Duration EstimateService(double aPromptTokens,
                                          double aAnswerTokens) const;
 
+  // Returns the time that the server needs for the prompts that it is
+  // computing.
+  [[nodiscard]] Duration PrefillBacklog() const;
+
   // Returns how many of the blocks, from the first on, are resident.
   [[nodiscard]] std::uint32_t ResidentPrefix(
     std::span<const BlockId> aBlocks) const;
 
+  // Returns how many of the blocks, from the first on, the server may be asked
+  // to use.
+  [[nodiscard]] std::size_t TrustedPrefix(
+    std::span<const BlockId> aBlocks) const;
+
   // Refuses all waiting work and takes no more.
   void Drain(Instant aNow);
   // Takes work again after Drain, through a fresh queue.
@@ -59,8 +68,15 @@
   // Takes in blocks that the engine cached or evicted.
   void NoteCached(std::span<const BlockId> aBlocks);
   void NoteEvicted(std::span<const BlockId> aBlocks);
-  // Forgets which blocks are resident, after missed events or a restart.
-  void ForgetResident();
+  // Notes that the server computes so many tokens of a prompt, and that it has
+  // done so or given up.
+  void BeginPrefill(double aTokens);
+  void EndPrefill(double aTokens);
+  // The server may have read the block from a store in a state that was not
+  // the one asked for: it is not used until the server has evicted it.
+  void Distrust(BlockId aBlock);
+  // Forgets which blocks are resident, after a restart; returns them.
+  std::vector<BlockId> ForgetResident();
   // Notes that the server refuses new work or cannot be reached: it gets no
   // new work for a while.
   void NoteRefusal(Instant aNow);
@@ -81,6 +97,8 @@
   Instant mNoWorkBefore{};
   ServerSpeed mSpeed;
   std::unordered_set<BlockId> mResident;
+  std::unordered_set<BlockId> mDistrusted;
+  double mPrefillTokens = 0;
 };
 
 using HomedServerPtr = std::shared_ptr<HomedServer>;
