Erase rows of the table, and tell one start of an engine from another

Cause: outcomes of non-idempotent calls were kept without end, and a death of an engine had no name that all daemons agree on. Change: a table write may erase; a row that is created again gets a version above all it had. EraseExpiredClaims takes the retention time from its caller; ClaimSweep walks all rows by bounded scans. The engine state has an incarnation that changes at each start.

--- a/packages/backend/include/bilberrytrail/backend/engine.h
+++ b/packages/backend/include/bilberrytrail/backend/engine.h
@@ -132,6 +132,8 @@
   // Tokens generated per second over the last report period.
   double mTokensPerSecond = 0;
   bool mLeaving = false;
+  // Changes at each start of the engine.
+  std::uint64_t mIncarnation = 0;
 };
 
 // Kinds of messages on an engine's event stream.
--- a/packages/backend/src/engine_json.cpp
+++ b/packages/backend/src/engine_json.cpp
@@ -258,7 +258,8 @@
            { "running", aState.mRunning },
            { "slots", aState.mSlots },
            { "tokens_per_second", aState.mTokensPerSecond },
-           { "leaving", aState.mLeaving } };
+           { "leaving", aState.mLeaving },
+           { "incarnation", aState.mIncarnation } };
 }
 
 Result<EngineState>
@@ -274,6 +275,7 @@
   state.mSlots = fields.Unsigned32("slots");
   state.mTokensPerSecond = fields.Real("tokens_per_second");
   state.mLeaving = fields.Flag("leaving");
+  state.mIncarnation = fields.Unsigned("incarnation");
   return Checked(fields, std::move(state));
 }
 
--- a/packages/orders/tests/claim_retention_test.cpp
+++ b/packages/orders/tests/claim_retention_test.cpp
@@ -4,11 +4,20 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <string>
+
 using namespace bilberrytrail;
 
+namespace {
+
+constexpr std::chrono::milliseconds kKept = std::chrono::hours(72);
+
+} // namespace
+
 TEST_CASE("claim rows are erased after the retention time and not before")
 {
-  const auto kept = std::chrono::milliseconds(kClaimRetention).count();
+  const auto kept = kKept.count();
   struct Row
   {
     std::int64_t mAge;
@@ -22,7 +31,7 @@
     claim.mWrittenAtMs = 1000;
     const std::vector<TableRow> found{ { "k", EncodeClaimRow(claim), 9 },
                                        { "damaged", "x", 1 } };
-    const auto writes = EraseExpiredClaims(found, 1000 + row.mAge, 10);
+    const auto writes = EraseExpiredClaims(found, 1000 + row.mAge, kKept, 10);
     REQUIRE(writes.size() == (row.mErased ? 1 : 0));
     if (row.mErased) {
       CHECK(writes.front().mErase);
@@ -47,9 +56,9 @@
   };
   auto late = claim("late");
   REQUIRE(late.BeginSend(kStart));
-  const auto kept = std::chrono::milliseconds(kClaimRetention).count();
+  const auto kept = kKept.count();
   REQUIRE(
-    table.Commit(EraseExpiredClaims({ *table.Read("k") }, kept, 1)).mCommitted);
+    table.Commit(EraseExpiredClaims({ *table.Read("k") }, kept, kKept, 1)).mCommitted);
   const auto anew = claim("anew");
 
   auto actions = late.OnServiceResult(RecordedAnswer(), kStart);
@@ -62,3 +71,30 @@
   CHECK(row.value().mAttempt == AttemptId("anew"));
   CHECK(row.value().mState == ClaimState::Claimed);
 }
+
+TEST_CASE("a sweep reads every row, whatever the keys and the limit")
+{
+  constexpr std::size_t kLimit = 4;
+  std::map<std::string, bool> rows;
+  for (const char* account : { "a", "a b", "long-account", "\xc3\xa9" }) {
+    for (int n = 0; n < 40; ++n) {
+      rows[ClaimRowKey(ProductId("p/q"),
+                       AccountId(account),
+                       IdempotencyKey(std::to_string(n * n)))] = false;
+    }
+  }
+  ClaimSweep sweep("claim/", kLimit);
+  while (const auto prefix = sweep.Next()) {
+    std::size_t n = 0;
+    for (auto it = rows.lower_bound(*prefix);
+         it != rows.end() && it->first.starts_with(*prefix) && n < kLimit;
+         ++it, ++n) {
+      it->second = true;
+    }
+    sweep.OnScanned(n);
+  }
+  for (const auto& [key, isSeen] : rows) {
+    CAPTURE(key);
+    CHECK(isSeen);
+  }
+}
--- a/packages/platform/src/platform_json.cpp
+++ b/packages/platform/src/platform_json.cpp
@@ -53,7 +53,8 @@
 {
   return { { "key", aWrite.mKey },
            { "value", aWrite.mValue },
-           { "expected_version", aWrite.mExpectedVersion } };
+           { "expected_version", aWrite.mExpectedVersion },
+           { "erase", aWrite.mErase } };
 }
 
 Result<TableWrite>
@@ -64,6 +65,7 @@
   write.mKey = fields.Text("key");
   write.mValue = fields.Text("value");
   write.mExpectedVersion = fields.Unsigned("expected_version");
+  write.mErase = fields.Flag("erase");
   if (auto ok = fields.Check(); !ok) {
     return std::move(ok).error();
   }
--- a/packages/platform/tests/platform_json_test.cpp
+++ b/packages/platform/tests/platform_json_test.cpp
@@ -66,3 +66,14 @@
   const auto read = ReadTableRow(ParseJson(text.value()).value());
   CHECK(read.value().mVersion == row.mVersion);
 }
+
+TEST_CASE("a write comes back with its version and whether it erases")
+{
+  for (const bool isErase : { false, true }) {
+    const TableWrite write{ "k", "v", 7, isErase };
+    const auto read = ReadTableWrite(ToJson(write));
+    REQUIRE(read.has_value());
+    CHECK(read.value().mExpectedVersion == 7);
+    CHECK(read.value().mErase == isErase);
+  }
+}
--- a/standins/src/engine/engine_state.cpp
+++ b/standins/src/engine/engine_state.cpp
@@ -1,5 +1,7 @@
 #include "engine/engine_state.h"
 
+#include <bilberrytrail/base/digest.h>
+
 #include <utility>
 
 namespace bilberrytrail::standins {
@@ -27,6 +29,7 @@
   , mEvents(mSettings.mReportLag, mSettings.mEventGapEvery)
   , mPrefill(mSettings.mPrefillTokensPerSecond)
   , mLink(mSettings.mLinkBytesPerSecond)
+  , mIncarnation(StableHash64(RandomToken()))
 {
 }
 
@@ -65,6 +68,7 @@
   state.mSlots = mSettings.mSlots;
   state.mTokensPerSecond = mTokensPerSecond;
   state.mLeaving = mFaults.mLeaving;
+  state.mIncarnation = mIncarnation;
   return state;
 }
 
--- a/standins/src/engine/engine_state.h
+++ b/standins/src/engine/engine_state.h
@@ -95,6 +95,8 @@
   EventLog mEvents;
   RateLimiter mPrefill;
   RateLimiter mLink;
+  // Drawn at the start of the process.
+  const std::uint64_t mIncarnation;
   std::uint64_t mRecentTokens = 0;
   double mTokensPerSecond = 0;
 };
--- a/standins/src/platform/table.cpp
+++ b/standins/src/platform/table.cpp
@@ -37,12 +37,26 @@
     return outcome;
   }
   for (const auto& write : aWrites) {
-    const auto version = write.mExpectedVersion + 1;
-    mRows[write.mKey] = TableRow{ write.mKey, write.mValue, version };
+    Apply(write);
   }
   return outcome;
 }
 
+void
+Table::Apply(const TableWrite& aWrite)
+{
+  const std::string& key = aWrite.mKey;
+  if (aWrite.mErase) {
+    if (mRows.erase(key) > 0) {
+      mErased[key] = aWrite.mExpectedVersion;
+    }
+    return;
+  }
+  const auto erased = mErased.extract(key);
+  const auto last = erased.empty() ? aWrite.mExpectedVersion : erased.mapped();
+  mRows[key] = TableRow{ key, aWrite.mValue, last + 1 };
+}
+
 TableRow
 Table::ReadOrAbsent(const std::string& aKey) const
 {
--- a/standins/src/platform/table.h
+++ b/standins/src/platform/table.h
@@ -22,8 +22,12 @@
 
 private:
   [[nodiscard]] TableRow ReadOrAbsent(const std::string& aKey) const;
+  void Apply(const TableWrite& aWrite);
 
   std::map<std::string, TableRow> mRows;
+  // Last versions of erased rows, so that a row that is created again does
+  // not get a version that it had before.
+  std::map<std::string, std::uint64_t> mErased;
 };
 
 } // namespace bilberrytrail::standins
