Gather claims, quarantine crashing prompts, weigh slow servers, limit accounts

Cause: the pure decisions of traffic and orders had no caller in the daemon. Change: claims and outcomes go to a few claim homes that commit them in batches, else the daemon writes itself; expired outcomes are swept by the holder of shard 0; a death of an engine counts against what ran on it and is told to all daemons before a retry; answer times give slow servers a lower weight; client accounts lease shares of their limits; max_requests bounds a daemon. Found on the way: the sockets of a dying process close one after the other, so a cut connection to its state proves nothing; the home asks again. Partial: no hedges, no quarantine of plain services, no load reports.

--- a/packages/daemon/src/caller_service.cpp
+++ b/packages/daemon/src/caller_service.cpp
@@ -1,5 +1,7 @@
 #include "caller_service.h"
 
+#include "account_limit_filter.h"
+#include "quarantine_filter.h"
 #include "trace_recorder.h"
 
 #include <bilberrytrail/base/log.h>
@@ -12,6 +14,8 @@
 // Extra work that is available before any request came.
 constexpr double kReserveTokens = 10000;
 constexpr double kMaxSavedTokens = 200000;
+// When a caller comes back that met a full daemon.
+constexpr Duration kFullRetry = 1s;
 
 } // namespace
 
@@ -19,11 +23,13 @@
                              const DaemonSettings& aSettings,
                              ControlViewHolder& aViews,
                              HomeService& aHomes,
+                             DaemonParts& aParts,
                              DaemonMetrics& aMetrics,
                              std::uint64_t aSeed)
   : mThread(aThread)
   , mSettings(aSettings)
   , mViews(aViews)
+  , mSlots(aParts.mSlots)
   , mMetrics(aMetrics)
   , mLocator(aHomes, aSeed)
   , mBudget(aSettings.mRetryBudget, kReserveTokens, kMaxSavedTokens)
@@ -38,6 +44,8 @@
   mFilters.push_back(MakeParseFilter());
   mFilters.push_back(MakeEstimateFilter(*mEstimator));
   mFilters.push_back(MakeTraceFilter(aSettings));
+  mFilters.push_back(MakeQuarantineFilter(aHomes.GetQuarantine()));
+  mFilters.push_back(MakeAccountLimitFilter(aParts.mLimits));
   mFilters.push_back(MakeCompletionDispatcher(parts));
   mFilters.push_back(MakeServiceDispatcher(parts));
 }
@@ -56,19 +64,35 @@
                           .mThread = mThread,
                           .mView = mViews.Load(),
                           .mArrivedAt = MonotonicNow() };
+  const auto refusal = Serve(context);
+  if (refusal) {
+    LogLine(LogEvent::RequestRefused,
+            { { "reason", refusal->Reason() },
+              { "disposition", refusal->GetDisposition() },
+              { "account", context.mAccount.mAccount } });
+    mMetrics.NoteRefused(context, *refusal);
+    SendRefusal(aResponder, *refusal);
+    return;
+  }
+  mMetrics.NoteEnded(context, MonotonicNow());
+}
+
+std::optional<Refusal>
+CallerService::Serve(RequestContext& aContext)
+{
+  const RequestSlots::Slot slot(mSlots);
+  if (!slot) {
+    return aContext.Refuse(RefusalReason::QueueFull,
+                           "this daemon carries as many requests as it may",
+                           kFullRetry);
+  }
   for (const auto& filter : mFilters) {
-    const auto refusal = filter->Apply(context);
+    auto refusal = filter->Apply(aContext);
     if (refusal) {
-      LogLine(LogEvent::RequestRefused,
-              { { "reason", refusal->Reason() },
-                { "disposition", refusal->GetDisposition() },
-                { "account", context.mAccount.mAccount } });
-      mMetrics.NoteRefused(context, *refusal);
-      SendRefusal(aResponder, *refusal);
-      return;
+      return refusal;
     }
   }
-  mMetrics.NoteEnded(context, MonotonicNow());
+  return std::nullopt;
 }
 
 void
--- a/packages/daemon/src/caller_service.h
+++ b/packages/daemon/src/caller_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon_metrics.h"
+#include "daemon_parts.h"
 #include "dispatch.h"
 #include "request_filters.h"
 
@@ -20,6 +21,7 @@
                 const DaemonSettings& aSettings,
                 ControlViewHolder& aViews,
                 HomeService& aHomes,
+                DaemonParts& aParts,
                 DaemonMetrics& aMetrics,
                 std::uint64_t aSeed);
   ~CallerService() override;
@@ -28,10 +30,13 @@
 
 private:
   void AnswerHealth(HttpResponder& aResponder);
+  // Passes the request through the filters; returns the refusal of one.
+  [[nodiscard]] std::optional<Refusal> Serve(RequestContext& aContext);
 
   ThreadContext& mThread;
   const DaemonSettings& mSettings;
   ControlViewHolder& mViews;
+  RequestSlots& mSlots;
   DaemonMetrics& mMetrics;
   ServerLocator mLocator;
   ExtraWorkBudget mBudget;
--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -209,6 +209,7 @@
   request.mProduct = mContext.mAccount.mProduct;
   request.mAccount = mContext.mAccount.mAccount;
   request.mClass = mContext.mEstimate.mClass;
+  request.mFingerprint = ToText(mContext.mFingerprint);
   request.mTimeLeft = std::max<Duration>(TimeLeft(), 1ms);
   request.mCostTokens = mContext.mEstimate.CostTokens();
   GenerateRequest& generate = request.mGenerate;
@@ -256,6 +257,18 @@
 bool
 CompletionRun::MayRetry()
 {
+  if (mLast.mReason == RefusalReason::Quarantined) {
+    return false;
+  }
+  const auto& quarantine = mParts.mHomes.GetQuarantine();
+  if (quarantine.Verdict(mContext.mFingerprint) ==
+      QuarantineVerdict::Convicted) {
+    mLast = { false,
+              RefusalReason::Quarantined,
+              std::string(kConvictedText),
+              quarantine.Remaining(mContext.mFingerprint) };
+    return false;
+  }
   if (mAnswer.State() != AnswerState::Cut ||
       !mAnswer.BeginAttempt(AttemptId(RandomToken()))) {
     return false;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -67,6 +67,7 @@
             aHomes,
             static_cast<std::uint32_t>(aSettings.mControlShards),
             MakeLeaseSettings(aSettings))
+  , mSweeper(mThread, mShards, aSettings.mKeepOutcomeTime)
   , mOperators(aSettings,
                mThread,
                mState,
@@ -131,6 +132,7 @@
   mReleases.Start();
   mList.Start();
   mShards.Start();
+  mSweeper.Start();
   return Ok();
 }
 
--- a/packages/daemon/src/control_thread.h
+++ b/packages/daemon/src/control_thread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claim_sweeper.h"
 #include "control_state.h"
 #include "home_service.h"
 #include "list_runner.h"
@@ -55,6 +56,7 @@
   ListRunner mList;
   ServerMonitor mMonitor;
   ShardRunner mShards;
+  ClaimSweeper mSweeper;
   OperatorService mOperators;
   HttpServer mOperatorServer;
 };
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -53,6 +53,7 @@
   SiteSeal mSeal;
   ControlViewHolder mViews;
   HomeService mHomes;
+  DaemonParts mParts;
   DaemonMetrics mMetrics;
   RpcMethods mMethods;
   ControlThread mControl;
@@ -66,12 +67,15 @@
   , mSelf(MakeSelf(mSettings))
   , mSeal(mSettings.mSiteKey, mSelf.mId, mSettings.mMessageWindow)
   , mHomes(mSettings, mViews)
+  , mParts(mSettings, mViews)
   , mMetrics(mSettings.mHistogramSeries)
   , mControl(mSettings, mSelf, mSeal, mViews, mHomes, mMetrics, [this] {
     Drain();
   })
 {
   mControl.AddMethods(mMethods);
+  mHomes.GetQuarantine().AddMethods(mMethods);
+  mParts.mLimits.AddMethods(mMethods);
   mMethods.Add("home.estimate", [this](const Json& aParams) -> Result<Json> {
     const auto query = ReadEstimateQuery(aParams);
     if (!query) {
@@ -85,6 +89,7 @@
                                       mSeal,
                                       mViews,
                                       mHomes,
+                                      mParts,
                                       mMethods,
                                       mMetrics,
                                       StableHash64(mSelf.mId.Text()) + n));
@@ -103,6 +108,7 @@
     return ok;
   }
   mTraffic.front()->GetLoop().Spawn([this] { TickQueues(); });
+  mTraffic.front()->StartBackground();
   mThreads.emplace_back([this] { mControl.Run(); });
   for (auto& traffic : mTraffic) {
     mThreads.emplace_back([it = traffic.get()] { it->Run(); });
--- a/packages/daemon/src/engine_run.cpp
+++ b/packages/daemon/src/engine_run.cpp
@@ -126,6 +126,7 @@
     EndNotRun(RefusalReason::DeadlinePassed, "the deadline has passed");
     return StepEnd::Finished;
   }
+  mSink.NoteSent();
   auto stream = engine.Generate(NextAttempt(), mDeadline - now);
   if (!stream) {
     const CallError& error = stream.error();
--- a/packages/daemon/src/estimate_message.cpp
+++ b/packages/daemon/src/estimate_message.cpp
@@ -65,7 +65,8 @@
                      { "wait_us", it.mQueueWait.count() },
                      { "service_us", it.mService.count() },
                      { "prefill_per_s", it.mPrefillTokensPerSecond },
-                     { "resident", it.mResidentBlocks } });
+                     { "resident", it.mResidentBlocks },
+                     { "weight", it.mWeight } });
   }
   return { { "servers", std::move(list) } };
 }
@@ -84,6 +85,10 @@
     estimate.mService = Duration(fields.Unsigned("service_us"));
     estimate.mPrefillTokensPerSecond = fields.Real("prefill_per_s");
     estimate.mResidentBlocks = fields.Unsigned32("resident");
+    estimate.mWeight = fields.Real("weight");
+    if (estimate.mWeight <= 0 || estimate.mWeight > 1) {
+      fields.Reject("weight");
+    }
     if (auto ok = fields.Check(); !ok) {
       return std::move(ok).error();
     }
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -1,6 +1,7 @@
 #include "home_service.h"
 
 #include "engine_run.h"
+#include "quarantine_gate.h"
 #include "service_run.h"
 
 namespace bilberrytrail {
@@ -21,6 +22,8 @@
                          ControlViewHolder& aViews)
   : mSettings(aSettings)
   , mViews(aViews)
+  , mHealth(MakeServerHealth(HealthSettings()))
+  , mQuarantine(aSettings.mQuarantineTime, aViews)
 {
 }
 
@@ -81,6 +84,7 @@
     estimate.mQueueWait = server->Queue().PredictWait(entry, now);
     estimate.mPrefillTokensPerSecond = server->Speed().mPrefillTokensPerSecond;
     estimate.mResidentBlocks = server->ResidentPrefix(aQuery.mBlocks);
+    estimate.mWeight = WeightFor(id, aQuery.mClass);
     estimates.push_back(std::move(estimate));
   }
   return estimates;
@@ -103,7 +107,7 @@
     return;
   }
   if (aRequest.mTarget == HomeTarget::Engine) {
-    EngineRun(aThread, server, aRequest, aSink).Execute();
+    RunOnEngine(aThread, server, aRequest, aSink);
   } else {
     ServiceRun(aThread, server, aRequest, aSink).Execute();
   }
@@ -117,6 +121,28 @@
   return it != view->mServers.end() && it->second.mVm.mLeaving;
 }
 
+void
+HomeService::RunOnEngine(ThreadContext& aThread,
+                         const HomedServerPtr& aServer,
+                         const HomeRequest& aRequest,
+                         FrameSink& aSink)
+{
+  QuarantineGate gate(aThread, mQuarantine, aServer, aRequest, aSink);
+  if (gate.AwaitTurn()) {
+    HealthSink watched(mHealth, aServer, aRequest, gate);
+    EngineRun(aThread, aServer, aRequest, watched).Execute();
+  }
+}
+
+double
+HomeService::WeightFor(const ServerId& aServer, WorkClass aClass)
+{
+  const double weight = mHealth.Weight(aServer);
+  const bool isProbe =
+    weight < 1 && !IsShortWork(aClass) && mHealth.TakeProbe(aServer);
+  return isProbe ? 1 : weight;
+}
+
 void
 HomeService::OnView(const ControlView& aView)
 {
@@ -138,14 +164,21 @@
       it->second->Reopen(MakeFairServerQueue(MakeQueueSettings(mSettings)));
     }
     const bool isIdle = it->second->Queue().Running() == 0;
-    it = !isKept && isIdle ? mServers.erase(it) : std::next(it);
+    if (!isKept && isIdle) {
+      mHealth.Forget(it->first);
+      it = mServers.erase(it);
+    } else {
+      ++it;
+    }
   }
 }
 
 void
 HomeService::Tick(Instant aNow)
 {
+  mHealth.Tick(aNow);
   for (const auto& server : Servers()) {
+    server->SetSound(mHealth.Weight(ServerId(server->Vm().mName)) == 1);
     server->Queue().Tick(aNow);
   }
 }
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -2,7 +2,9 @@
 
 #include "control_view.h"
 #include "home_message.h"
+#include "health_watch.h"
 #include "homed_server.h"
+#include "quarantine_service.h"
 #include "thread_context.h"
 
 #include <bilberrytrail/settings/daemon_settings.h>
@@ -36,6 +38,9 @@
   Duration mService{};
   double mPrefillTokensPerSecond = 0;
   std::uint32_t mResidentBlocks = 0;
+  // Below 1 while the server is slow for a moment: its times are as many times
+  // longer.
+  double mWeight = 1;
 };
 
 // Encodes and decodes both for calls between daemons.
@@ -58,6 +63,10 @@
   // is asked for a server of another home serves it all the same: the asker's
   // view is newer or older, and the difference costs only speed.
   [[nodiscard]] HomedServerPtr Find(const ServerId& aServer);
+  [[nodiscard]] QuarantineService& GetQuarantine() noexcept
+  {
+    return mQuarantine;
+  }
   // Returns the servers held now.
   [[nodiscard]] std::vector<HomedServerPtr> Servers() const;
   [[nodiscard]] std::vector<ServerEstimate> Estimate(
@@ -81,9 +90,17 @@
   // Returns whether this daemon's list has the server as leaving; it then gets
   // no new work, whatever the asker's view says.
   [[nodiscard]] bool IsLeaving(const ServerId& aServer) const;
+  // Returns the weight for one request of the class, 1 for a probe.
+  [[nodiscard]] double WeightFor(const ServerId& aServer, WorkClass aClass);
+  void RunOnEngine(ThreadContext& aThread,
+                   const HomedServerPtr& aServer,
+                   const HomeRequest& aRequest,
+                   FrameSink& aSink);
 
   const DaemonSettings& mSettings;
   ControlViewHolder& mViews;
+  HealthWatch mHealth;
+  QuarantineService mQuarantine;
   mutable std::mutex mMutex;
   std::map<ServerId, HomedServerPtr> mServers;
   bool mIsStopping = false;
--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -191,6 +191,13 @@
   mNoWorkBefore = Instant{};
 }
 
+void
+HomedServer::SetSound(bool aSound)
+{
+  const std::lock_guard lock(mMutex);
+  mIsSound = aSound;
+}
+
 void
 HomedServer::LearnPrefill(double aTokens, Duration aTime)
 {
@@ -198,6 +205,9 @@
     return;
   }
   const std::lock_guard lock(mMutex);
+  if (!mIsSound) {
+    return;
+  }
   mSpeed.mPrefillTokensPerSecond =
     Blend(mSpeed.mPrefillTokensPerSecond, aTokens / Seconds(aTime));
 }
@@ -209,6 +219,9 @@
     return;
   }
   const std::lock_guard lock(mMutex);
+  if (!mIsSound) {
+    return;
+  }
   mSpeed.mDecodeTokensPerSecond =
     Blend(mSpeed.mDecodeTokensPerSecond, 1.0 / Seconds(aTimePerToken));
 }
--- a/packages/daemon/src/homed_server.h
+++ b/packages/daemon/src/homed_server.h
@@ -65,6 +65,8 @@
   // new work for a while.
   void NoteRefusal(Instant aNow);
   void NoteReachable();
+  // Speeds are not learnt while the server is slow for a moment.
+  void SetSound(bool aSound);
   // Learns from an answer: tokens computed until the first token came, and
   // the length of one decoding step.
   void LearnPrefill(double aTokens, Duration aTime);
@@ -80,6 +82,7 @@
   Instant mReportedAt{};
   Instant mNoWorkBefore{};
   ServerSpeed mSpeed;
+  bool mIsSound = true;
   std::unordered_set<BlockId> mResident;
 };
 
--- a/packages/daemon/src/peer_channel.cpp
+++ b/packages/daemon/src/peer_channel.cpp
@@ -24,26 +24,55 @@
                   const Json& aParams,
                   Duration aTimeout)
 {
-  return CallRpc(
-    aMethod, aParams, [&](const std::string& aBody) -> Result<std::string> {
-      const HttpRequest request{
-        "POST", std::string(kRpcPath), {}, mSeal.Seal(aPeer.mId, aBody)
-      };
-      auto response = mClient.Call(aPeer.mEndpoint, request, aTimeout);
-      if (!response) {
-        return Fail(response.error().mCode, response.error().mMessage);
-      }
-      if (response.value().mStatus != 200) {
-        return Fail(ErrorCode::Refused,
-                    "peer answered " +
-                      std::to_string(response.value().mStatus));
-      }
-      auto reply = mSeal.Open(response.value().mBody);
-      if (!reply) {
-        return std::move(reply).error();
-      }
-      return std::move(reply).value().mBody;
-    });
+  auto sent = SendState::MaybeSent;
+  return CallRpc(aMethod, aParams, [&](const std::string& aBody) {
+    return Exchange(aPeer, aBody, aTimeout, sent);
+  });
+}
+
+CallResult<Json>
+PeerChannel::CallOnce(const MemberRecord& aPeer,
+                      const std::string& aMethod,
+                      const Json& aParams,
+                      Duration aTimeout)
+{
+  auto sent = SendState::MaybeSent;
+  auto result = CallRpc(aMethod, aParams, [&](const std::string& aBody) {
+    return Exchange(aPeer, aBody, aTimeout, sent);
+  });
+  if (!result) {
+    const auto fate =
+      sent == SendState::NotSent ? CallFate::NotRun : CallFate::Unknown;
+    return CallError{ fate, std::move(result).error() };
+  }
+  return std::move(result).value();
+}
+
+Result<std::string>
+PeerChannel::Exchange(const MemberRecord& aPeer,
+                      const std::string& aBody,
+                      Duration aTimeout,
+                      SendState& aSent)
+{
+  const HttpRequest request{
+    "POST", std::string(kRpcPath), {}, mSeal.Seal(aPeer.mId, aBody)
+  };
+  auto response = mClient.Call(aPeer.mEndpoint, request, aTimeout);
+  if (!response) {
+    aSent = response.error().mSent;
+    return Fail(response.error().mCode, response.error().mMessage);
+  }
+  if (response.value().mStatus != 200) {
+    // A peer refuses before it runs anything.
+    aSent = SendState::NotSent;
+    return Fail(ErrorCode::Refused,
+                "peer answered " + std::to_string(response.value().mStatus));
+  }
+  auto reply = mSeal.Open(response.value().mBody);
+  if (!reply) {
+    return std::move(reply).error();
+  }
+  return std::move(reply).value().mBody;
 }
 
 Result<void, HttpError>
--- a/packages/daemon/src/peer_channel.h
+++ b/packages/daemon/src/peer_channel.h
@@ -4,6 +4,7 @@
 #include "home_message.h"
 #include "peer_seal.h"
 
+#include <bilberrytrail/base/call.h>
 #include <bilberrytrail/base/time.h>
 #include <bilberrytrail/runtime/http_client.h>
 #include <bilberrytrail/runtime/rpc.h>
@@ -31,6 +32,8 @@
   [[nodiscard]] virtual bool IsOpen() noexcept = 0;
   // Takes one frame; fails with Unavailable when the receiver has gone.
   virtual Result<void> Write(const HomeFrame& aFrame) = 0;
+  // The request is about to be sent to its server.
+  virtual void NoteSent() {}
 };
 
 // Calls other daemons from fibers of one traffic thread or of the control
@@ -50,6 +53,12 @@
                                           const std::string& aMethod,
                                           const Json& aParams,
                                           Duration aTimeout);
+  // Makes a JSON-RPC call that has an effect: NotRun when the peer never saw
+  // it, Unknown when it may have run.
+  [[nodiscard]] virtual CallResult<Json> CallOnce(const MemberRecord& aPeer,
+                                                  const std::string& aMethod,
+                                                  const Json& aParams,
+                                                  Duration aTimeout);
   // Sends a request to a home and passes each frame to the sink. Returns when
   // the answer has ended cleanly; NotSent in the error tells that the home
   // never saw the request.
@@ -70,6 +79,11 @@
 
   [[nodiscard]] static Result<void, HttpError> Relay(HttpStream& aStream,
                                                      FrameSink& aSink);
+  // Makes one exchange and notes whether it was sent.
+  [[nodiscard]] Result<std::string> Exchange(const MemberRecord& aPeer,
+                                             const std::string& aBody,
+                                             Duration aTimeout,
+                                             SendState& aSent);
 
   HttpClient& mClient;
   PeerSeal& mSeal;
--- a/packages/daemon/src/request_context.h
+++ b/packages/daemon/src/request_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "account_limit_service.h"
 #include "control_view.h"
 #include "thread_context.h"
 
@@ -8,6 +9,7 @@
 #include <bilberrytrail/runtime/http_server.h>
 #include <bilberrytrail/traffic/attempt_ledger.h>
 #include <bilberrytrail/traffic/classify.h>
+#include <bilberrytrail/traffic/quarantine.h>
 #include <bilberrytrail/traffic/refusal.h>
 
 #include <cstdint>
@@ -56,6 +58,10 @@
   VersionId mVersion{};
   RequestShape mShape{};
   WorkEstimate mEstimate{};
+  // Identifies a completion for the quarantine.
+  Fingerprint mFingerprint{};
+  // Counts against the account's limits while the request runs.
+  std::optional<Admission> mAdmission{};
   AttemptLedger mLedger{};
   std::optional<Instant> mFirstTokenAt{};
   std::uint32_t mRetries = 0;
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -14,6 +14,13 @@
 // Way to a home and back, until measured.
 constexpr Duration kHomeRoundTrip = 500us;
 
+// Returns the time that a server of the weight takes.
+Duration
+Lengthen(Duration aLength, double aWeight)
+{
+  return FromMillis(ToMillis(aLength) / aWeight);
+}
+
 } // namespace
 
 ServerLocator::ServerLocator(HomeService& aHomes, std::uint64_t aSeed)
@@ -133,7 +140,8 @@
                          aContext.mRouting->mSelf;
     PlanCandidate candidate;
     candidate.mServer = it.mServer;
-    candidate.mQueueWait = it.mQueueWait;
+    candidate.mQueueWait = Lengthen(it.mQueueWait + it.mService, it.mWeight) -
+                           it.mService;
     candidate.mRoundTrip = isLocal ? Duration::zero() : kHomeRoundTrip;
     candidate.mPrefillTokensPerSecond = it.mPrefillTokensPerSecond;
     candidate.mResidentBlocks = it.mResidentBlocks;
--- a/packages/daemon/src/service_run.cpp
+++ b/packages/daemon/src/service_run.cpp
@@ -145,7 +145,7 @@
 ClaimActions
 ServiceRun::PerformOne(ClaimedCall& aCall, const ClaimAction& aAction)
 {
-  auto& table = mThread.Table();
+  auto& table = mThread.ClaimTable();
   switch (aAction.mKind) {
     case ClaimActionKind::ReadRow: {
       const auto row = table.Read(aAction.mWrite.mKey, kTableTimeout);
--- a/packages/daemon/src/shard_runner.cpp
+++ b/packages/daemon/src/shard_runner.cpp
@@ -33,6 +33,12 @@
   }
 }
 
+bool
+ShardRunner::Holds(std::uint32_t aShard) const
+{
+  return mShards[aShard].mLease->EpochForOrder(MonotonicNow()).has_value();
+}
+
 Result<Json>
 ShardRunner::StatesForPeer(const Json& aParams)
 {
--- a/packages/daemon/src/shard_runner.h
+++ b/packages/daemon/src/shard_runner.h
@@ -24,6 +24,8 @@
               std::uint32_t aShards,
               const LeaseSettings& aSettings);
 
+  // Returns whether this daemon holds the lease of the shard now.
+  [[nodiscard]] bool Holds(std::uint32_t aShard) const;
   // Returns the states of the engines of a product that are homed here, for
   // the holder of the product's shard.
   [[nodiscard]] Result<Json> StatesForPeer(const Json& aParams);
--- a/packages/daemon/src/thread_context.h
+++ b/packages/daemon/src/thread_context.h
@@ -22,18 +22,29 @@
   [[nodiscard]] HttpClient& Client() noexcept { return mClient; }
   [[nodiscard]] PeerChannel& Peers() noexcept { return *mPeers; }
   [[nodiscard]] TableService& Table() noexcept { return *mTable; }
+  // Returns the table for claims of non-idempotent calls.
+  [[nodiscard]] TableService& ClaimTable() noexcept
+  {
+    return mClaimTable == nullptr ? *mTable : *mClaimTable;
+  }
 
   // Returns the adapter for a backend server.
   [[nodiscard]] Engine& EngineAt(const Endpoint& aEndpoint);
   [[nodiscard]] Store& StoreAt(const Endpoint& aEndpoint);
   [[nodiscard]] PlainService& ServiceAt(const Endpoint& aEndpoint);
 
+  void SetClaimTable(std::unique_ptr<TableService> aTable)
+  {
+    mClaimTable = std::move(aTable);
+  }
+
 private:
   Loop& mLoop;
   HttpClient mClient;
   std::unique_ptr<AdapterFactory> mAdapters;
   std::unique_ptr<PeerChannel> mPeers;
   std::unique_ptr<TableService> mTable;
+  std::unique_ptr<TableService> mClaimTable;
   std::map<Endpoint, std::unique_ptr<Engine>> mEngines;
   std::map<Endpoint, std::unique_ptr<Store>> mStores;
   std::map<Endpoint, std::unique_ptr<PlainService>> mServices;
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -1,11 +1,17 @@
 #include "traffic_thread.h"
 
+#include "claim_table.h"
+
+#include <bilberrytrail/base/random.h>
+
 namespace bilberrytrail {
 
 namespace {
 
 // How often answers of peers are checked against the membership.
 constexpr Duration kPeerWatchPeriod = 100ms;
+// How often the quarantine's records go to one other daemon.
+constexpr Duration kQuarantineRepeat = 2s;
 
 HttpLimits
 MakeLimits(const DaemonSettings& aSettings)
@@ -34,18 +40,32 @@
                              PeerSeal& aSeal,
                              ControlViewHolder& aViews,
                              HomeService& aHomes,
+                             DaemonParts& aParts,
                              const RpcMethods& aMethods,
                              DaemonMetrics& aMetrics,
                              std::uint64_t aSeed)
   : mSettings(aSettings)
   , mViews(aViews)
   , mHomes(aHomes)
+  , mParts(aParts)
+  , mSeed(aSeed)
   , mThread(mLoop, aSeal, aSettings.mTable)
-  , mCallers(mThread, aSettings, aViews, aHomes, aMetrics, aSeed)
-  , mPeers(mThread, aSeal, aMethods, aHomes)
+  , mMethods(aMethods)
+  , mCallers(mThread, aSettings, aViews, aHomes, aParts, aMetrics, aSeed)
+  , mPeers(mThread, aSeal, mMethods, aHomes)
   , mCallerServer(mLoop, MakeLimits(aSettings))
   , mPeerServer(mLoop, MakePeerLimits(aSettings))
 {
+  if (aSettings.mClaimHomes > 0) {
+    mThread.SetClaimTable(
+      MakeClaimTable(mThread,
+                     aViews,
+                     mParts.mClaims,
+                     static_cast<std::uint32_t>(aSettings.mClaimHomes)));
+  }
+  mMethods.Add(std::string(kClaimWriteMethod), [this](const Json& aParams) {
+    return ServeClaimWrite(mLoop, mParts.mClaims, aParams);
+  });
 }
 
 std::size_t
@@ -84,6 +104,19 @@
   mLoop.Run();
 }
 
+void
+TrafficThread::StartBackground()
+{
+  mLoop.Spawn([this] { mParts.mClaims.Run(mLoop, mThread.Table()); });
+  mLoop.Spawn([this] { mParts.mLimits.Run(mThread); });
+  mLoop.Spawn([this] {
+    Random random(mSeed);
+    while (mLoop.Sleep(kQuarantineRepeat)) {
+      mHomes.GetQuarantine().SendToOne(mThread, random.Next());
+    }
+  });
+}
+
 void
 TrafficThread::StopAccepting()
 {
--- a/packages/daemon/src/traffic_thread.h
+++ b/packages/daemon/src/traffic_thread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_service.h"
+#include "daemon_parts.h"
 #include "peer_service.h"
 
 #include <bilberrytrail/runtime/http_server.h>
@@ -15,6 +16,7 @@
                 PeerSeal& aSeal,
                 ControlViewHolder& aViews,
                 HomeService& aHomes,
+                DaemonParts& aParts,
                 const RpcMethods& aMethods,
                 DaemonMetrics& aMetrics,
                 std::uint64_t aSeed);
@@ -25,6 +27,9 @@
 
   [[nodiscard]] Result<void> Start();
   void Run();
+  // Starts what one thread of the daemon does for all of them: commits claims,
+  // repeats the quarantine's records and renews the accounts' leases.
+  void StartBackground();
   // Accepts no further connections. Call on the loop's thread.
   void StopAccepting();
 
@@ -34,8 +39,12 @@
   const DaemonSettings& mSettings;
   ControlViewHolder& mViews;
   HomeService& mHomes;
+  DaemonParts& mParts;
+  const std::uint64_t mSeed;
   Loop mLoop;
   ThreadContext mThread;
+  // The daemon's methods and those that wait on this thread's loop.
+  RpcMethods mMethods;
   CallerService mCallers;
   PeerService mPeers;
   HttpServer mCallerServer;
--- a/packages/settings/include/bilberrytrail/settings/daemon_settings.h
+++ b/packages/settings/include/bilberrytrail/settings/daemon_settings.h
@@ -83,6 +83,7 @@
   double mHedgeBudget = 0;
   Duration mQuarantineTime{};
   Duration mClaimBatchTime{};
+  std::uint64_t mClaimHomes = 0;
   Duration mKeepOutcomeTime{};
   Duration mDrainTime{};
 
--- a/packages/settings/src/daemon_setting_rows.cpp
+++ b/packages/settings/src/daemon_setting_rows.cpp
@@ -395,6 +395,17 @@
          "Time over which claims of non-idempotent calls are gathered into one "
          "write." },
        &DaemonSettings::mClaimBatchTime },
+  Row{ { "requests",
+         "claim_homes",
+         Count,
+         0,
+         64,
+         "3",
+         false,
+         "Slots over which the claims of non-idempotent calls are spread; one "
+         "daemon gathers the claims of a slot. With 0 each claim is a write of "
+         "its own." },
+       &DaemonSettings::mClaimHomes },
   Row{ { "requests",
          "keep_outcome_time",
          Time,
--- a/packages/settings/src/daemon_settings.cpp
+++ b/packages/settings/src/daemon_settings.cpp
@@ -221,6 +221,9 @@
   Expect(s.mDefaultDeadline <= s.mMaxDeadline,
          { "requests.default_deadline", "requests.max_deadline" },
          "[requests] default_deadline of at most max_deadline");
+  Expect(s.mMaxDeadline * 2 <= s.mKeepOutcomeTime,
+         { "requests.keep_outcome_time", "requests.max_deadline" },
+         "[requests] keep_outcome_time of at least twice max_deadline");
   Expect(s.mBodyBytes <= s.mMemoryBytes / 4,
          { "limits.body_bytes", "limits.memory_bytes" },
          "[limits] body_bytes of at most a quarter of memory_bytes");
