--- a/tests/faults/request_world.cpp
+++ b/tests/faults/request_world.cpp
@@ -161,9 +161,10 @@
   : mId(std::move(aName))
   , mSettings(MakeSettings())
   , mHomes(mSettings, mViews)
+  , mParts(mSettings, mViews)
   , mMetrics(kMaxSeries)
   , mThread(aWorld.mLoop, MakeFakeAdapters(aWorld, *this))
-  , mCallers(mThread, mSettings, mViews, mHomes, mMetrics, kFaultSeed)
+  , mCallers(mThread, mSettings, mViews, mHomes, mParts, mMetrics, kFaultSeed)
 {
 }
 
--- a/tests/faults/world_node.h
+++ b/tests/faults/world_node.h
@@ -40,6 +40,7 @@
   DaemonSettings mSettings;
   ControlViewHolder mViews;
   HomeService mHomes;
+  DaemonParts mParts;
   DaemonMetrics mMetrics;
   NoSeal mSeal;
   ThreadContext mThread;
