--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -68,6 +68,7 @@
             aHomes,
             static_cast<std::uint32_t>(aSettings.mControlShards),
             MakeLeaseSettings(aSettings))
+  , mSweeper(mThread, mShards, aSettings.mKeepOutcomeTime)
   , mOperators(aSettings,
                mThread,
                mState,
@@ -134,6 +135,7 @@
   mList.Start();
   mShards.Start();
   mStores.Start();
+  mSweeper.Start();
   return Ok();
 }
 
--- a/packages/daemon/src/control_thread.h
+++ b/packages/daemon/src/control_thread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claim_sweeper.h"
 #include "control_state.h"
 #include "home_service.h"
 #include "list_runner.h"
@@ -57,6 +58,7 @@
   ServerMonitor mMonitor;
   StoreRunner mStores;
   ShardRunner mShards;
+  ClaimSweeper mSweeper;
   OperatorService mOperators;
   HttpServer mOperatorServer;
 };
--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -241,6 +241,13 @@
   mNoWorkBefore = Instant{};
 }
 
+void
+HomedServer::SetSound(bool aSound)
+{
+  const std::lock_guard lock(mMutex);
+  mIsSound = aSound;
+}
+
 void
 HomedServer::LearnPrefill(double aTokens, Duration aTime)
 {
@@ -248,6 +255,9 @@
     return;
   }
   const std::lock_guard lock(mMutex);
+  if (!mIsSound) {
+    return;
+  }
   mSpeed.mPrefillTokensPerSecond =
     Blend(mSpeed.mPrefillTokensPerSecond, aTokens / Seconds(aTime));
 }
@@ -259,6 +269,9 @@
     return;
   }
   const std::lock_guard lock(mMutex);
+  if (!mIsSound) {
+    return;
+  }
   mSpeed.mDecodeTokensPerSecond =
     Blend(mSpeed.mDecodeTokensPerSecond, 1.0 / Seconds(aTimePerToken));
 }
--- a/tests/faults/request_world.cpp
+++ b/tests/faults/request_world.cpp
@@ -159,9 +159,10 @@
   : mId(std::move(aName))
   , mSettings(MakeSettings())
   , mHomes(mSettings, mViews)
+  , mParts(mSettings, mViews)
   , mThread(aWorld.mLoop, MakeFakeAdapters(aWorld, *this))
   , mMetrics(mSettings.mHistogramSeries)
-  , mCallers(mThread, mSettings, mViews, mHomes, mMetrics, kFaultSeed)
+  , mCallers(mThread, mSettings, mViews, mHomes, mParts, mMetrics, kFaultSeed)
 {
 }
 
