--- a/packages/daemon/tests/directory_service_test.cpp
+++ b/packages/daemon/tests/directory_service_test.cpp
@@ -171,7 +171,8 @@
   const Json query = ToJson(DirectoryQuery{ KeyOf("large", 1), Blocks(1, 2) });
   REQUIRE(ReadDirectoryQuery(query));
   for (const auto& [name, value] : query.items()) {
-    CAPTURE(name);
+    const std::string field = name;
+    CAPTURE(field);
     Json bad = query;
     bad[name] = Json::object({ { "not", "expected" } });
     CHECK_FALSE(ReadDirectoryQuery(bad));
