--- a/packages/daemon/src/claim_gatherer.cpp
+++ b/packages/daemon/src/claim_gatherer.cpp
@@ -106,7 +106,8 @@
     if (!batch) {
       return;
     }
-    aLoop.Spawn([this, &aTable, it = *std::move(batch)] { Commit(it, aTable); });
+    aLoop.Spawn(
+      [this, &aTable, it = *std::move(batch)] { Commit(it, aTable); });
   }
 }
 
--- a/packages/daemon/src/health_watch.cpp
+++ b/packages/daemon/src/health_watch.cpp
@@ -152,10 +152,9 @@
     }
     mSampleBegan = now;
   } else if (mTokens % kTokensPerSample == 0) {
-    mWatch.AddSample(
-      mRequest.mServer,
-      { TimeOf(kTokensPerSample, mSpeed.mDecodeTokensPerSecond),
-        now - mSampleBegan });
+    mWatch.AddSample(mRequest.mServer,
+                     { TimeOf(kTokensPerSample, mSpeed.mDecodeTokensPerSecond),
+                       now - mSampleBegan });
     mSampleBegan = now;
   }
   ++mTokens;
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "control_view.h"
-#include "home_message.h"
 #include "health_watch.h"
+#include "home_message.h"
 #include "homed_server.h"
 #include "quarantine_service.h"
 #include "thread_context.h"
--- a/packages/daemon/src/quarantine_service.cpp
+++ b/packages/daemon/src/quarantine_service.cpp
@@ -119,8 +119,7 @@
     return verdict;
   }
   const std::lock_guard lock(mMutex);
-  mQuarantine->End(
-    aFingerprint, aServer, RunEnd::Undecided, MonotonicNow());
+  mQuarantine->End(aFingerprint, aServer, RunEnd::Undecided, MonotonicNow());
   return *there;
 }
 
@@ -128,8 +127,7 @@
 QuarantineService::HomeOfReruns(const ControlView& aView,
                                 Fingerprint aFingerprint) const
 {
-  const auto home =
-    HomeOf("quarantine/" + ToText(aFingerprint), aView.mHomes);
+  const auto home = HomeOf("quarantine/" + ToText(aFingerprint), aView.mHomes);
   return home == aView.mSelf ? nullptr : aView.FindMember(home);
 }
 
@@ -275,10 +273,8 @@
   }
   const auto& peer = view->mMembers[aRandom % view->mMembers.size()];
   if (peer.mId != view->mSelf) {
-    (void)aThread.Peers().Call(peer,
-                               kMergeMethod,
-                               MakeMessage(records),
-                               kSendTimeout);
+    (void)aThread.Peers().Call(
+      peer, kMergeMethod, MakeMessage(records), kSendTimeout);
   }
 }
 
@@ -337,10 +333,8 @@
     if (auto ok = record.Check(); !ok || !fingerprint) {
       return Fail(ErrorCode::Corrupt, "malformed quarantine record");
     }
-    records.push_back({ *fingerprint,
-                        death,
-                        isCleared,
-                        std::chrono::milliseconds(remaining) });
+    records.push_back(
+      { *fingerprint, death, isCleared, std::chrono::milliseconds(remaining) });
     owners.emplace(*fingerprint, owner);
   }
   if (auto ok = fields.Check(); !ok) {
@@ -411,10 +405,7 @@
     }
     ++sending->mLeft;
     aThread.GetLoop().Spawn([&aThread, sending, message, member] {
-      (void)aThread.Peers().Call(member,
-                                 kMergeMethod,
-                                 *message,
-                                 kSendTimeout);
+      (void)aThread.Peers().Call(member, kMergeMethod, *message, kSendTimeout);
       if (--sending->mLeft == 0) {
         sending->mDone.Notify();
       }
@@ -440,8 +431,8 @@
                         std::string_view aPrompt)
 {
   // Lengths keep the parts apart.
-  std::string body = std::to_string(aModel.size()) + ":" +
-                     std::to_string(aAdapter.size()) + ":";
+  std::string body =
+    std::to_string(aModel.size()) + ":" + std::to_string(aAdapter.size()) + ":";
   body.append(aModel).append(aAdapter).append(aPrompt);
   return MakeFingerprint(aOwner.mProduct, aOwner.mAccount, body);
 }
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -140,8 +140,8 @@
                          aContext.mRouting->mSelf;
     PlanCandidate candidate;
     candidate.mServer = it.mServer;
-    candidate.mQueueWait = Lengthen(it.mQueueWait + it.mService, it.mWeight) -
-                           it.mService;
+    candidate.mQueueWait =
+      Lengthen(it.mQueueWait + it.mService, it.mWeight) - it.mService;
     candidate.mRoundTrip = isLocal ? Duration::zero() : kHomeRoundTrip;
     candidate.mPrefillTokensPerSecond = it.mPrefillTokensPerSecond;
     candidate.mResidentBlocks = it.mResidentBlocks;
--- a/packages/daemon/tests/claim_gatherer_test.cpp
+++ b/packages/daemon/tests/claim_gatherer_test.cpp
@@ -112,8 +112,7 @@
   Loop loop;
   SlowTable table(loop);
   ClaimGatherer gatherer(20ms);
-  for (const auto& it :
-       WriteAll(loop, gatherer, table, MakeWrites(kWrites))) {
+  for (const auto& it : WriteAll(loop, gatherer, table, MakeWrites(kWrites))) {
     REQUIRE(it.has_value());
     REQUIRE(it->has_value());
     CHECK(it->value().mCommitted);
--- a/packages/orders/tests/claim_retention_test.cpp
+++ b/packages/orders/tests/claim_retention_test.cpp
@@ -57,8 +57,8 @@
   auto late = claim("late");
   REQUIRE(late.BeginSend(kStart));
   const auto kept = kKept.count();
-  REQUIRE(
-    table.Commit(EraseExpiredClaims({ *table.Read("k") }, kept, kKept, 1)).mCommitted);
+  REQUIRE(table.Commit(EraseExpiredClaims({ *table.Read("k") }, kept, kKept, 1))
+            .mCommitted);
   const auto anew = claim("anew");
 
   auto actions = late.OnServiceResult(RecordedAnswer(), kStart);
--- a/standins/tests/table_test.cpp
+++ b/standins/tests/table_test.cpp
@@ -28,8 +28,7 @@
 {
   Table table;
   REQUIRE(table.Commit({ { "a", "x", 0 } }).mCommitted);
-  const auto outcome =
-    table.Commit({ { "a", "", 1, true }, { "b", "y", 5 } });
+  const auto outcome = table.Commit({ { "a", "", 1, true }, { "b", "y", 5 } });
   CHECK_FALSE(outcome.mCommitted);
   CHECK(table.Read("a").has_value());
 }
