Name the daemon in its leases

Cause: the leases of control shards were made before the first view was published, so every daemon wrote an empty holder, which reads as given back: any daemon could take a lease at once, and a give-back confirmed itself. Seen as sites whose engines got no orders for 27 s after members joined. Ruled out: waiting out the old lease (15 s), different views of the members. Change: the id is passed in.

--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -63,7 +63,8 @@
   , mList(mThread, mState, mMembers, aSettings)
   , mMonitor(mThread, mState, aHomes)
   , mStores(mThread, mState, aHomes.Cache())
-  , mShards(mThread,
+  , mShards(aSelf.mId,
+            mThread,
             mState,
             aHomes,
             static_cast<std::uint32_t>(aSettings.mControlShards),
--- a/packages/daemon/src/shard_runner.cpp
+++ b/packages/daemon/src/shard_runner.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-ShardRunner::ShardRunner(ThreadContext& aThread,
+ShardRunner::ShardRunner(const DaemonId& aSelf,
+                         ThreadContext& aThread,
                          ControlState& aState,
                          HomeService& aHomes,
                          std::uint32_t aShards,
@@ -26,10 +27,9 @@
   , mState(aState)
   , mHomes(aHomes)
 {
-  const DaemonId self = aState.View()->mSelf;
   for (std::uint32_t n = 0; n < aShards; ++n) {
     mShards.push_back(
-      { n, std::make_unique<Lease>(LeaseKey(n), self, aSettings), {} });
+      { n, std::make_unique<Lease>(LeaseKey(n), aSelf, aSettings), {} });
   }
 }
 
--- a/packages/daemon/src/shard_runner.h
+++ b/packages/daemon/src/shard_runner.h
@@ -18,7 +18,9 @@
 class ShardRunner
 {
 public:
-  ShardRunner(ThreadContext& aThread,
+  // The daemon's id names it as holder in the table.
+  ShardRunner(const DaemonId& aSelf,
+              ThreadContext& aThread,
               ControlState& aState,
               HomeService& aHomes,
               std::uint32_t aShards,
