Serve the quarantine to operators

Change: list and clear of what is held against fingerprints. Result: the quarantine process test reads the conviction, clears it, and gets 404 for a second clear.

--- a/packages/daemon/src/operator_service.cpp
+++ b/packages/daemon/src/operator_service.cpp
@@ -179,6 +179,12 @@
   if (path == "/operator/drain") {
     return isPost ? Drain(aRequest) : Message(405, "takes POST");
   }
+  if (path == "/operator/quarantine/clear") {
+    return isPost ? ClearQuarantine(aRequest) : Message(405, "takes POST");
+  }
+  if (path == "/operator/quarantine") {
+    return ListQuarantine();
+  }
   if (path == "/operator/release/show") {
     return Show(aRequest);
   }
@@ -361,6 +367,42 @@
   return Answer(200, json);
 }
 
+HttpResponse
+OperatorService::ListQuarantine()
+{
+  Json entries = Json::array();
+  for (const auto& it : mHomes.GetQuarantine().Entries()) {
+    entries.push_back({ { "fingerprint", ToText(it.mFingerprint) },
+                        { "product", it.mProduct.Text() },
+                        { "account", it.mAccount.Text() },
+                        { "state", ToName(it.mVerdict) },
+                        { "deaths", it.mDeaths },
+                        { "age_ms", ToMillis(it.mAge) } });
+  }
+  return Answer(200, { { "entries", std::move(entries) } });
+}
+
+HttpResponse
+OperatorService::ClearQuarantine(const HttpRequest& aRequest)
+{
+  const auto json = ParseJson(aRequest.mBody);
+  if (!json || !json.value().is_object()) {
+    return Message(400, "the body must be a JSON object");
+  }
+  JsonFields fields(json.value());
+  const auto fingerprint = ReadFingerprint(fields.Text("fingerprint"));
+  if (!fields.Check() || !fingerprint) {
+    return Message(400, "fingerprint must be 16 hexadecimal digits");
+  }
+  if (!mHomes.GetQuarantine().Clear(mThread, *fingerprint)) {
+    return Message(404, "nothing is held against this fingerprint");
+  }
+  LogLine(LogEvent::OperatorAction,
+          { { "action", "quarantine_clear" },
+            { "fingerprint", ToText(*fingerprint) } });
+  return Answer(200, { { "cleared", true } });
+}
+
 HttpResponse
 OperatorService::Drain(const HttpRequest& aRequest)
 {
--- a/packages/daemon/src/operator_service.h
+++ b/packages/daemon/src/operator_service.h
@@ -41,6 +41,8 @@
   [[nodiscard]] HttpResponse Log(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Histograms(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Status();
+  [[nodiscard]] HttpResponse ListQuarantine();
+  [[nodiscard]] HttpResponse ClearQuarantine(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Drain(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse DrainDaemon(const std::string& aName);
 
--- a/tests/process/quarantine_test.cpp
+++ b/tests/process/quarantine_test.cpp
@@ -95,6 +95,19 @@
     CHECK(answer.mStatus == 422);
     CHECK(answer.mTotal < 2s);
   }
+  // An operator sees the conviction and speaks the request free.
+  const auto listed =
+    ParseJson(site.Operate(1, "GET", "/operator/quarantine").mBody);
+  REQUIRE(listed.has_value());
+  REQUIRE(listed.value()["entries"].size() == 1);
+  const Json entry = listed.value()["entries"][0];
+  CHECK(entry.value("state", "") == "convicted");
+  CHECK(entry.value("account", "") == "large");
+  const Json clear = { { "fingerprint", entry.value("fingerprint", "") } };
+  CHECK(site.Operate(1, "POST", "/operator/quarantine/clear", clear.dump())
+          .mStatus == 200);
+  CHECK(site.Operate(1, "POST", "/operator/quarantine/clear", clear.dump())
+          .mStatus == 404);
   // The same text of another client account is another request.
   for (auto& thread : threads) {
     thread.join();
