Bound the wait of peers' calls for the control thread; state the list's poll of 1 s

Cause: a call posted to a control loop that had stopped waited for ever, so a forced stop could hang its traffic thread; CAPACITY.md still had the list's old period of 5 s.

--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Longest time that a call from another daemon waits for the control thread.
+constexpr Duration kControlTimeout = 500ms;
+
 GossipSettings
 MakeGossipSettings(const DaemonSettings& aSettings)
 {
@@ -88,12 +91,18 @@
 void
 ControlThread::AddMethods(RpcMethods& aMethods)
 {
-  // The control thread answers quickly and never waits for a traffic thread.
+  // The control thread answers quickly and never waits for a traffic thread;
+  // it does not answer once its loop has stopped.
   const auto onControl = [this](auto aCall) {
     return [this, aCall](const Json& aParams) -> Result<Json> {
-      std::promise<Result<Json>> promise;
-      auto future = promise.get_future();
-      mLoop.Post([&] { promise.set_value(aCall(aParams)); });
+      const auto promise = std::make_shared<std::promise<Result<Json>>>();
+      auto future = promise->get_future();
+      mLoop.Post([promise, aCall, aParams] {
+        promise->set_value(aCall(aParams));
+      });
+      if (future.wait_for(kControlTimeout) != std::future_status::ready) {
+        return Fail(ErrorCode::Unavailable, "the control thread is stopping");
+      }
       return future.get();
     };
   };
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -37,7 +37,7 @@
 
 # Periods of the settings' defaults and of the code.
 HEAD_POLL_S = 2
-LIST_POLL_S = 5
+LIST_POLL_S = 1
 LEASE_RENEW_S = 2
 LEASE_SHARDS = 64
 STATE_PULLS_PER_S = 4
@@ -253,7 +253,7 @@
             (EXCHANGE_BYTES + 200 * PRODUCTS) / HEAD_POLL_S,
         ),
         (
-            "list of VMs, whole each 5 s; or its changes from peers",
+            f"list of VMs, whole each {LIST_POLL_S} s; or its changes from peers",
             (listed + EXCHANGE_BYTES) / LIST_POLL_S,
             (listed / (DAEMONS / ZONES) + EXCHANGE_BYTES) / 60,
         ),
