Offer a claimed call to another server when one refused it; end frames in one place

Cause: a service's refusal before running was reported as the platform's, at which the entry gave up; waiting for the queue and the ending frames stood twice, in EngineRun and ServiceRun. Change: the reason tells the two apart; AwaitDecision and the frame makers serve both. Result: a booking refused by one of two order servers is made at the other, once.

--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -97,9 +97,8 @@
     return [this, aCall](const Json& aParams) -> Result<Json> {
       const auto promise = std::make_shared<std::promise<Result<Json>>>();
       auto future = promise->get_future();
-      mLoop.Post([promise, aCall, aParams] {
-        promise->set_value(aCall(aParams));
-      });
+      mLoop.Post(
+        [promise, aCall, aParams] { promise->set_value(aCall(aParams)); });
       if (future.wait_for(kControlTimeout) != std::future_status::ready) {
         return Fail(ErrorCode::Unavailable, "the control thread is stopping");
       }
--- a/packages/daemon/src/engine_run.cpp
+++ b/packages/daemon/src/engine_run.cpp
@@ -1,13 +1,13 @@
 #include "engine_run.h"
 
+#include "queue_decision.h"
+
 #include <bilberrytrail/base/digest.h>
 
 namespace bilberrytrail {
 
 namespace {
 
-// How often a waiting request checks that its caller is still there.
-constexpr Duration kPeerCheckPeriod = 100ms;
 // An engine that sends nothing for so long within an answer counts as failed.
 constexpr Duration kStallTime = 5s;
 constexpr Duration kCancelTimeout = 1s;
@@ -70,43 +70,18 @@
 bool
 EngineRun::AwaitGrant()
 {
-  while (true) {
-    const auto action = mPlace->Next(kPeerCheckPeriod);
-    if (!mSink.IsOpen() || mThread.GetLoop().IsStopping()) {
-      return false;
-    }
-    if (!action) {
-      continue;
-    }
-    if (const auto* refusal = std::get_if<RefuseAction>(&*action)) {
-      EndRefused(*refusal);
-      return false;
-    }
-    if (std::holds_alternative<GrantAction>(*action)) {
-      return true;
-    }
-  }
+  const auto decision =
+    AwaitDecision<GrantAction>(*mPlace, mSink, mThread.GetLoop());
+  return decision && !EndIfRefused(*decision);
 }
 
 bool
 EngineRun::AwaitResume()
 {
-  while (true) {
-    const auto action = mPlace->Next(kPeerCheckPeriod);
-    if (!mSink.IsOpen() || mThread.GetLoop().IsStopping()) {
-      return false;
-    }
-    if (!action) {
-      continue;
-    }
-    if (const auto* refusal = std::get_if<RefuseAction>(&*action)) {
-      EndRefused(*refusal);
-      return false;
-    }
-    if (std::holds_alternative<ResumeAction>(*action)) {
-      return mAnswer.BeginAttempt(AttemptId(RandomToken())).has_value();
-    }
-  }
+  const auto decision =
+    AwaitDecision<ResumeAction>(*mPlace, mSink, mThread.GetLoop());
+  return decision && !EndIfRefused(*decision) &&
+         mAnswer.BeginAttempt(AttemptId(RandomToken())).has_value();
 }
 
 GenerateRequest
@@ -255,27 +230,15 @@
     EndBroken(aReason, std::move(aText));
     return;
   }
-  (void)mSink.Write({ .mKind = FrameKind::NotRun,
-                      .mAttempt = mRequest.mGenerate.mAttempt,
-                      .mText = std::move(aText),
-                      .mReason = aReason,
-                      .mRetryAfter = aRetryAfter });
+  (void)mSink.Write(MakeNotRunFrame(
+    mRequest.mGenerate.mAttempt, aReason, std::move(aText), aRetryAfter));
 }
 
 void
 EngineRun::EndBroken(RefusalReason aReason, std::string aText)
 {
-  (void)mSink.Write({ .mKind = FrameKind::Broken,
-                      .mAttempt = mRequest.mGenerate.mAttempt,
-                      .mText = std::move(aText),
-                      .mReason = aReason });
-}
-
-void
-EngineRun::EndRefused(const RefuseAction& aRefusal)
-{
-  EndNotRun(
-    aRefusal.mReason, "refused by the server's queue", aRefusal.mRetryAfter);
+  (void)mSink.Write(
+    MakeBrokenFrame(mRequest.mGenerate.mAttempt, aReason, std::move(aText)));
 }
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/engine_run.h
+++ b/packages/daemon/src/engine_run.h
@@ -47,7 +47,18 @@
                  std::string aText,
                  Duration aRetryAfter = {});
   void EndBroken(RefusalReason aReason, std::string aText);
-  void EndRefused(const RefuseAction& aRefusal);
+  // Ends the request when the queue refused it; returns whether it did.
+  template<class Decision>
+  [[nodiscard]] bool EndIfRefused(const Decision& aDecision)
+  {
+    const auto* refusal = std::get_if<RefuseAction>(&aDecision);
+    if (refusal != nullptr) {
+      EndNotRun(refusal->mReason,
+                "refused by the server's queue",
+                refusal->mRetryAfter);
+    }
+    return refusal != nullptr;
+  }
 
   ThreadContext& mThread;
   HomedServerPtr mServer;
--- a/packages/daemon/src/home_message.cpp
+++ b/packages/daemon/src/home_message.cpp
@@ -120,6 +120,30 @@
 
 } // namespace
 
+HomeFrame
+MakeNotRunFrame(const AttemptId& aAttempt,
+                RefusalReason aReason,
+                std::string aText,
+                Duration aRetryAfter)
+{
+  return { .mKind = FrameKind::NotRun,
+           .mAttempt = aAttempt,
+           .mText = std::move(aText),
+           .mReason = aReason,
+           .mRetryAfter = aRetryAfter };
+}
+
+HomeFrame
+MakeBrokenFrame(const AttemptId& aAttempt,
+                RefusalReason aReason,
+                std::string aText)
+{
+  return { .mKind = FrameKind::Broken,
+           .mAttempt = aAttempt,
+           .mText = std::move(aText),
+           .mReason = aReason };
+}
+
 std::string
 EncodeHomeRequest(const HomeRequest& aRequest)
 {
--- a/packages/daemon/src/home_message.h
+++ b/packages/daemon/src/home_message.h
@@ -94,6 +94,18 @@
   Duration mRetryAfter{};
 };
 
+// Returns the frame that ends an attempt which was not run, or which ran or
+// may have run.
+[[nodiscard]] HomeFrame
+MakeNotRunFrame(const AttemptId& aAttempt,
+                RefusalReason aReason,
+                std::string aText,
+                Duration aRetryAfter = {});
+[[nodiscard]] HomeFrame
+MakeBrokenFrame(const AttemptId& aAttempt,
+                RefusalReason aReason,
+                std::string aText);
+
 // Encodes and decodes both; decoding fails with Corrupt and never throws.
 [[nodiscard]] std::string
 EncodeHomeRequest(const HomeRequest& aRequest);
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -102,10 +102,8 @@
     const auto& attempt = aRequest.mTarget == HomeTarget::Engine
                             ? aRequest.mGenerate.mAttempt
                             : aRequest.mCall.mAttempt;
-    (void)aSink.Write({ .mKind = FrameKind::NotRun,
-                        .mAttempt = attempt,
-                        .mText = "the server is not listed or leaves",
-                        .mReason = RefusalReason::NoServer });
+    (void)aSink.Write(MakeNotRunFrame(
+      attempt, RefusalReason::NoServer, "the server is not listed or leaves"));
     return;
   }
   if (aRequest.mTarget == HomeTarget::Engine) {
--- a/packages/daemon/src/service_run.cpp
+++ b/packages/daemon/src/service_run.cpp
@@ -1,5 +1,7 @@
 #include "service_run.h"
 
+#include "queue_decision.h"
+
 #include <bilberrytrail/base/digest.h>
 
 #include <chrono>
@@ -9,7 +11,6 @@
 
 namespace {
 
-constexpr Duration kPeerCheckPeriod = 100ms;
 constexpr Duration kTableTimeout = 1s;
 // Estimated running time of a service call, for the queue's prediction.
 constexpr Duration kServiceEstimate = 20ms;
@@ -22,14 +23,6 @@
     .count();
 }
 
-RefusalReason
-ReasonOf(ClaimVerdict aVerdict)
-{
-  return aVerdict == ClaimVerdict::RefuseConflict
-           ? RefusalReason::Conflict
-           : RefusalReason::PlatformUnavailable;
-}
-
 } // namespace
 
 ServiceRun::ServiceRun(ThreadContext& aThread,
@@ -67,24 +60,17 @@
 bool
 ServiceRun::AwaitGrant()
 {
-  while (true) {
-    const auto action = mPlace->Next(kPeerCheckPeriod);
-    if (!mSink.IsOpen() || mThread.GetLoop().IsStopping()) {
-      return false;
-    }
-    if (!action) {
-      continue;
-    }
-    if (const auto* refusal = std::get_if<RefuseAction>(&*action)) {
-      EndNotRun(refusal->mReason,
-                "refused by the server's queue",
-                refusal->mRetryAfter);
-      return false;
-    }
-    if (std::holds_alternative<GrantAction>(*action)) {
-      return true;
-    }
+  const auto decision =
+    AwaitDecision<GrantAction>(*mPlace, mSink, mThread.GetLoop());
+  if (!decision) {
+    return false;
+  }
+  if (const auto* refusal = std::get_if<RefuseAction>(&*decision)) {
+    EndNotRun(
+      refusal->mReason, "refused by the server's queue", refusal->mRetryAfter);
+    return false;
   }
+  return true;
 }
 
 CallResult<ServiceAnswer>
@@ -179,6 +165,7 @@
   }
   auto answer = CallService();
   if (!answer) {
+    mIsRefused = answer.error().mFate == CallFate::NotRun;
     return aCall.OnServiceResult(std::move(answer).error(), MonotonicNow());
   }
   ServiceAnswer& got = answer.value();
@@ -199,8 +186,13 @@
                     aAction.mAnswer.mBody });
       break;
     case ClaimVerdict::RefuseNotRun:
+      // The entry offers to another server what this one refused.
+      EndNotRun(mIsRefused ? RefusalReason::ServerFailed
+                           : RefusalReason::PlatformUnavailable,
+                aAction.mMessage);
+      break;
     case ClaimVerdict::RefuseConflict:
-      EndNotRun(ReasonOf(aAction.mVerdict), aAction.mMessage);
+      EndNotRun(RefusalReason::Conflict, aAction.mMessage);
       break;
     case ClaimVerdict::RefuseUnknown:
       EndBroken(RefusalReason::ServerFailed, aAction.mMessage);
@@ -213,20 +205,15 @@
                       std::string aText,
                       Duration aRetryAfter)
 {
-  (void)mSink.Write({ .mKind = FrameKind::NotRun,
-                      .mAttempt = mRequest.mCall.mAttempt,
-                      .mText = std::move(aText),
-                      .mReason = aReason,
-                      .mRetryAfter = aRetryAfter });
+  (void)mSink.Write(MakeNotRunFrame(
+    mRequest.mCall.mAttempt, aReason, std::move(aText), aRetryAfter));
 }
 
 void
 ServiceRun::EndBroken(RefusalReason aReason, std::string aText)
 {
-  (void)mSink.Write({ .mKind = FrameKind::Broken,
-                      .mAttempt = mRequest.mCall.mAttempt,
-                      .mText = std::move(aText),
-                      .mReason = aReason });
+  (void)mSink.Write(
+    MakeBrokenFrame(mRequest.mCall.mAttempt, aReason, std::move(aText)));
 }
 
 void
--- a/packages/daemon/src/service_run.h
+++ b/packages/daemon/src/service_run.h
@@ -46,6 +46,8 @@
   FrameSink& mSink;
   Instant mDeadline;
   std::unique_ptr<QueuePlace> mPlace;
+  // The service said that it did not run the call.
+  bool mIsRefused = false;
 };
 
 } // namespace bilberrytrail
--- a/tests/process/order_fault_test.cpp
+++ b/tests/process/order_fault_test.cpp
@@ -201,3 +201,17 @@
     CHECK(later.mStatus / 100 == 2);
   }
 }
+
+TEST_CASE("A booking that one order server refuses before running is made at "
+          "another one")
+{
+  RunningSite site(OrderShape());
+  site->SetFault(site->OrderServers()[0].mEndpoint, R"({"book":"refuse"})");
+  for (int n = 0; n < 6; ++n) {
+    const std::string key = "refused-" + std::to_string(n);
+    const auto booking = site.Book(static_cast<std::size_t>(n) % 3, key, key);
+    CAPTURE(booking.mBody);
+    CHECK(booking.mStatus / 100 == 2);
+    CHECK(site.RunsOf(key) == 1);
+  }
+}
