--- a/packages/daemon/tests/claim_gatherer_test.cpp
+++ b/packages/daemon/tests/claim_gatherer_test.cpp
@@ -215,8 +215,10 @@
 
 TEST_CASE("the claims of all rows have few homes")
 {
+  constexpr int kDaemons = 40;
   std::vector<HomeCandidate> daemons;
-  for (int n = 0; n < 40; ++n) {
+  daemons.reserve(kDaemons);
+  for (int n = 0; n < kDaemons; ++n) {
     daemons.push_back({ DaemonId("d" + std::to_string(n)), ZoneId("z"), 1 });
   }
   std::map<DaemonId, int> homes;
--- a/packages/daemon/tests/request_slots_test.cpp
+++ b/packages/daemon/tests/request_slots_test.cpp
@@ -29,8 +29,10 @@
   RequestSlots slots(kMost);
   std::atomic<int> held{ 0 };
   std::atomic<bool> isExceeded{ false };
+  constexpr int kThreads = 8;
   std::vector<std::thread> threads;
-  for (int t = 0; t < 8; ++t) {
+  threads.reserve(kThreads);
+  for (int t = 0; t < kThreads; ++t) {
     threads.emplace_back([&] {
       for (int n = 0; n < 2000; ++n) {
         const RequestSlots::Slot slot(slots);
--- a/packages/orders/tests/claim_retention_test.cpp
+++ b/packages/orders/tests/claim_retention_test.cpp
@@ -93,8 +93,8 @@
     }
     sweep.OnScanned(n);
   }
-  for (const auto& [key, isSeen] : rows) {
-    CAPTURE(key);
-    CHECK(isSeen);
+  for (const auto& row : rows) {
+    CAPTURE(row.first);
+    CHECK(row.second);
   }
 }
--- a/tests/faults/fake_adapters.cpp
+++ b/tests/faults/fake_adapters.cpp
@@ -149,7 +149,7 @@
     }
     const auto query = ReadEstimateQuery(aParams);
     if (!query) {
-      return std::move(query).error();
+      return query.error();
     }
     return ToJson(home.mHomes.Estimate(query.value()));
   }
@@ -176,7 +176,7 @@
     auto link = std::make_shared<Link>();
     link->mCut = mWorld.Fires(Step::Queued, Fault::LinkCutAfter);
     Serve(home, EncodeHomeRequest(aRequest), link);
-    const auto result = Read(home, *link, aSink);
+    auto result = Read(home, *link, aSink);
     link->mReaderGone = true;
     return result;
   }
@@ -184,8 +184,8 @@
 private:
   // Serves a request at its home on a fiber of its own.
   void Serve(RequestWorld::Node& aHome,
-             std::string aText,
-             std::shared_ptr<Link> aLink)
+             const std::string& aText,
+             const std::shared_ptr<Link>& aLink)
   {
     mWorld.ChangeServing(1);
     mWorld.GetLoop().Spawn([this, &aHome, aText, aLink] {
--- a/tests/faults/request_world.cpp
+++ b/tests/faults/request_world.cpp
@@ -27,13 +27,10 @@
 constexpr int kQueueSlots = 8;
 
 // Index of each daemon in the world.
-enum NodeIndex : std::size_t
-{
-  kEntryA,
-  kEntryB,
-  kHomeA,
-  kHomeB
-};
+constexpr std::size_t kEntryA = 0;
+constexpr std::size_t kEntryB = 1;
+constexpr std::size_t kHomeA = 2;
+constexpr std::size_t kHomeB = 3;
 
 class RecordingResponder final : public HttpResponder
 {
--- a/tests/process/lease_test.cpp
+++ b/tests/process/lease_test.cpp
@@ -61,9 +61,9 @@
   for (const auto& it : status["daemons"]) {
     members.insert(it.value("name", ""));
   }
-  for (const auto& [key, holder] : before) {
-    CAPTURE(key);
-    CHECK(members.contains(holder.mName));
+  for (const auto& lease : before) {
+    CAPTURE(lease.first);
+    CHECK(members.contains(lease.second.mName));
   }
   const std::string victim = before.begin()->second.mName;
   for (auto& daemon : site->Daemons()) {
--- a/tests/traces/replay.cpp
+++ b/tests/traces/replay.cpp
@@ -256,7 +256,7 @@
   {
     for (const auto& action : aActions) {
       const auto ticket =
-        std::visit([](const auto& it) { return it.mTicket; }, action);
+        std::visit([](const auto& aOne) { return aOne.mTicket; }, action);
       Job& job = mJobs.at(ticket.Value());
       if (std::holds_alternative<GrantAction>(action)) {
         Granted(aServer, ticket, job);
--- a/tests/traces/traces_test.cpp
+++ b/tests/traces/traces_test.cpp
@@ -30,7 +30,9 @@
 void
 CheckOutcome(const Trace& aTrace, const std::map<std::string, double>& aSeen)
 {
-  for (const auto& [name, stated] : aTrace.mOutcome) {
+  for (const auto& outcome : aTrace.mOutcome) {
+    const std::string& name = outcome.first;
+    const double stated = outcome.second;
     INFO("outcome ", name);
     const bool isMax = name.ends_with("_max");
     const bool isMin = name.ends_with("_min");
