Wait for the eviction events in the tests of kept blocks

Cause: the test evicted all blocks and sent the prompt again at once. A trial that printed the plans showed "resident 8, imports 0" in each failed run. Ruled out: the time-out of the directory's lookup, which was named as a guess before; the lookup answered in each failed run. An import that failed: none was begun. Change: the operator's status tells how many blocks the home knows as resident, and the tests wait until it is none before they send again. The case of lost events keeps evicting unseen. The checks stay as they were.

--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -103,6 +103,21 @@
                      });
 }
 
+VersionId
+HomedServer::NewestServed(const ModelId& aModel) const
+{
+  const std::lock_guard lock(mMutex);
+  VersionId version;
+  if (mState) {
+    for (const auto& it : mState->mVersions) {
+      if (it.mReady && it.mModel == aModel) {
+        version = it.mVersion;
+      }
+    }
+  }
+  return version;
+}
+
 bool
 HomedServer::TakesWork(Instant aNow) const
 {
@@ -133,6 +148,13 @@
   return FromMillis(mPrefillTokens / mSpeed.mPrefillTokensPerSecond * 1000);
 }
 
+std::size_t
+HomedServer::ResidentBlocks() const
+{
+  const std::lock_guard lock(mMutex);
+  return mResident.size();
+}
+
 std::uint32_t
 HomedServer::ResidentPrefix(std::span<const BlockId> aBlocks) const
 {
--- a/packages/daemon/src/homed_server.h
+++ b/packages/daemon/src/homed_server.h
@@ -38,6 +38,9 @@
   // Returns the time since the engine's last report.
   [[nodiscard]] std::optional<Duration> ReportAge(Instant aNow) const;
   // Returns whether the engine reported that it serves the version.
+  // Returns the version of the model that an engine loaded last and serves;
+  // empty when it serves none.
+  [[nodiscard]] VersionId NewestServed(const ModelId& aModel) const;
   [[nodiscard]] bool Serves(const ModelId& aModel,
                             const VersionId& aVersion) const;
   // Returns whether new work goes to the server.
@@ -51,6 +54,8 @@
   // computing.
   [[nodiscard]] Duration PrefillBacklog() const;
 
+  // Returns how many blocks are known as resident.
+  [[nodiscard]] std::size_t ResidentBlocks() const;
   // Returns how many of the blocks, from the first on, are resident.
   [[nodiscard]] std::uint32_t ResidentPrefix(
     std::span<const BlockId> aBlocks) const;
--- a/packages/daemon/src/site_status.cpp
+++ b/packages/daemon/src/site_status.cpp
@@ -91,6 +91,7 @@
       row["queued"] = server->Queue().Waiting();
       row["running"] = server->Queue().Running();
       if (state) {
+        row["resident_blocks"] = server->ResidentBlocks();
         DescribeEngine(row, *state, aView.FindProduct(listed.mVm.mProduct));
       }
       if (const auto age = server->ReportAge(MonotonicNow())) {
--- a/tests/process/kept_cache_test.cpp
+++ b/tests/process/kept_cache_test.cpp
@@ -58,8 +58,24 @@
                             aPrompt + "\"}");
 }
 
+// Returns how many blocks the homes know as resident, over all engines.
+std::uint64_t
+KnownResident(Site& aSite)
+{
+  const auto status = aSite.Operate(0, "GET", "/operator/status");
+  const auto json = ParseJson(status.mBody);
+  REQUIRE(json);
+  std::uint64_t blocks = 0;
+  for (const auto& it : json.value()["servers"]) {
+    blocks += it.value("resident_blocks", 0ULL);
+  }
+  return blocks;
+}
+
+// Evicts all blocks; the homes learn of it from cache events, which come late
+// or get lost.
 void
-EvictAll(Site& aSite)
+EvictUnseen(Site& aSite)
 {
   for (const auto& engine : aSite.Engines()) {
     const auto reply =
@@ -68,6 +84,14 @@
   }
 }
 
+// Evicts all blocks, and waits until the homes know.
+void
+EvictAll(Site& aSite)
+{
+  EvictUnseen(aSite);
+  REQUIRE(aSite.Await(20s, [&] { return KnownResident(aSite) == 0; }));
+}
+
 // A site whose release is in force everywhere.
 void
 StartSite(Site& aSite)
@@ -246,7 +270,7 @@
   const auto prompt = LongPrompt("silent ");
   const auto first = SendAndKeep(site, prompt);
   for (int n = 0; n < 3; ++n) {
-    EvictAll(site);
+    EvictUnseen(site);
     const auto again = Send(site, prompt);
     CHECK(again.mDone);
     CHECK(again.mText == first.mText);
