Serve another weight version until the one in force is loaded

Cause: a request was bound to the version in force at admission, and waited for a server of it. Between a release note and the first loaded server no request of the model was served; when the weight store or the lease's table was down, none for as long as that lasted. The test of a release that survives the table's outage failed so whenever the table went down before the servers had loaded the new version. Ruled out: the restarted daemons themselves; they were ready after 1.1 s and had release 2 in force, and three daemons refused alike. Change: homes tell which version of the model a server serves instead of the one asked for. A version stays once text has come. Conclusion: a model keeps serving through a release.

--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -1,4 +1,5 @@
 #include "dispatch.h"
+#include "version_choice.h"
 
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/traffic/answer_assembler.h>
@@ -107,6 +108,7 @@
   CompletionRun(RequestContext& aContext, const DispatchParts& aParts)
     : mContext(aContext)
     , mParts(aParts)
+    , mInForce(aContext.mVersion)
     , mAnswer(AttemptId(RandomToken()))
     , mWriter(aContext, "cmpl-" + mAnswer.Attempt().Text())
   {
@@ -116,6 +118,11 @@
 
 private:
   [[nodiscard]] std::optional<ServerChoice> AwaitChoice();
+  [[nodiscard]] std::optional<ServerChoice> ChooseServer();
+  // Chooses among the servers of one weight version.
+  [[nodiscard]] std::optional<ServerChoice> ChooseFor(
+    const VersionId& aVersion);
+  void UseVersion(const VersionId& aVersion);
   [[nodiscard]] HomeRequest MakeRequest(const ServerChoice& aChoice) const;
   // Runs one attempt; true when the request has ended.
   [[nodiscard]] bool RunAttempt(const ServerChoice& aChoice);
@@ -129,6 +136,8 @@
 
   RequestContext& mContext;
   const DispatchParts& mParts;
+  // Weight version of the model by the release in force at admission.
+  VersionId mInForce;
   PromptBlocks mBlocks;
   AnswerAssembler mAnswer;
   AnswerWriter mWriter;
@@ -144,16 +153,7 @@
 std::optional<Refusal>
 CompletionRun::Execute()
 {
-  const CompletionRequest& request = *mContext.mCompletion;
-  const PromptScope scope{ mContext.mAccount.mProduct,
-                           mContext.mAccount.mAccount,
-                           request.mModel,
-                           mContext.mVersion,
-                           request.mAdapter };
-  mBlocks = CutPrompt(scope,
-                      request.mPrompt,
-                      mParts.mSettings.mSiteKey,
-                      static_cast<std::uint32_t>(mParts.mSettings.mBlockBytes));
+  UseVersion(mInForce);
   mParts.mBudget.AddRequest(mContext.mEstimate.CostTokens());
   while (true) {
     const auto choice = AwaitChoice();
@@ -174,6 +174,51 @@
   }
 }
 
+void
+CompletionRun::UseVersion(const VersionId& aVersion)
+{
+  if (mContext.mVersion == aVersion && !mBlocks.mBlocks.empty()) {
+    return;
+  }
+  const CompletionRequest& request = *mContext.mCompletion;
+  mContext.mVersion = aVersion;
+  const PromptScope scope{ mContext.mAccount.mProduct,
+                           mContext.mAccount.mAccount,
+                           request.mModel,
+                           aVersion,
+                           request.mAdapter };
+  mBlocks = CutPrompt(scope,
+                      request.mPrompt,
+                      mParts.mSettings.mSiteKey,
+                      static_cast<std::uint32_t>(mParts.mSettings.mBlockBytes));
+}
+
+std::optional<ServerChoice>
+CompletionRun::ChooseFor(const VersionId& aVersion)
+{
+  UseVersion(aVersion);
+  return mParts.mLocator.Choose(mContext, mBlocks, mTried);
+}
+
+std::optional<ServerChoice>
+CompletionRun::ChooseServer()
+{
+  if (mAnswer.NextPosition() > 0) {
+    return ChooseFor(mContext.mVersion);
+  }
+  auto choice = ChooseFor(mInForce);
+  const VersionId other = mParts.mLocator.ServedInstead();
+  if (other.IsEmpty() || (choice && !IsSlowStart(*choice))) {
+    return choice;
+  }
+  auto instead = ChooseFor(other);
+  if (instead && (!choice || IsWorthOldVersion(*choice, *instead))) {
+    return instead;
+  }
+  UseVersion(mInForce);
+  return choice;
+}
+
 std::optional<ServerChoice>
 CompletionRun::AwaitChoice()
 {
@@ -181,7 +226,7 @@
     std::min(mContext.mDeadline, MonotonicNow() + kNoServerPatience);
   while (true) {
     mContext.mRouting = mParts.mHomes.View();
-    auto choice = mParts.mLocator.Choose(mContext, mBlocks, mTried);
+    auto choice = ChooseServer();
     if (choice) {
       return choice;
     }
--- a/packages/daemon/src/estimate_message.cpp
+++ b/packages/daemon/src/estimate_message.cpp
@@ -66,6 +66,7 @@
                      { "service_us", it.mService.count() },
                      { "prefill_per_s", it.mPrefillTokensPerSecond },
                      { "resident", it.mResidentBlocks },
+                     { "served_instead", it.mServedInstead.Text() },
                      { "weight", it.mWeight } });
   }
   return { { "servers", std::move(list) } };
@@ -85,6 +86,9 @@
     estimate.mService = Duration(fields.Unsigned("service_us"));
     estimate.mPrefillTokensPerSecond = fields.Real("prefill_per_s");
     estimate.mResidentBlocks = fields.Unsigned32("resident");
+    if (fields.Has("served_instead")) {
+      estimate.mServedInstead = VersionId(fields.Text("served_instead"));
+    }
     estimate.mWeight = fields.Real("weight");
     if (estimate.mWeight <= 0 || estimate.mWeight > 1) {
       fields.Reject("weight");
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -72,9 +72,14 @@
     ServerEstimate estimate;
     estimate.mServer = id;
     const bool isEngine = server->Vm().mRole == VmRole::Engine;
+    const bool takesWork =
+      server->TakesWork(now) && !server->IsDrained() && !IsLeaving(id);
     estimate.mReady =
-      server->TakesWork(now) && !server->IsDrained() && !IsLeaving(id) &&
+      takesWork &&
       (!isEngine || server->Serves(aQuery.mModel, aQuery.mVersion));
+    if (takesWork && !estimate.mReady) {
+      estimate.mServedInstead = server->NewestServed(aQuery.mModel);
+    }
     estimate.mService =
       server->EstimateService(aQuery.mPromptTokens, aQuery.mAnswerTokens);
     QueueEntry entry;
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -39,6 +39,9 @@
   Duration mService{};
   double mPrefillTokensPerSecond = 0;
   std::uint32_t mResidentBlocks = 0;
+  // Another version of the model that an engine serves which does not serve the
+  // one asked for; empty when it serves none.
+  VersionId mServedInstead;
   // Below 1 while the server is slow for a moment: its times are as many times
   // longer.
   double mWeight = 1;
--- a/packages/daemon/src/request_context.h
+++ b/packages/daemon/src/request_context.h
@@ -54,7 +54,8 @@
   const ProductState* mProduct = nullptr;
   std::optional<CompletionRequest> mCompletion{};
   std::optional<ServiceRequest> mService{};
-  // Weight version in force at admission; it stays through retries.
+  // Weight version that the request uses: the one in force at admission, or the
+  // one served instead until that is loaded. It stays once text has come.
   VersionId mVersion{};
   RequestShape mShape{};
   WorkEstimate mEstimate{};
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -1,5 +1,7 @@
 #include "server_locator.h"
 
+#include "version_choice.h"
+
 #include <algorithm>
 #include <map>
 
@@ -42,7 +44,9 @@
   for (const std::size_t n : { kFirstCandidates, kMoreCandidates }) {
     const auto asked =
       PickCandidates(where.mServers, servers, kMaxHolders, n, mRandom);
-    auto choice = Plan(aContext, aBlocks, Ask(aContext, aBlocks, asked), where);
+    const auto estimates = Ask(aContext, aBlocks, asked);
+    mServedInstead = MostServedInstead(estimates);
+    auto choice = Plan(aContext, aBlocks, estimates, where);
     if (choice || asked.size() == servers.size()) {
       return choice;
     }
--- a/packages/daemon/src/server_locator.h
+++ b/packages/daemon/src/server_locator.h
@@ -36,6 +36,13 @@
     const PromptBlocks& aBlocks,
     const std::set<ServerId>& aTried);
 
+  // Returns the weight version that most servers asked by the last choice serve
+  // instead of the one asked for; empty when none does.
+  [[nodiscard]] const VersionId& ServedInstead() const noexcept
+  {
+    return mServedInstead;
+  }
+
   // Returns whether there is a usable server that was not tried.
   [[nodiscard]] static bool HasOther(const RequestContext& aContext,
                                      const std::set<ServerId>& aTried);
@@ -59,6 +66,7 @@
   HomeService& mHomes;
   Random mRandom;
   std::unique_ptr<PrefixPlanner> mPlanner;
+  VersionId mServedInstead;
 };
 
 } // namespace bilberrytrail
--- a/tests/process/release_test.cpp
+++ b/tests/process/release_test.cpp
@@ -1,7 +1,11 @@
 #include "running_site.h"
 
+#include <bilberrytrail/backend/engine_json.h>
+
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <set>
 #include <thread>
 
 using namespace bilberrytrail;
@@ -28,6 +32,24 @@
                      << ToMillis(MonotonicNow() - start) << " ms");
 }
 
+// Returns the weight versions that an engine serves or loads.
+std::set<std::string>
+LoadedVersions(RunningSite& aSite, const SiteProcess& aEngine)
+{
+  const auto reply =
+    aSite->Call(aEngine.mEndpoint, { "GET", "/state", {}, {} });
+  const auto json = ParseJson(reply.mBody);
+  std::set<std::string> versions;
+  if (json) {
+    if (const auto state = ReadEngineState(json.value())) {
+      for (const auto& it : state.value().mVersions) {
+        versions.insert(it.mVersion.Text());
+      }
+    }
+  }
+  return versions;
+}
+
 } // namespace
 
 TEST_CASE("Of two operators who race through two daemons one wins and the "
@@ -118,6 +140,31 @@
   CheckInForce(site, 3);
 }
 
+TEST_CASE("A model keeps serving the version it has until the one in force "
+          "is loaded")
+{
+  RunningSite site;
+  const auto& platform = site->Platform().mEndpoint;
+  site->SetFault(platform, R"({"weights":"down"})");
+  REQUIRE(site.Apply(0, 1, "note-2", NextNote(1, "v2")).mStatus == 200);
+  CheckInForce(site, 2);
+  for (std::size_t n = 0; n < 3; ++n) {
+    CAPTURE(n);
+    const std::string prompt = "meanwhile " + std::to_string(n);
+    const auto answer = site.Complete(n, prompt, 5);
+    CAPTURE(answer.mBody);
+    CHECK(answer.mText == ExpectedText(prompt, 5));
+  }
+  site->SetFault(platform, R"({"weights":"up"})");
+  CHECK(site->Await(kPatience, [&] {
+    return std::all_of(
+      site->Engines().begin(), site->Engines().end(), [&](const auto& aEngine) {
+        return LoadedVersions(site, aEngine) == std::set<std::string>{ "v2" };
+      });
+  }));
+  CHECK(site.Complete(0, "after", 5).mText == ExpectedText("after", 5));
+}
+
 TEST_CASE("A daemon that was frozen catches up within the bound and never "
           "goes back")
 {
