Read lists, parts and names of JSON messages in one place

Cause: the readers of the platform's, engines' and stores' messages repeated the loop over a list with its first error, the check of an enumerator's name and the final check of the fields; the tests of call fates stood twice with the same row and the same check. Change: json_read.h (Checked, ReadName, ReadPart, ReadEach, ReadListPart, ToJsonList) and fate_row.h for the tests, with the rows unchanged.

--- a/packages/backend/src/engine_json.cpp
+++ b/packages/backend/src/engine_json.cpp
@@ -1,41 +1,15 @@
 #include <bilberrytrail/backend/engine_json.h>
 
+#include <bilberrytrail/platform/json_read.h>
+
 namespace bilberrytrail {
 
 namespace {
 
-// Returns the value, or the error of the first bad field.
-template<class T>
-Result<T>
-Checked(const JsonFields& aFields, T aValue)
-{
-  if (auto ok = aFields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return aValue;
-}
-
-// Reads the name of an enumerator.
-template<class Enum>
-Enum
-ReadName(JsonFields& aFields, std::string_view aField)
-{
-  const auto value = FromName<Enum>(aFields.Text(aField));
-  if (!value) {
-    aFields.Reject(aField);
-    return Enum{};
-  }
-  return *value;
-}
-
 Json
 BlocksToJson(const std::vector<BlockId>& aBlocks)
 {
-  auto list = Json::array();
-  for (const auto& block : aBlocks) {
-    list.push_back(block.Value());
-  }
-  return list;
+  return ToJsonList(aBlocks, [](BlockId aBlock) { return aBlock.Value(); });
 }
 
 std::vector<BlockId>
@@ -67,34 +41,22 @@
 }
 
 Json
-VersionsToJson(const std::vector<LoadedVersion>& aVersions)
+VersionToJson(const LoadedVersion& aVersion)
 {
-  auto list = Json::array();
-  for (const auto& version : aVersions) {
-    list.push_back({ { "model", version.mModel.Text() },
-                     { "version", version.mVersion.Text() },
-                     { "ready", version.mReady } });
-  }
-  return list;
+  return { { "model", aVersion.mModel.Text() },
+           { "version", aVersion.mVersion.Text() },
+           { "ready", aVersion.mReady } };
 }
 
-std::vector<LoadedVersion>
-ReadVersions(JsonFields& aFields, std::string_view aField)
+Result<LoadedVersion>
+ReadVersion(const Json& aJson)
 {
-  std::vector<LoadedVersion> versions;
-  for (const auto& it : aFields.List(aField)) {
-    JsonFields fields(it);
-    LoadedVersion version;
-    version.mModel = ModelId(fields.Text("model"));
-    version.mVersion = VersionId(fields.Text("version"));
-    version.mReady = fields.Flag("ready");
-    if (!fields.Check()) {
-      aFields.Reject(aField);
-      return {};
-    }
-    versions.push_back(std::move(version));
-  }
-  return versions;
+  JsonFields fields(aJson);
+  LoadedVersion version;
+  version.mModel = ModelId(fields.Text("model"));
+  version.mVersion = VersionId(fields.Text("version"));
+  version.mReady = fields.Flag("ready");
+  return Checked(fields, std::move(version));
 }
 
 } // namespace
@@ -123,25 +85,13 @@
 Json
 ToJson(const std::vector<BlockRef>& aRefs)
 {
-  auto list = Json::array();
-  for (const auto& ref : aRefs) {
-    list.push_back(ToJson(ref));
-  }
-  return list;
+  return ToJsonList(aRefs);
 }
 
 Result<std::vector<BlockRef>>
 ReadBlockRefs(const Json& aList)
 {
-  std::vector<BlockRef> refs;
-  for (const auto& it : aList) {
-    const auto ref = ReadBlockRef(it);
-    if (!ref) {
-      return ref.error();
-    }
-    refs.push_back(ref.value());
-  }
-  return refs;
+  return ReadEach(aList, ReadBlockRef);
 }
 
 Json
@@ -251,7 +201,7 @@
 Json
 ToJson(const EngineState& aState)
 {
-  return { { "versions", VersionsToJson(aState.mVersions) },
+  return { { "versions", ToJsonList(aState.mVersions, VersionToJson) },
            { "adapters", aState.mAdapters },
            { "role", aState.mRole },
            { "highest_fencing", aState.mHighestFencing.Value() },
@@ -267,7 +217,7 @@
 {
   JsonFields fields(aJson);
   EngineState state;
-  state.mVersions = ReadVersions(fields, "versions");
+  state.mVersions = ReadListPart(fields, "versions", ReadVersion);
   state.mAdapters = ReadTexts(fields, "adapters");
   state.mRole = fields.Text("role");
   state.mHighestFencing = FencingNumber(fields.Unsigned("highest_fencing"));
@@ -304,11 +254,7 @@
     event.mBlocks = ReadBlocks(fields, "blocks");
     return Checked(fields, std::move(event));
   }
-  auto state = ReadEngineState(fields.Object("state"));
-  if (!state) {
-    return std::move(state).error();
-  }
-  event.mState = std::move(state).value();
+  event.mState = ReadPart(fields, "state", ReadEngineState);
   return Checked(fields, std::move(event));
 }
 
@@ -327,19 +273,13 @@
   TransferRequest request;
   const auto store = ParseEndpoint(fields.Text("store"));
   request.mVersion = VersionId(fields.Text("version"));
-  auto blocks = ReadBlockRefs(fields.List("blocks"));
-  if (!store) {
+  request.mBlocks = ReadListPart(fields, "blocks", ReadBlockRef);
+  if (store) {
+    request.mStore = store.value();
+  } else {
     fields.Reject("store");
   }
-  if (!blocks) {
-    fields.Reject("blocks");
-  }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  request.mStore = store.value();
-  request.mBlocks = std::move(blocks).value();
-  return request;
+  return Checked(fields, std::move(request));
 }
 
 } // namespace bilberrytrail
--- a/packages/backend/src/store_json.cpp
+++ b/packages/backend/src/store_json.cpp
@@ -1,5 +1,6 @@
 #include <bilberrytrail/backend/engine_json.h>
 #include <bilberrytrail/backend/store_json.h>
+#include <bilberrytrail/platform/json_read.h>
 
 #include <limits>
 
@@ -11,18 +12,10 @@
 ReadStoredBlock(const Json& aJson)
 {
   JsonFields fields(aJson);
-  const auto tier = FromName<StoreTier>(fields.Text("tier"));
-  const auto ref = ReadBlockRef(fields.Object("ref"));
-  if (!tier) {
-    fields.Reject("tier");
-  }
-  if (!ref) {
-    fields.Reject("ref");
-  }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return StoredBlock{ ref.value(), *tier };
+  StoredBlock block;
+  block.mTier = ReadName<StoreTier>(fields, "tier");
+  block.mRef = ReadPart(fields, "ref", ReadBlockRef);
+  return Checked(fields, block);
 }
 
 Result<BlockPin>
@@ -33,20 +26,13 @@
   JsonFields fields(aJson);
   BlockPin pin;
   pin.mPin = fields.Text("pin");
-  const auto ref = ReadBlockRef(fields.Object("ref"));
+  pin.mRef = ReadPart(fields, "ref", ReadBlockRef);
   const auto remaining = fields.Unsigned("remaining_us");
-  if (!ref) {
-    fields.Reject("ref");
-  }
   if (remaining > kMost) {
     fields.Reject("remaining_us");
   }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  pin.mRef = ref.value();
   pin.mRemaining = Duration(static_cast<std::int64_t>(remaining));
-  return pin;
+  return Checked(fields, std::move(pin));
 }
 
 } // namespace
@@ -54,17 +40,16 @@
 Json
 ToJson(const StoreInventory& aInventory)
 {
-  auto blocks = Json::array();
-  for (const auto& block : aInventory.mBlocks) {
-    blocks.push_back(
-      { { "ref", ToJson(block.mRef) }, { "tier", ToName(block.mTier) } });
-  }
+  const auto write = [](const StoredBlock& aBlock) {
+    return Json{ { "ref", ToJson(aBlock.mRef) },
+                 { "tier", ToName(aBlock.mTier) } };
+  };
   return { { "incarnation", aInventory.mIncarnation },
            { "memory_bytes", aInventory.mMemoryBytes },
            { "memory_free_bytes", aInventory.mMemoryFreeBytes },
            { "disk_bytes", aInventory.mDiskBytes },
            { "disk_free_bytes", aInventory.mDiskFreeBytes },
-           { "blocks", std::move(blocks) } };
+           { "blocks", ToJsonList(aInventory.mBlocks, write) } };
 }
 
 Result<StoreInventory>
@@ -77,44 +62,25 @@
   inventory.mMemoryFreeBytes = fields.Unsigned("memory_free_bytes");
   inventory.mDiskBytes = fields.Unsigned("disk_bytes");
   inventory.mDiskFreeBytes = fields.Unsigned("disk_free_bytes");
-  for (const auto& it : fields.List("blocks")) {
-    const auto block = ReadStoredBlock(it);
-    if (!block) {
-      return block.error();
-    }
-    inventory.mBlocks.push_back(block.value());
-  }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return inventory;
+  inventory.mBlocks = ReadListPart(fields, "blocks", ReadStoredBlock);
+  return Checked(fields, std::move(inventory));
 }
 
 Json
 ToJson(const std::vector<BlockPin>& aPins)
 {
-  auto list = Json::array();
-  for (const auto& pin : aPins) {
-    list.push_back({ { "pin", pin.mPin },
-                     { "ref", ToJson(pin.mRef) },
-                     { "remaining_us",
-                       static_cast<std::uint64_t>(pin.mRemaining.count()) } });
-  }
-  return list;
+  return ToJsonList(aPins, [](const BlockPin& aPin) {
+    return Json{ { "pin", aPin.mPin },
+                 { "ref", ToJson(aPin.mRef) },
+                 { "remaining_us",
+                   static_cast<std::uint64_t>(aPin.mRemaining.count()) } };
+  });
 }
 
 Result<std::vector<BlockPin>>
 ReadBlockPins(const Json& aList)
 {
-  std::vector<BlockPin> pins;
-  for (const auto& it : aList) {
-    auto pin = ReadBlockPin(it);
-    if (!pin) {
-      return std::move(pin).error();
-    }
-    pins.push_back(std::move(pin).value());
-  }
-  return pins;
+  return ReadEach(aList, ReadBlockPin);
 }
 
 } // namespace bilberrytrail
--- a/packages/backend/tests/store_and_service_fate_test.cpp
+++ b/packages/backend/tests/store_and_service_fate_test.cpp
@@ -1,4 +1,4 @@
-#include "fake_server.h"
+#include "fate_row.h"
 
 #include <bilberrytrail/backend/http_backend.h>
 
@@ -7,35 +7,14 @@
 
 namespace {
 
-struct Row
-{
-  const char* mName;
-  FakeAnswer mAnswer;
-  bool mDone;
-  CallFate mFate;
-  ErrorCode mCode;
-};
-
 constexpr const char* kRef =
   R"({"block":7,"generation":3,"bytes":32,"checksum":9})";
 
-template<class T>
-void
-CheckRow(const Row& aRow, const CallResult<T>& aResult)
-{
-  CAPTURE(aRow.mName);
-  REQUIRE(aResult.has_value() == aRow.mDone);
-  if (!aRow.mDone) {
-    CHECK(ToName(aResult.error().mFate) == ToName(aRow.mFate));
-    CHECK(ToName(aResult.error().mError.mCode) == ToName(aRow.mCode));
-  }
-}
-
 } // namespace
 
 TEST_CASE("a reservation has the fate that the answer states")
 {
-  const Row rows[] = {
+  const FateRow rows[] = {
     { "reserved", { .mBody = kRef }, true, {}, {} },
     { "full",
       { .mStatus = 429 },
@@ -68,7 +47,7 @@
       const auto store = MakeHttpStore(aClient, aEndpoint);
       for (const auto& row : rows) {
         aHandler.mAnswer = row.mAnswer;
-        CheckRow(row, store->Reserve(BlockId(7), 32, 5s));
+        CheckFate(row, store->Reserve(BlockId(7), 32, 5s));
       }
       const auto closed = MakeHttpStore(aClient, ClosedEndpoint());
       CHECK(closed->Reserve(BlockId(7), 32, 5s).error().mFate ==
@@ -83,7 +62,7 @@
     R"({"incarnation":5,"memory_bytes":100,"memory_free_bytes":68,)"
     R"("disk_bytes":0,"disk_free_bytes":0,"blocks":[{"tier":)";
   const std::string pinHead = R"({"pins":[{"pin":"p1","ref":)" + ref;
-  const Row pinRows[] = {
+  const FateRow pinRows[] = {
     { "pinned",
       { .mBody = pinHead + R"(,"remaining_us":250}]})" },
       true,
@@ -100,7 +79,7 @@
       CallFate::Unknown,
       ErrorCode::Corrupt },
   };
-  const Row inventoryRows[] = {
+  const FateRow inventoryRows[] = {
     { "memory",
       { .mBody = inventoryHead + R"("memory","ref":)" + ref + "}]}" },
       true,
@@ -117,11 +96,11 @@
       const auto store = MakeHttpStore(aClient, aEndpoint);
       for (const auto& row : pinRows) {
         aHandler.mAnswer = row.mAnswer;
-        CheckRow(row, store->Pin({}, 1s, 5s));
+        CheckFate(row, store->Pin({}, 1s, 5s));
       }
       for (const auto& row : inventoryRows) {
         aHandler.mAnswer = row.mAnswer;
-        CheckRow(row, store->ReadInventory(5s));
+        CheckFate(row, store->ReadInventory(5s));
       }
       aHandler.mAnswer = pinRows[0].mAnswer;
       CHECK(store->Pin({}, 1s, 5s).value()[0].mRemaining == 250us);
@@ -130,7 +109,7 @@
 
 TEST_CASE("a plain service's own answers are handed on, losses are not")
 {
-  const Row rows[] = {
+  const FateRow rows[] = {
     { "done", { .mStatus = 201, .mBody = "{}" }, true, {}, {} },
     { "not found is an answer", { .mStatus = 404 }, true, {}, {} },
     { "conflict is an answer", { .mStatus = 409 }, true, {}, {} },
@@ -173,7 +152,7 @@
         aHandler.mAnswer = row.mAnswer;
         aHandler.mRequests = 0;
         const auto answer = service->Invoke(call, 5s);
-        CheckRow(row, answer);
+        CheckFate(row, answer);
         CHECK(aHandler.mRequests == 1);
         if (row.mDone) {
           CHECK(answer.value().mStatus == row.mAnswer.mStatus);
--- a/packages/platform/src/platform_json.cpp
+++ b/packages/platform/src/platform_json.cpp
@@ -1,5 +1,7 @@
 #include <bilberrytrail/platform/platform_json.h>
 
+#include <bilberrytrail/platform/json_read.h>
+
 namespace bilberrytrail {
 
 Json
@@ -18,34 +20,19 @@
   row.mKey = fields.Text("key");
   row.mValue = fields.Text("value");
   row.mVersion = fields.Unsigned("version");
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return row;
+  return Checked(fields, std::move(row));
 }
 
 Json
 ToJson(const std::vector<TableRow>& aRows)
 {
-  auto list = Json::array();
-  for (const auto& row : aRows) {
-    list.push_back(ToJson(row));
-  }
-  return list;
+  return ToJsonList(aRows);
 }
 
 Result<std::vector<TableRow>>
 ReadTableRows(const Json& aList)
 {
-  std::vector<TableRow> rows;
-  for (const auto& it : aList) {
-    auto row = ReadTableRow(it);
-    if (!row) {
-      return std::move(row).error();
-    }
-    rows.push_back(std::move(row).value());
-  }
-  return rows;
+  return ReadEach(aList, ReadTableRow);
 }
 
 Json
@@ -66,10 +53,7 @@
   write.mValue = fields.Text("value");
   write.mExpectedVersion = fields.Unsigned("expected_version");
   write.mErase = fields.Flag("erase");
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return write;
+  return Checked(fields, std::move(write));
 }
 
 Json
@@ -85,15 +69,8 @@
   JsonFields fields(aJson);
   CommitOutcome outcome;
   outcome.mCommitted = fields.Flag("committed");
-  auto rows = ReadTableRows(fields.List("current"));
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  if (!rows) {
-    return std::move(rows).error();
-  }
-  outcome.mCurrent = std::move(rows).value();
-  return outcome;
+  outcome.mCurrent = ReadListPart(fields, "current", ReadTableRow);
+  return Checked(fields, std::move(outcome));
 }
 
 Json
@@ -116,7 +93,7 @@
   JsonFields fields(aJson);
   VmEntry entry;
   entry.mName = fields.Text("name");
-  const auto role = FromName<VmRole>(fields.Text("role"));
+  entry.mRole = ReadName<VmRole>(fields, "role");
   entry.mProduct = ProductId(fields.Text("product"));
   entry.mGroup = fields.Text("group");
   entry.mZone = ZoneId(fields.Text("zone"));
@@ -124,14 +101,7 @@
   entry.mEndpoint.mPort = fields.Unsigned16("port");
   entry.mLeaving = fields.Flag("leaving");
   entry.mChecksFencing = fields.Flag("checks_fencing");
-  if (!role) {
-    fields.Reject("role");
-  }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  entry.mRole = *role;
-  return entry;
+  return Checked(fields, std::move(entry));
 }
 
 } // namespace bilberrytrail
--- a/packages/platform/tests/call_fate_test.cpp
+++ b/packages/platform/tests/call_fate_test.cpp
@@ -1,4 +1,4 @@
-#include "fake_server.h"
+#include "fate_row.h"
 
 #include <bilberrytrail/platform/http_platform.h>
 
@@ -7,20 +7,11 @@
 
 namespace {
 
-struct Row
-{
-  const char* mName;
-  FakeAnswer mAnswer;
-  bool mDone;
-  CallFate mFate;
-  ErrorCode mCode;
-};
-
 constexpr auto kAnyFate = CallFate::Unknown;
 constexpr auto kAnyCode = ErrorCode::Internal;
 
 // Answers that mean the same for every call.
-const Row kCommonRows[] = {
+const FateRow kCommonRows[] = {
   { "bad request",
     { .mStatus = 400, .mBody = "{}" },
     false,
@@ -79,7 +70,7 @@
 };
 
 // Answers that are not of the agreed form.
-const Row kMalformedRows[] = {
+const FateRow kMalformedRows[] = {
   { "not JSON",
     { .mBody = "<html>" },
     false,
@@ -102,23 +93,11 @@
     ErrorCode::Corrupt },
 };
 
-template<class T>
-void
-CheckRow(const Row& aRow, const CallResult<T>& aResult)
-{
-  CAPTURE(aRow.mName);
-  REQUIRE(aResult.has_value() == aRow.mDone);
-  if (!aRow.mDone) {
-    CHECK(ToName(aResult.error().mFate) == ToName(aRow.mFate));
-    CHECK(ToName(aResult.error().mError.mCode) == ToName(aRow.mCode));
-  }
-}
-
 } // namespace
 
 TEST_CASE("a commit has the fate that the answer states")
 {
-  const Row own[] = {
+  const FateRow own[] = {
     { "committed",
       { .mBody = R"({"committed":true,"current":[]})" },
       true,
@@ -146,10 +125,10 @@
   WithFakeServer(
     [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
       const auto table = MakeHttpTableService(aClient, aEndpoint);
-      const auto run = [&](const Row& aRow) {
+      const auto run = [&](const FateRow& aRow) {
         aHandler.mAnswer = aRow.mAnswer;
         aHandler.mRequests = 0;
-        CheckRow(aRow, table->Commit({ { "a", "x", 2 } }, 5s));
+        CheckFate(aRow, table->Commit({ { "a", "x", 2 } }, 5s));
         CHECK(aHandler.mRequests == 1);
       };
       for (const auto& row : own) {
@@ -166,7 +145,7 @@
 
 TEST_CASE("a row is read, absent or refused")
 {
-  const Row own[] = {
+  const FateRow own[] = {
     { "present",
       { .mBody = R"({"row":{"key":"a","value":"x","version":3}})" },
       true,
@@ -182,9 +161,9 @@
   WithFakeServer(
     [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
       const auto table = MakeHttpTableService(aClient, aEndpoint);
-      const auto run = [&](const Row& aRow) {
+      const auto run = [&](const FateRow& aRow) {
         aHandler.mAnswer = aRow.mAnswer;
-        CheckRow(aRow, table->Read("a", 5s));
+        CheckFate(aRow, table->Read("a", 5s));
       };
       for (const auto& row : own) {
         run(row);
@@ -208,10 +187,10 @@
     [&](HttpClient& aClient, const Endpoint& aEndpoint, FakeHandler& aHandler) {
       const auto table = MakeHttpTableService(aClient, aEndpoint);
       const auto list = MakeHttpVmList(aClient, aEndpoint);
-      const auto run = [&](const Row& aRow) {
+      const auto run = [&](const FateRow& aRow) {
         aHandler.mAnswer = aRow.mAnswer;
-        CheckRow(aRow, table->Scan("a", 10, 5s));
-        CheckRow(aRow, list->Fetch(5s));
+        CheckFate(aRow, table->Scan("a", 10, 5s));
+        CheckFate(aRow, list->Fetch(5s));
       };
       for (const auto& row : kCommonRows) {
         run(row);
@@ -229,8 +208,8 @@
       const auto objects = MakeHttpObjectStore(aClient, aEndpoint);
       for (const auto& row : kCommonRows) {
         aHandler.mAnswer = row.mAnswer;
-        CheckRow(row, objects->Get("k", 5s));
-        CheckRow(row, objects->Put("k", "b", 5s));
+        CheckFate(row, objects->Get("k", 5s));
+        CheckFate(row, objects->Put("k", "b", 5s));
       }
       const std::string bytes("\0\xff\r\n", 4);
       aHandler.mAnswer = { .mBody = bytes };
