Give each test site a block of ports of its own

Cause: the harness asked the system for a free port, closed it and used it later. The system may give the same port again: a daemon's file had one port for callers and operators, and the site did not start (process_order_fault_test, once in a run of all tests, with four side by side). A port could likewise go to another site or an outgoing connection before its process listened or was started again. Ruled out: the daemon; it told the clash with file and line.

--- a/tests/site/process.cpp
+++ b/tests/site/process.cpp
@@ -1,11 +1,8 @@
 #include "process.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -121,23 +118,6 @@
   return std::nullopt;
 }
 
-std::uint16_t
-FreePort()
-{
-  const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t n = sizeof(address);
-  if (::bind(handle, reinterpret_cast<sockaddr*>(&address), n) != 0) {
-    std::cerr << "cannot bind a port\n";
-    std::exit(EXIT_FAILURE);
-  }
-  ::getsockname(handle, reinterpret_cast<sockaddr*>(&address), &n);
-  ::close(handle);
-  return ntohs(address.sin_port);
-}
-
 std::string
 BuiltProgram(const std::string& aRelativePath)
 {
--- a/tests/site/process.h
+++ b/tests/site/process.h
@@ -39,10 +39,6 @@
 [[nodiscard]] std::optional<std::uint16_t>
 AwaitPort(const std::string& aFile, Duration aTimeout);
 
-// Returns a TCP port of the loopback address that is free now.
-[[nodiscard]] std::uint16_t
-FreePort();
-
 // Returns the path of a program of the build tree.
 [[nodiscard]] std::string
 BuiltProgram(const std::string& aRelativePath);
--- a/tests/site/site.cpp
+++ b/tests/site/site.cpp
@@ -176,9 +176,9 @@
     SiteProcess daemon;
     daemon.mName = "entry-" + std::to_string(n + 1);
     daemon.mZone = ZoneOf(n);
-    daemon.mEndpoint = { "127.0.0.1", FreePort() };
-    daemon.mCallers = { "127.0.0.1", FreePort() };
-    daemon.mOperators = { "127.0.0.1", FreePort() };
+    daemon.mEndpoint = { "127.0.0.1", mPorts.Next() };
+    daemon.mCallers = { "127.0.0.1", mPorts.Next() };
+    daemon.mOperators = { "127.0.0.1", mPorts.Next() };
     mDaemons.push_back(std::move(daemon));
   }
   PublishList();
@@ -251,14 +251,14 @@
   process.mZone = ZoneOf(aIndex);
   const std::string output = mFolder + "/" + aName + ".out";
   auto options = aOptions;
-  options.push_back("--port=" + std::to_string(aPort));
+  const std::uint16_t port = aPort != 0 ? aPort : mPorts.Next();
+  options.push_back("--port=" + std::to_string(port));
   process.mProcess = std::make_unique<Process>(
     BuiltProgram("standins/" + aProgram), options, output);
-  const auto port = AwaitPort(output, kStartTime);
-  if (!port) {
+  if (!AwaitPort(output, kStartTime)) {
     Abandon(aName + " does not listen");
   }
-  process.mEndpoint = { "127.0.0.1", *port };
+  process.mEndpoint = { "127.0.0.1", port };
   return process;
 }
 
--- a/tests/site/site.h
+++ b/tests/site/site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "port_block.h"
 #include "process.h"
 
 #include <bilberrytrail/base/endpoint.h>
@@ -122,6 +123,7 @@
 
   SiteShape mShape;
   std::string mFolder;
+  PortBlock mPorts;
   SiteProcess mPlatform;
   std::vector<SiteProcess> mEngines;
   std::vector<SiteProcess> mStores;
