Push the states of servers to the holders of their shards

Change: a home sends a state when versions, adapters, role, fencing number, leaving or incarnation have changed, beside a second version also when the engine falls idle or busy, and all once in 30 s; the holder treats a state older than 60 s as not known, and asks for all once when it takes the lease. Pushes that fail are sent again, and messages of a home count up so that an overtaken one is dropped. The load in a held state may be old: before a version is unloaded because nothing runs, the holder reads the engine's state. The fencing number and the check right before each order stay as they are.

--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -127,6 +127,9 @@
   aMethods.Add("home.states", [this](const Json& aParams) {
     return mShards.StatesForPeer(aParams);
   });
+  aMethods.Add("shard.states", [this](const Json& aParams) {
+    return mShards.TakeStates(aParams);
+  });
 }
 
 Result<void>
--- a/packages/daemon/src/shard_runner.cpp
+++ b/packages/daemon/src/shard_runner.cpp
@@ -5,6 +5,8 @@
 #include <bilberrytrail/base/log.h>
 #include <bilberrytrail/platform/json_fields.h>
 
+#include <algorithm>
+
 namespace bilberrytrail {
 
 namespace {
@@ -13,6 +15,9 @@
 constexpr Duration kReconcilePeriod = 250ms;
 constexpr Duration kTableTimeout = 1s;
 constexpr Duration kPeerTimeout = 500ms;
+// How often a home looks for states to push.
+constexpr Duration kPushPeriod = 100ms;
+constexpr StatePushSettings kPushSettings;
 constexpr Duration kOrderTimeout = 2s;
 
 } // namespace
@@ -26,10 +31,12 @@
   : mThread(aThread)
   , mState(aState)
   , mHomes(aHomes)
+  , mPushes(kPushSettings)
+  , mHeld(kPushSettings)
 {
   for (std::uint32_t n = 0; n < aShards; ++n) {
     mShards.push_back(
-      { n, std::make_unique<Lease>(LeaseKey(n), aSelf, aSettings), {} });
+      { n, std::make_unique<Lease>(LeaseKey(n), aSelf, aSettings), {}, {} });
   }
 }
 
@@ -47,14 +54,106 @@
   if (auto ok = fields.Check(); !ok) {
     return std::move(ok).error();
   }
+  // Numbered first: a message that counts more never has older states.
+  const auto number = ++mLastMessage;
+  auto states = HomedStates();
+  std::erase_if(states, [&](const HomedState& aState) {
+    return aState.mProduct != product;
+  });
+  return MakeMessage(number, states);
+}
+
+Result<Json>
+ShardRunner::TakeStates(const Json& aParams)
+{
+  if (auto ok = TakeMessage(aParams); !ok) {
+    return std::move(ok).error();
+  }
+  return Json::object();
+}
+
+Json
+ShardRunner::MakeMessage(std::uint64_t aNumber,
+                         const std::vector<HomedState>& aStates)
+{
   Json states = Json::object();
+  for (const auto& it : aStates) {
+    states[it.mServer.Text()] = ToJson(it.mState);
+  }
+  return { { "home", mState.View()->mSelf.Text() },
+           { "message", aNumber },
+           { "states", std::move(states) } };
+}
+
+Result<void>
+ShardRunner::TakeMessage(const Json& aMessage)
+{
+  JsonFields fields(aMessage);
+  const DaemonId home(fields.Text("home"));
+  const auto message = fields.Unsigned("message");
+  const auto& states = fields.Object("states");
+  if (auto ok = fields.Check(); !ok) {
+    return ok;
+  }
+  const auto now = MonotonicNow();
+  const std::lock_guard lock(mMutex);
+  for (const auto& [id, json] : states.items()) {
+    auto state = ReadEngineState(json);
+    if (!state) {
+      return std::move(state).error();
+    }
+    mHeld.Take(home, message, ServerId(id), std::move(state).value(), now);
+  }
+  return Ok();
+}
+
+std::vector<HomedState>
+ShardRunner::HomedStates() const
+{
+  const auto view = mState.View();
+  const auto now = MonotonicNow();
+  std::vector<HomedState> states;
   for (const auto& server : mHomes.Servers()) {
-    const auto state = server->State();
-    if (server->Vm().mProduct == product && state) {
-      states[server->Vm().mName] = ToJson(*state);
+    const auto& vm = server->Vm();
+    const auto it = view->mServers.find(ServerId(vm.mName));
+    const auto age = server->ReportAge(now);
+    auto state = server->State();
+    if (it == view->mServers.end() || it->second.mHome != view->mSelf ||
+        vm.mRole != VmRole::Engine || !state || !age ||
+        *age > kPushSettings.mKnown) {
+      continue;
     }
+    const auto shard = "shard/" + std::to_string(ShardOf(vm.mProduct));
+    states.push_back(
+      { it->first, vm.mProduct, HomeOf(shard, view->mHomes), *state });
+  }
+  return states;
+}
+
+void
+ShardRunner::PushAll()
+{
+  do {
+    const auto number = ++mLastMessage;
+    for (const auto& batch : mPushes.Poll(HomedStates(), MonotonicNow())) {
+      mThread.GetLoop().Spawn([this, batch, number] { Push(number, batch); });
+    }
+  } while (mThread.GetLoop().Sleep(kPushPeriod));
+}
+
+void
+ShardRunner::Push(std::uint64_t aNumber, const StateBatch& aBatch)
+{
+  const auto view = mState.View();
+  if (aBatch.mHolder == view->mSelf) {
+    return;
+  }
+  const auto* peer = view->FindMember(aBatch.mHolder);
+  const auto message = MakeMessage(aNumber, aBatch.mStates);
+  if (peer == nullptr ||
+      !mThread.Peers().Call(*peer, "shard.states", message, kPeerTimeout)) {
+    mPushes.OnLost(aBatch);
   }
-  return Json{ { "states", std::move(states) } };
 }
 
 void
@@ -64,6 +163,7 @@
     mThread.GetLoop().Spawn([this, &shard] { RunLease(shard); });
   }
   mThread.GetLoop().Spawn([this] { ReconcileAll(); });
+  mThread.GetLoop().Spawn([this] { PushAll(); });
 }
 
 void
@@ -104,6 +204,7 @@
     const bool isHolder = lease.EpochForOrder(MonotonicNow()).has_value();
     if (isHolder != wasHolder) {
       wasHolder = isHolder;
+      aShard.mAsked.clear();
       LogLine(isHolder ? LogEvent::LeaseTaken : LogEvent::LeaseLost,
               { { "shard", aShard.mNumber } });
     }
@@ -117,9 +218,13 @@
     const auto view = mState.View();
     for (const auto& [id, product] : view->mProducts) {
       Shard& shard = mShards[ShardOf(id)];
-      if (shard.mLease->EpochForOrder(MonotonicNow())) {
-        Reconcile(shard, product);
+      if (!shard.mLease->EpochForOrder(MonotonicNow())) {
+        continue;
       }
+      if (shard.mAsked.insert(id).second) {
+        AskHomes(id);
+      }
+      Reconcile(shard, product);
     }
   } while (mThread.GetLoop().Sleep(kReconcilePeriod));
 }
@@ -137,7 +242,13 @@
     aShard.mReconcilers.try_emplace(aProduct.mProduct, ReconcileSettings());
   for (const auto& order :
        it->second.Decide(aProduct, states, {}, *epoch, now)) {
-    mThread.GetLoop().Spawn([this, &aShard, order] { Send(aShard, order); });
+    const bool wasIdle =
+      std::any_of(states.begin(), states.end(), [&](const ServerView& aServer) {
+        return aServer.mId == order.mServer && aServer.mState &&
+               aServer.mState->mRunning == 0;
+      });
+    mThread.GetLoop().Spawn(
+      [this, &aShard, order, wasIdle] { Send(aShard, order, wasIdle); });
   }
 }
 
@@ -145,7 +256,9 @@
 ShardRunner::CollectStates(const ProductId& aProduct)
 {
   const auto view = mState.View();
-  std::map<DaemonId, Json> byHome;
+  const auto now = MonotonicNow();
+  const std::lock_guard lock(mMutex);
+  mHeld.RemoveOld(now);
   std::vector<ServerView> servers;
   for (const auto& [id, backend] : view->mServers) {
     if (backend.mVm.mProduct != aProduct ||
@@ -160,24 +273,7 @@
       const auto homed = mHomes.Find(id);
       server.mState = homed == nullptr ? std::nullopt : homed->State();
     } else {
-      auto it = byHome.find(backend.mHome);
-      if (it == byHome.end()) {
-        auto reply = mThread.Peers().Call(*peer,
-                                          "home.states",
-                                          { { "product", aProduct.Text() } },
-                                          kPeerTimeout);
-        it = byHome
-               .emplace(backend.mHome,
-                        reply ? std::move(reply).value() : Json::object())
-               .first;
-      }
-      const Json states = it->second.value("states", Json::object());
-      if (states.contains(id.Text())) {
-        auto state = ReadEngineState(states[id.Text()]);
-        if (state) {
-          server.mState = std::move(state).value();
-        }
-      }
+      server.mState = mHeld.Find(id, now);
     }
     servers.push_back(std::move(server));
   }
@@ -185,10 +281,48 @@
 }
 
 void
-ShardRunner::Send(Shard& aShard, const ServerOrder& aOrder)
+ShardRunner::AskHomes(const ProductId& aProduct)
+{
+  const auto view = mState.View();
+  std::set<DaemonId> homes;
+  for (const auto& [id, backend] : view->mServers) {
+    if (backend.mVm.mProduct == aProduct &&
+        backend.mVm.mRole == VmRole::Engine && backend.mHome != view->mSelf) {
+      homes.insert(backend.mHome);
+    }
+  }
+  for (const auto& home : homes) {
+    const auto* peer = view->FindMember(home);
+    if (peer == nullptr) {
+      continue;
+    }
+    // What a home does not answer comes with its pushes.
+    const auto reply = mThread.Peers().Call(
+      *peer, "home.states", { { "product", aProduct.Text() } }, kPeerTimeout);
+    if (reply) {
+      (void)TakeMessage(reply.value());
+    }
+  }
+}
+
+bool
+ShardRunner::IsIdle(const Endpoint& aEngine)
+{
+  const auto state = mThread.EngineAt(aEngine).ReadState(kOrderTimeout);
+  return state && state.value().mRunning == 0;
+}
+
+void
+ShardRunner::Send(Shard& aShard, const ServerOrder& aOrder, bool aWasIdle)
 {
   const auto view = mState.View();
   const auto it = view->mServers.find(aOrder.mServer);
+  // The state that the order was decided by may be old.
+  if (it != view->mServers.end() && aWasIdle &&
+      aOrder.mOrder.mKind == OrderKind::UnloadVersion &&
+      !IsIdle(it->second.mVm.mEndpoint)) {
+    return;
+  }
   // Checked again right before the order goes out.
   const auto epoch = aShard.mLease->EpochForOrder(MonotonicNow());
   if (it == view->mServers.end() || epoch != aOrder.mOrder.mFencing) {
--- /dev/null
+++ b/packages/release/src/state_push.cpp
@@ -0,0 +1,108 @@
+#include <bilberrytrail/release/state_push.h>
+
+#include <set>
+#include <utility>
+
+namespace bilberrytrail {
+
+bool
+DiffersForHolder(const EngineState& aOld, const EngineState& aNew)
+{
+  const bool isIdleChanged = (aOld.mRunning == 0) != (aNew.mRunning == 0);
+  return aOld.mVersions != aNew.mVersions || aOld.mAdapters != aNew.mAdapters ||
+         aOld.mRole != aNew.mRole ||
+         aOld.mHighestFencing != aNew.mHighestFencing ||
+         aOld.mLeaving != aNew.mLeaving ||
+         aOld.mIncarnation != aNew.mIncarnation ||
+         (aNew.mVersions.size() > 1 && isIdleChanged);
+}
+
+StatePushes::StatePushes(StatePushSettings aSettings)
+  : mSettings(aSettings)
+{
+}
+
+bool
+StatePushes::IsDue(const HomedState& aState, Instant aNow) const
+{
+  const auto it = mSent.find(aState.mServer);
+  return it == mSent.end() || it->second.mHolder != aState.mHolder ||
+         aNow >= it->second.mAt + mSettings.mRefresh ||
+         DiffersForHolder(it->second.mState, aState.mState);
+}
+
+std::vector<StateBatch>
+StatePushes::Poll(const std::vector<HomedState>& aStates, Instant aNow)
+{
+  std::map<DaemonId, StateBatch> batches;
+  std::set<ServerId> homed;
+  for (const auto& state : aStates) {
+    homed.insert(state.mServer);
+    if (IsDue(state, aNow)) {
+      auto& batch = batches[state.mHolder];
+      batch.mHolder = state.mHolder;
+      batch.mStates.push_back(state);
+      mSent[state.mServer] = { state.mHolder, state.mState, aNow };
+    }
+  }
+  std::erase_if(
+    mSent, [&](const auto& aEntry) { return !homed.contains(aEntry.first); });
+  std::vector<StateBatch> result;
+  result.reserve(batches.size());
+  for (auto& [holder, batch] : batches) {
+    result.push_back(std::move(batch));
+  }
+  return result;
+}
+
+void
+StatePushes::OnLost(const StateBatch& aBatch)
+{
+  for (const auto& state : aBatch.mStates) {
+    mSent.erase(state.mServer);
+  }
+}
+
+HeldStates::HeldStates(StatePushSettings aSettings)
+  : mSettings(aSettings)
+{
+}
+
+bool
+HeldStates::IsKnown(const Held& aHeld, Instant aNow) const
+{
+  return aNow - aHeld.mAt <= mSettings.mKnown;
+}
+
+void
+HeldStates::Take(const DaemonId& aHome,
+                 std::uint64_t aMessage,
+                 const ServerId& aServer,
+                 EngineState aState,
+                 Instant aNow)
+{
+  Held& held = mHeld[aServer];
+  if (held.mHome == aHome && aMessage < held.mMessage) {
+    return;
+  }
+  held = { aHome, aMessage, std::move(aState), aNow };
+}
+
+std::optional<EngineState>
+HeldStates::Find(const ServerId& aServer, Instant aNow) const
+{
+  const auto it = mHeld.find(aServer);
+  if (it == mHeld.end() || !IsKnown(it->second, aNow)) {
+    return std::nullopt;
+  }
+  return it->second.mState;
+}
+
+void
+HeldStates::RemoveOld(Instant aNow)
+{
+  std::erase_if(
+    mHeld, [&](const auto& aEntry) { return !IsKnown(aEntry.second, aNow); });
+}
+
+} // namespace bilberrytrail
