Let two daemons of each zone read the list of VMs

Cause: every daemon read the whole list each second, 1,240 kB/s at full size, and a peer's word that a server leaves was overridden by the receiver's own next list, which lags.

Change: two daemons of each availability zone, by rendezvous over its live members, read the list with a conditional request and send changes to the others, with digests and the span of the read by the receiver's own clock, so that a list is replaced only by one that is known to be later. A gap or a wrong result fetches the whole list, a second one within a minute reads the platform, silence of 20 s too. Word of a leaving server goes to its home and the readers of all zones, is relayed there, goes to the daemons of a zone directly when no reader answers, and holds for 30 s unless the VM is listed at another address. The stand-in gives an ETag.

Found on the way: a home kept the VM of a server as it was when first held, so one that came back after it left, or was replaced at another address, stayed as it was, and its event stream fed an object that was not used any more. The home now holds a new object and the monitor follows that one.

The test of call fates passes the new argument of Fetch; no check changed.

--- a/bench/view.cpp
+++ b/bench/view.cpp
@@ -87,7 +87,7 @@
   const auto members = MakeMembers(aDaemons);
   ControlState state(views, members[0].mId, members[0].mZone);
   const double heap = HeapBytes();
-  state.SetVms(MakeVms(kServers));
+  state.SetVms(MakeVms(kServers), MonotonicNow());
   const double micros =
     MicrosPerCall(5, [&](std::size_t) { state.SetMembers(members); });
   const double bytes = HeapBytes() - heap;
--- a/packages/daemon/src/control_state.cpp
+++ b/packages/daemon/src/control_state.cpp
@@ -9,24 +9,16 @@
 // Dead daemons that views name.
 constexpr std::size_t kMaxDead = 1024;
 
-bool
-IsSameVm(const VmEntry& aLeft, const VmEntry& aRight)
-{
-  return aLeft.mName == aRight.mName && aLeft.mRole == aRight.mRole &&
-         aLeft.mProduct == aRight.mProduct && aLeft.mGroup == aRight.mGroup &&
-         aLeft.mZone == aRight.mZone && aLeft.mEndpoint == aRight.mEndpoint &&
-         aLeft.mLeaving == aRight.mLeaving &&
-         aLeft.mChecksFencing == aRight.mChecksFencing;
-}
-
 } // namespace
 
 ControlState::ControlState(ControlViewHolder& aViews,
                            DaemonId aSelf,
-                           ZoneId aZone)
+                           ZoneId aZone,
+                           Duration aLeavingHold)
   : mViews(aViews)
   , mSelf(std::move(aSelf))
   , mZone(std::move(aZone))
+  , mWords(aLeavingHold)
 {
 }
 
@@ -53,22 +45,32 @@
   }
 }
 
+bool
+ControlState::HearLeaving(const LeavingWord& aWord, Instant aNow)
+{
+  const bool isNew = mWords.Hear(aWord, aNow);
+  if (isNew) {
+    Publish();
+  }
+  return isNew;
+}
+
 void
-ControlState::SetListedLeaving(const ServerId& aServer)
+ControlState::Tick(Instant aNow)
 {
-  for (auto& vm : mVms) {
-    if (vm.mName == aServer.Text() && !vm.mLeaving) {
-      vm.mLeaving = true;
-      Publish();
-    }
+  if (mWords.Expire(aNow)) {
+    Publish();
   }
 }
 
 void
-ControlState::SetVms(std::vector<VmEntry> aVms)
+ControlState::SetVms(std::vector<VmEntry> aVms, Instant aNow)
 {
-  if (std::equal(
-        mVms.begin(), mVms.end(), aVms.begin(), aVms.end(), IsSameVm)) {
+  // A server that a list no longer shows as leaving may be shown by one that
+  // lags: the word of the list before holds on.
+  mWords.OnList(mVms, aNow);
+  mWords.OnList(aVms, aNow);
+  if (mVms == aVms) {
     return;
   }
   mVms = std::move(aVms);
@@ -110,13 +112,15 @@
   Publish();
 }
 
-void
+bool
 ControlState::SetLeaving(const ServerId& aServer)
 {
-  if (std::find(mLeaving.begin(), mLeaving.end(), aServer) == mLeaving.end()) {
-    mLeaving.push_back(aServer);
-    Publish();
+  if (std::find(mLeaving.begin(), mLeaving.end(), aServer) != mLeaving.end()) {
+    return false;
   }
+  mLeaving.push_back(aServer);
+  Publish();
+  return true;
 }
 
 void
@@ -154,7 +158,8 @@
     const bool isPaired = vm.mRole == VmRole::Store && !vm.mGroup.empty();
     server.mHome =
       HomeOf(isPaired ? vm.mGroup : vm.mName, vm.mZone, aView.mHomes);
-    if (std::find(mLeaving.begin(), mLeaving.end(), id) != mLeaving.end()) {
+    if (mWords.Has(vm) ||
+        std::find(mLeaving.begin(), mLeaving.end(), id) != mLeaving.end()) {
       server.mVm.mLeaving = true;
     }
     aView.mServers.emplace(id, std::move(server));
--- a/packages/daemon/src/control_state.h
+++ b/packages/daemon/src/control_state.h
@@ -2,6 +2,7 @@
 
 #include "control_view.h"
 
+#include <bilberrytrail/platform/leaving_words.h>
 #include <bilberrytrail/release/release_body.h>
 
 #include <deque>
@@ -18,7 +19,11 @@
 class ControlState
 {
 public:
-  ControlState(ControlViewHolder& aViews, DaemonId aSelf, ZoneId aZone);
+  // A word that a server leaves holds for aLeavingHold.
+  ControlState(ControlViewHolder& aViews,
+               DaemonId aSelf,
+               ZoneId aZone,
+               Duration aLeavingHold = 30s);
 
   [[nodiscard]] ControlViewPtr View() const { return mViews.Load(); }
   // Returns the VMs as listed.
@@ -32,21 +37,32 @@
     return mLeaving;
   }
 
+  // Returns the words of leaving servers that hold, for other daemons.
+  [[nodiscard]] std::vector<LeavingWord> Words(Instant aNow) const
+  {
+    return mWords.Held(aNow);
+  }
+  [[nodiscard]] Duration LeavingHold() const noexcept { return mWords.Hold(); }
+
   // Calls the function with each new view.
   void OnView(std::function<void(const ControlView&)> aListener);
   void SetMembers(std::vector<MemberRecord> aMembers);
   // Notes whether a daemon is dead; views show it with the next change.
   void NoteDead(const DaemonId& aDaemon, bool aIsDead);
-  void SetVms(std::vector<VmEntry> aVms);
-  // Marks a server as leaving until the next list says what it is.
-  void SetListedLeaving(const ServerId& aServer);
+  void SetVms(std::vector<VmEntry> aVms, Instant aNow);
+  // Marks a server as leaving for the time of the word, whatever lists say of
+  // it. Returns true when the word was not known.
+  bool HearLeaving(const LeavingWord& aWord, Instant aNow);
+  // Runs the timers; to be called several times a second.
+  void Tick(Instant aNow);
   void SetRelease(std::shared_ptr<const ReleaseBody> aBody);
   // Names why no new work is taken; empty when it is.
   void SetNotReady(std::string aReason);
   void SetDraining();
   void SetClosing();
-  // Marks a server as leaving until the list drops it.
-  void SetLeaving(const ServerId& aServer);
+  // Marks a server as leaving until the list drops it. Returns true when it
+  // was not marked.
+  bool SetLeaving(const ServerId& aServer);
 
 private:
   void Publish();
@@ -64,6 +80,7 @@
   std::deque<DaemonId> mDead;
   std::vector<VmEntry> mVms;
   std::vector<ServerId> mLeaving;
+  LeavingWords mWords;
   std::map<ProductId, std::shared_ptr<const ReleaseBody>> mReleases;
   std::vector<std::function<void(const ControlView&)>> mListeners;
 };
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -60,7 +60,7 @@
   , mHomes(aHomes)
   , mDrain(std::move(aDrain))
   , mThread(mLoop, aSeal, aSettings.mTable)
-  , mState(aViews, aSelf.mId, aSelf.mZone)
+  , mState(aViews, aSelf.mId, aSelf.mZone, aSettings.mLeavingHold)
   , mMembers(mLoop, aSeal, mState, aSelf, MakeGossipSettings(aSettings))
   , mReleases(mThread, mState, mMembers, MakeFollowerSettings(aSettings))
   , mList(mThread, mState, mMembers, aSettings)
@@ -121,6 +121,9 @@
   aMethods.Add("list.vms", onControl([this](const Json& aParams) {
                  return mList.ListForPeer(aParams);
                }));
+  aMethods.Add("list.changes", onControl([this](const Json& aParams) {
+                 return mList.TakeChanges(aParams);
+               }));
   aMethods.Add("list.leaving", onControl([this](const Json& aParams) {
                  return mList.TakeLeaving(aParams);
                }));
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -16,6 +16,17 @@
   return settings;
 }
 
+// Returns whether the server that is held is another than the listed one: a
+// VM that replaced it, or one that has come back after it left.
+bool
+IsOther(const VmEntry& aHeld, VmEntry aListed)
+{
+  if (aListed.mLeaving) {
+    aListed.mLeaving = aHeld.mLeaving;
+  }
+  return aHeld != aListed;
+}
+
 } // namespace
 
 HomeService::HomeService(const DaemonSettings& aSettings,
@@ -47,6 +58,14 @@
   return server;
 }
 
+bool
+HomeService::Holds(const HomedServer& aServer) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mServers.find(ServerId(aServer.Vm().mName));
+  return it != mServers.end() && it->second.get() == &aServer;
+}
+
 std::vector<HomedServerPtr>
 HomeService::Servers() const
 {
@@ -155,6 +174,13 @@
   const std::lock_guard lock(mMutex);
   for (auto it = mServers.begin(); it != mServers.end();) {
     const auto listed = aView.mServers.find(it->first);
+    if (listed != aView.mServers.end() &&
+        IsOther(it->second->Vm(), listed->second.mVm)) {
+      it->second->Drain(now);
+      mHealth.Forget(it->first);
+      it = mServers.erase(it);
+      continue;
+    }
     const bool isKept = listed != aView.mServers.end() &&
                         listed->second.mHome == aView.mSelf &&
                         !listed->second.mVm.mLeaving;
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -69,6 +69,8 @@
   {
     return mQuarantine;
   }
+  // Returns whether the object is the one that is held now for its name.
+  [[nodiscard]] bool Holds(const HomedServer& aServer) const;
   // Returns the servers held now.
   [[nodiscard]] std::vector<HomedServerPtr> Servers() const;
   [[nodiscard]] std::vector<ServerEstimate> Estimate(
--- a/packages/daemon/src/list_runner.cpp
+++ b/packages/daemon/src/list_runner.cpp
@@ -2,9 +2,8 @@
 
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/log.h>
+#include <bilberrytrail/membership/list_readers.h>
 #include <bilberrytrail/platform/http_platform.h>
-#include <bilberrytrail/platform/json_fields.h>
-#include <bilberrytrail/platform/platform_json.h>
 
 #include <algorithm>
 
@@ -12,21 +11,28 @@
 
 namespace {
 
+constexpr Duration kTickPeriod = 100ms;
 constexpr Duration kListTimeout = 2s;
 constexpr Duration kPeerTimeout = 1s;
 // Peers asked in each period while the list is down.
 constexpr std::size_t kPeersAsked = 3;
-// Peers told of a leaving server; the others hear of it from the list.
-constexpr std::size_t kPeersTold = 32;
 
-Json
-ToJson(const std::vector<VmEntry>& aVms)
+ListTimes
+MakeTimes(const DaemonSettings& aSettings)
 {
-  Json list = Json::array();
-  for (const auto& vm : aVms) {
-    list.push_back(bilberrytrail::ToJson(vm));
-  }
-  return list;
+  ListTimes times;
+  times.mPoll = aSettings.mListPoll;
+  times.mSilence = aSettings.mListSilence;
+  times.mCheck = aSettings.mListCheck;
+  return times;
+}
+
+ListSenderSettings
+MakeSenderSettings(const DaemonSettings& aSettings)
+{
+  ListSenderSettings settings;
+  settings.mHeartbeat = aSettings.mListHeartbeat;
+  return settings;
 }
 
 // Returns the members but for this daemon, in a random order.
@@ -53,8 +59,11 @@
   , mState(aState)
   , mMembers(aMembers)
   , mSeeds(aSettings.mSeeds)
+  , mFreshTime(aSettings.mListSilence / 2)
   , mList(MakeHttpVmList(aThread.Client(), aSettings.mList))
-  , mPeriod(aSettings.mListPoll)
+  , mFollower(MakeTimes(aSettings))
+  , mFanout(aThread, aState, mFollower, MakeSenderSettings(aSettings))
+  , mNews(aThread, aState)
   , mRandom(StableHash64(aSettings.mName.Text()))
 {
 }
@@ -62,23 +71,30 @@
 Duration
 ListRunner::Age(Instant aNow) const
 {
-  return aNow - mReadAt;
+  return aNow - mFollower.Span().mFrom;
 }
 
 Result<Json>
 ListRunner::ListForPeer(const Json& aParams) const
 {
-  if (mDigest.empty()) {
+  if (mFollower.Digest().empty()) {
     return Fail(ErrorCode::NotFound, "no list has been read here");
   }
-  Json reply = { { "age_us", Age(MonotonicNow()).count() },
-                 { "digest", mDigest },
-                 { "leaving", Json::array() } };
+  const Instant now = MonotonicNow();
+  Json reply = { { "age_us", Age(now).count() },
+                 { "to_age_us", (now - mFollower.Span().mTo).count() },
+                 { "digest", mFollower.Digest() },
+                 { "tag", mFollower.Tag() },
+                 { "leaving", Json::array() },
+                 { "words", Json::array() } };
   for (const auto& it : mState.Leaving()) {
     reply["leaving"].push_back(it.Text());
   }
-  if (JsonFields(aParams).Text("digest") != mDigest) {
-    reply["vms"] = ToJson(mState.Vms());
+  for (const auto& it : mState.Words(now)) {
+    reply["words"].push_back(ToJson(it));
+  }
+  if (JsonFields(aParams).Text("digest") != mFollower.Digest()) {
+    reply["vms"] = ToJson(mFollower.Vms());
   }
   return reply;
 }
@@ -88,52 +104,87 @@
 {
   mMembers.Members().SetListed(mSeeds);
   mThread.GetLoop().Spawn([this] { PollAll(); });
+  mThread.GetLoop().Spawn([this] { SendAll(); });
 }
 
 Result<Json>
-ListRunner::TakeLeaving(const Json& aParams)
+ListRunner::TakeChanges(const Json& aParams)
 {
-  JsonFields fields(aParams);
-  const ServerId server(fields.Text("server"));
-  const bool isOrdered = fields.Flag("ordered");
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
+  const Instant now = MonotonicNow();
+  const auto news = ReadListNews(aParams, now);
+  if (!news) {
+    return news.error();
   }
-  if (isOrdered) {
-    mState.SetLeaving(server);
-  } else {
-    mState.SetListedLeaving(server);
-  }
-  return Json::object();
+  Perform(mFollower.OnNews(news.value(), now));
+  return Json{ { "digest", mFollower.Digest() },
+               { "clock_us", now.time_since_epoch().count() } };
+}
+
+Result<Json>
+ListRunner::TakeLeaving(const Json& aParams)
+{
+  return mNews.Take(aParams);
 }
 
 void
 ListRunner::OrderLeaving(const ServerId& aServer)
 {
   mState.SetLeaving(aServer);
-  TellPeers(aServer, true);
+  const auto view = mState.View();
+  const auto known = view->mServers.find(aServer);
+  if (known != view->mServers.end()) {
+    mNews.Tell({ aServer.Text(), known->second.mVm.mEndpoint, {} }, true);
+  }
 }
 
 void
 ListRunner::PollAll()
 {
   do {
-    Poll();
-  } while (mThread.GetLoop().Sleep(mPeriod));
+    mFollower.SetReader(IsReader());
+    if (mFollower.MustRead(MonotonicNow())) {
+      Read();
+    }
+    mState.Tick(MonotonicNow());
+  } while (mThread.GetLoop().Sleep(kTickPeriod));
+}
+
+void
+ListRunner::SendAll()
+{
+  do {
+    const Instant now = MonotonicNow();
+    const bool isFresh = now - mFollower.Span().mTo <= mFreshTime;
+    mFanout.Send(IsReader() && isFresh, now);
+  } while (mThread.GetLoop().Sleep(kTickPeriod));
+}
+
+bool
+ListRunner::IsReader() const
+{
+  const auto view = mState.View();
+  const auto readers = ListReadersOf(view->mZone, view->mHomes);
+  return std::find(readers.begin(), readers.end(), view->mSelf) !=
+         readers.end();
 }
 
 void
-ListRunner::Poll()
+ListRunner::Read()
 {
-  const auto sentAt = MonotonicNow();
-  auto vms = mList->Fetch(kListTimeout);
-  NoteFresh(vms.has_value());
-  if (!vms) {
+  const Instant sentAt = MonotonicNow();
+  const auto answer = mList->Fetch(mFollower.Tag(), kListTimeout);
+  NoteFresh(answer.has_value());
+  if (!answer) {
+    mFollower.OnReadFailed(sentAt);
     AskPeers();
     return;
   }
-  TellLeaving(vms.value());
-  Use(std::move(vms).value(), sentAt);
+  const auto action =
+    mFollower.OnRead(answer.value(), { sentAt, MonotonicNow() });
+  if (std::holds_alternative<UseList>(action)) {
+    TellLeaving();
+  }
+  Perform(action);
 }
 
 void
@@ -149,53 +200,75 @@
 void
 ListRunner::AskPeer(const MemberRecord& aPeer)
 {
-  const auto sentAt = MonotonicNow();
+  const Instant sentAt = MonotonicNow();
   const auto reply = mThread.Peers().Call(
-    aPeer, "list.vms", { { "digest", mDigest } }, kPeerTimeout);
+    aPeer, "list.vms", { { "digest", mFollower.Digest() } }, kPeerTimeout);
   if (!reply) {
     return;
   }
+  const Instant answeredAt = MonotonicNow();
   JsonFields fields(reply.value());
-  const Instant readAt = sentAt - Duration(fields.Unsigned("age_us"));
+  // The peer measured the ages somewhere between the two moments.
+  const ReadSpan span{ sentAt - Duration(fields.Unsigned("age_us")),
+                       answeredAt - Duration(fields.Unsigned("to_age_us")) };
   const std::string digest = fields.Text("digest");
-  const Json leaving = fields.List("leaving");
+  const std::string tag = fields.Text("tag");
   if (!fields.Check()) {
     return;
   }
-  for (const auto& it : leaving) {
-    mState.SetLeaving(ServerId(it.is_string() ? it.get<std::string>() : ""));
-  }
-  if (!mDigest.empty() && readAt <= mReadAt) {
+  TakeWords(reply.value());
+  if (!fields.Has("vms")) {
+    mFollower.OnSame(digest, span);
     return;
   }
-  if (digest == mDigest) {
-    mReadAt = readAt;
-    return;
+  auto vms = ReadVmEntries(fields.List("vms"));
+  if (vms) {
+    Perform(mFollower.OnWhole(std::move(vms).value(), tag, span));
+  }
+}
+
+void
+ListRunner::TakeWords(const Json& aReply)
+{
+  JsonFields fields(aReply);
+  for (const auto& it : fields.List("leaving")) {
+    if (it.is_string()) {
+      mState.SetLeaving(ServerId(it.get<std::string>()));
+    }
   }
-  std::vector<VmEntry> vms;
-  for (const auto& it : fields.List("vms")) {
-    auto vm = ReadVmEntry(it);
-    if (!vm) {
-      return;
+  for (const auto& it : fields.List("words")) {
+    const auto word = ReadLeavingWord(it);
+    if (word) {
+      mState.HearLeaving(word.value(), MonotonicNow());
     }
-    vms.push_back(std::move(vm).value());
   }
-  Use(std::move(vms), readAt);
 }
 
 void
-ListRunner::Use(std::vector<VmEntry> aVms, Instant aReadAt)
+ListRunner::Perform(const ListAction& aAction)
+{
+  if (std::holds_alternative<UseList>(aAction)) {
+    Use();
+  } else if (const auto* whole = std::get_if<FetchWholeList>(&aAction)) {
+    const auto view = mState.View();
+    const auto* peer = view->FindMember(whole->mReader);
+    if (peer != nullptr) {
+      mThread.GetLoop().Spawn([this, it = *peer] { AskPeer(it); });
+    }
+  }
+}
+
+void
+ListRunner::Use()
 {
-  mReadAt = aReadAt;
-  mDigest = Sha256Hex(ToJson(aVms).dump());
   std::vector<Endpoint> daemons = mSeeds;
-  for (const auto& vm : aVms) {
+  for (const auto& vm : mFollower.Vms()) {
     if (vm.mRole == VmRole::Entry && !vm.mLeaving) {
       daemons.push_back(vm.mEndpoint);
     }
   }
   mMembers.Members().SetListed(std::move(daemons));
-  mState.SetVms(std::move(aVms));
+  mState.SetVms(mFollower.Vms(), MonotonicNow());
 }
 
 void
@@ -208,30 +281,16 @@
 }
 
 void
-ListRunner::TellLeaving(const std::vector<VmEntry>& aVms)
+ListRunner::TellLeaving()
 {
   const auto view = mState.View();
-  for (const auto& vm : aVms) {
+  for (const auto& vm : mFollower.Vms()) {
     const auto known = view->mServers.find(ServerId(vm.mName));
     if (vm.mLeaving && known != view->mServers.end() &&
         !known->second.mVm.mLeaving) {
-      TellPeers(known->first, false);
+      mNews.Tell({ vm.mName, vm.mEndpoint, mState.LeavingHold() }, false);
     }
   }
 }
 
-void
-ListRunner::TellPeers(const ServerId& aServer, bool aIsOrdered)
-{
-  auto peers = Peers(*mState.View(), mRandom);
-  peers.resize(std::min(peers.size(), kPeersTold));
-  const Json params = { { "server", aServer.Text() },
-                        { "ordered", aIsOrdered } };
-  for (const auto& peer : peers) {
-    mThread.GetLoop().Spawn([this, peer, params] {
-      (void)mThread.Peers().Call(peer, "list.leaving", params, kPeerTimeout);
-    });
-  }
-}
-
 } // namespace bilberrytrail
--- a/packages/daemon/src/list_runner.h
+++ b/packages/daemon/src/list_runner.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "control_state.h"
+#include "leaving_news.h"
+#include "list_fanout.h"
 #include "membership_runner.h"
 #include "thread_context.h"
 
@@ -14,9 +16,11 @@
 
 namespace bilberrytrail {
 
-// Polls the platform's list of VMs on the control thread. While the list is
-// down the newest one that a peer has read is used. A daemon that learns of a
-// leaving server tells the others at once.
+// Follows the platform's list of VMs on the control thread. Two daemons of
+// each availability zone read it and send its changes to the others, who read
+// it themselves when no reader confirms their list. While the list is down
+// the newest one that a peer has is used. A daemon that learns of a leaving
+// server tells the others at once.
 class ListRunner
 {
 public:
@@ -25,13 +29,15 @@
              MembershipRunner& aMembers,
              const DaemonSettings& aSettings);
 
-  // Returns the time since the list was last read, here or by the peer that
-  // it came from.
+  // Returns the time since the list in use was the platform's, by a read of
+  // this daemon or of the one that it came from.
   [[nodiscard]] Duration Age(Instant aNow) const;
   // Returns the list for a peer, without the VMs when the peer has the same.
   [[nodiscard]] Result<Json> ListForPeer(const Json& aParams) const;
 
   void Start();
+  // Takes a reader's list or its change.
+  [[nodiscard]] Result<Json> TakeChanges(const Json& aParams);
   // Takes a peer's word that a server leaves.
   [[nodiscard]] Result<Json> TakeLeaving(const Json& aParams);
   // Marks a server as leaving by an operator's order, here and at all peers.
@@ -39,25 +45,31 @@
 
 private:
   void PollAll();
-  void Poll();
+  void SendAll();
+  [[nodiscard]] bool IsReader() const;
+  void Read();
   // Asks some peers for a newer list than the one in use.
   void AskPeers();
   void AskPeer(const MemberRecord& aPeer);
-  void Use(std::vector<VmEntry> aVms, Instant aReadAt);
+  void TakeWords(const Json& aReply);
+  void Perform(const ListAction& aAction);
+  // Takes the follower's list in use.
+  void Use();
   void NoteFresh(bool aIsFresh);
-  void TellLeaving(const std::vector<VmEntry>& aVms);
-  void TellPeers(const ServerId& aServer, bool aIsOrdered);
+  // Tells of the servers that the follower's list shows as leaving and the
+  // list in use does not.
+  void TellLeaving();
 
   ThreadContext& mThread;
   ControlState& mState;
   MembershipRunner& mMembers;
   const std::vector<Endpoint> mSeeds;
+  const Duration mFreshTime;
   std::unique_ptr<VmList> mList;
-  Duration mPeriod;
+  ListFollower mFollower;
+  ListFanout mFanout;
+  LeavingNews mNews;
   Random mRandom;
-  Instant mReadAt{};
-  // Identifies the contents of the list in use.
-  std::string mDigest;
   bool mIsFresh = true;
 };
 
--- a/packages/daemon/src/server_monitor.cpp
+++ b/packages/daemon/src/server_monitor.cpp
@@ -74,7 +74,7 @@
   if (!stream) {
     return;
   }
-  while (IsHomedHere(ServerId(aServer.Vm().mName))) {
+  while (IsHomedHere(ServerId(aServer.Vm().mName)) && mHomes.Holds(aServer)) {
     auto event = stream.value()->Next(kEventTimeout);
     if (!event) {
       return;
--- a/packages/platform/include/bilberrytrail/platform/vm_list.h
+++ b/packages/platform/include/bilberrytrail/platform/vm_list.h
@@ -42,6 +42,18 @@
   bool mLeaving = false;
   // The backend server rejects orders with an old fencing number.
   bool mChecksFencing = false;
+
+  bool operator==(const VmEntry&) const = default;
+};
+
+// One answer of the list service.
+struct VmListAnswer
+{
+  // The list is the one that the tag was given with; the VMs are left out.
+  bool mIsUnchanged = false;
+  std::vector<VmEntry> mVms;
+  // The service's name for this state of the list; empty when it gives none.
+  std::string mTag;
 };
 
 // The platform's list of live and leaving VMs.
@@ -50,9 +62,10 @@
 public:
   virtual ~VmList() = default;
 
-  // Reads the whole list.
-  [[nodiscard]] virtual CallResult<std::vector<VmEntry>> Fetch(
-    Duration aTimeout) = 0;
+  // Reads the list: whole, or only that it is still the one with the tag. An
+  // empty tag always brings the whole list.
+  [[nodiscard]] virtual CallResult<VmListAnswer> Fetch(const std::string& aTag,
+                                                       Duration aTimeout) = 0;
 };
 
 } // namespace bilberrytrail
--- a/packages/platform/src/http_platform.cpp
+++ b/packages/platform/src/http_platform.cpp
@@ -1,6 +1,7 @@
 #include <bilberrytrail/platform/http_call.h>
 #include <bilberrytrail/platform/http_platform.h>
 #include <bilberrytrail/platform/platform_json.h>
+#include <bilberrytrail/platform/vm_list_change.h>
 
 #include <utility>
 
@@ -155,29 +156,49 @@
   {
   }
 
-  CallResult<std::vector<VmEntry>> Fetch(Duration aTimeout) override
+  CallResult<VmListAnswer> Fetch(const std::string& aTag,
+                                 Duration aTimeout) override
   {
-    const HttpRequest request{ "GET", "/vms", {}, {} };
-    const auto json = CallForJson(mClient, mEndpoint, request, aTimeout);
+    HttpRequest request{ "GET", "/vms", {}, {} };
+    if (!aTag.empty()) {
+      request.mHeaders.push_back({ "If-None-Match", aTag });
+    }
+    const auto response = mClient.Call(mEndpoint, request, aTimeout);
+    if (!response) {
+      return ToCallError(response.error());
+    }
+    const HttpResponse& answer = response.value();
+    if (answer.mStatus == kNotModified && !aTag.empty()) {
+      return VmListAnswer{ true, {}, aTag };
+    }
+    if (answer.mStatus < 200 || answer.mStatus >= 300) {
+      return ToCallError(answer.mStatus, answer.mHeaders, answer.mBody);
+    }
+    return ToAnswer(Read(answer));
+  }
+
+private:
+  static constexpr unsigned kNotModified = 304;
+
+  static Result<VmListAnswer> Read(const HttpResponse& aResponse)
+  {
+    const auto json = ParseJson(aResponse.mBody);
     if (!json) {
       return json.error();
     }
     JsonFields fields(json.value());
-    std::vector<VmEntry> entries;
-    for (const auto& it : fields.List("vms")) {
-      auto entry = ReadVmEntry(it);
-      if (!entry) {
-        return ToMalformed(std::move(entry).error());
-      }
-      entries.push_back(std::move(entry).value());
-    }
+    auto vms = ReadVmEntries(fields.List("vms"));
     if (auto ok = fields.Check(); !ok) {
-      return ToMalformed(std::move(ok).error());
+      return std::move(ok).error();
+    }
+    if (!vms) {
+      return std::move(vms).error();
     }
-    return entries;
+    return VmListAnswer{ false,
+                         std::move(vms).value(),
+                         std::string(FindHeader(aResponse.mHeaders, "ETag")) };
   }
 
-private:
   HttpClient& mClient;
   Endpoint mEndpoint;
 };
--- a/packages/platform/tests/call_fate_test.cpp
+++ b/packages/platform/tests/call_fate_test.cpp
@@ -211,7 +211,7 @@
       const auto run = [&](const Row& aRow) {
         aHandler.mAnswer = aRow.mAnswer;
         CheckRow(aRow, table->Scan("a", 10, 5s));
-        CheckRow(aRow, list->Fetch(5s));
+        CheckRow(aRow, list->Fetch("", 5s));
       };
       for (const auto& row : kCommonRows) {
         run(row);
--- a/packages/settings/include/bilberrytrail/settings/daemon_settings.h
+++ b/packages/settings/include/bilberrytrail/settings/daemon_settings.h
@@ -70,6 +70,10 @@
   Duration mHeadPoll{};
   Duration mReleaseBound{};
   Duration mListPoll{};
+  Duration mListHeartbeat{};
+  Duration mListSilence{};
+  Duration mListCheck{};
+  Duration mLeavingHold{};
   std::uint64_t mControlShards = 0;
   Duration mLeaseLength{};
   Duration mLeaseRenewal{};
--- a/packages/settings/src/daemon_settings.cpp
+++ b/packages/settings/src/daemon_settings.cpp
@@ -212,6 +212,9 @@
   Expect(s.mLeaseRenewal * 2 <= s.mLeaseLength,
          { "control.lease_renewal", "control.lease_length" },
          "[control] lease_renewal of at most half of lease_length");
+  Expect(s.mListHeartbeat * 2 <= s.mListSilence,
+         { "control.list_heartbeat", "control.list_silence" },
+         "[control] list_heartbeat of at most half of list_silence");
   Expect(s.mHeadPoll * 2 <= s.mReleaseBound,
          { "control.head_poll", "control.release_bound" },
          "[control] head_poll of at most half of release_bound");
--- a/packages/settings/tests/daemon_settings_test.cpp
+++ b/packages/settings/tests/daemon_settings_test.cpp
@@ -53,6 +53,9 @@
       "+2: expected [control] lease_renewal of at most half of lease_length" },
     { "[control]\nhead_poll = 6s\n",
       "+2: expected [control] head_poll of at most half of release_bound" },
+    { "[control]\nlist_heartbeat = 11s\n",
+      "+2: expected [control] list_heartbeat of at most half of "
+      "list_silence" },
     { "[requests]\nkeep_outcome_time = 30min\n",
       "+2: expected [requests] keep_outcome_time of at least twice "
       "max_deadline" },
--- a/standins/src/platform/platform_server.cpp
+++ b/standins/src/platform/platform_server.cpp
@@ -1,5 +1,6 @@
 #include "platform/platform_server.h"
 
+#include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/platform/platform_json.h>
 
 namespace bilberrytrail::standins {
@@ -103,9 +104,16 @@
 void
 PlatformServer::AddListRoutes()
 {
-  mServer.On("GET", "/vms", "list", [this](const HttpRequest&) {
+  mServer.On("GET", "/vms", "list", [this](const HttpRequest& aRequest) {
     ++mCounts.mListReads;
-    return JsonResponse({ { "vms", mList.Read(MonotonicNow()) } });
+    auto response = JsonResponse({ { "vms", mList.Read(MonotonicNow()) } });
+    const std::string tag = '"' + Sha256Hex(response.mBody) + '"';
+    if (FindHeader(aRequest.mHeaders, "If-None-Match") == tag) {
+      ++mCounts.mListUnchanged;
+      return HttpResponse{ 304, { { "ETag", tag } }, {} };
+    }
+    response.mHeaders.push_back({ "ETag", tag });
+    return response;
   });
   mServer.On("PUT", "/vms", [this](const HttpRequest& aRequest) {
     return SetList(aRequest);
@@ -157,6 +165,7 @@
            { "object_reads", mCounts.mObjectReads },
            { "object_writes", mCounts.mObjectWrites },
            { "list_reads", mCounts.mListReads },
+           { "list_unchanged", mCounts.mListUnchanged },
            { "weight_downloads", mWeights.Downloads() },
            { "weight_downloads_highest", mWeights.HighestConcurrent() } };
 }
--- a/standins/src/platform/platform_server.h
+++ b/standins/src/platform/platform_server.h
@@ -38,6 +38,8 @@
     std::uint64_t mObjectReads = 0;
     std::uint64_t mObjectWrites = 0;
     std::uint64_t mListReads = 0;
+    // Reads answered with "unchanged".
+    std::uint64_t mListUnchanged = 0;
   };
 
   void AddTableRoutes();
