Apply release notes on each daemon

Change: an append writes the note in a row of its own in the same transaction. A follower that is up to 8 notes behind reads these rows, applies them and puts the result in force only when its hash is the head's. A missing, malformed or foreign row, or another result, reads the whole body, as does a daemon that is farther behind or without a release, or while the table is down. Releases of earlier daemons have no note row and are read whole.

--- a/packages/daemon/src/release_runner.cpp
+++ b/packages/daemon/src/release_runner.cpp
@@ -163,6 +163,8 @@
       mThread.GetLoop().Spawn([this] { AskPeers(); });
     } else if (const auto* fetch = std::get_if<FetchRelease>(&action)) {
       mThread.GetLoop().Spawn([this, it = *fetch] { Fetch(it); });
+    } else if (const auto* notes = std::get_if<FetchNotes>(&action)) {
+      mThread.GetLoop().Spawn([this, it = *notes] { ReadNotes(it); });
     } else if (const auto* inForce = std::get_if<ReleaseInForce>(&action)) {
       const ReleaseHead& head = inForce->mHead;
       LogLine(LogEvent::ReleaseInForce,
@@ -238,6 +240,30 @@
   }
 }
 
+void
+ReleaseRunner::ReadNotes(const FetchNotes& aFetch)
+{
+  std::vector<NoteRow> notes;
+  const ReleaseNumber last = aFetch.mHead.mNumber;
+  for (ReleaseNumber n = aFetch.mFirst; n <= last; n = n.Next()) {
+    const auto row =
+      mThread.Table().Read(NoteRowKey(aFetch.mHead.mProduct, n), kTableTimeout);
+    if (!row) {
+      // The fetch is repeated.
+      return;
+    }
+    // Releases of an earlier version of the daemon have no such row.
+    auto note = row.value().has_value()
+                  ? NoteRowFromText(row.value()->mValue)
+                  : Result<NoteRow>(Fail(ErrorCode::NotFound, "no note row"));
+    if (!note) {
+      break;
+    }
+    notes.push_back(std::move(note).value());
+  }
+  Perform(mFollower.OnNotes(aFetch, notes, MonotonicNow()));
+}
+
 void
 ReleaseRunner::FetchFromPeers(const ReleaseHead& aHead)
 {
--- a/packages/daemon/src/release_runner.h
+++ b/packages/daemon/src/release_runner.h
@@ -51,6 +51,7 @@
   void ScanHeadRows();
   void AskPeers();
   void Fetch(const FetchRelease& aFetch);
+  void ReadNotes(const FetchNotes& aFetch);
   void FetchFromPeers(const ReleaseHead& aHead);
   [[nodiscard]] CallResult<std::optional<ReleaseBody>> ReadRelease(
     const ProductId& aProduct,
--- a/packages/release/include/bilberrytrail/release/release_body.h
+++ b/packages/release/include/bilberrytrail/release/release_body.h
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bilberrytrail {
 
@@ -29,6 +30,16 @@
   bool operator==(const ReleaseBody&) const = default;
 };
 
+// Value of a note row: the note alone, for daemons that hold the release
+// before it.
+struct NoteRow
+{
+  std::string mNoteId;
+  std::string mNoteText;
+
+  bool operator==(const NoteRow&) const = default;
+};
+
 // Prefix of all head rows: one scan reads the heads of all products.
 inline constexpr std::string_view kReleaseHeadPrefix = "release-head/";
 
@@ -37,6 +48,8 @@
 ReleaseHeadKey(const ProductId& aProduct);
 [[nodiscard]] std::string
 ReleaseRowKey(const ProductId& aProduct, ReleaseNumber aNumber);
+[[nodiscard]] std::string
+NoteRowKey(const ProductId& aProduct, ReleaseNumber aNumber);
 
 // Row values as JSON, and back; reading fails with Corrupt.
 [[nodiscard]] std::string
@@ -47,5 +60,15 @@
 ToText(const ReleaseBody& aBody);
 [[nodiscard]] Result<ReleaseBody>
 ReleaseBodyFromText(std::string_view aText);
+[[nodiscard]] std::string
+ToText(const NoteRow& aNote);
+[[nodiscard]] Result<NoteRow>
+NoteRowFromText(std::string_view aText);
+
+// Returns the release that the notes lead to from a state, the first one
+// being that of the next number. Fails when one of them doesn't fit; whether
+// the result is the right one is told by the head's hash alone.
+[[nodiscard]] Result<ReleaseBody>
+BodyAfter(const ProductState& aState, const std::vector<NoteRow>& aNotes);
 
 } // namespace bilberrytrail
--- a/packages/release/include/bilberrytrail/release/release_follower.h
+++ b/packages/release/include/bilberrytrail/release/release_follower.h
@@ -27,6 +27,9 @@
   // Peers that must answer before a starting daemon is ready while the table
   // does not.
   std::size_t mPeersForReady = 2;
+  // Notes that are applied one after the other at most; over more the whole
+  // body is read.
+  std::uint64_t mMaxNotes = 8;
 };
 
 // Scan the head rows of all products (kReleaseHeadPrefix).
@@ -41,18 +44,29 @@
   ReleaseHead mHead;
   bool mFromPeers = false;
 };
+// Read the note rows behind the release in force up to the head's.
+struct FetchNotes
+{
+  ReleaseHead mHead;
+  ReleaseNumber mFirst;
+};
 // A release came in force on this daemon.
 struct ReleaseInForce
 {
   ReleaseHead mHead;
   std::shared_ptr<const ReleaseBody> mBody;
 };
-using FollowerAction =
-  std::variant<ScanHeads, AskPeersForHeads, FetchRelease, ReleaseInForce>;
+using FollowerAction = std::variant<ScanHeads,
+                                    AskPeersForHeads,
+                                    FetchRelease,
+                                    FetchNotes,
+                                    ReleaseInForce>;
 using FollowerActions = std::vector<FollowerAction>;
 
 // Decides which release of each product is in force on this daemon. Numbers
-// only grow; a body counts only when its hash is the head's.
+// only grow; a body counts only when its hash is the head's. A daemon that is
+// a few notes behind applies them itself, and reads the whole body when what
+// comes out is not what the head names.
 //
 //   ReleaseFollower follower(settings);
 //   for (const auto& it : follower.Tick(now)) { ... }
@@ -94,6 +108,11 @@
   [[nodiscard]] FollowerActions OnBody(const ReleaseHead& aHead,
                                        const std::string& aText,
                                        Instant aNow);
+  // The note rows from aFirst on were read; fewer than asked for when one is
+  // missing or malformed.
+  [[nodiscard]] FollowerActions OnNotes(const FetchNotes& aFetch,
+                                        const std::vector<NoteRow>& aNotes,
+                                        Instant aNow);
 
 private:
   struct Product
@@ -108,6 +127,8 @@
     // Since when a newer release has been known of.
     std::optional<Instant> mBehindSince;
     Instant mNextFetch;
+    // Up to this number the notes did not lead to the head's body.
+    ReleaseNumber mWholeUpTo;
   };
 
   void Note(const ReleaseHead& aHead, Instant aNow);
@@ -115,6 +136,11 @@
   void Contact(Instant aAt);
   void DropFalseNumbers(Instant aSentAt);
   void FetchMissing(Instant aNow, FollowerActions& aActions);
+  // Returns true when the notes behind the release in force are to be read.
+  [[nodiscard]] bool IsNoteEnough(const Product& aProduct) const;
+  FollowerActions PutInForce(const ReleaseHead& aHead,
+                             ReleaseBody aBody,
+                             Instant aNow);
 
   FollowerSettings mSettings;
   std::map<ProductId, Product> mProducts;
--- a/packages/release/include/bilberrytrail/release/release_log.h
+++ b/packages/release/include/bilberrytrail/release/release_log.h
@@ -60,9 +60,10 @@
 };
 using AppendStep = std::variant<ReadRowStep, CommitStep, AppendResult>;
 
-// Appends one release note to its product's log: the release row and the head
-// row in one transaction, so that of racing operators one wins. A lost reply
-// is settled by reading back the release row, which is written once only.
+// Appends one release note to its product's log: the release row, the note row
+// and the head row in one transaction, so that of racing operators one wins. A
+// lost reply is settled by reading back the release row, which is written once
+// only.
 //
 //   ReleaseAppend append(note);
 //   AppendStep step = append.Start();
--- a/packages/release/src/release_body.cpp
+++ b/packages/release/src/release_body.cpp
@@ -2,6 +2,8 @@
 
 #include "row_fields.h"
 
+#include <bilberrytrail/release/release_note.h>
+
 namespace bilberrytrail {
 
 namespace {
@@ -28,6 +30,13 @@
   return "release/" + aProduct.Text() + "/" + std::to_string(aNumber.Value());
 }
 
+std::string
+NoteRowKey(const ProductId& aProduct, ReleaseNumber aNumber)
+{
+  return "release-note/" + aProduct.Text() + "/" +
+         std::to_string(aNumber.Value());
+}
+
 std::string
 ToText(const ReleaseHead& aHead)
 {
@@ -81,4 +90,46 @@
   return body;
 }
 
+std::string
+ToText(const NoteRow& aNote)
+{
+  return Dump({ { "note_id", aNote.mNoteId }, { "note", aNote.mNoteText } });
+}
+
+Result<NoteRow>
+NoteRowFromText(std::string_view aText)
+{
+  const json object = json::parse(aText.begin(), aText.end(), nullptr, false);
+  RowFields fields(object);
+  NoteRow note;
+  note.mNoteId = fields.Text("note_id");
+  note.mNoteText = fields.Text("note");
+  if (!fields.IsOk()) {
+    return Fail(ErrorCode::Corrupt, "note row: unexpected content");
+  }
+  return note;
+}
+
+Result<ReleaseBody>
+BodyAfter(const ProductState& aState, const std::vector<NoteRow>& aNotes)
+{
+  ReleaseBody body;
+  body.mState = aState;
+  for (const auto& row : aNotes) {
+    auto note = CheckNote(row.mNoteText, "note");
+    if (!note) {
+      return std::move(note).error();
+    }
+    // The operator may have named these beside the text.
+    note.value().mProduct = aState.mProduct;
+    note.value().mAgainst = body.mState.mNumber;
+    auto next = ApplyNote(body.mState, note.value());
+    if (!next) {
+      return std::move(next).error();
+    }
+    body = { row.mNoteId, row.mNoteText, std::move(next).value() };
+  }
+  return body;
+}
+
 } // namespace bilberrytrail
--- a/packages/release/src/release_follower.cpp
+++ b/packages/release/src/release_follower.cpp
@@ -141,8 +141,41 @@
       body.value().mState.mProduct != aHead.mProduct) {
     return {};
   }
+  return PutInForce(aHead, std::move(body).value(), aNow);
+}
+
+FollowerActions
+ReleaseFollower::OnNotes(const FetchNotes& aFetch,
+                         const std::vector<NoteRow>& aNotes,
+                         Instant aNow)
+{
+  Product& product = mProducts[aFetch.mHead.mProduct];
+  const ReleaseNumber inForce = product.mInForce.mNumber;
+  if (aFetch.mHead.mNumber <= inForce) {
+    return {};
+  }
+  if (product.mBody != nullptr && aFetch.mFirst == inForce.Next()) {
+    auto body = BodyAfter(product.mBody->mState, aNotes);
+    if (body && body.value().mState.mNumber == aFetch.mHead.mNumber &&
+        Sha256Hex(ToText(body.value())) == aFetch.mHead.mHash) {
+      return PutInForce(aFetch.mHead, std::move(body).value(), aNow);
+    }
+  }
+  product.mWholeUpTo = std::max(product.mWholeUpTo, aFetch.mHead.mNumber);
+  product.mNextFetch = aNow;
+  FollowerActions actions;
+  FetchMissing(aNow, actions);
+  return actions;
+}
+
+FollowerActions
+ReleaseFollower::PutInForce(const ReleaseHead& aHead,
+                            ReleaseBody aBody,
+                            Instant aNow)
+{
+  Product& product = mProducts[aHead.mProduct];
   product.mInForce = aHead;
-  product.mBody = std::make_shared<const ReleaseBody>(std::move(body).value());
+  product.mBody = std::make_shared<const ReleaseBody>(std::move(aBody));
   product.mBehindSince.reset();
   Hear(product, std::max(product.mHeard, product.mKnown.mNumber), aNow);
   return { ReleaseInForce{ aHead, product.mBody } };
@@ -199,11 +232,27 @@
 {
   for (auto& [id, product] : mProducts) {
     const bool isMissing = product.mKnown.mNumber > product.mInForce.mNumber;
-    if (isMissing && aNow >= product.mNextFetch) {
-      product.mNextFetch = aNow + mSettings.mRetryInterval;
+    if (!isMissing || aNow < product.mNextFetch) {
+      continue;
+    }
+    product.mNextFetch = aNow + mSettings.mRetryInterval;
+    if (IsNoteEnough(product)) {
+      aActions.emplace_back(
+        FetchNotes{ product.mKnown, product.mInForce.mNumber.Next() });
+    } else {
       aActions.emplace_back(FetchRelease{ product.mKnown, mTableDown });
     }
   }
 }
 
+bool
+ReleaseFollower::IsNoteEnough(const Product& aProduct) const
+{
+  const std::uint64_t behind =
+    aProduct.mKnown.mNumber.Value() - aProduct.mInForce.mNumber.Value();
+  return !mTableDown && aProduct.mBody != nullptr &&
+         behind <= mSettings.mMaxNotes &&
+         aProduct.mKnown.mNumber > aProduct.mWholeUpTo;
+}
+
 } // namespace bilberrytrail
--- a/packages/release/src/release_log.cpp
+++ b/packages/release/src/release_log.cpp
@@ -109,6 +109,9 @@
     ToText(ReleaseBody{ mNote.mId, mNote.mText, std::move(next).value() });
   const ReleaseHead head{ mNote.mProduct, mTarget, mNote.mId, Sha256Hex(body) };
   mWrites = { { ReleaseRowKey(mNote.mProduct, mTarget), body, 0 },
+              { NoteRowKey(mNote.mProduct, mTarget),
+                ToText(NoteRow{ mNote.mId, mNote.mText }),
+                0 },
               { ReleaseHeadKey(mNote.mProduct), ToText(head), mHeadVersion } };
   mPhase = Phase::Commit;
   return CommitStep{ mWrites };
