--- a/packages/platform/tests/call_fate_test.cpp
+++ b/packages/platform/tests/call_fate_test.cpp
@@ -190,7 +190,7 @@
       const auto run = [&](const FateRow& aRow) {
         aHandler.mAnswer = aRow.mAnswer;
         CheckFate(aRow, table->Scan("a", 10, 5s));
-        CheckFate(aRow, list->Fetch(5s));
+        CheckFate(aRow, list->Fetch("", 5s));
       };
       for (const auto& row : kCommonRows) {
         run(row);
