Measure what a request costs its entry and homes

Latencies say little on a machine that does other work. The new program counts the processor time and the thread wake-ups of all daemons for one request, with the idle use taken off.

--- a/bench/process_usage.cpp
+++ b/bench/process_usage.cpp
@@ -108,6 +108,25 @@
   return found;
 }
 
+// Returns how often the threads of the process gave up the processor to wait.
+double
+WakeUpsOf(int aPid)
+{
+  constexpr std::string_view kField = "voluntary_ctxt_switches:";
+  double n = 0;
+  std::error_code ec;
+  const std::string folder = "/proc/" + std::to_string(aPid) + "/task";
+  for (const auto& it : std::filesystem::directory_iterator(folder, ec)) {
+    std::ifstream file(it.path() / "status");
+    for (std::string line; std::getline(file, line);) {
+      if (line.starts_with(kField)) {
+        n += std::strtod(line.c_str() + kField.size(), nullptr);
+      }
+    }
+  }
+  return n;
+}
+
 } // namespace
 
 ProcessUsage
@@ -136,6 +155,7 @@
   memory >> total >> resident;
   usage.mResidentBytes =
     resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
+  usage.mWakeUps = WakeUpsOf(aPid);
   return usage;
 }
 
--- a/bench/process_usage.h
+++ b/bench/process_usage.h
@@ -8,11 +8,13 @@
 
 namespace bilberrytrail::bench {
 
-// Processor time and memory of a process.
+// Processor time, memory and thread wake-ups of a process.
 struct ProcessUsage
 {
   Duration mProcessor{};
   double mResidentBytes = 0;
+  // Times that its threads have waited and gone on.
+  double mWakeUps = 0;
 };
 
 // Reads the usage of a process that belongs to this user.
--- /dev/null
+++ b/bench/request_cost.cmake
@@ -0,0 +1,1 @@
+bilberrytrail_add_bench(request_cost DEPENDS bilberrytrail_bench)
