Measure the cost of a request with one engine and an entry that is not its home

With two engines the entry was at times home to one of them: one run gave 0.346 ms for a request and the next 1.5 ms. FindEntry moves from overhead to what bench programs share.

--- a/bench/bench_site.cpp
+++ b/bench/bench_site.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <map>
 
 namespace bilberrytrail::bench {
 
@@ -80,6 +81,23 @@
   return isDone ? first : std::nullopt;
 }
 
+// Returns the home of each engine, by the engine's name.
+std::map<std::string, std::string>
+Homes(Site& aSite)
+{
+  std::map<std::string, std::string> homes;
+  const auto status = aSite.Operate(0, "GET", "/operator/status");
+  const auto json = ParseJson(status.mBody);
+  if (json) {
+    for (const auto& it : json.value()["servers"]) {
+      if (it["role"] == "engine") {
+        homes[it["name"]] = it["home"];
+      }
+    }
+  }
+  return homes;
+}
+
 } // namespace
 
 void
@@ -110,6 +128,26 @@
   };
 }
 
+std::size_t
+FindEntry(Site& aSite)
+{
+  const auto homes = Homes(aSite);
+  for (std::size_t n = 0; n < aSite.Daemons().size(); ++n) {
+    const auto address = ToText(aSite.Daemons()[n].mEndpoint);
+    const auto status = aSite.Operate(n, "GET", "/operator/status");
+    const auto json = ParseJson(status.mBody);
+    const std::string id = json ? json.value().value("daemon", "") : "";
+    const bool isHome =
+      std::any_of(homes.begin(), homes.end(), [&](const auto& aItem) {
+        return aItem.second == id;
+      });
+    if (!isHome) {
+      return n;
+    }
+  }
+  return aSite.Daemons().size() - 1;
+}
+
 void
 AwaitServing(Site& aSite, const TimedCall& aCall)
 {
--- a/bench/bench_site.h
+++ b/bench/bench_site.h
@@ -18,6 +18,10 @@
 [[nodiscard]] TimedCall
 Through(const Endpoint& aEntry, std::size_t aBytes);
 
+// Returns a daemon that is home to no engine, or the last one.
+[[nodiscard]] std::size_t
+FindEntry(Site& aSite);
+
 // Waits until the call succeeds; ends the program when it does not in time.
 void
 AwaitServing(Site& aSite, const TimedCall& aCall);
--- a/bench/overhead.cpp
+++ b/bench/overhead.cpp
@@ -6,10 +6,8 @@
 #include "load.h"
 
 #include <bilberrytrail/backend/http_backend.h>
-#include <bilberrytrail/platform/platform_json.h>
 
 #include <cstdlib>
-#include <map>
 
 namespace {
 
@@ -75,44 +73,6 @@
   };
 }
 
-// Returns the home of each engine, by the engine's name.
-std::map<std::string, std::string>
-Homes(Site& aSite)
-{
-  std::map<std::string, std::string> homes;
-  const auto status = aSite.Operate(0, "GET", "/operator/status");
-  const auto json = ParseJson(status.mBody);
-  if (json) {
-    for (const auto& it : json.value()["servers"]) {
-      if (it["role"] == "engine") {
-        homes[it["name"]] = it["home"];
-      }
-    }
-  }
-  return homes;
-}
-
-// Returns a daemon that is home to no engine, or the last one.
-std::size_t
-FindEntry(Site& aSite)
-{
-  const auto homes = Homes(aSite);
-  for (std::size_t n = 0; n < aSite.Daemons().size(); ++n) {
-    const auto address = ToText(aSite.Daemons()[n].mEndpoint);
-    const auto status = aSite.Operate(n, "GET", "/operator/status");
-    const auto json = ParseJson(status.mBody);
-    const std::string id = json ? json.value().value("daemon", "") : "";
-    const bool isHome =
-      std::any_of(homes.begin(), homes.end(), [&](const auto& aItem) {
-        return aItem.second == id;
-      });
-    if (!isHome) {
-      return n;
-    }
-  }
-  return aSite.Daemons().size() - 1;
-}
-
 void
 Compare(const std::string& aLabel,
         const LoadResult& aDirect,
--- a/bench/request_cost.cpp
+++ b/bench/request_cost.cpp
@@ -26,7 +26,8 @@
 Shape()
 {
   SiteShape shape;
-  shape.mEngines = 2;
+  // One engine, so that every run has one home and another daemon as entry.
+  shape.mEngines = 1;
   shape.mOrderServers = 1;
   shape.mEngineOptions = { "--prefill-tokens-per-s=100000000",
                            "--decode-tokens-per-s=20000",
@@ -50,13 +51,15 @@
 }
 
 void
-Measure(Site& aSite, const std::string& aLabel, std::size_t aBytes)
+Measure(Site& aSite,
+        const Endpoint& aEntry,
+        const std::string& aLabel,
+        std::size_t aBytes)
 {
   const auto idle = Used(aSite);
   std::this_thread::sleep_for(kRunLength);
   const auto before = Used(aSite);
-  const auto run =
-    RunClosed(Through(aSite.Daemons()[0].mCallers, aBytes), 1, kRunLength);
+  const auto run = RunClosed(Through(aEntry, aBytes), 1, kRunLength);
   const auto after = Used(aSite);
   const auto n = static_cast<double>(run.mFirstTokens.size());
   const auto perRequest = [&](double Cost::*aPart) {
@@ -82,8 +85,9 @@
 {
   Site site(Shape());
   StartWithRelease(site);
-  AwaitServing(site, Through(site.Daemons()[0].mCallers, kShortPrompt));
-  Measure(site, "prompt of 400 bytes", kShortPrompt);
-  Measure(site, "prompt of 64 KiB", kLongPrompt);
+  const auto entry = site.Daemons()[FindEntry(site)].mCallers;
+  AwaitServing(site, Through(entry, kShortPrompt));
+  Measure(site, entry, "prompt of 400 bytes", kShortPrompt);
+  Measure(site, entry, "prompt of 64 KiB", kLongPrompt);
   return EXIT_SUCCESS;
 }
