Choose a server without asking when it had room a moment ago

Cause: a request made a JSON-RPC call to the home of each candidate, one after the other, before it was forwarded, also when all servers were idle. Each call passes two JSON libraries, a seal and an HTTP exchange.

Change: the last frame of a home's answer tells how its server stands. The home is the judge: it sends the request back when its server would not take it at once, and the entry then asks as before. A home that gives no sign within 500 ms is given up, as it may be frozen.

Tests: traffic, daemon, faults, traces, process_stream and process_recovery passed. process_engine_fault failed once, beside another site that was being profiled, with "fault refused: Connection refused" from a stand-in, and passed when run alone; the cause is not known.

--- a/packages/daemon/src/caller_service.cpp
+++ b/packages/daemon/src/caller_service.cpp
@@ -63,7 +63,8 @@
                           .mResponder = aResponder,
                           .mThread = mThread,
                           .mView = mViews.Load(),
-                          .mArrivedAt = MonotonicNow() };
+                          .mArrivedAt = MonotonicNow(),
+                          .mKnown = &mKnown };
   const auto refusal = Serve(context);
   if (refusal) {
     LogLine(LogEvent::RequestRefused,
--- a/packages/daemon/src/caller_service.h
+++ b/packages/daemon/src/caller_service.h
@@ -38,6 +38,7 @@
   ControlViewHolder& mViews;
   RequestSlots& mSlots;
   DaemonMetrics& mMetrics;
+  EstimateCache mKnown;
   ServerLocator mLocator;
   ExtraWorkBudget mBudget;
   std::unique_ptr<RetryPolicy> mRetries;
--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -52,9 +52,7 @@
         mEnd.mNotRun = mContext.mLedger.MarkRejected(mAttempt).has_value();
         [[fallthrough]];
       case FrameKind::Broken:
-        mEnd.mReason = aFrame.mReason;
-        mEnd.mText = aFrame.mText;
-        mEnd.mRetryAfter = aFrame.mRetryAfter;
+        mEnd.Take(aFrame);
         return Ok();
       case FrameKind::Answer:
         return Fail(ErrorCode::Corrupt, "unexpected frame");
@@ -170,7 +168,7 @@
     if (!MayRetry()) {
       return GiveUp();
     }
-    ++mContext.mRetries;
+    mContext.mRetries += mLast.mIsSentBack ? 0 : 1;
   }
 }
 
@@ -212,6 +210,7 @@
   request.mFingerprint = ToText(mContext.mFingerprint);
   request.mTimeLeft = std::max<Duration>(TimeLeft(), 1ms);
   request.mCostTokens = mContext.mEstimate.CostTokens();
+  request.mIsUnasked = aChoice.mIsUnasked;
   GenerateRequest& generate = request.mGenerate;
   generate.mAttempt = mAnswer.Attempt();
   generate.mModel = completion.mModel;
@@ -275,6 +274,9 @@
   }
   if (mLast.mNotRun) {
     // Nothing ran: another server costs no extra work.
+    if (mLast.mIsSentBack) {
+      mTried.erase(mLastServer);
+    }
     if (mLast.IsHomeLost()) {
       mTried.erase(mLastServer);
       (void)mContext.mThread.GetLoop().Sleep(kHomeLostPause);
--- a/packages/daemon/src/dispatch.h
+++ b/packages/daemon/src/dispatch.h
@@ -41,6 +41,8 @@
   RefusalReason mReason = RefusalReason::ServerFailed;
   std::string mText;
   Duration mRetryAfter{};
+  // The home sent the request back, as the entry had not asked.
+  bool mIsSentBack = false;
 
   // Returns the reason to give to the caller: when the last server did not
   // run the request, no server is left that takes it.
@@ -50,6 +52,14 @@
              ? RefusalReason::NoServer
              : mReason;
   }
+  // Notes the frame that ended the attempt without an answer.
+  void Take(const HomeFrame& aFrame)
+  {
+    mReason = aFrame.mReason;
+    mText = aFrame.mText;
+    mRetryAfter = aFrame.mRetryAfter;
+    mIsSentBack = aFrame.mIsSentBack;
+  }
   // Returns whether nothing ran because the server's home stops, moved or
   // could not be reached: the server itself may be chosen again.
   [[nodiscard]] bool IsHomeLost() const noexcept
--- a/packages/daemon/src/estimate_message.cpp
+++ b/packages/daemon/src/estimate_message.cpp
@@ -1,6 +1,4 @@
-#include "home_service.h"
-
-#include <bilberrytrail/platform/json_fields.h>
+#include "estimate_message.h"
 
 namespace bilberrytrail {
 
@@ -55,18 +53,47 @@
   return query;
 }
 
+Json
+ToJson(const ServerEstimate& aEstimate)
+{
+  return { { "server", aEstimate.mServer.Text() },
+           { "ready", aEstimate.mReady },
+           { "wait_us", aEstimate.mQueueWait.count() },
+           { "service_us", aEstimate.mService.count() },
+           { "prefill_per_s", aEstimate.mPrefillTokensPerSecond },
+           { "resident", aEstimate.mResidentBlocks },
+           { "weight", aEstimate.mWeight },
+           { "room", aEstimate.mHasRoom } };
+}
+
+Result<ServerEstimate>
+ReadServerEstimate(const Json& aJson)
+{
+  JsonFields fields(aJson);
+  ServerEstimate estimate;
+  estimate.mServer = ServerId(fields.Text("server"));
+  estimate.mReady = fields.Flag("ready");
+  estimate.mQueueWait = Duration(fields.Unsigned("wait_us"));
+  estimate.mService = Duration(fields.Unsigned("service_us"));
+  estimate.mPrefillTokensPerSecond = fields.Real("prefill_per_s");
+  estimate.mResidentBlocks = fields.Unsigned32("resident");
+  estimate.mWeight = fields.Real("weight");
+  estimate.mHasRoom = fields.Has("room") && fields.Flag("room");
+  if (estimate.mWeight <= 0 || estimate.mWeight > 1) {
+    fields.Reject("weight");
+  }
+  if (auto ok = fields.Check(); !ok) {
+    return std::move(ok).error();
+  }
+  return estimate;
+}
+
 Json
 ToJson(const std::vector<ServerEstimate>& aEstimates)
 {
   Json list = Json::array();
   for (const auto& it : aEstimates) {
-    list.push_back({ { "server", it.mServer.Text() },
-                     { "ready", it.mReady },
-                     { "wait_us", it.mQueueWait.count() },
-                     { "service_us", it.mService.count() },
-                     { "prefill_per_s", it.mPrefillTokensPerSecond },
-                     { "resident", it.mResidentBlocks },
-                     { "weight", it.mWeight } });
+    list.push_back(ToJson(it));
   }
   return { { "servers", std::move(list) } };
 }
@@ -77,22 +104,11 @@
   JsonFields outer(aJson);
   std::vector<ServerEstimate> estimates;
   for (const auto& it : outer.List("servers")) {
-    JsonFields fields(it);
-    ServerEstimate estimate;
-    estimate.mServer = ServerId(fields.Text("server"));
-    estimate.mReady = fields.Flag("ready");
-    estimate.mQueueWait = Duration(fields.Unsigned("wait_us"));
-    estimate.mService = Duration(fields.Unsigned("service_us"));
-    estimate.mPrefillTokensPerSecond = fields.Real("prefill_per_s");
-    estimate.mResidentBlocks = fields.Unsigned32("resident");
-    estimate.mWeight = fields.Real("weight");
-    if (estimate.mWeight <= 0 || estimate.mWeight > 1) {
-      fields.Reject("weight");
-    }
-    if (auto ok = fields.Check(); !ok) {
-      return std::move(ok).error();
+    auto estimate = ReadServerEstimate(it);
+    if (!estimate) {
+      return std::move(estimate).error();
     }
-    estimates.push_back(std::move(estimate));
+    estimates.push_back(std::move(estimate).value());
   }
   if (auto ok = outer.Check(); !ok) {
     return std::move(ok).error();
--- a/packages/daemon/src/home_message.cpp
+++ b/packages/daemon/src/home_message.cpp
@@ -113,8 +113,17 @@
       aFrame.mReason = ReadName<RefusalReason>(aFields, "reason");
       aFrame.mText = aFields.Text("text");
       aFrame.mRetryAfter = Duration(aFields.Unsigned("retry_after_us"));
+      aFrame.mIsSentBack =
+        aFields.Has("sent_back") && aFields.Flag("sent_back");
       break;
   }
+  if (aFields.Has("estimate")) {
+    auto estimate = ReadServerEstimate(aFields.Object("estimate"));
+    if (!estimate) {
+      return std::move(estimate).error();
+    }
+    aFrame.mEstimate = std::move(estimate).value();
+  }
   return Ok();
 }
 
@@ -144,6 +153,23 @@
            .mReason = aReason };
 }
 
+HomeFrame
+MakeSentBackFrame(const AttemptId& aAttempt)
+{
+  auto frame = MakeNotRunFrame(aAttempt,
+                               RefusalReason::NoServer,
+                               "the server does not take the request at once");
+  frame.mIsSentBack = true;
+  return frame;
+}
+
+const AttemptId&
+AttemptOf(const HomeRequest& aRequest) noexcept
+{
+  return aRequest.mTarget == HomeTarget::Engine ? aRequest.mGenerate.mAttempt
+                                                : aRequest.mCall.mAttempt;
+}
+
 std::string
 EncodeHomeRequest(const HomeRequest& aRequest)
 {
@@ -155,6 +181,9 @@
                 { "fingerprint", aRequest.mFingerprint },
                 { "time_left_us", aRequest.mTimeLeft.count() },
                 { "cost_tokens", aRequest.mCostTokens } };
+  if (aRequest.mIsUnasked) {
+    json["unasked"] = true;
+  }
   if (aRequest.mTarget == HomeTarget::Engine) {
     json["generate"] = ToJson(aRequest.mGenerate);
     json["imports"] = Json::array();
@@ -184,6 +213,7 @@
   request.mFingerprint = fields.Text("fingerprint");
   request.mTimeLeft = Duration(fields.Unsigned("time_left_us"));
   request.mCostTokens = fields.Real("cost_tokens");
+  request.mIsUnasked = fields.Has("unasked") && fields.Flag("unasked");
   if (request.mTarget == HomeTarget::Service) {
     ReadCall(JsonFields(fields.Object("call")), request, fields);
   } else if (auto ok = ReadEngineParts(fields, request); !ok) {
@@ -222,6 +252,12 @@
       json["retry_after_us"] = aFrame.mRetryAfter.count();
       break;
   }
+  if (aFrame.mIsSentBack) {
+    json["sent_back"] = true;
+  }
+  if (aFrame.mEstimate) {
+    json["estimate"] = ToJson(*aFrame.mEstimate);
+  }
   return Dump(json);
 }
 
--- a/packages/daemon/src/home_message.h
+++ b/packages/daemon/src/home_message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "estimate_message.h"
+
 #include <bilberrytrail/backend/engine.h>
 #include <bilberrytrail/backend/plain_service.h>
 #include <bilberrytrail/base/error.h>
@@ -10,6 +12,7 @@
 #include <bilberrytrail/traffic/work_class.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +46,9 @@
   // Time until the request must have finished.
   Duration mTimeLeft{};
   double mCostTokens = 1;
+  // The entry chose the server without asking its home: the home sends the
+  // request back unless the server takes it at once.
+  bool mIsUnasked = false;
   // Engine: the attempt, with the prompt, its blocks and the resume point.
   GenerateRequest mGenerate;
   // Engine: copies to import before running, in order of blocks.
@@ -77,6 +83,13 @@
   };
 };
 
+// Returns whether a frame of the kind is the last of its answer.
+[[nodiscard]] constexpr bool
+IsLast(FrameKind aKind) noexcept
+{
+  return aKind != FrameKind::Head && aKind != FrameKind::Chunk;
+}
+
 // One frame of the home's answer, a line of JSON on the wire.
 struct HomeFrame
 {
@@ -92,6 +105,11 @@
   // NotRun and Broken.
   RefusalReason mReason = RefusalReason::ServerFailed;
   Duration mRetryAfter{};
+  // NotRun: the server would not take the request at once, and the entry had
+  // not asked.
+  bool mIsSentBack = false;
+  // Last frames: what the home says of the server now.
+  std::optional<ServerEstimate> mEstimate{};
 };
 
 // Returns the frame that ends an attempt which was not run, or which ran or
@@ -106,6 +124,13 @@
                 RefusalReason aReason,
                 std::string aText);
 
+// Returns the frame that sends a request back to an entry that did not ask.
+[[nodiscard]] HomeFrame
+MakeSentBackFrame(const AttemptId& aAttempt);
+// Returns the attempt that the request is.
+[[nodiscard]] const AttemptId&
+AttemptOf(const HomeRequest& aRequest) noexcept;
+
 // Encodes and decodes both; decoding fails with Corrupt and never throws.
 [[nodiscard]] std::string
 EncodeHomeRequest(const HomeRequest& aRequest);
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -2,6 +2,7 @@
 
 #include "engine_run.h"
 #include "quarantine_gate.h"
+#include "report_sink.h"
 #include "service_run.h"
 
 namespace bilberrytrail {
@@ -69,29 +70,55 @@
     if (server == nullptr) {
       continue;
     }
-    ServerEstimate estimate;
-    estimate.mServer = id;
-    const bool isEngine = server->Vm().mRole == VmRole::Engine;
-    estimate.mReady =
-      server->TakesWork(now) && !server->IsDrained() && !IsLeaving(id) &&
-      (!isEngine || server->Serves(aQuery.mModel, aQuery.mVersion));
-    estimate.mService =
-      server->EstimateService(aQuery.mPromptTokens, aQuery.mAnswerTokens);
-    QueueEntry entry;
-    entry.mAccount = aQuery.mAccount;
-    entry.mClass = aQuery.mClass;
-    entry.mCostTokens = aQuery.mPromptTokens + aQuery.mAnswerTokens;
-    entry.mService = estimate.mService;
-    estimate.mQueueWait =
-      server->Queue().PredictWait(entry, now) + server->PrefillBacklog();
-    estimate.mPrefillTokensPerSecond = server->Speed().mPrefillTokensPerSecond;
-    estimate.mResidentBlocks = server->ResidentPrefix(aQuery.mBlocks);
+    auto estimate = EstimateFor(*server, aQuery, now);
     estimate.mWeight = WeightFor(id, aQuery.mClass);
     estimates.push_back(std::move(estimate));
   }
   return estimates;
 }
 
+ServerEstimate
+HomeService::EstimateFor(const HomedServer& aServer,
+                         const EstimateQuery& aQuery,
+                         Instant aNow)
+{
+  ServerEstimate estimate;
+  estimate.mServer = ServerId(aServer.Vm().mName);
+  const bool isEngine = aServer.Vm().mRole == VmRole::Engine;
+  estimate.mReady =
+    aServer.TakesWork(aNow) && !aServer.IsDrained() &&
+    !IsLeaving(estimate.mServer) &&
+    (!isEngine || aServer.Serves(aQuery.mModel, aQuery.mVersion));
+  estimate.mService =
+    aServer.EstimateService(aQuery.mPromptTokens, aQuery.mAnswerTokens);
+  QueueEntry entry;
+  entry.mAccount = aQuery.mAccount;
+  entry.mClass = aQuery.mClass;
+  entry.mCostTokens = aQuery.mPromptTokens + aQuery.mAnswerTokens;
+  entry.mService = estimate.mService;
+  estimate.mQueueWait =
+    aServer.Queue().PredictWait(entry, aNow) + aServer.PrefillBacklog();
+  estimate.mPrefillTokensPerSecond = aServer.Speed().mPrefillTokensPerSecond;
+  estimate.mResidentBlocks = aServer.ResidentPrefix(aQuery.mBlocks);
+  estimate.mHasRoom =
+    aServer.HasRoom() && mHealth.Weight(estimate.mServer) >= 1;
+  return estimate;
+}
+
+ServerEstimate
+HomeService::Report(const HomedServer& aServer, const HomeRequest& aRequest)
+{
+  EstimateQuery query;
+  query.mAccount = aRequest.mAccount;
+  query.mClass = aRequest.mClass;
+  query.mModel = aRequest.mGenerate.mModel;
+  query.mVersion = aRequest.mGenerate.mVersion;
+  query.mPromptTokens = aRequest.mCostTokens;
+  auto estimate = EstimateFor(aServer, query, MonotonicNow());
+  estimate.mWeight = mHealth.Weight(aRequest.mServer);
+  return estimate;
+}
+
 void
 HomeService::Run(ThreadContext& aThread,
                  const HomeRequest& aRequest,
@@ -99,17 +126,29 @@
 {
   const auto server = Find(aRequest.mServer);
   if (server == nullptr || IsLeaving(aRequest.mServer)) {
-    const auto& attempt = aRequest.mTarget == HomeTarget::Engine
-                            ? aRequest.mGenerate.mAttempt
-                            : aRequest.mCall.mAttempt;
-    (void)aSink.Write(MakeNotRunFrame(
-      attempt, RefusalReason::NoServer, "the server is not listed or leaves"));
+    (void)aSink.Write(MakeNotRunFrame(AttemptOf(aRequest),
+                                      RefusalReason::NoServer,
+                                      "the server is not listed or leaves"));
     return;
   }
+  ReportSink reporting([&] { return Report(*server, aRequest); }, aSink);
+  if (aRequest.mIsUnasked && !Report(*server, aRequest).TakesAtOnce()) {
+    (void)reporting.Write(MakeSentBackFrame(AttemptOf(aRequest)));
+    return;
+  }
+  RunOn(aThread, server, aRequest, reporting);
+}
+
+void
+HomeService::RunOn(ThreadContext& aThread,
+                   const HomedServerPtr& aServer,
+                   const HomeRequest& aRequest,
+                   FrameSink& aSink)
+{
   if (aRequest.mTarget == HomeTarget::Engine) {
-    RunOnEngine(aThread, server, aRequest, aSink);
+    RunOnEngine(aThread, aServer, aRequest, aSink);
   } else {
-    ServiceRun(aThread, server, aRequest, aSink).Execute();
+    ServiceRun(aThread, aServer, aRequest, aSink).Execute();
   }
 }
 
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control_view.h"
+#include "estimate_message.h"
 #include "health_watch.h"
 #include "home_message.h"
 #include "homed_server.h"
@@ -16,44 +17,6 @@
 
 namespace bilberrytrail {
 
-// What an entry daemon asks the home of servers before it chooses one.
-struct EstimateQuery
-{
-  std::vector<ServerId> mServers;
-  AccountId mAccount;
-  WorkClass mClass = WorkClass::Short;
-  ModelId mModel;
-  VersionId mVersion;
-  double mPromptTokens = 0;
-  double mAnswerTokens = 0;
-  std::vector<BlockId> mBlocks;
-};
-
-// The home's answer for one server.
-struct ServerEstimate
-{
-  ServerId mServer;
-  // The server takes new work and, for engines, serves the version.
-  bool mReady = false;
-  Duration mQueueWait{};
-  Duration mService{};
-  double mPrefillTokensPerSecond = 0;
-  std::uint32_t mResidentBlocks = 0;
-  // Below 1 while the server is slow for a moment: its times are as many times
-  // longer.
-  double mWeight = 1;
-};
-
-// Encodes and decodes both for calls between daemons.
-[[nodiscard]] Json
-ToJson(const EstimateQuery& aQuery);
-[[nodiscard]] Result<EstimateQuery>
-ReadEstimateQuery(const Json& aJson);
-[[nodiscard]] Json
-ToJson(const std::vector<ServerEstimate>& aEstimates);
-[[nodiscard]] Result<std::vector<ServerEstimate>>
-ReadServerEstimates(const Json& aJson);
-
 // The backend servers that this daemon is home to. Thread-safe.
 class HomeService
 {
@@ -76,7 +39,9 @@
   // Returns the newest view.
   [[nodiscard]] ControlViewPtr View() const noexcept { return mViews.Load(); }
 
-  // Runs a request to its end on the calling fiber.
+  // Runs a request to its end on the calling fiber. The last frame tells how
+  // the server stands. A request whose entry did not ask is sent back when
+  // its server would not take it at once.
   void Run(ThreadContext& aThread,
            const HomeRequest& aRequest,
            FrameSink& aSink);
@@ -94,6 +59,17 @@
   [[nodiscard]] bool IsLeaving(const ServerId& aServer) const;
   // Returns the weight for one request of the class, 1 for a probe.
   [[nodiscard]] double WeightFor(const ServerId& aServer, WorkClass aClass);
+  // Returns the estimate for one server but for its weight.
+  [[nodiscard]] ServerEstimate EstimateFor(const HomedServer& aServer,
+                                           const EstimateQuery& aQuery,
+                                           Instant aNow);
+  // Returns what there is to say of the request's server now. Takes no probe.
+  [[nodiscard]] ServerEstimate Report(const HomedServer& aServer,
+                                      const HomeRequest& aRequest);
+  void RunOn(ThreadContext& aThread,
+             const HomedServerPtr& aServer,
+             const HomeRequest& aRequest,
+             FrameSink& aSink);
   void RunOnEngine(ThreadContext& aThread,
                    const HomedServerPtr& aServer,
                    const HomeRequest& aRequest,
--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -103,6 +103,16 @@
                      });
 }
 
+bool
+HomedServer::HasRoom() const
+{
+  const auto running = Queue().Running();
+  const std::lock_guard lock(mMutex);
+  const bool isKnown = mState.has_value() && mState->mSlots > 0;
+  const std::size_t slots = isKnown ? mState->mSlots : QueueSettings().mSlots;
+  return 2 * running <= slots;
+}
+
 bool
 HomedServer::TakesWork(Instant aNow) const
 {
--- a/packages/daemon/src/homed_server.h
+++ b/packages/daemon/src/homed_server.h
@@ -40,6 +40,8 @@
   // Returns whether the engine reported that it serves the version.
   [[nodiscard]] bool Serves(const ModelId& aModel,
                             const VersionId& aVersion) const;
+  // Returns whether at most half of the server's slots are taken.
+  [[nodiscard]] bool HasRoom() const;
   // Returns whether new work goes to the server.
   [[nodiscard]] bool TakesWork(Instant aNow) const;
   [[nodiscard]] ServerSpeed Speed() const;
--- a/packages/daemon/src/peer_channel.cpp
+++ b/packages/daemon/src/peer_channel.cpp
@@ -7,6 +7,9 @@
 // Longest silence of a home, which sends a frame or a blank line every
 // kKeepAlivePeriod.
 constexpr Duration kFrameTimeout = 5 * kKeepAlivePeriod;
+// Longest wait for the first sign of a home that was not asked before: it may
+// be frozen.
+constexpr Duration kUnaskedTimeout = 500ms;
 
 HttpError
 Cut(Error aError)
@@ -85,7 +88,10 @@
                              {},
                              mSeal.Seal(aPeer.mId,
                                         EncodeHomeRequest(aRequest)) };
-  auto opened = mClient.Open(aPeer.mEndpoint, request, kFrameTimeout);
+  auto opened =
+    mClient.Open(aPeer.mEndpoint,
+                 request,
+                 aRequest.mIsUnasked ? kUnaskedTimeout : kFrameTimeout);
   if (!opened) {
     return std::move(opened).error();
   }
--- a/packages/daemon/src/request_context.h
+++ b/packages/daemon/src/request_context.h
@@ -2,6 +2,7 @@
 
 #include "account_limit_service.h"
 #include "control_view.h"
+#include "estimate_cache.h"
 #include "thread_context.h"
 
 #include <bilberrytrail/backend/plain_service.h>
@@ -54,6 +55,10 @@
   const ProductState* mProduct = nullptr;
   std::optional<CompletionRequest> mCompletion{};
   std::optional<ServiceRequest> mService{};
+  // What the thread knows of servers without asking.
+  EstimateCache* mKnown = nullptr;
+  // A home sent the request back: the next server is chosen by asking.
+  bool mMustAsk = false;
   // Weight version in force at admission; it stays through retries.
   VersionId mVersion{};
   RequestShape mShape{};
@@ -68,6 +73,21 @@
   // The answer began and did not reach its caller whole.
   bool mIncomplete = false;
 
+  // Returns the group of servers of the request's plain service.
+  [[nodiscard]] const std::string& ServiceGroup() const
+  {
+    return mProduct->mServices.at(mService->mService).mGroup;
+  }
+  // Returns the kind of request for which estimates are remembered.
+  [[nodiscard]] EstimateKey KindOfRequest() const
+  {
+    return { mAccount.mProduct,
+             mCompletion ? "model/" + mCompletion->mModel.Text()
+                         : "group/" + ServiceGroup(),
+             mVersion,
+             mEstimate.mClass };
+  }
+
   // Refuses with the disposition that the ledger proves.
   [[nodiscard]] Refusal Refuse(RefusalReason aReason,
                                std::string aText,
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -37,6 +37,9 @@
                       const PromptBlocks& aBlocks,
                       const std::set<ServerId>& aTried)
 {
+  if (auto known = ChooseKnown(aContext, aBlocks, aTried)) {
+    return known;
+  }
   const auto servers = Untried(aContext, aTried);
   const auto where = Locate(aContext, aBlocks);
   for (const std::size_t n : { kFirstCandidates, kMoreCandidates }) {
@@ -50,6 +53,34 @@
   return std::nullopt;
 }
 
+std::optional<ServerChoice>
+ServerLocator::ChooseKnown(const RequestContext& aContext,
+                           const PromptBlocks& aBlocks,
+                           const std::set<ServerId>& aTried)
+{
+  const bool mayRepeat = aContext.mCompletion || aContext.mService->mRepeatable;
+  if (!mayRepeat || aContext.mMustAsk || !aTried.empty() ||
+      !aBlocks.mBlocks.empty()) {
+    return std::nullopt;
+  }
+  const auto& listed = aContext.mRouting->mServers;
+  const auto server = aContext.mKnown->Choose(
+    aContext.KindOfRequest(),
+    [&](const ServerId& aId) {
+      const auto it = listed.find(aId);
+      return it != listed.end() && !it->second.mVm.mLeaving;
+    },
+    MonotonicNow(),
+    mRandom);
+  if (!server) {
+    return std::nullopt;
+  }
+  ServerChoice choice;
+  choice.mServer = *server;
+  choice.mIsUnasked = true;
+  return choice;
+}
+
 bool
 ServerLocator::HasOther(const RequestContext& aContext,
                         const std::set<ServerId>& aTried)
@@ -62,10 +93,7 @@
                        const std::set<ServerId>& aTried)
 {
   const bool isEngine = aContext.mCompletion.has_value();
-  const std::string group =
-    isEngine
-      ? std::string()
-      : aContext.mProduct->mServices.at(aContext.mService->mService).mGroup;
+  const std::string group = isEngine ? std::string() : aContext.ServiceGroup();
   auto servers = aContext.mRouting->UsableServers(aContext.mAccount.mProduct,
                                                   isEngine ? VmRole::Engine
                                                            : VmRole::Service,
@@ -128,6 +156,10 @@
         estimates.end(), remote.value().begin(), remote.value().end());
     }
   }
+  const auto now = MonotonicNow();
+  for (const auto& it : estimates) {
+    aContext.mKnown->Note(aContext.KindOfRequest(), it, now);
+  }
   return estimates;
 }
 
--- a/packages/daemon/src/server_locator.h
+++ b/packages/daemon/src/server_locator.h
@@ -19,10 +19,13 @@
 {
   ServerId mServer;
   PrefixPlan mPlan;
+  // Chosen by what homes said before.
+  bool mIsUnasked = false;
 };
 
-// Chooses the server of a request on one traffic thread: asks the homes of
-// some candidates for fresh estimates and takes the least time to the first
+// Chooses the server of a request on one traffic thread: one of those that had
+// room a moment ago for a request without kept blocks; else it asks the homes
+// of some candidates for fresh estimates and takes the least time to the first
 // token.
 class ServerLocator
 {
@@ -41,6 +44,12 @@
                                      const std::set<ServerId>& aTried);
 
 private:
+  // Returns a choice that needs no asking, for requests that run at most once
+  // more when their home turns out to be frozen.
+  [[nodiscard]] std::optional<ServerChoice> ChooseKnown(
+    const RequestContext& aContext,
+    const PromptBlocks& aBlocks,
+    const std::set<ServerId>& aTried);
   [[nodiscard]] static std::vector<ServerId> Untried(
     const RequestContext& aContext,
     const std::set<ServerId>& aTried);
--- a/packages/daemon/src/service_dispatch.cpp
+++ b/packages/daemon/src/service_dispatch.cpp
@@ -45,9 +45,7 @@
         mEnd.mNotRun = mContext.mLedger.MarkRejected(mAttempt).has_value();
         [[fallthrough]];
       case FrameKind::Broken:
-        mEnd.mReason = aFrame.mReason;
-        mEnd.mText = aFrame.mText;
-        mEnd.mRetryAfter = aFrame.mRetryAfter;
+        mEnd.Take(aFrame);
         return Ok();
       case FrameKind::Head:
       case FrameKind::Chunk:
@@ -89,7 +87,7 @@
         return GiveUp(aContext, last);
       }
       tried.insert(choice->mServer);
-      auto request = MakeRequest(aContext, choice->mServer);
+      auto request = MakeRequest(aContext, *choice);
       const AttemptId attempt = request.mCall.mAttempt;
       if (!aContext.mLedger.Open(attempt) ||
           !aContext.mLedger.MarkSent(attempt)) {
@@ -107,6 +105,9 @@
         last.mReason = RefusalReason::Draining;
         last.mText = "the server's home could not be reached";
       }
+      if (last.mIsSentBack) {
+        tried.erase(choice->mServer);
+      }
       if (last.IsHomeLost()) {
         tried.erase(choice->mServer);
         (void)aContext.mThread.GetLoop().Sleep(kHomeLostPause);
@@ -114,7 +115,7 @@
       if (!MayRetry(aContext, last, tried)) {
         return GiveUp(aContext, last);
       }
-      ++aContext.mRetries;
+      aContext.mRetries += last.mIsSentBack ? 0 : 1;
     }
   }
 
@@ -147,12 +148,13 @@
   }
 
   static HomeRequest MakeRequest(RequestContext& aContext,
-                                 const ServerId& aServer)
+                                 const ServerChoice& aChoice)
   {
     const ServiceRequest& service = *aContext.mService;
     HomeRequest request;
     request.mTarget = HomeTarget::Service;
-    request.mServer = aServer;
+    request.mServer = aChoice.mServer;
+    request.mIsUnasked = aChoice.mIsUnasked;
     request.mProduct = aContext.mAccount.mProduct;
     request.mAccount = aContext.mAccount.mAccount;
     request.mClass = aContext.mEstimate.mClass;
--- a/tests/faults/home_service_test.cpp
+++ b/tests/faults/home_service_test.cpp
@@ -1,4 +1,5 @@
 #include "home_service.h"
+#include "site_seal.h"
 
 #include <doctest/doctest.h>
 
@@ -77,5 +78,66 @@
   }
 }
 
+// Keeps the last frame.
+class LastFrame final : public FrameSink
+{
+public:
+  [[nodiscard]] bool IsOpen() noexcept override { return true; }
+  Result<void> Write(const HomeFrame& aFrame) override
+  {
+    mFrame = aFrame;
+    return Ok();
+  }
+
+  HomeFrame mFrame;
+};
+
+TEST_CASE("a home sends a request back whose entry did not ask and must wait")
+{
+  struct Row
+  {
+    bool mIsUnasked;
+    bool mIsFull;
+    bool mIsSentBack;
+  };
+  const Row rows[] = { { true, true, true },
+                       { true, false, false },
+                       { false, false, false } };
+  for (const auto& row : rows) {
+    CAPTURE(row.mIsUnasked);
+    CAPTURE(row.mIsFull);
+    Loop loop;
+    ControlViewHolder views;
+    const DaemonSettings settings = DefaultDaemonSettings();
+    HomeService homes(settings, views);
+    views.Store(MakeView("self", false));
+    SiteSeal seal("key", DaemonId("self"), 1s);
+    // Nothing listens there: the call itself cannot run.
+    ThreadContext thread(loop, seal, Endpoint());
+    std::vector<std::unique_ptr<QueuePlace>> places;
+    for (std::uint32_t n = 0; row.mIsFull && n < QueueSettings().mSlots; ++n) {
+      QueueEntry entry;
+      entry.mService = 1s;
+      places.push_back(homes.Find(kServer)->Queue().Join(loop, entry));
+    }
+    HomeRequest request;
+    request.mTarget = HomeTarget::Service;
+    request.mServer = kServer;
+    request.mTimeLeft = 10s;
+    request.mIsUnasked = row.mIsUnasked;
+    request.mCall.mMethod = "GET";
+    request.mCall.mPath = "/";
+    LastFrame sink;
+    loop.Spawn([&] {
+      homes.Run(thread, request, sink);
+      loop.Stop();
+    });
+    loop.Run();
+    CHECK(sink.mFrame.mKind == FrameKind::NotRun);
+    CHECK(sink.mFrame.mIsSentBack == row.mIsSentBack);
+    CHECK(sink.mFrame.mEstimate.has_value());
+  }
+}
+
 } // namespace
 } // namespace bilberrytrail
