Give a daemon's first share of an account's limits its burst

Cause: a daemon that sees an account for the first time has its floor share only, a bucket of one request. The lease comes a round trip later, but brought its rate alone, not what a daemon with that share would have saved up: the second of two requests within 3 ms was refused by the account's limit at 67 requests/s against a limit of 1,000. Change: the first share above that of the start adds the difference of the buckets' capacities. Later shares are filled at their rate as before, so that a share that moves to and fro brings no burst each time; the sum of leases is bounded, so what is gained is a burst of the account per length of a lease.

--- a/packages/traffic/include/bilberrytrail/traffic/account_limits.h
+++ b/packages/traffic/include/bilberrytrail/traffic/account_limits.h
@@ -37,6 +37,8 @@
   // full, and leaves a debt.
   void Take(double aAmount, Instant aNow) noexcept;
   void SetRate(double aRate, Duration aBurst, Instant aNow) noexcept;
+  // Sets a higher rate, and fills the bucket by what it holds more.
+  void Grow(double aRate, Duration aBurst, Instant aNow) noexcept;
 
 private:
   [[nodiscard]] double LevelAt(Instant aNow) const noexcept;
@@ -84,7 +86,9 @@
                                             Instant aNow) = 0;
   // Notes the end of an admitted request.
   virtual void End() = 0;
-  // Sets the share, from 0 to 1, of the account's limits.
+  // Sets the share, from 0 to 1, of the account's limits. The first share above
+  // that of the start brings its burst; later ones are filled at their rate, so
+  // that a share that moves between daemons brings no burst each time.
   virtual void SetShare(double aShare, Instant aNow) = 0;
   // Returns the share of the account's limits that would admit all that was
   // offered lately; above 1 when more than the limits was offered.
--- a/packages/traffic/src/account_limits.cpp
+++ b/packages/traffic/src/account_limits.cpp
@@ -59,10 +59,17 @@
 
   void SetShare(double aShare, Instant aNow) override
   {
+    const double requests = mLimits.mRequestsPerSecond * aShare;
+    const double tokens = mLimits.mTokensPerSecond * aShare;
+    if (!mHasGrown && aShare > mShare) {
+      mHasGrown = true;
+      mRequests.Grow(requests, mLimits.mBurst, aNow);
+      mTokens.Grow(tokens, mLimits.mBurst, aNow);
+    } else {
+      mRequests.SetRate(requests, mLimits.mBurst, aNow);
+      mTokens.SetRate(tokens, mLimits.mBurst, aNow);
+    }
     mShare = aShare;
-    mRequests.SetRate(
-      mLimits.mRequestsPerSecond * aShare, mLimits.mBurst, aNow);
-    mTokens.SetRate(mLimits.mTokensPerSecond * aShare, mLimits.mBurst, aNow);
   }
 
   double Demand(Instant aNow) const override
@@ -101,6 +108,7 @@
 
   AccountLimits mLimits;
   double mShare;
+  bool mHasGrown = false;
   TokenBucket mRequests;
   TokenBucket mTokens;
   double mRunning = 0;
@@ -163,6 +171,14 @@
   mLevel = std::min(mLevel, Capacity());
 }
 
+void
+TokenBucket::Grow(double aRate, Duration aBurst, Instant aNow) noexcept
+{
+  const double before = Capacity();
+  SetRate(aRate, aBurst, aNow);
+  mLevel += std::max(Capacity() - before, 0.0);
+}
+
 double
 TokenBucket::LevelAt(Instant aNow) const noexcept
 {
--- a/packages/traffic/tests/account_limits_test.cpp
+++ b/packages/traffic/tests/account_limits_test.cpp
@@ -77,6 +77,34 @@
   }
 }
 
+TEST_CASE("the first lease of a share brings its burst, later ones do not")
+{
+  struct Row
+  {
+    double mShare;
+    Duration mAt;
+    // Requests that are admitted at once.
+    int mAdmitted;
+  };
+  // 100 requests/s, saved up for a second.
+  const Row rows[] = {
+    { 0.001, 0ms, 1 },  { 0.5, 2ms, 49 },   { 0.5, 1002ms, 50 },
+    { 0.1, 1003ms, 0 }, { 0.5, 1004ms, 0 }, { 1, 1005ms, 0 },
+  };
+  const AccountLimits limits{ 100, 0, 0, 1s };
+  const auto limiter = MakeAccountLimiter(limits, rows[0].mShare, kStart);
+  for (const auto& row : rows) {
+    CAPTURE(ToMillis(row.mAt));
+    limiter->SetShare(row.mShare, kStart + row.mAt);
+    int admitted = 0;
+    while (limiter->Admit(1, kStart + row.mAt).mVerdict ==
+           LimitVerdict::Admitted) {
+      ++admitted;
+    }
+    CHECK(admitted == row.mAdmitted);
+  }
+}
+
 TEST_CASE("demand is told as a share of the tightest limit")
 {
   const auto limiter = MakeAccountLimiter({ 100, 1000, 0 }, 1, kStart);
