Ask engines for load reports on change

Cause: an engine reports at its own period (stand-ins: ten times a second), at full size 25 kB/s at each daemon, of which nothing is used but changes: queues count what they granted, slow servers are found from answers.

Change: the subscription to events carries report_within_ms=2000, a hint to report on change and at least once in 2 s. The stand-in honours it while all of its readers give it, by a decision of its own (load_reports), and keeps its period otherwise.

Figures: a stand-in with a period of 5 ms sent 100 reports in 500 ms without the hint and at most 20 with it (test, which counts those from before the subscription).

Seen red: the stand-in ignoring the hint (100 reports), the adapter not sending it (target /events?after=3).

--- a/packages/backend/include/bilberrytrail/backend/engine.h
+++ b/packages/backend/include/bilberrytrail/backend/engine.h
@@ -200,9 +200,13 @@
   // Reads the present state.
   [[nodiscard]] virtual CallResult<EngineState> ReadState(
     Duration aTimeout) = 0;
-  // Opens the event stream behind the sequence number.
+  // Opens the event stream behind the sequence number. Asks for load reports on
+  // change and at least once in aReportWithin, which the engine may ignore;
+  // with zero its own period is as good.
   [[nodiscard]] virtual CallResult<std::unique_ptr<EngineEventStream>>
-  Subscribe(std::uint64_t aAfterSequence, Duration aTimeout) = 0;
+  Subscribe(std::uint64_t aAfterSequence,
+            Duration aReportWithin,
+            Duration aTimeout) = 0;
   // Imports blocks; returns those that the engine read from the store, with
   // the generation and checksum that it saw after the read.
   [[nodiscard]] virtual CallResult<std::vector<BlockRef>> ImportBlocks(
--- a/packages/backend/src/http_engine.cpp
+++ b/packages/backend/src/http_engine.cpp
@@ -129,11 +129,16 @@
 
   CallResult<std::unique_ptr<EngineEventStream>> Subscribe(
     std::uint64_t aAfterSequence,
+    Duration aReportWithin,
     Duration aTimeout) override
   {
-    const HttpRequest request{
-      "GET", "/events?after=" + std::to_string(aAfterSequence), {}, {}
-    };
+    std::string target = "/events?after=" + std::to_string(aAfterSequence);
+    if (aReportWithin > Duration::zero()) {
+      const auto within =
+        std::chrono::ceil<std::chrono::milliseconds>(aReportWithin);
+      target += "&report_within_ms=" + std::to_string(within.count());
+    }
+    const HttpRequest request{ "GET", std::move(target), {}, {} };
     auto reader = OpenEvents(request, aTimeout);
     if (!reader) {
       return std::move(reader).error();
--- a/packages/backend/tests/engine_fate_test.cpp
+++ b/packages/backend/tests/engine_fate_test.cpp
@@ -131,7 +131,7 @@
         CheckError(row, engine->Cancel(AttemptId("a1"), 5s));
         CheckError(row, engine->SendOrder(EngineOrder(), 5s));
         CheckError(row, engine->ReadState(5s));
-        CheckError(row, engine->Subscribe(0, 5s));
+        CheckError(row, engine->Subscribe(0, 2s, 5s));
         CheckError(row, engine->ImportBlocks(TransferRequest(), 5s));
         CheckError(row, engine->ExportBlocks(TransferRequest(), 5s));
       }
--- a/packages/backend/tests/generate_stream_test.cpp
+++ b/packages/backend/tests/generate_stream_test.cpp
@@ -137,9 +137,11 @@
                              "data: {\"kind\":\"load\",\"sequence\":6}\n\n",
                            .mStream = true };
       const auto engine = MakeHttpEngine(aClient, aEndpoint);
-      const auto events = engine->Subscribe(3, 5s);
+      const auto events = engine->Subscribe(3, 0s, 5s);
       REQUIRE(events.has_value());
       CHECK(aHandler.mLast.mTarget == "/events?after=3");
+      REQUIRE(engine->Subscribe(3, 2s, 5s).has_value());
+      CHECK(aHandler.mLast.mTarget == "/events?after=3&report_within_ms=2000");
       const auto cached = events.value()->Next(5s);
       REQUIRE(cached.has_value());
       CHECK(cached.value().mSequence == 4);
--- a/packages/daemon/src/server_monitor.cpp
+++ b/packages/daemon/src/server_monitor.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 constexpr Duration kCallTimeout = 1s;
-// An engine reports at least this often.
+// Engines are asked to report on change and at least this often.
+constexpr Duration kReportWithin = 2s;
+// Longest silence of an engine.
 constexpr Duration kEventTimeout = 5s;
 constexpr Duration kReconnectPause = 200ms;
 
@@ -70,7 +72,7 @@
     return;
   }
   aServer.SetState(std::move(state).value());
-  auto stream = engine.Subscribe(aSequence, kCallTimeout);
+  auto stream = engine.Subscribe(aSequence, kReportWithin, kCallTimeout);
   if (!stream) {
     return;
   }
--- a/standins/src/engine/engine_server.cpp
+++ b/standins/src/engine/engine_server.cpp
@@ -83,9 +83,14 @@
     "GET",
     "/events",
     [this](const HttpRequest& aRequest, HttpResponder& aResponder) {
-      StreamEvents(
-        ReadNumber(QueryValue(aRequest.mTarget, "after").value_or("0")),
-        aResponder);
+      const auto number = [&](std::string_view aName) {
+        return ReadNumber(QueryValue(aRequest.mTarget, aName).value_or("0"));
+      };
+      const Duration within =
+        std::chrono::milliseconds(number("report_within_ms"));
+      mReports.AddReader(within);
+      StreamEvents(number("after"), aResponder);
+      mReports.RemoveReader(within);
     });
 }
 
@@ -235,14 +240,18 @@
 void
 EngineServer::ReportLoad()
 {
-  const auto period = mContext.mSettings.mReportPeriod;
-  while (mContext.mLoop.Sleep(period)) {
+  while (mContext.mLoop.Sleep(mContext.mSettings.mReportPeriod)) {
+    const auto now = MonotonicNow();
+    if (!mReports.IsDue(mContext.Describe(), now)) {
+      continue;
+    }
     mContext.mTokensPerSecond =
       static_cast<double>(std::exchange(mContext.mRecentTokens, 0)) * 1000.0 /
-      ToMillis(period);
+      ToMillis(mReports.SinceLast(now));
     EngineEvent event;
     event.mState = mContext.Describe();
-    mContext.mEvents.Append(std::move(event), MonotonicNow());
+    mReports.OnReported(*event.mState, now);
+    mContext.mEvents.Append(std::move(event), now);
   }
 }
 
--- a/standins/src/engine/engine_server.h
+++ b/standins/src/engine/engine_server.h
@@ -4,6 +4,7 @@
 #include "common/json_server.h"
 #include "engine/attempt.h"
 #include "engine/engine_state.h"
+#include "engine/load_reports.h"
 #include "engine/transfer.h"
 
 #include <string>
@@ -38,6 +39,7 @@
   EngineContext mContext;
   AttemptRunner mRunner;
   BlockTransfer mTransfer;
+  LoadReports mReports;
   std::uint64_t mLoads = 0;
 };
 
--- a/standins/tests/engine_over_http_test.cpp
+++ b/standins/tests/engine_over_http_test.cpp
@@ -170,7 +170,7 @@
 TEST_CASE("cached blocks and load are published")
 {
   WithEngine([](Loop&, Engine& aEngine) {
-    const auto events = aEngine.Subscribe(0, 5s);
+    const auto events = aEngine.Subscribe(0, 0s, 5s);
     REQUIRE(events.has_value());
     CHECK(Receive(aEngine, MakeRequest("a1", 1)).mEnded);
     bool hasLoad = false;
@@ -186,3 +186,31 @@
     CHECK(cached == std::vector<BlockId>{ BlockId(1), BlockId(2) });
   });
 }
+
+TEST_CASE("a reader that asks for reports on change gets no others")
+{
+  WithEngine([](Loop& aLoop, Engine& aEngine) {
+    const auto events = aEngine.Subscribe(0, 60s, 5s);
+    REQUIRE(events.has_value());
+    REQUIRE(aLoop.Sleep(500ms));
+    EngineOrder order;
+    order.mKind = OrderKind::LoadAdapter;
+    order.mModel = ModelId("m");
+    order.mVersion = VersionId("v1");
+    order.mFencing = FencingNumber(5);
+    order.mArgument = "adapter";
+    REQUIRE(aEngine.SendOrder(order, 5s).has_value());
+    std::size_t reports = 0;
+    while (true) {
+      const auto event = events.value()->Next(5s);
+      REQUIRE(event.has_value());
+      ++reports;
+      const auto& state = event.value().mState;
+      if (state && !state->mAdapters.empty()) {
+        break;
+      }
+    }
+    // At the engine's own period there would be a hundred.
+    CHECK(reports <= 20);
+  });
+}
--- a/tests/faults/fake_backend.cpp
+++ b/tests/faults/fake_backend.cpp
@@ -130,6 +130,7 @@
 
   CallResult<std::unique_ptr<EngineEventStream>> Subscribe(
     std::uint64_t /*aAfterSequence*/,
+    Duration /*aReportWithin*/,
     Duration /*aTimeout*/) override
   {
     return Unsupported();
