Repeat the give-back of a lease until the row shows it

Cause: a holder that stops writes its lease back once. When that write or its reply was lost it did nothing more, and the next holder waited until the lease and the longest order had run out, 15 s by default.

Change: the lease remembers the epoch that it gives back. After a lost reply it reads the row; while the row still names it under that epoch it writes again, and it ends when the row shows no holder or another one, or when the lease is wanted again. A stopping daemon waits for this for at most 4 s, beside its streams.

In virtual time, each table fault once or five times in a row: the next daemon has the lease within 3 s; before it had none then.

--- a/packages/daemon/src/control_thread.h
+++ b/packages/daemon/src/control_thread.h
@@ -31,6 +31,8 @@
                 std::function<void()> aDrain);
 
   [[nodiscard]] Loop& GetLoop() noexcept { return mLoop; }
+  // Returns whether a lease is not given back yet after Leave().
+  [[nodiscard]] bool IsReleasing() const { return mShards.IsReleasing(); }
 
   // Adds the calls that other daemons make to the control thread. They run on
   // traffic threads and wait for the control thread.
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -17,6 +17,9 @@
 // Time that other daemons and the balancer get to learn of a planned stop.
 constexpr Duration kLeaveTime = 1s;
 constexpr Duration kDrainCheck = 20ms;
+// Longest wait for leases to be given back; behind it the next holder waits
+// until they run out.
+constexpr Duration kGiveBackTime = 4s;
 
 // The id is new at each start, so that a restarted daemon is another member.
 MemberRecord
@@ -46,6 +49,7 @@
 private:
   void TickQueues();
   void DrainOnControl();
+  void AwaitLeases();
   [[nodiscard]] std::size_t ActiveRequests() const;
 
   const DaemonSettings mSettings;
@@ -153,6 +157,7 @@
   for (auto& traffic : mTraffic) {
     traffic->GetLoop().Post([it = traffic.get()] { it->StopAccepting(); });
   }
+  AwaitLeases();
   const auto end = MonotonicNow() + mSettings.mDrainTime;
   while (ActiveRequests() > 0 && MonotonicNow() < end &&
          mControl.GetLoop().Sleep(kDrainCheck)) {
@@ -161,6 +166,15 @@
   Stop();
 }
 
+void
+Daemon::Impl::AwaitLeases()
+{
+  const auto end = MonotonicNow() + kGiveBackTime;
+  while (mControl.IsReleasing() && MonotonicNow() < end &&
+         mControl.GetLoop().Sleep(kDrainCheck)) {
+  }
+}
+
 std::size_t
 Daemon::Impl::ActiveRequests() const
 {
--- a/packages/daemon/src/shard_runner.cpp
+++ b/packages/daemon/src/shard_runner.cpp
@@ -172,6 +172,14 @@
   mIsReleased = true;
 }
 
+bool
+ShardRunner::IsReleasing() const
+{
+  return std::any_of(mShards.begin(), mShards.end(), [](const Shard& aShard) {
+    return aShard.mLease->IsGivingBack();
+  });
+}
+
 std::uint32_t
 ShardRunner::ShardOf(const ProductId& aProduct) const
 {
--- a/packages/daemon/src/shard_runner.h
+++ b/packages/daemon/src/shard_runner.h
@@ -41,6 +41,8 @@
   void Start();
   // Gives all leases back.
   void Release();
+  // Returns whether a lease is not given back yet.
+  [[nodiscard]] bool IsReleasing() const;
 
 private:
   struct Shard
--- a/packages/release/include/bilberrytrail/release/lease.h
+++ b/packages/release/include/bilberrytrail/release/lease.h
@@ -86,8 +86,13 @@
   // When Tick is due next.
   [[nodiscard]] Instant NextTick() const noexcept;
 
+  // Returns whether this daemon is giving the lease back and does not know yet
+  // that the row shows it.
+  [[nodiscard]] bool IsGivingBack() const noexcept;
+
   // Says whether this daemon should hold the lease. A holder that should not
-  // gives it back; its caller must have ended its orders before.
+  // gives it back, again when a reply is lost; its caller must have ended its
+  // orders before.
   void SetWanted(bool aWanted) noexcept;
   // Runs the timers; returns the table call to make, if any.
   [[nodiscard]] std::optional<LeaseAction> Tick(Instant aNow);
@@ -119,6 +124,7 @@
   LeaseAction Write(DaemonId aHolder, FencingNumber aEpoch, Instant aNow);
   std::optional<LeaseAction> TickHolder(Instant aNow);
   std::optional<LeaseAction> TickObserver(Instant aNow);
+  std::optional<LeaseAction> TickGivingBack(Instant aNow);
   void See(const std::optional<TableRow>& aRow, Instant aNow);
   void Confirm(const Pending& aWrite);
   [[nodiscard]] bool MayTake(Instant aNow) const;
@@ -139,6 +145,8 @@
   // While this daemon is the holder.
   std::optional<FencingNumber> mEpoch;
   Instant mConfirmedAt;
+  // While the row may still name this daemon, which gave the lease back.
+  std::optional<FencingNumber> mGivingBack;
 };
 
 } // namespace bilberrytrail
--- a/packages/release/src/lease.cpp
+++ b/packages/release/src/lease.cpp
@@ -56,6 +56,12 @@
   return mSeen;
 }
 
+bool
+Lease::IsGivingBack() const noexcept
+{
+  return !mWanted && (mEpoch || mGivingBack);
+}
+
 Instant
 Lease::NextTick() const noexcept
 {
@@ -65,13 +71,16 @@
   if (mEpoch && !mMustRead) {
     return mWanted ? mConfirmedAt + mSettings.mRenewAfter : Instant();
   }
-  return mWanted ? mNextRead : Instant::max();
+  return mWanted || mGivingBack ? mNextRead : Instant::max();
 }
 
 void
 Lease::SetWanted(bool aWanted) noexcept
 {
   mWanted = aWanted;
+  if (mWanted) {
+    mGivingBack.reset();
+  }
 }
 
 std::optional<LeaseAction>
@@ -89,21 +98,37 @@
     mEpoch.reset();
     mMustRead = true;
   }
-  if (!mWanted && !mEpoch) {
+  if (!mWanted && !mEpoch && !mGivingBack) {
     return std::nullopt;
   }
   if (mMustRead) {
     return aNow >= mNextRead ? std::optional(Read(aNow)) : std::nullopt;
   }
+  if (!mEpoch && mGivingBack) {
+    return TickGivingBack(aNow);
+  }
   return mEpoch ? TickHolder(aNow) : TickObserver(aNow);
 }
 
+// The row was read behind a give-back whose reply was lost.
+std::optional<LeaseAction>
+Lease::TickGivingBack(Instant aNow)
+{
+  const bool isOurs =
+    mSeen && mSeen->mHolder == mSelf && mSeen->mEpoch == *mGivingBack;
+  if (!isOurs) {
+    mGivingBack.reset();
+    return std::nullopt;
+  }
+  return Write(DaemonId(), *mGivingBack, aNow);
+}
+
 std::optional<LeaseAction>
 Lease::TickHolder(Instant aNow)
 {
   if (!mWanted) {
-    const FencingNumber epoch = *std::exchange(mEpoch, std::nullopt);
-    return Write(DaemonId(), epoch, aNow);
+    mGivingBack = std::exchange(mEpoch, std::nullopt);
+    return Write(DaemonId(), *mGivingBack, aNow);
   }
   if (aNow < mConfirmedAt + mSettings.mRenewAfter) {
     return std::nullopt;
@@ -203,6 +228,7 @@
 {
   if (aWrite.mRow.mHolder != mSelf) {
     mEpoch.reset();
+    mGivingBack.reset();
     return;
   }
   mEpoch = aWrite.mRow.mEpoch;
--- a/packages/release/tests/lease_test.cpp
+++ b/packages/release/tests/lease_test.cpp
@@ -181,6 +181,57 @@
   }
 }
 
+// Without a repeat the next holder waits for the lease and the longest order.
+TEST_CASE("a give-back is repeated until the row shows it")
+{
+  constexpr Duration kBound = 3s;
+  for (const TableFault it : AllOf<TableFault>()) {
+    for (const int faults : { 1, 5 }) {
+      CAPTURE(ToName(it));
+      CAPTURE(faults);
+      FakeTable table;
+      Daemon first("a");
+      Daemon second("b");
+      Instant now = At(0s);
+      RunSteps(table, { &first, &second }, now, 5s);
+      first.mLease.SetWanted(false);
+      CHECK(first.mLease.IsGivingBack());
+      for (int n = 0; n < faults; ++n, now += kStep) {
+        first.Step(table, now, it);
+        CHECK_FALSE(first.mLease.EpochForOrder(now));
+      }
+      RunSteps(table, { &first, &second }, now, kBound);
+      CHECK_FALSE(first.mLease.IsGivingBack());
+      CHECK_FALSE(first.mLease.EpochForOrder(now));
+      CHECK(second.mLease.EpochForOrder(now) == FencingNumber(2));
+    }
+  }
+}
+
+TEST_CASE(
+  "a give-back ends when another daemon holds the lease, and when it is "
+  "wanted again")
+{
+  for (const bool isWantedAgain : { false, true }) {
+    CAPTURE(isWantedAgain);
+    FakeTable table;
+    Daemon first("a");
+    Instant now = At(0s);
+    RunSteps(table, { &first }, now, 5s);
+    first.mLease.SetWanted(false);
+    first.Step(table, now, TableFault::LostBefore);
+    CHECK(first.mLease.IsGivingBack());
+    const LeaseRow other{ DaemonId("b"), FencingNumber(2), 1 };
+    const auto version = table.mRows[kKey].mVersion;
+    REQUIRE(table.Commit({ { kKey, ToText(other), version } }).has_value());
+    first.mLease.SetWanted(isWantedAgain);
+    RunSteps(table, { &first }, now, 3s);
+    CHECK_FALSE(first.mLease.IsGivingBack());
+    CHECK_FALSE(first.mLease.EpochForOrder(now));
+    CHECK(table.mRows[kKey].mValue == ToText(other));
+  }
+}
+
 TEST_CASE("a holder without the table stops issuing orders in time")
 {
   FakeTable table;
