Work out claims, server states and load reports as built

The rows of tools/capacity.py follow the code: one claim home for each hundred daemons with 200 transactions/s for all, states pushed on change (taken as once in 100 s a server) and all once in 30 s, load reports each 2 s.

Nothing at full size was run.

--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -40,13 +40,13 @@
 LIST_POLL_S = 1
 LEASE_RENEW_S = 2
 LEASE_SHARDS = 64
-STATE_PULLS_PER_S = 4
-REPORTS_PER_S = 10
-REPORT_CHANGE_PER_S = 0.5
+STATE_REFRESH_S = 30
 STATE_CHANGES_PER_S = 0.01
+REPORTS_PER_S = 0.5
 SHARE_RENEWALS_PER_S = 0.2
-CLAIM_HOMES = 8
-CLAIM_INTERVAL_S = 0.003
+CLAIM_HOMES = min(8, max(1, DAEMONS // 100))
+CLAIM_TRANSACTIONS_PER_S = 200
+CLAIM_INTERVAL_S = min(0.025, CLAIM_HOMES / CLAIM_TRANSACTIONS_PER_S)
 
 # Bytes of HTTP heads and signatures around a small exchange.
 EXCHANGE_BYTES = 450
@@ -207,7 +207,8 @@
     bodies = DAEMONS * CHANGES_PER_DAY / SECONDS_PER_DAY
     claims = 2 * REQUESTS_PER_S * ORDER_SHARE
     orders = REQUESTS_PER_S * ORDER_SHARE
-    batch = max(1.0, claims / CLAIM_HOMES * CLAIM_INTERVAL_S)
+    # The first write of a batch waits for the interval.
+    batch = 1 + claims / CLAIM_HOMES * CLAIM_INTERVAL_S
     releases = CHANGES_PER_DAY / SECONDS_PER_DAY
     reads = [
         ("heads, one scan each", heads, "ReleaseRunner"),
@@ -243,8 +244,8 @@
     state = slope("sizes", "engine_state_bytes")
     body = slope(f"release_{ACCOUNTS}", "body_bytes")
     changes = CHANGES_PER_DAY / SECONDS_PER_DAY
-    pull = STATE_PULLS_PER_S * (SERVERS * state + DAEMONS * EXCHANGE_BYTES)
     push = SERVERS * STATE_CHANGES_PER_S * (state + EXCHANGE_BYTES)
+    push += (SERVERS * state + DAEMONS * PRODUCTS * EXCHANGE_BYTES) / STATE_REFRESH_S
     rows = [
         ("gossip, sent", gossip, gossip),
         (
@@ -258,9 +259,9 @@
             (listed / (DAEMONS / ZONES) + EXCHANGE_BYTES) / 60,
         ),
         (
-            "load reports of its servers, 10/s; or on change, 0.5/s",
+            "load reports of its servers, on change and each 2 s",
+            servers * REPORTS_PER_S * report,
             servers * REPORTS_PER_S * report,
-            servers * REPORT_CHANGE_PER_S * report,
         ),
         (
             "release bodies, whole; or the note's text of 400 B",
@@ -268,8 +269,8 @@
             changes * (400 + EXCHANGE_BYTES),
         ),
         (
-            "server states to the shard holders, spread over all daemons",
-            pull / DAEMONS,
+            "server states pushed to the shard holders, spread over all daemons",
+            push / DAEMONS,
             push / DAEMONS,
         ),
     ]
@@ -281,7 +282,7 @@
             figure(sum(it[2] for it in rows), "B/s"),
         )
     )
-    return shown, pull, push
+    return shown, push
 
 
 def lost(slope):
@@ -309,7 +310,7 @@
 
 def render():
     slope = load()
-    bytes_split, pull, push = split(slope)
+    bytes_split, push = split(slope)
     parts = [
         "### Roles, per daemon at full size",
         table(
@@ -321,8 +322,7 @@
         "### Control bytes of a daemon",
         table(["mechanism", "as built", "as proposed"], bytes_split),
         "A holder that has both products on its shards receives "
-        f"{figure(pull / 1000, 'kB/s')} of states as built, "
-        f"{figure(push / 1000, 'kB/s')} with pushed changes.",
+        f"{figure(push / 1000, 'kB/s')} of pushed states.",
         "### What is lost and re-homed",
         table(
             [
