--- a/packages/daemon/src/answer_writer.cpp
+++ b/packages/daemon/src/answer_writer.cpp
@@ -17,6 +17,7 @@
 AnswerWriter::AnswerWriter(RequestContext& aContext, std::string aId)
   : mContext(aContext)
   , mId(std::move(aId))
+  , mEvent(mId, aContext.mCompletion->mModel.Text())
 {
 }
 
@@ -26,6 +27,19 @@
   return mBegun;
 }
 
+Result<void>
+AnswerWriter::Begin()
+{
+  mBegun = true;
+  if (!mContext.mFirstTokenAt) {
+    mContext.mFirstTokenAt = MonotonicNow();
+  }
+  return mContext.mResponder.BeginStreamLater(
+    200,
+    { { "Content-Type", "text/event-stream" },
+      { "Cache-Control", "no-store" } });
+}
+
 Result<void>
 AnswerWriter::Append(std::string_view aText)
 {
@@ -36,16 +50,11 @@
     return Ok();
   }
   if (!mBegun) {
-    mBegun = true;
-    if (auto ok = mContext.mResponder.BeginStream(
-          200,
-          { { "Content-Type", "text/event-stream" },
-            { "Cache-Control", "no-store" } });
-        !ok) {
+    if (auto ok = Begin(); !ok) {
       return ok;
     }
   }
-  return mContext.mResponder.WriteChunk(Event(aText, {}));
+  return mContext.mResponder.WriteChunk(mEvent.Render(aText, {}));
 }
 
 Result<void>
@@ -54,15 +63,13 @@
   const std::string_view reason =
     aTokens >= mContext.mCompletion->mMaxTokens ? "length" : "stop";
   if (mContext.mCompletion->mStream) {
-    if (auto ok = Append({}); !ok) {
-      return ok;
-    }
-    if (auto ok = mContext.mResponder.WriteChunk(Event({}, reason) +
-                                                 "data: [DONE]\n\n");
-        !ok) {
-      return ok;
+    if (!mBegun) {
+      if (auto ok = Begin(); !ok) {
+        return ok;
+      }
     }
-    return mContext.mResponder.EndStream();
+    return mContext.mResponder.EndStreamWith(
+      mEvent.Render({}, {}) + mEvent.Render({}, reason) + "data: [DONE]\n\n");
   }
   const Json json = { { "id", mId },
                       { "object", "text_completion" },
@@ -82,23 +89,7 @@
   mContext.mIncomplete = true;
   const std::string event =
     "event: error\ndata: " + RenderProblem(aRefusal) + "\n\n";
-  if (mContext.mResponder.WriteChunk(event)) {
-    (void)mContext.mResponder.EndStream();
-  }
-}
-
-std::string
-AnswerWriter::Event(std::string_view aText,
-                    std::string_view aFinishReason) const
-{
-  Json choice = { { "index", 0 }, { "text", aText } };
-  choice["finish_reason"] =
-    aFinishReason.empty() ? Json() : Json(std::string(aFinishReason));
-  const Json json = { { "id", mId },
-                      { "object", "text_completion" },
-                      { "model", mContext.mCompletion->mModel.Text() },
-                      { "choices", { choice } } };
-  return "data: " + Dump(json) + "\n\n";
+  (void)mContext.mResponder.EndStreamWith(event);
 }
 
 void
--- a/packages/daemon/src/answer_writer.h
+++ b/packages/daemon/src/answer_writer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "completion_event.h"
 #include "request_context.h"
 
 #include <string>
@@ -26,11 +27,12 @@
   void Break(const Refusal& aRefusal);
 
 private:
-  [[nodiscard]] std::string Event(std::string_view aText,
-                                  std::string_view aFinishReason) const;
+  // Begins a stream; its head goes out with the first event.
+  Result<void> Begin();
 
   RequestContext& mContext;
   std::string mId;
+  CompletionEvent mEvent;
   bool mBegun = false;
 };
 
