Run imports of kept blocks in the fault table

Cause: property 1 was proved on the blocks' state machines only; the request's way with imports was not in the table.

Change: a fifth kind of request, a completion whose prompt a store keeps, with the steps find, import_begin and import_end and nine faults of stores and of the directory: the store dies, returns empty, returns empty and gives the same block and generation to other bytes, stale directory, cut, slow behind the end of the pins, corrupt, lost reply; "full" is not possible, as a request reserves nothing. Daemons answer each other's directory and store calls through their real methods. The fake engine reads each block in two halves and caches whatever it got, so that mismatched blocks stay in its cache, which the protocol forbids engines; it drops only what its answer leaves out ("not moved"). The checker compares the content of each block that an engine uses.

--- a/tests/faults/fake_adapters.cpp
+++ b/tests/faults/fake_adapters.cpp
@@ -1,6 +1,7 @@
 #include "fake_adapters.h"
 
 #include "fake_backend.h"
+#include "fake_store.h"
 #include "world_node.h"
 
 #include <bilberrytrail/orders/claim_row.h>
@@ -138,20 +139,22 @@
   }
 
   Result<Json> Call(const MemberRecord& aPeer,
-                    const std::string& /*aMethod*/,
+                    const std::string& aMethod,
                     const Json& aParams,
                     Duration /*aTimeout*/) override
   {
     RequestWorld::Node& home = *mWorld.NodeOf(aPeer.mId);
-    mWorld.Pass(Step::Authenticated, home);
+    if (aMethod == "home.estimate") {
+      mWorld.Pass(Step::Authenticated, home);
+    } else if (aMethod == "directory.find") {
+      mWorld.PassImport(Step::Find, home);
+    }
     if (home.mDead) {
       return Fail(ErrorCode::Unavailable, "connection refused");
     }
-    const auto query = ReadEstimateQuery(aParams);
-    if (!query) {
-      return query.error();
-    }
-    return ToJson(home.mHomes.Estimate(query.value()));
+    return CallRpc(aMethod, aParams, [&](const std::string& aBody) {
+      return Result<std::string>(home.mMethods.Serve(aBody));
+    });
   }
 
   Result<void, HttpError> Run(const MemberRecord& aPeer,
@@ -367,7 +370,7 @@
   std::unique_ptr<Store> MakeStore(HttpClient& /*aClient*/,
                                    const Endpoint& /*aEndpoint*/) override
   {
-    return nullptr;
+    return MakeFakeStore(mWorld, mNode);
   }
   std::unique_ptr<PlainService> MakeService(
     HttpClient& /*aClient*/,
--- a/tests/faults/fake_backend.cpp
+++ b/tests/faults/fake_backend.cpp
@@ -1,5 +1,7 @@
 #include "fake_backend.h"
 
+#include "fake_store.h"
+
 #include "world_node.h"
 
 namespace bilberrytrail {
@@ -136,10 +138,10 @@
   }
 
   CallResult<std::vector<BlockRef>> ImportBlocks(
-    const TransferRequest& /*aRequest*/,
-    Duration /*aTimeout*/) override
+    const TransferRequest& aRequest,
+    Duration aTimeout) override
   {
-    return Unsupported();
+    return ImportAtFakeEngine(mWorld, mNode, aRequest.mBlocks, aTimeout);
   }
 
   CallResult<std::vector<BlockRef>> ExportBlocks(
--- a/tests/faults/fault_step.cpp
+++ b/tests/faults/fault_step.cpp
@@ -27,6 +27,13 @@
          aStep == Step::OutcomeWritten;
 }
 
+bool
+IsImportStep(Step aStep)
+{
+  return aStep == Step::Find || aStep == Step::ImportBegin ||
+         aStep == Step::ImportEnd;
+}
+
 bool
 IsLinkStep(Step aStep)
 {
@@ -36,6 +43,9 @@
 std::string_view
 WhyNoStep(CallPath aPath, Step aStep)
 {
+  if (IsImportStep(aStep) && aPath != CallPath::KeptPrompt) {
+    return "nothing is kept for the request";
+  }
   if (IsCompletion(aPath)) {
     const bool isPlain = IsTableStep(aStep) || aStep == Step::ServiceAnswered ||
                          aStep == Step::AnswerFrame;
@@ -105,6 +115,21 @@
     case Fault::Stall:
       return Unless(IsChunkStep(step) || step == Step::Running,
                     "the backend server sends nothing at this step");
+    case Fault::StoreDies:
+    case Fault::StoreEmpty:
+    case Fault::StoreReuse:
+      return Unless(IsImportStep(step), "the store is not asked here");
+    case Fault::StaleDirectory:
+      return Unless(step == Step::Find, "the directory is not asked here");
+    case Fault::StoreFull:
+      return "a request reserves nothing in a store";
+    case Fault::StoreCorrupt:
+      return Unless(step == Step::ImportEnd, "no bytes are on their way");
+    case Fault::StoreCut:
+    case Fault::StoreSlow:
+    case Fault::StoreLostReply:
+      return Unless(step == Step::ImportBegin || step == Step::ImportEnd,
+                    "the store is not called here");
     case Fault::TableDown:
     case Fault::TableLostRequest:
     case Fault::TableLostReply:
--- a/tests/faults/fault_step.h
+++ b/tests/faults/fault_step.h
@@ -12,6 +12,8 @@
 {
   Completion,
   StreamedCompletion,
+  // A completion whose prompt is kept in a store.
+  KeptPrompt,
   RepeatableCall,
   ClaimedCall
 };
@@ -19,9 +21,10 @@
 template<>
 struct EnumNames<CallPath>
 {
-  static constexpr std::array<std::string_view, 4> kNames{
+  static constexpr std::array<std::string_view, 5> kNames{
     "completion",
     "streamed_completion",
+    "kept_prompt",
     "repeatable_call",
     "claimed_call"
   };
@@ -30,10 +33,16 @@
 // Steps of a request, in the order in which they come.
 enum class Step : unsigned char
 {
+  // The entry asks the prompt's home where its blocks are.
+  Find,
   // The entry has authenticated the caller and asks homes for estimates.
   Authenticated,
   // The entry forwards the request to the home's queue.
   Queued,
+  // The home has the store pin the blocks.
+  ImportBegin,
+  // The engine has read half of each block.
+  ImportEnd,
   // The queue has granted a slot; the adapter is called next.
   Granted,
   ClaimRead,
@@ -55,11 +64,12 @@
 template<>
 struct EnumNames<Step>
 {
-  static constexpr std::array<std::string_view, 13> kNames{
-    "authenticated", "queued",           "granted",
-    "claim_read",    "claim_written",    "running",
-    "head",          "first_chunk",      "middle_chunk",
-    "end",           "service_answered", "outcome_written",
+  static constexpr std::array<std::string_view, 16> kNames{
+    "find",         "authenticated",    "queued",
+    "import_begin", "import_end",       "granted",
+    "claim_read",   "claim_written",    "running",
+    "head",         "first_chunk",      "middle_chunk",
+    "end",          "service_answered", "outcome_written",
     "answer_frame"
   };
 };
@@ -101,13 +111,26 @@
   // The table service.
   TableDown,
   TableLostReply,
-  TableLostRequest
+  TableLostRequest,
+  // The store that keeps the prompt.
+  StoreDies,
+  // It comes back empty; its generations start again.
+  StoreEmpty,
+  // It comes back empty, and other bytes get the same block and generation.
+  StoreReuse,
+  // The blocks were replaced after the directory heard of them.
+  StaleDirectory,
+  StoreFull,
+  StoreCut,
+  StoreSlow,
+  StoreCorrupt,
+  StoreLostReply
 };
 
 template<>
 struct EnumNames<Fault>
 {
-  static constexpr std::array<std::string_view, 26> kNames{
+  static constexpr std::array<std::string_view, 35> kNames{
     "kill_home",
     "caller_gone",
     "drain_home",
@@ -133,7 +156,16 @@
     "stall",
     "table_down",
     "table_lost_reply",
-    "table_lost_request"
+    "table_lost_request",
+    "store_dies",
+    "store_empty",
+    "store_reuse",
+    "stale_directory",
+    "store_full",
+    "store_cut",
+    "store_slow",
+    "store_corrupt",
+    "store_lost_reply"
   };
 };
 
@@ -153,7 +185,8 @@
 [[nodiscard]] constexpr bool
 IsCompletion(CallPath aPath) noexcept
 {
-  return aPath == CallPath::Completion || aPath == CallPath::StreamedCompletion;
+  return aPath == CallPath::Completion ||
+         aPath == CallPath::StreamedCompletion || aPath == CallPath::KeptPrompt;
 }
 
 } // namespace bilberrytrail
--- a/tests/faults/request_faults_test.cpp
+++ b/tests/faults/request_faults_test.cpp
@@ -196,6 +196,15 @@
   CHECK(tally.mLongest <= kDeadline + kLastPause);
 }
 
+TEST_CASE("a kept prompt is imported when nothing fails")
+{
+  Quiet();
+  RequestWorld world(CallPath::KeptPrompt, {});
+  world.Run();
+  CHECK(world.Seen().mImportedUsed > 0);
+  CHECK(CheckHistory(CallPath::KeptPrompt, {}, world.Seen()).empty());
+}
+
 TEST_CASE("a request under pairs of faults")
 {
   Quiet();
--- a/tests/faults/request_world.cpp
+++ b/tests/faults/request_world.cpp
@@ -4,6 +4,7 @@
 #include "world_node.h"
 
 #include <bilberrytrail/base/digest.h>
+#include <bilberrytrail/cache/prompt_blocks.h>
 
 #include <algorithm>
 
@@ -25,6 +26,12 @@
 constexpr Duration kQuietCheck = 1ms;
 constexpr Duration kDrainDelay = 3ms;
 constexpr int kQueueSlots = 8;
+constexpr std::string_view kStore = "store-a";
+// Slow engines, so that an import is the shorter way: samples of 2,000 tokens
+// in 10 s.
+constexpr int kSlowSamples = 40;
+constexpr double kSlowTokens = 2000;
+constexpr Duration kSlowTime = 10s;
 
 // Index of each daemon in the world.
 constexpr std::size_t kEntryA = 0;
@@ -113,7 +120,9 @@
   vm.mName = aName;
   vm.mRole = aRole;
   vm.mProduct = ProductId(std::string(kProduct));
-  vm.mGroup = aRole == VmRole::Service ? "orders" : "";
+  vm.mGroup = aRole == VmRole::Service ? "orders"
+              : aRole == VmRole::Store ? "engine-a"
+                                       : "";
   vm.mEndpoint = { "127.0.0.1", aPort };
   return vm;
 }
@@ -161,6 +170,14 @@
   , mMetrics(mSettings.mHistogramSeries)
   , mCallers(mThread, mSettings, mViews, mHomes, mParts, mMetrics, kFaultSeed)
 {
+  mHomes.Cache().AddMethods(mMethods);
+  mMethods.Add("home.estimate", [this](const Json& aParams) -> Result<Json> {
+    const auto query = ReadEstimateQuery(aParams);
+    if (!query) {
+      return query.error();
+    }
+    return ToJson(mHomes.Estimate(query.value()));
+  });
 }
 
 RequestWorld::RequestWorld(CallPath aPath, std::vector<Cell> aFaults)
@@ -176,6 +193,68 @@
       node->mHomes.Find(ServerId(it))->SetState(MakeEngineState());
     }
   }
+  if (mPath == CallPath::KeptPrompt) {
+    KeepPrompt();
+  }
+}
+
+void
+RequestWorld::KeepPrompt()
+{
+  for (const auto& node : mNodes) {
+    for (const char* it : { "engine-a", "engine-b" }) {
+      for (int n = 0; n < kSlowSamples; ++n) {
+        node->mHomes.Find(ServerId(it))->LearnPrefill(kSlowTokens, kSlowTime);
+      }
+    }
+  }
+  Node* home = mNodes[kHomeB].get();
+  const PromptScope scope{ ProductId(std::string(kProduct)),
+                           AccountId(std::string(kFirstAccount)),
+                           ModelId(std::string(kModel)),
+                           VersionId(mVersion),
+                           {} };
+  const auto blocks = CutPrompt(scope,
+                                std::string(kPromptBytes, 'x'),
+                                home->mSettings.mSiteKey,
+                                kBlockBytes)
+                        .mBlocks;
+  const PromptKey key{ ProductId(std::string(kProduct)),
+                       AccountId(std::string(kFirstAccount)),
+                       blocks.front() };
+  // The directory keeps what is sealed once a request has asked for it.
+  DirectoryQuery query{ key, blocks };
+  DirectoryUpdate update;
+  StoreChange change;
+  change.mStore = StoreId(std::string(kStore));
+  change.mIncarnation = KeptBlocks::kIncarnation;
+  for (const auto block : blocks) {
+    change.mSealed.push_back({ mKept.Seal(block), StoreTier::Memory });
+  }
+  update.mStores.push_back(change);
+  const auto serve = [&](const std::string& aBody) {
+    return Result<std::string>(home->mMethods.Serve(aBody));
+  };
+  (void)CallRpc("directory.find", ToJson(query), serve);
+  (void)CallRpc("directory.update", ToJson(update), serve);
+}
+
+void
+RequestWorld::PassImport(Step aStep, Node& aHome)
+{
+  Pass(aStep, aHome);
+  if (Fires(aStep, Fault::StoreDies)) {
+    mKept.Die();
+  }
+  if (Fires(aStep, Fault::StoreEmpty)) {
+    mKept.Empty();
+  }
+  if (Fires(aStep, Fault::StoreReuse)) {
+    mKept.Replace(0);
+  }
+  if (Fires(aStep, Fault::StaleDirectory)) {
+    mKept.Replace(1);
+  }
 }
 
 RequestWorld::~RequestWorld()
@@ -196,6 +275,8 @@
   }
   const DaemonId homeA = mNodes[kHomeA]->mId;
   const DaemonId homeB = mNodes[kHomeB]->mId;
+  // Every prompt's home, which is not the store's.
+  view.mHomes = { { homeB, {}, 1 } };
   std::uint16_t port = 1;
   for (const auto role : { VmRole::Engine, VmRole::Service }) {
     const std::string name(ToName(role));
@@ -209,6 +290,9 @@
       server.mVm.mLeaving = server.mHome == aNode.mId;
     }
   }
+  view.mServers[ServerId(std::string(kStore))] = {
+    MakeVm(std::string(kStore), VmRole::Store, port), homeA
+  };
   const ProductId product{ std::string(kProduct) };
   view.mProducts[product] = MakeProduct(mVersion);
   for (const auto account : { kFirstAccount, kOtherAccount }) {
@@ -348,6 +432,11 @@
   if (aRequest.mVersion != caller.mVersion) {
     mHistory.mFaults.emplace_back("an attempt asks for another weight version");
   }
+  const auto used = mKept.Use(aHome, aRequest.mBlocks);
+  mHistory.mImportedUsed += used.mRight;
+  if (used.mWrong > 0) {
+    mHistory.mFaults.emplace_back("an engine used a block that is wrong");
+  }
   const auto pieces = AnswerPieces(caller.mVersion);
   std::string prefix;
   for (std::uint32_t n = 0; n < aRequest.mStartPosition; ++n) {
--- a/tests/faults/request_world.h
+++ b/tests/faults/request_world.h
@@ -2,6 +2,8 @@
 
 #include "fault_step.h"
 
+#include "kept_blocks.h"
+
 #include "caller_service.h"
 #include "home_service.h"
 
@@ -60,6 +62,8 @@
   std::map<BlockId, std::set<AccountId>> mBlockAccounts;
   // Faults that the fakes noticed.
   std::vector<std::string> mFaults;
+  // Imported blocks that engines used.
+  int mImportedUsed = 0;
 };
 
 // The fakes at the interfaces and three daemons (two entries and the homes)
@@ -101,6 +105,10 @@
   [[nodiscard]] AccountId NoteServiceRun(const AttemptId& aAttempt,
                                          const DaemonId& aHome);
   void NoteEngineRun(const GenerateRequest& aRequest, const DaemonId& aHome);
+  // The blocks in the store and in the engines' caches.
+  [[nodiscard]] KeptBlocks& Kept() noexcept { return mKept; }
+  // Applies the faults of a step at which the store or the directory is used.
+  void PassImport(Step aStep, Node& aHome);
   // Counts requests that run at homes.
   void ChangeServing(int aBy) noexcept { mServing += aBy; }
 
@@ -111,6 +119,7 @@
   [[nodiscard]] HttpRequest MakeRequest(std::size_t aCaller,
                                         const std::string& aAccount) const;
   void StoreViews();
+  void KeepPrompt();
   [[nodiscard]] ControlView MakeView(const Node& aNode) const;
   void NoteRun(CallerRecord& aCaller, const DaemonId& aHome);
   void DrainHome(Step aStep, Node& aHome);
@@ -134,6 +143,7 @@
   std::set<DaemonId> mLeaving;
   bool mIsEntryDraining = false;
   std::string mVersion = "v1";
+  KeptBlocks mKept;
 };
 
 // Returns the pieces that a model answers with.
--- a/tests/faults/world_node.h
+++ b/tests/faults/world_node.h
@@ -41,6 +41,7 @@
   ControlViewHolder mViews;
   HomeService mHomes;
   DaemonParts mParts;
+  RpcMethods mMethods;
   NoSeal mSeal;
   ThreadContext mThread;
   DaemonMetrics mMetrics;
