Bound the wait for the head of a home's answer by the deadline

Cause: PeerChannel::Run waited 5 s (the silence that a home may keep) for the head of its response, whatever was left to the request's deadline: a frozen home cost a request of 2 s its final answer until 5 s.

Change: the shorter of the two. A home sends the head before the request waits in its queue, so a live one is not cut by this. The outcome stays "may have run".

Figures: the new case with a home that never answers, 200 ms left: 5001 ms before (red, bound 2 s), green after; test_daemon 39 of 39. The silence inside an answer that has begun stays 5 s.

--- a/packages/daemon/src/peer_channel.cpp
+++ b/packages/daemon/src/peer_channel.cpp
@@ -1,5 +1,7 @@
 #include "peer_channel.h"
 
+#include <algorithm>
+
 namespace bilberrytrail {
 
 namespace {
@@ -85,7 +87,9 @@
                              {},
                              mSeal.Seal(aPeer.mId,
                                         EncodeHomeRequest(aRequest)) };
-  auto opened = mClient.Open(aPeer.mEndpoint, request, kFrameTimeout);
+  // A home sends the head before the request waits in its queue.
+  const auto headTimeout = std::min(kFrameTimeout, aRequest.mTimeLeft);
+  auto opened = mClient.Open(aPeer.mEndpoint, request, headTimeout);
   if (!opened) {
     return std::move(opened).error();
   }
