Make two process tests see their mechanism

Cause: with the mechanism taken out on a scratch copy, two tests stayed green. The test of an entry killed passed though the home ran on for nobody; the test of a full store passed though blocks that were never sealed were announced as kept, as the import that follows finds nothing to pin.

Change: the first checks that the engine's attempt is cancelled, the second that no store is asked for pins, which the store stand-in counts now (pins_asked). Rows of the store faults are named by text in failures: the captured pointer printed as an address.

--- a/standins/src/store/store_server.cpp
+++ b/standins/src/store/store_server.cpp
@@ -128,7 +128,8 @@
                           { "writes", mWrites },
                           { "read_bytes", mReadBytes },
                           { "written_bytes", mWrittenBytes },
-                          { "refused_reads", mRefusedReads } });
+                          { "refused_reads", mRefusedReads },
+                          { "pins_asked", mPinsAsked } });
   });
 }
 
@@ -160,6 +161,7 @@
   if (!refs) {
     return ToResponse(refs.error());
   }
+  ++mPinsAsked;
   const auto most =
     static_cast<std::uint64_t>(mSettings.mLimits.mPinTime.count());
   const Duration length(static_cast<std::int64_t>(std::min(micros, most)));
--- a/standins/src/store/store_server.h
+++ b/standins/src/store/store_server.h
@@ -55,6 +55,7 @@
   std::uint64_t mReadBytes = 0;
   std::uint64_t mWrittenBytes = 0;
   std::uint64_t mRefusedReads = 0;
+  std::uint64_t mPinsAsked = 0;
 };
 
 } // namespace bilberrytrail::standins
--- a/tests/process/kept_cache_test.cpp
+++ b/tests/process/kept_cache_test.cpp
@@ -182,8 +182,9 @@
   StartSite(site);
   std::uint64_t kept = 0;
   for (const auto& row : rows) {
-    CAPTURE(row.mName);
-    const auto prompt = LongPrompt(std::string(row.mName) + " ");
+    const std::string name = row.mName;
+    CAPTURE(name);
+    const auto prompt = LongPrompt(name + " ");
     const auto first = Send(site, prompt);
     REQUIRE(first.mDone);
     kept += kPromptBytes / 8192;
@@ -216,6 +217,8 @@
   CHECK(second.mDone);
   CHECK(second.mText == first.mText);
   CHECK(Sum(site, site.Stores(), "writes") == 0);
+  // Nobody looks for blocks in a store that could not keep them.
+  CHECK(Sum(site, site.Stores(), "pins_asked") == 0);
   CHECK(Sum(site, site.Engines(), "imported_tokens") == 0);
 }
 
@@ -252,6 +255,9 @@
     CHECK(again.mText == first.mText);
   }
   CHECK(Sum(site, site.Engines(), "wrong_blocks_used") == 0);
+  MESSAGE("imported " << Sum(site, site.Engines(), "imported_tokens")
+                      << ", recomputed "
+                      << Sum(site, site.Engines(), "recomputed_tokens"));
 }
 
 } // namespace bilberrytrail
--- a/tests/process/stream_recovery_test.cpp
+++ b/tests/process/stream_recovery_test.cpp
@@ -23,6 +23,10 @@
   site.Kill(site->Daemons()[entry]);
   const auto cut = stream->Take();
   CHECK_FALSE(cut.mDone);
+  // The home stops what nobody waits for.
+  CHECK(site->Await(kPatience, [&] {
+    return site.Count(site->Engines()[0], "cancelled") >= 1;
+  }));
   CHECK(ExpectedText(prompt, kTokens).starts_with(cut.mText));
   const auto again = site.Complete((entry + 1) % 3, prompt, kTokens);
   CHECK(again.mDone);
