--- a/tests/process/kept_cache_test.cpp
+++ b/tests/process/kept_cache_test.cpp
@@ -255,9 +255,6 @@
     CHECK(again.mText == first.mText);
   }
   CHECK(Sum(site, site.Engines(), "wrong_blocks_used") == 0);
-  MESSAGE("imported " << Sum(site, site.Engines(), "imported_tokens")
-                      << ", recomputed "
-                      << Sum(site, site.Engines(), "recomputed_tokens"));
 }
 
 } // namespace bilberrytrail
