Forget what is resident on an engine when an event was missed

Cause: a jump in an engine's event numbers was not looked at, so blocks whose eviction was in the lost event counted as resident until an answer showed otherwise, and prompts were computed again instead of imported. A number equal to the last one, which the protocol calls a restart, was taken as the next.

Ruled out: reading the events again, as an engine need not keep what was lost.

Change: OrderOf tells next, gap and restart apart. At a gap the home forgets what is resident there and tells the prompt directory; distrusted blocks stay distrusted, as the engine may still hold them. A served prompt or an import makes blocks resident again, so a gap costs speed only.

--- a/packages/daemon/src/homed_server.cpp
+++ b/packages/daemon/src/homed_server.cpp
@@ -211,6 +211,15 @@
   return resident;
 }
 
+std::vector<BlockId>
+HomedServer::ForgetDoubtful()
+{
+  const std::lock_guard lock(mMutex);
+  std::vector<BlockId> resident(mResident.begin(), mResident.end());
+  mResident.clear();
+  return resident;
+}
+
 void
 HomedServer::SetState(EngineState aState)
 {
--- a/packages/daemon/src/homed_server.h
+++ b/packages/daemon/src/homed_server.h
@@ -77,6 +77,9 @@
   void Distrust(BlockId aBlock);
   // Forgets which blocks are resident, after a restart; returns them.
   std::vector<BlockId> ForgetResident();
+  // Forgets which blocks are resident, as an event was missed that may have
+  // named any of them; returns them. Blocks that are distrusted stay so.
+  std::vector<BlockId> ForgetDoubtful();
   // Notes that the server refuses new work or cannot be reached: it gets no
   // new work for a while.
   void NoteRefusal(Instant aNow);
--- a/packages/daemon/src/server_monitor.cpp
+++ b/packages/daemon/src/server_monitor.cpp
@@ -13,6 +13,18 @@
 
 } // namespace
 
+EventOrder
+OrderOf(std::uint64_t aLast, std::uint64_t aSequence) noexcept
+{
+  if (aLast == 0) {
+    return EventOrder::Next;
+  }
+  if (aSequence <= aLast) {
+    return EventOrder::Restart;
+  }
+  return aSequence == aLast + 1 ? EventOrder::Next : EventOrder::Gap;
+}
+
 ServerMonitor::ServerMonitor(ThreadContext& aThread,
                              ControlState& aState,
                              HomeService& aHomes)
@@ -89,8 +101,15 @@
                          std::uint64_t& aSequence)
 {
   const ServerId id(aServer.Vm().mName);
-  if (aEvent.mSequence < aSequence) {
-    mHomes.Cache().NoteEvicted(id, aServer.ForgetResident());
+  switch (OrderOf(aSequence, aEvent.mSequence)) {
+    case EventOrder::Next:
+      break;
+    case EventOrder::Gap:
+      mHomes.Cache().NoteEvicted(id, aServer.ForgetDoubtful());
+      break;
+    case EventOrder::Restart:
+      mHomes.Cache().NoteEvicted(id, aServer.ForgetResident());
+      break;
   }
   aSequence = aEvent.mSequence;
   switch (aEvent.mKind) {
--- a/packages/daemon/src/server_monitor.h
+++ b/packages/daemon/src/server_monitor.h
@@ -8,6 +8,20 @@
 
 namespace bilberrytrail {
 
+// How an event of an engine follows the one before.
+enum class EventOrder : unsigned char
+{
+  Next,
+  // Events between the two were missed.
+  Gap,
+  // The engine counts from the start again.
+  Restart
+};
+
+// Compares an event's number with that of the last one, 0 when there was none.
+[[nodiscard]] EventOrder
+OrderOf(std::uint64_t aLast, std::uint64_t aSequence) noexcept;
+
 // Follows the engines that this daemon is home to over their event streams, on
 // the control thread.
 class ServerMonitor
--- a/packages/daemon/tests/distrusted_blocks_test.cpp
+++ b/packages/daemon/tests/distrusted_blocks_test.cpp
@@ -22,6 +22,13 @@
     server.NoteEvicted(second);
     CHECK(server.TrustedPrefix(blocks) == 3);
   }
+  SUBCASE("not when an event was missed, though nothing counts as resident")
+  {
+    server.NoteCached(blocks);
+    CHECK(server.ForgetDoubtful().size() == 3);
+    CHECK(server.ResidentPrefix(blocks) == 0);
+    CHECK(server.TrustedPrefix(blocks) == 1);
+  }
   SUBCASE("again when the server has restarted")
   {
     (void)server.ForgetResident();
--- a/tests/process/kept_cache_test.cpp
+++ b/tests/process/kept_cache_test.cpp
@@ -255,6 +255,8 @@
     CHECK(again.mText == first.mText);
   }
   CHECK(Sum(site, site.Engines(), "wrong_blocks_used") == 0);
+  // A gap makes doubtful what was lost: it is imported.
+  CHECK(Sum(site, site.Engines(), "imported_tokens") > 0);
 }
 
 } // namespace bilberrytrail
