--- a/packages/daemon/src/peer_channel.cpp
+++ b/packages/daemon/src/peer_channel.cpp
@@ -1,5 +1,7 @@
 #include "peer_channel.h"
 
+#include <algorithm>
+
 namespace bilberrytrail {
 
 namespace {
@@ -88,10 +90,11 @@
                              {},
                              mSeal.Seal(aPeer.mId,
                                         EncodeHomeRequest(aRequest)) };
-  auto opened =
-    mClient.Open(aPeer.mEndpoint,
-                 request,
-                 aRequest.mIsUnasked ? kUnaskedTimeout : kFrameTimeout);
+  // A home sends the head before the request waits in its queue.
+  const Duration patience =
+    aRequest.mIsUnasked ? kUnaskedTimeout : kFrameTimeout;
+  auto opened = mClient.Open(
+    aPeer.mEndpoint, request, std::min(patience, aRequest.mTimeLeft));
   if (!opened) {
     return std::move(opened).error();
   }
