--- a/packages/daemon/src/caller_service.cpp
+++ b/packages/daemon/src/caller_service.cpp
@@ -16,6 +16,23 @@
 constexpr double kMaxSavedTokens = 200000;
 // When a caller comes back that met a full daemon.
 constexpr Duration kFullRetry = 1s;
+// Hedges that are available before any request came.
+constexpr double kHedgeReserveTokens = 2000;
+// No answer counts as late before this time.
+constexpr Duration kLeastHedgeTime = 50ms;
+
+std::unique_ptr<HedgePolicy>
+MakeHedges(const DaemonSettings& aSettings, ExtraWorkBudget& aBudget)
+{
+  if (aSettings.mHedgeBudget <= 0) {
+    return MakeNoHedgePolicy();
+  }
+  HedgeSettings settings;
+  settings.mLeast = kLeastHedgeTime;
+  settings.mShare = aSettings.mHedgeBudget;
+  settings.mReserveTokens = kHedgeReserveTokens;
+  return MakeBudgetedHedgePolicy(aBudget, settings);
+}
 
 } // namespace
 
@@ -34,10 +51,11 @@
   , mLocator(aHomes, aSeed)
   , mBudget(aSettings.mRetryBudget, kReserveTokens, kMaxSavedTokens)
   , mRetries(MakeBudgetedRetryPolicy(mBudget))
+  , mHedges(MakeHedges(aSettings, mBudget))
   , mEstimator(MakeLearningEstimator(ClassifySettings()))
 {
-  const DispatchParts parts{ aSettings, aHomes,    mLocator,
-                             mBudget,   *mRetries, *mEstimator };
+  const DispatchParts parts{ aSettings, aHomes,   mLocator,   mBudget,
+                             *mRetries, *mHedges, *mEstimator };
   mFilters.push_back(MakeReadinessFilter());
   mFilters.push_back(MakeAuthenticateFilter());
   mFilters.push_back(MakeDeadlineFilter(aSettings));
--- a/packages/daemon/src/caller_service.h
+++ b/packages/daemon/src/caller_service.h
@@ -41,6 +41,7 @@
   ServerLocator mLocator;
   ExtraWorkBudget mBudget;
   std::unique_ptr<RetryPolicy> mRetries;
+  std::unique_ptr<HedgePolicy> mHedges;
   std::unique_ptr<WorkEstimator> mEstimator;
   std::vector<std::unique_ptr<RequestFilter>> mFilters;
 };
--- a/packages/daemon/src/completion_dispatch.cpp
+++ b/packages/daemon/src/completion_dispatch.cpp
@@ -1,7 +1,8 @@
+#include "completion_sink.h"
 #include "dispatch.h"
+#include "hedged_run.h"
 
 #include <bilberrytrail/base/digest.h>
-#include <bilberrytrail/traffic/answer_assembler.h>
 
 namespace bilberrytrail {
 
@@ -13,95 +14,8 @@
 constexpr Duration kNoServerPatience = 10s;
 constexpr Duration kNoServerRetry = 1s;
 
-// Takes the frames of one attempt: keeps the ledger and the answer, and
-// writes the answer to the caller.
-class CompletionSink final : public FrameSink
-{
-public:
-  CompletionSink(RequestContext& aContext,
-                 AnswerAssembler& aAnswer,
-                 AnswerWriter& aWriter)
-    : mContext(aContext)
-    , mAnswer(aAnswer)
-    , mWriter(aWriter)
-    , mAttempt(aAnswer.Attempt())
-  {
-  }
-
-  [[nodiscard]] bool IsCallerGone() const noexcept { return mIsCallerGone; }
-  [[nodiscard]] const AttemptEnd& End() const noexcept { return mEnd; }
-
-  [[nodiscard]] bool IsOpen() noexcept override
-  {
-    return !mIsCallerGone && mContext.mResponder.IsPeerOpen();
-  }
-
-  Result<void> Write(const HomeFrame& aFrame) override
-  {
-    if (aFrame.mAttempt != mAttempt) {
-      return Ok();
-    }
-    switch (aFrame.mKind) {
-      case FrameKind::Head:
-        return TakeHead(aFrame);
-      case FrameKind::Chunk:
-        return TakeChunk({ mAttempt, aFrame.mPosition, aFrame.mText, false });
-      case FrameKind::End:
-        return TakeChunk({ mAttempt, aFrame.mPosition, {}, true });
-      case FrameKind::NotRun:
-        mEnd.mNotRun = mContext.mLedger.MarkRejected(mAttempt).has_value();
-        [[fallthrough]];
-      case FrameKind::Broken:
-        mEnd.mReason = aFrame.mReason;
-        mEnd.mText = aFrame.mText;
-        mEnd.mRetryAfter = aFrame.mRetryAfter;
-        return Ok();
-      case FrameKind::Answer:
-        return Fail(ErrorCode::Corrupt, "unexpected frame");
-    }
-    return Ok();
-  }
-
-private:
-  Result<void> TakeHead(const HomeFrame& aFrame)
-  {
-    if (aFrame.mHead.mVersion != mContext.mVersion) {
-      return Fail(ErrorCode::Corrupt, "another weight version answered");
-    }
-    return mContext.mLedger.MarkAccepted(mAttempt);
-  }
-
-  Result<void> TakeChunk(const GenerateChunk& aChunk)
-  {
-    switch (mAnswer.Accept(aChunk)) {
-      case ChunkVerdict::Appended:
-        if (auto ok = mWriter.Append(aChunk.mText); !ok) {
-          mIsCallerGone = true;
-          return ok;
-        }
-        return Ok();
-      case ChunkVerdict::End:
-        return mContext.mLedger.MarkFinished(mAttempt);
-      case ChunkVerdict::Duplicate:
-      case ChunkVerdict::Foreign:
-        return Ok();
-      case ChunkVerdict::Gap:
-      case ChunkVerdict::Contradiction:
-        return Fail(ErrorCode::Corrupt, "the answer has a gap");
-    }
-    return Ok();
-  }
-
-  RequestContext& mContext;
-  AnswerAssembler& mAnswer;
-  AnswerWriter& mWriter;
-  AttemptId mAttempt;
-  AttemptEnd mEnd;
-  bool mIsCallerGone = false;
-};
-
 // One completion from the choice of a server to the end of its answer.
-class CompletionRun
+class CompletionRun : public HedgeOwner
 {
 public:
   CompletionRun(RequestContext& aContext, const DispatchParts& aParts)
@@ -114,11 +28,23 @@
 
   std::optional<Refusal> Execute();
 
+  [[nodiscard]] std::vector<ServerId> Candidates() const override
+  {
+    return mContext.mRouting->UsableServers(
+      mContext.mAccount.mProduct, VmRole::Engine, {});
+  }
+  [[nodiscard]] std::optional<HomeRequest> MakeHedge() override;
+  [[nodiscard]] FrameSink& HedgeSink() override { return *mHedgeSink; }
+  void OnHedgeWins() override;
+
 private:
   [[nodiscard]] std::optional<ServerChoice> AwaitChoice();
   [[nodiscard]] HomeRequest MakeRequest(const ServerChoice& aChoice) const;
+  [[nodiscard]] RetryQuery MakeRetryQuery() const;
   // Runs one attempt; true when the request has ended.
   [[nodiscard]] bool RunAttempt(const ServerChoice& aChoice);
+  // Takes what the attempt and its hedge have come to.
+  void TakeEnd(const HedgedEnd& aEnd, CompletionSink& aSink);
   [[nodiscard]] bool MayRetry();
   [[nodiscard]] std::optional<Refusal> Finish();
   [[nodiscard]] std::optional<Refusal> GiveUp();
@@ -138,6 +64,10 @@
   std::set<ServerId> mBroken;
   ServerId mLastServer;
   AttemptEnd mLast;
+  // The hedge of the present attempt.
+  ServerId mHedgeServer;
+  AttemptId mHedgeAttempt;
+  std::optional<CompletionSink> mHedgeSink;
   bool mIsCallerGone = false;
 };
 
@@ -155,6 +85,7 @@
                       mParts.mSettings.mSiteKey,
                       static_cast<std::uint32_t>(mParts.mSettings.mBlockBytes));
   mParts.mBudget.AddRequest(mContext.mEstimate.CostTokens());
+  mParts.mHedges.NoteRequest(mContext.mEstimate.CostTokens());
   while (true) {
     const auto choice = AwaitChoice();
     if (!choice) {
@@ -238,22 +169,87 @@
   if (!mContext.mLedger.Open(attempt) || !mContext.mLedger.MarkSent(attempt)) {
     return false;
   }
-  CompletionSink sink(mContext, mAnswer, mWriter);
-  const auto result =
-    RunAtHome(mContext, mParts.mHomes, MakeRequest(aChoice), sink);
-  mLast = sink.End();
-  mIsCallerGone = sink.IsCallerGone();
-  if (!result && result.error().mSent == SendState::NotSent) {
-    mLast.mNotRun = mContext.mLedger.MarkRejected(attempt).has_value();
-    mLast.mReason = RefusalReason::Draining;
-    mLast.mText = "the server's home could not be reached";
-  }
+  CompletionSink sink(mContext, mAnswer, mWriter, attempt);
+  const HedgeQuery query{ mContext.mEstimate.mClass,
+                          MakeRetryQuery(),
+                          MonotonicNow(),
+                          aChoice.mPlan.mTimeToFirstToken };
+  const auto end = RunHedged(mContext,
+                             mParts.mHomes,
+                             mParts.mHedges,
+                             query,
+                             MakeRequest(aChoice),
+                             sink,
+                             *this);
+  TakeEnd(end, sink);
   if (mAnswer.State() == AnswerState::Open) {
     mAnswer.StreamClosed();
   }
   return mAnswer.State() == AnswerState::Complete || mIsCallerGone;
 }
 
+void
+CompletionRun::TakeEnd(const HedgedEnd& aEnd, CompletionSink& aSink)
+{
+  if (aEnd.mNotSent[0]) {
+    aSink.NoteNotSent();
+  }
+  if (!aEnd.mHasHedge) {
+    mLast = aSink.End();
+    mIsCallerGone = aSink.IsCallerGone();
+    return;
+  }
+  if (aEnd.mNotSent[1]) {
+    mHedgeSink->NoteNotSent();
+  }
+  mIsCallerGone = aSink.IsCallerGone() || mHedgeSink->IsCallerGone();
+  if (aEnd.mEnded[0] && !aSink.End().mNotRun) {
+    mBroken.insert(mLastServer);
+  }
+  if (aEnd.mEnded[1] && !mHedgeSink->End().mNotRun) {
+    mBroken.insert(mHedgeServer);
+  }
+  // An attempt that may have run counts before one that did not.
+  const bool isHedge =
+    mAnswer.Attempt() == mHedgeAttempt || aSink.End().mNotRun;
+  mLast = isHedge ? mHedgeSink->End() : aSink.End();
+  mLastServer = isHedge ? mHedgeServer : mLastServer;
+}
+
+std::optional<HomeRequest>
+CompletionRun::MakeHedge()
+{
+  const auto choice = mParts.mLocator.Choose(mContext, mBlocks, mTried);
+  if (!choice) {
+    return std::nullopt;
+  }
+  mHedgeServer = choice->mServer;
+  mHedgeAttempt = AttemptId(RandomToken());
+  mHedgeSink.emplace(mContext, mAnswer, mWriter, mHedgeAttempt);
+  auto request = MakeRequest(*choice);
+  request.mGenerate.mAttempt = mHedgeAttempt;
+  mTried.insert(mHedgeServer);
+  return request;
+}
+
+void
+CompletionRun::OnHedgeWins()
+{
+  mAnswer.StreamClosed();
+  (void)mAnswer.BeginAttempt(mHedgeAttempt);
+}
+
+RetryQuery
+CompletionRun::MakeRetryQuery() const
+{
+  RetryQuery query;
+  query.mIdempotent = true;
+  query.mCostTokens = mContext.mEstimate.CostTokens();
+  query.mDeadline = mContext.mDeadline;
+  query.mTried.assign(mTried.begin(), mTried.end());
+  return query;
+}
+
 bool
 CompletionRun::MayRetry()
 {
@@ -284,13 +280,9 @@
   // A server that refused before may take work by now.
   mBroken.insert(mLastServer);
   mTried = mBroken;
-  RetryQuery query;
-  query.mIdempotent = true;
-  query.mCostTokens = mContext.mEstimate.CostTokens();
-  query.mDeadline = mContext.mDeadline;
-  query.mTried.assign(mTried.begin(), mTried.end());
-  query.mCandidates = mParts.mHomes.View()->UsableServers(
-    mContext.mAccount.mProduct, VmRole::Engine, {});
+  mContext.mRouting = mParts.mHomes.View();
+  RetryQuery query = MakeRetryQuery();
+  query.mCandidates = Candidates();
   return mParts.mRetries.Decide(query, MonotonicNow()).mVerdict ==
          RetryVerdict::Retry;
 }
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -89,6 +89,9 @@
   if (aContext.mRetries > 0) {
     mCounters.Add(aLabels, Counter::Retries, aContext.mRetries);
   }
+  if (aContext.mHedges > 0) {
+    mCounters.Add(aLabels, Counter::Hedges, aContext.mHedges);
+  }
 }
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/dispatch.cpp
@@ -3,21 +3,21 @@
 namespace bilberrytrail {
 
 Result<void, HttpError>
-RunAtHome(RequestContext& aContext,
+RunAtHome(ThreadContext& aThread,
+          const ControlView& aView,
           HomeService& aHomes,
           const HomeRequest& aRequest,
           FrameSink& aSink)
 {
-  const ControlView& view = *aContext.mRouting;
-  const auto server = view.mServers.find(aRequest.mServer);
+  const auto server = aView.mServers.find(aRequest.mServer);
   const DaemonId home =
-    server == view.mServers.end() ? view.mSelf : server->second.mHome;
-  const auto* peer = view.FindMember(home);
-  if (home == view.mSelf || peer == nullptr) {
-    aHomes.Run(aContext.mThread, aRequest, aSink);
+    server == aView.mServers.end() ? aView.mSelf : server->second.mHome;
+  const auto* peer = aView.FindMember(home);
+  if (home == aView.mSelf || peer == nullptr) {
+    aHomes.Run(aThread, aRequest, aSink);
     return Ok();
   }
-  return aContext.mThread.Peers().Run(*peer, aRequest, aSink);
+  return aThread.Peers().Run(*peer, aRequest, aSink);
 }
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/dispatch.h
+++ b/packages/daemon/src/dispatch.h
@@ -6,7 +6,7 @@
 #include "server_locator.h"
 
 #include <bilberrytrail/settings/daemon_settings.h>
-#include <bilberrytrail/traffic/retry_budget.h>
+#include <bilberrytrail/traffic/hedge_policy.h>
 
 #include <memory>
 
@@ -22,6 +22,7 @@
   ServerLocator& mLocator;
   ExtraWorkBudget& mBudget;
   RetryPolicy& mRetries;
+  HedgePolicy& mHedges;
   WorkEstimator& mEstimator;
 };
 
@@ -65,7 +66,8 @@
 // and passes its frames to the sink. Returns what is known when the frames
 // end; the NotRun and Broken frames are passed to the sink as well.
 [[nodiscard]] Result<void, HttpError>
-RunAtHome(RequestContext& aContext,
+RunAtHome(ThreadContext& aThread,
+          const ControlView& aView,
           HomeService& aHomes,
           const HomeRequest& aRequest,
           FrameSink& aSink);
--- a/packages/daemon/src/engine_run.cpp
+++ b/packages/daemon/src/engine_run.cpp
@@ -107,7 +107,11 @@
     return StepEnd::Finished;
   }
   mSink.NoteSent();
+  const auto guard = WatchReceiver();
   auto stream = engine.Generate(NextAttempt(), mDeadline - now);
+  if (!stream && !mSink.IsOpen()) {
+    return StepEnd::Finished;
+  }
   if (!stream) {
     const CallError& error = stream.error();
     mServer->NoteRefusal(MonotonicNow());
@@ -146,6 +150,10 @@
       aStream.Next(mTokens == 0 ? std::max<Duration>(left, 1ms) : kStallTime);
     if (!chunk) {
       mAnswer.StreamClosed();
+      if (!mSink.IsOpen()) {
+        // Cancelled, as nobody wants the answer any more.
+        return StepEnd::Finished;
+      }
       mServer->NoteRefusal(MonotonicNow());
       EndBroken(RefusalReason::ServerFailed, chunk.error().mMessage);
       return StepEnd::Finished;
@@ -168,6 +176,18 @@
   }
 }
 
+RunWatch::Guard
+EngineRun::WatchReceiver()
+{
+  return { mThread.Runs(),
+           mSink,
+           [&thread = mThread,
+            endpoint = mServer->Vm().mEndpoint,
+            attempt = mAnswer.Attempt()] {
+             (void)thread.EngineAt(endpoint).Cancel(attempt, kCancelTimeout);
+           } };
+}
+
 bool
 EngineRun::RelayChunk(const GenerateChunk& aChunk)
 {
--- a/packages/daemon/src/engine_run.h
+++ b/packages/daemon/src/engine_run.h
@@ -39,6 +39,9 @@
   [[nodiscard]] StepEnd RunAttempt();
   [[nodiscard]] StepEnd Relay(GenerateStream& aStream, Instant aSentAt);
   [[nodiscard]] GenerateRequest NextAttempt() const;
+  // Has the engine stop when the receiver of the answer goes before the engine
+  // has sent anything.
+  [[nodiscard]] RunWatch::Guard WatchReceiver();
   [[nodiscard]] bool RelayChunk(const GenerateChunk& aChunk);
   void Learn(const GenerateHead& aHead, Instant aSentAt);
   // Returns true when the queue wants the request off the server.
--- a/packages/daemon/src/estimate_message.cpp
+++ b/packages/daemon/src/estimate_message.cpp
@@ -66,6 +66,8 @@
                      { "service_us", it.mService.count() },
                      { "prefill_per_s", it.mPrefillTokensPerSecond },
                      { "resident", it.mResidentBlocks },
+                     { "pending", it.mPendingBlocks },
+                     { "pending_us", it.mPendingWait.count() },
                      { "weight", it.mWeight } });
   }
   return { { "servers", std::move(list) } };
@@ -85,6 +87,8 @@
     estimate.mService = Duration(fields.Unsigned("service_us"));
     estimate.mPrefillTokensPerSecond = fields.Real("prefill_per_s");
     estimate.mResidentBlocks = fields.Unsigned32("resident");
+    estimate.mPendingBlocks = fields.Unsigned32("pending");
+    estimate.mPendingWait = Duration(fields.Unsigned("pending_us"));
     estimate.mWeight = fields.Real("weight");
     if (estimate.mWeight <= 0 || estimate.mWeight > 1) {
       fields.Reject("weight");
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -23,7 +23,8 @@
   : mSettings(aSettings)
   , mViews(aViews)
   , mCache(aSettings, aViews)
-  , mHealth(MakeServerHealth(HealthSettings()))
+  , mHealth(aSettings.mFindSlowServers != 0 ? MakeServerHealth(HealthSettings())
+                                            : MakeNoDetection())
   , mQuarantine(aSettings.mQuarantineTime, aViews)
 {
 }
@@ -86,12 +87,28 @@
       server->Queue().PredictWait(entry, now) + server->PrefillBacklog();
     estimate.mPrefillTokensPerSecond = server->Speed().mPrefillTokensPerSecond;
     estimate.mResidentBlocks = server->ResidentPrefix(aQuery.mBlocks);
+    NotePending(aQuery, now, estimate);
     estimate.mWeight = WeightFor(id, aQuery.mClass);
     estimates.push_back(std::move(estimate));
   }
   return estimates;
 }
 
+void
+HomeService::NotePending(const EstimateQuery& aQuery,
+                         Instant aNow,
+                         ServerEstimate& aEstimate)
+{
+  const auto blocks = std::span<const BlockId>(aQuery.mBlocks);
+  const auto missing = blocks.subspan(aEstimate.mResidentBlocks);
+  const auto pending = mCache.Inflight().Find(aEstimate.mServer, missing, aNow);
+  if (pending.mBlocks > 0) {
+    aEstimate.mPendingBlocks = aEstimate.mResidentBlocks + pending.mBlocks;
+    aEstimate.mPendingWait =
+      std::max<Duration>(pending.mReadyAt - aNow, Duration::zero());
+  }
+}
+
 void
 HomeService::Run(ThreadContext& aThread,
                  const HomeRequest& aRequest,
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -39,6 +39,10 @@
   Duration mService{};
   double mPrefillTokensPerSecond = 0;
   std::uint32_t mResidentBlocks = 0;
+  // Blocks from the start that will be resident after the wait, because other
+  // requests import or compute them; 0 when there are no such blocks.
+  std::uint32_t mPendingBlocks = 0;
+  Duration mPendingWait{};
   // Below 1 while the server is slow for a moment: its times are as many times
   // longer.
   double mWeight = 1;
@@ -92,6 +96,10 @@
   // Returns whether this daemon's list has the server as leaving; it then gets
   // no new work, whatever the asker's view says.
   [[nodiscard]] bool IsLeaving(const ServerId& aServer) const;
+  // Adds what other requests are doing about the prompt's blocks.
+  void NotePending(const EstimateQuery& aQuery,
+                   Instant aNow,
+                   ServerEstimate& aEstimate);
   // Returns the weight for one request of the class, 1 for a probe.
   [[nodiscard]] double WeightFor(const ServerId& aServer, WorkClass aClass);
   void RunOnEngine(ThreadContext& aThread,
--- a/packages/daemon/src/inflight_gate.h
+++ b/packages/daemon/src/inflight_gate.h
@@ -19,6 +19,14 @@
 class InflightGate
 {
 public:
+  // Returns the leading blocks that others import or compute on the server.
+  [[nodiscard]] PendingPrefix Find(const ServerId& aServer,
+                                   std::span<const BlockId> aBlocks,
+                                   Instant aNow) const
+  {
+    const std::lock_guard lock(mMutex);
+    return mPrefixes.Find(aServer, aBlocks, aNow);
+  }
   // Begins the work on the blocks and returns true; or waits until the work
   // of another attempt on the first of them has ended, at most until aEnd,
   // and returns false.
@@ -42,7 +50,7 @@
                                      Instant aReadyAt);
   void Wake(const std::vector<AttemptId>& aWaiters);
 
-  std::mutex mMutex;
+  mutable std::mutex mMutex;
   InflightPrefixes mPrefixes;
   std::map<AttemptId, EventPtr> mWaiters;
 };
--- a/packages/daemon/src/peer_channel.cpp
+++ b/packages/daemon/src/peer_channel.cpp
@@ -95,17 +95,18 @@
                       ErrorCode::Refused,
                       "peer answered " + std::to_string(stream.Status()) };
   }
-  const auto run = mRuns.insert(mRuns.end(), OpenRun{ aPeer.mId, stream });
+  const auto run =
+    mRuns.insert(mRuns.end(), OpenRun{ aPeer.mId, stream, aSink });
   auto result = Relay(stream, aSink);
   mRuns.erase(run);
   return result;
 }
 
 void
-PeerChannel::CutDead(const ControlView& aView)
+PeerChannel::CutOver(const ControlView& aView)
 {
   for (auto& run : mRuns) {
-    if (aView.mDead.contains(run.mPeer)) {
+    if (aView.mDead.contains(run.mPeer) || run.mSink.IsAbandoned()) {
       run.mStream.Cancel();
     }
   }
--- a/packages/daemon/src/peer_channel.h
+++ b/packages/daemon/src/peer_channel.h
@@ -30,6 +30,9 @@
 
   // Returns false once nobody wants further frames.
   [[nodiscard]] virtual bool IsOpen() noexcept = 0;
+  // Returns true once the run may be cut although its frames have not ended,
+  // as that of the loser of a race.
+  [[nodiscard]] virtual bool IsAbandoned() noexcept { return false; }
   // Takes one frame; fails with Unavailable when the receiver has gone.
   virtual Result<void> Write(const HomeFrame& aFrame) = 0;
   // The request is about to be sent to its server.
@@ -65,9 +68,10 @@
   [[nodiscard]] virtual Result<void, HttpError> Run(const MemberRecord& aPeer,
                                                     const HomeRequest& aRequest,
                                                     FrameSink& aSink);
-  // Cuts the answers of peers that have died: a VM that was lost or is frozen
-  // closes no connection. Runs on the thread's loop, several times a second.
-  void CutDead(const ControlView& aView);
+  // Cuts the answers of peers that have died, since a VM that was lost or is
+  // frozen closes no connection, and abandoned answers. Runs on the thread's
+  // loop, several times a second.
+  void CutOver(const ControlView& aView);
 
 private:
   // An answer that is being read.
@@ -75,6 +79,7 @@
   {
     DaemonId mPeer;
     HttpStream& mStream;
+    FrameSink& mSink;
   };
 
   [[nodiscard]] static Result<void, HttpError> Relay(HttpStream& aStream,
--- a/packages/daemon/src/prefix_import.cpp
+++ b/packages/daemon/src/prefix_import.cpp
@@ -160,7 +160,7 @@
                                         mServerId,
                                         mAttempt,
                                         ids,
-                                        now + kImportSlack,
+                                        now + TransferTime(bytes),
                                         now + 2 * kImportSlack)) {
       return std::nullopt;
     }
@@ -169,6 +169,14 @@
     return isWhole;
   }
 
+  // Returns the time to move the bytes over a free link.
+  [[nodiscard]] Duration TransferTime(std::uint64_t aBytes) const
+  {
+    const auto rate = mCache.Settings().mLinkBytesPerSecond;
+    return FromMillis(static_cast<double>(aBytes) * 1000 /
+                      static_cast<double>(rate));
+  }
+
   bool ImportClaimed(const StoreId& aStore,
                      const Endpoint& aEndpoint,
                      const std::vector<BlockRef>& aRefs,
--- a/packages/daemon/src/request_context.h
+++ b/packages/daemon/src/request_context.h
@@ -65,6 +65,7 @@
   AttemptLedger mLedger{};
   std::optional<Instant> mFirstTokenAt{};
   std::uint32_t mRetries = 0;
+  std::uint32_t mHedges = 0;
   // The answer began and did not reach its caller whole.
   bool mIncomplete = false;
 
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -154,6 +154,8 @@
     candidate.mRoundTrip = isLocal ? Duration::zero() : kHomeRoundTrip;
     candidate.mPrefillTokensPerSecond = it.mPrefillTokensPerSecond;
     candidate.mResidentBlocks = it.mResidentBlocks;
+    candidate.mPendingBlocks = it.mPendingBlocks;
+    candidate.mPendingWait = it.mPendingWait;
     request.mCandidates.push_back(std::move(candidate));
   }
   request.mCopies = aWhere.mCopies;
--- a/packages/daemon/src/service_dispatch.cpp
+++ b/packages/daemon/src/service_dispatch.cpp
@@ -1,7 +1,11 @@
 #include "dispatch.h"
+#include "hedged_run.h"
 
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/orders/claim_row.h>
+#include <bilberrytrail/traffic/typical_time.h>
+
+#include <map>
 
 namespace bilberrytrail {
 
@@ -26,6 +30,13 @@
   {
     return mAnswer;
   }
+  // The home never saw the attempt.
+  void NoteNotSent()
+  {
+    mEnd.mNotRun = mContext.mLedger.MarkRejected(mAttempt).has_value();
+    mEnd.mReason = RefusalReason::Draining;
+    mEnd.mText = "the server's home could not be reached";
+  }
 
   [[nodiscard]] bool IsOpen() noexcept override
   {
@@ -64,6 +75,95 @@
   std::optional<ServiceAnswer> mAnswer;
 };
 
+HomeRequest
+MakeRequest(RequestContext& aContext, const ServerId& aServer)
+{
+  const ServiceRequest& service = *aContext.mService;
+  HomeRequest request;
+  request.mTarget = HomeTarget::Service;
+  request.mServer = aServer;
+  request.mProduct = aContext.mAccount.mProduct;
+  request.mAccount = aContext.mAccount.mAccount;
+  request.mClass = aContext.mEstimate.mClass;
+  request.mTimeLeft =
+    std::max<Duration>(aContext.mDeadline - MonotonicNow(), 1ms);
+  request.mCostTokens = aContext.mEstimate.CostTokens();
+  request.mCall.mAttempt = AttemptId(RandomToken());
+  request.mCall.mMethod = aContext.mHttp.mMethod;
+  request.mCall.mPath = service.mPath;
+  request.mCall.mContentType =
+    std::string(FindHeader(aContext.mHttp.mHeaders, "Content-Type"));
+  request.mCall.mBody = aContext.mHttp.mBody;
+  if (!service.mRepeatable) {
+    request.mClaimRowKey = ClaimRowKey(aContext.mAccount.mProduct,
+                                       aContext.mAccount.mAccount,
+                                       IdempotencyKey(service.mIdempotencyKey));
+  }
+  return request;
+}
+
+std::vector<ServerId>
+CandidatesOf(const RequestContext& aContext)
+{
+  return aContext.mRouting->UsableServers(
+    aContext.mAccount.mProduct,
+    VmRole::Service,
+    aContext.mProduct->mServices.at(aContext.mService->mService).mGroup);
+}
+
+RetryQuery
+MakeRetryQuery(const RequestContext& aContext, const std::set<ServerId>& aTried)
+{
+  RetryQuery query;
+  query.mIdempotent = aContext.mService->mRepeatable;
+  query.mCostTokens = aContext.mEstimate.CostTokens();
+  query.mDeadline = aContext.mDeadline;
+  query.mTried.assign(aTried.begin(), aTried.end());
+  return query;
+}
+
+// The second attempt of a repeatable call.
+class ServiceHedge final : public HedgeOwner
+{
+public:
+  ServiceHedge(RequestContext& aContext,
+               ServerLocator& aLocator,
+               std::set<ServerId>& aTried)
+    : mContext(aContext)
+    , mLocator(aLocator)
+    , mTried(aTried)
+  {
+  }
+
+  [[nodiscard]] std::optional<ServiceSink>& Sink() noexcept { return mSink; }
+
+  [[nodiscard]] std::vector<ServerId> Candidates() const override
+  {
+    return CandidatesOf(mContext);
+  }
+
+  [[nodiscard]] std::optional<HomeRequest> MakeHedge() override
+  {
+    const auto choice = mLocator.Choose(mContext, PromptBlocks(), mTried);
+    if (!choice) {
+      return std::nullopt;
+    }
+    mTried.insert(choice->mServer);
+    auto request = MakeRequest(mContext, choice->mServer);
+    mSink.emplace(mContext, request.mCall.mAttempt);
+    return request;
+  }
+
+  [[nodiscard]] FrameSink& HedgeSink() override { return *mSink; }
+  void OnHedgeWins() override {}
+
+private:
+  RequestContext& mContext;
+  ServerLocator& mLocator;
+  std::set<ServerId>& mTried;
+  std::optional<ServiceSink> mSink;
+};
+
 class ServiceDispatcher final : public RequestFilter
 {
 public:
@@ -78,6 +178,7 @@
       return std::nullopt;
     }
     mParts.mBudget.AddRequest(aContext.mEstimate.CostTokens());
+    mParts.mHedges.NoteRequest(aContext.mEstimate.CostTokens());
     std::set<ServerId> tried;
     AttemptEnd last;
     while (true) {
@@ -96,17 +197,14 @@
         return GiveUp(aContext, last);
       }
       ServiceSink sink(aContext, attempt);
-      const auto result = RunAtHome(aContext, mParts.mHomes, request, sink);
-      if (sink.Answer()) {
-        SendAnswer(aContext, *sink.Answer());
+      ServiceHedge hedge(aContext, mParts.mLocator, tried);
+      const auto end =
+        RunTimed(aContext, std::move(request), sink, hedge, tried);
+      if (const auto* answer = AnswerOf(end, sink, hedge)) {
+        SendAnswer(aContext, *answer);
         return std::nullopt;
       }
-      last = sink.End();
-      if (!result && result.error().mSent == SendState::NotSent) {
-        last.mNotRun = aContext.mLedger.MarkRejected(attempt).has_value();
-        last.mReason = RefusalReason::Draining;
-        last.mText = "the server's home could not be reached";
-      }
+      last = TakeEnd(end, sink, hedge);
       if (last.IsHomeLost()) {
         tried.erase(choice->mServer);
         (void)aContext.mThread.GetLoop().Sleep(kHomeLostPause);
@@ -119,6 +217,58 @@
   }
 
 private:
+  // Runs the call, hedged when it is late, and learns how long it took.
+  HedgedEnd RunTimed(RequestContext& aContext,
+                     HomeRequest aRequest,
+                     ServiceSink& aSink,
+                     ServiceHedge& aHedge,
+                     const std::set<ServerId>& aTried)
+  {
+    auto& typical = mTypical[aContext.mService->mService];
+    const auto begin = MonotonicNow();
+    HedgeQuery query{ aContext.mEstimate.mClass,
+                      MakeRetryQuery(aContext, aTried),
+                      begin,
+                      typical.Mean().value_or(Duration()) };
+    query.mRequest.mIdempotent &= typical.Mean().has_value();
+    const auto end = RunHedged(aContext,
+                               mParts.mHomes,
+                               mParts.mHedges,
+                               query,
+                               std::move(aRequest),
+                               aSink,
+                               aHedge);
+    if (AnswerOf(end, aSink, aHedge) != nullptr) {
+      typical.Add(MonotonicNow() - begin);
+    }
+    return end;
+  }
+
+  static const ServiceAnswer* AnswerOf(const HedgedEnd& aEnd,
+                                       const ServiceSink& aSink,
+                                       ServiceHedge& aHedge)
+  {
+    const auto& answer =
+      aEnd.mLane == RaceLane::Hedge ? aHedge.Sink()->Answer() : aSink.Answer();
+    return answer ? &*answer : nullptr;
+  }
+
+  // Returns the end of the call: of two attempts that of the one that may have
+  // run.
+  static AttemptEnd TakeEnd(const HedgedEnd& aEnd,
+                            ServiceSink& aSink,
+                            ServiceHedge& aHedge)
+  {
+    if (aEnd.mNotSent[0]) {
+      aSink.NoteNotSent();
+    }
+    if (aEnd.mNotSent[1]) {
+      aHedge.Sink()->NoteNotSent();
+    }
+    return aEnd.mHasHedge && aSink.End().mNotRun ? aHedge.Sink()->End()
+                                                 : aSink.End();
+  }
+
   // Waits a moment for a server, as its home may just change.
   std::optional<ServerChoice> AwaitChoice(RequestContext& aContext,
                                           const std::set<ServerId>& aTried)
@@ -146,34 +296,6 @@
              kServiceRetry };
   }
 
-  static HomeRequest MakeRequest(RequestContext& aContext,
-                                 const ServerId& aServer)
-  {
-    const ServiceRequest& service = *aContext.mService;
-    HomeRequest request;
-    request.mTarget = HomeTarget::Service;
-    request.mServer = aServer;
-    request.mProduct = aContext.mAccount.mProduct;
-    request.mAccount = aContext.mAccount.mAccount;
-    request.mClass = aContext.mEstimate.mClass;
-    request.mTimeLeft =
-      std::max<Duration>(aContext.mDeadline - MonotonicNow(), 1ms);
-    request.mCostTokens = aContext.mEstimate.CostTokens();
-    request.mCall.mAttempt = AttemptId(RandomToken());
-    request.mCall.mMethod = aContext.mHttp.mMethod;
-    request.mCall.mPath = service.mPath;
-    request.mCall.mContentType =
-      std::string(FindHeader(aContext.mHttp.mHeaders, "Content-Type"));
-    request.mCall.mBody = aContext.mHttp.mBody;
-    if (!service.mRepeatable) {
-      request.mClaimRowKey =
-        ClaimRowKey(aContext.mAccount.mProduct,
-                    aContext.mAccount.mAccount,
-                    IdempotencyKey(service.mIdempotencyKey));
-    }
-    return request;
-  }
-
   bool MayRetry(RequestContext& aContext,
                 const AttemptEnd& aLast,
                 const std::set<ServerId>& aTried)
@@ -182,15 +304,8 @@
       return aContext.mDeadline > MonotonicNow() &&
              aLast.mReason != RefusalReason::PlatformUnavailable;
     }
-    RetryQuery query;
-    query.mIdempotent = aContext.mService->mRepeatable;
-    query.mCostTokens = aContext.mEstimate.CostTokens();
-    query.mDeadline = aContext.mDeadline;
-    query.mTried.assign(aTried.begin(), aTried.end());
-    query.mCandidates = aContext.mView->UsableServers(
-      aContext.mAccount.mProduct,
-      VmRole::Service,
-      aContext.mProduct->mServices.at(aContext.mService->mService).mGroup);
+    auto query = MakeRetryQuery(aContext, aTried);
+    query.mCandidates = CandidatesOf(aContext);
     return mParts.mRetries.Decide(query, MonotonicNow()).mVerdict ==
            RetryVerdict::Retry;
   }
@@ -214,6 +329,8 @@
   }
 
   DispatchParts mParts;
+  // Times of repeatable calls by service.
+  std::map<std::string, TypicalTime> mTypical;
 };
 
 } // namespace
--- a/packages/daemon/src/thread_context.h
+++ b/packages/daemon/src/thread_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapter_factory.h"
+#include "run_watch.h"
 
 #include <bilberrytrail/runtime/http_client.h>
 #include <bilberrytrail/runtime/loop.h>
@@ -28,6 +29,9 @@
     return mClaimTable == nullptr ? *mTable : *mClaimTable;
   }
 
+  // Returns the runs that wait for backend servers.
+  [[nodiscard]] RunWatch& Runs() noexcept { return mRuns; }
+
   // Returns the adapter for a backend server.
   [[nodiscard]] Engine& EngineAt(const Endpoint& aEndpoint);
   [[nodiscard]] Store& StoreAt(const Endpoint& aEndpoint);
@@ -41,6 +45,7 @@
 private:
   Loop& mLoop;
   HttpClient mClient;
+  RunWatch mRuns;
   std::unique_ptr<AdapterFactory> mAdapters;
   std::unique_ptr<PeerChannel> mPeers;
   std::unique_ptr<TableService> mTable;
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -93,7 +93,8 @@
 TrafficThread::WatchPeers()
 {
   while (mLoop.Sleep(kPeerWatchPeriod)) {
-    mThread.Peers().CutDead(*mViews.Load());
+    mThread.Peers().CutOver(*mViews.Load());
+    mThread.Runs().Tick(mLoop);
     mPeers.KeepAlive();
   }
 }
--- a/packages/runtime/include/bilberrytrail/runtime/loop.h
+++ b/packages/runtime/include/bilberrytrail/runtime/loop.h
@@ -47,6 +47,8 @@
   // Suspends the calling fiber of this loop. Returns false when the loop is
   // stopping.
   [[nodiscard]] bool Sleep(Duration aLength);
+  // Lets the other fibers of this loop run, also while it is stopping.
+  static void Yield();
 
 private:
   std::unique_ptr<Impl> mImpl;
--- a/packages/runtime/src/loop.cpp
+++ b/packages/runtime/src/loop.cpp
@@ -177,6 +177,12 @@
   return !mImpl->IsStopping();
 }
 
+void
+Loop::Yield()
+{
+  boost::this_fiber::yield();
+}
+
 class Event::Impl
 {
 public:
--- a/packages/settings/include/bilberrytrail/settings/daemon_settings.h
+++ b/packages/settings/include/bilberrytrail/settings/daemon_settings.h
@@ -81,6 +81,8 @@
   Duration mMaxDeadline{};
   double mRetryBudget = 0;
   double mHedgeBudget = 0;
+  // 1 when slow backend servers get less work, else 0.
+  std::uint64_t mFindSlowServers = 0;
   Duration mQuarantineTime{};
   Duration mClaimBatchTime{};
   std::uint64_t mClaimHomes = 0;
--- a/packages/traffic/include/bilberrytrail/traffic/hedge_policy.h
+++ b/packages/traffic/include/bilberrytrail/traffic/hedge_policy.h
@@ -27,6 +27,8 @@
 public:
   virtual ~HedgePolicy() = default;
 
+  // Counts the first attempt of a request.
+  virtual void NoteRequest(double aCostTokens) = 0;
   // Returns when to ask Hedge(), or nothing when the request is never hedged.
   [[nodiscard]] virtual std::optional<Instant> HedgeAt(
     const HedgeQuery& aQuery) const = 0;
@@ -36,10 +38,24 @@
                                                     Instant aNow) = 0;
 };
 
-// Returns a policy that hedges short idempotent work once it has taken
-// aFactor times its predicted time, within the budget, which must outlive it.
+// When a request counts as late, and how many hedges there may be.
+struct HedgeSettings
+{
+  // Multiple of the predicted time.
+  double mFactor = 2;
+  // Shorter times are within the noise of the network and of timers.
+  Duration mLeast{};
+  // Work of hedges alone over the work of requests, and what is available at
+  // the start.
+  double mShare = kMaxExtraWorkShare;
+  double mReserveTokens = 10000;
+};
+
+// Returns a policy that hedges short idempotent work once it is late, within
+// the budget, which must outlive it.
 [[nodiscard]] std::unique_ptr<HedgePolicy>
-MakeBudgetedHedgePolicy(ExtraWorkBudget& aBudget, double aFactor);
+MakeBudgetedHedgePolicy(ExtraWorkBudget& aBudget,
+                        const HedgeSettings& aSettings);
 
 // Returns the baseline, which never hedges.
 [[nodiscard]] std::unique_ptr<HedgePolicy>
--- a/packages/traffic/src/hedge_policy.cpp
+++ b/packages/traffic/src/hedge_policy.cpp
@@ -1,16 +1,26 @@
 #include <bilberrytrail/traffic/hedge_policy.h>
 
+#include <algorithm>
+
 namespace bilberrytrail {
 namespace {
 
+constexpr double kMaxSavedTokens = 200000;
+
 // See MakeBudgetedHedgePolicy.
 class BudgetedHedgePolicy final : public HedgePolicy
 {
 public:
-  BudgetedHedgePolicy(ExtraWorkBudget& aBudget, double aFactor)
+  BudgetedHedgePolicy(ExtraWorkBudget& aBudget, const HedgeSettings& aSettings)
     : mRetries(MakeBudgetedRetryPolicy(aBudget))
-    , mFactor(aFactor)
+    , mSettings(aSettings)
+    , mHedgeBudget(aSettings.mShare, aSettings.mReserveTokens, kMaxSavedTokens)
+  {
+  }
+
+  void NoteRequest(double aCostTokens) override
   {
+    mHedgeBudget.AddRequest(aCostTokens);
   }
 
   std::optional<Instant> HedgeAt(const HedgeQuery& aQuery) const override
@@ -19,8 +29,9 @@
         aQuery.mRequest.mTried.size() > 1) {
       return std::nullopt;
     }
-    return aQuery.mSent +
-           std::chrono::duration_cast<Duration>(aQuery.mPredicted * mFactor);
+    const auto late = std::chrono::duration_cast<Duration>(aQuery.mPredicted *
+                                                           mSettings.mFactor);
+    return aQuery.mSent + std::max(late, mSettings.mLeast);
   }
 
   std::vector<ServerId> Hedge(const HedgeQuery& aQuery, Instant aNow) override
@@ -29,18 +40,28 @@
     if (!at || aNow < *at) {
       return {};
     }
-    return mRetries->Decide(aQuery.mRequest, aNow).mServers;
+    const double cost = aQuery.mRequest.mCostTokens;
+    if (mHedgeBudget.AvailableTokens() < cost) {
+      return {};
+    }
+    auto servers = mRetries->Decide(aQuery.mRequest, aNow).mServers;
+    if (!servers.empty()) {
+      (void)mHedgeBudget.TrySpend(cost);
+    }
+    return servers;
   }
 
 private:
   std::unique_ptr<RetryPolicy> mRetries;
-  double mFactor;
+  HedgeSettings mSettings;
+  ExtraWorkBudget mHedgeBudget;
 };
 
 // See MakeNoHedgePolicy.
 class NoHedgePolicy final : public HedgePolicy
 {
 public:
+  void NoteRequest(double /*aCostTokens*/) override {}
   std::optional<Instant> HedgeAt(const HedgeQuery& /*aQuery*/) const override
   {
     return std::nullopt;
@@ -55,9 +76,10 @@
 } // namespace
 
 std::unique_ptr<HedgePolicy>
-MakeBudgetedHedgePolicy(ExtraWorkBudget& aBudget, double aFactor)
+MakeBudgetedHedgePolicy(ExtraWorkBudget& aBudget,
+                        const HedgeSettings& aSettings)
 {
-  return std::make_unique<BudgetedHedgePolicy>(aBudget, aFactor);
+  return std::make_unique<BudgetedHedgePolicy>(aBudget, aSettings);
 }
 
 std::unique_ptr<HedgePolicy>
--- a/packages/traffic/tests/retry_and_hedge_test.cpp
+++ b/packages/traffic/tests/retry_and_hedge_test.cpp
@@ -85,7 +85,7 @@
     query.mRequest.mTried.assign(kServers.begin(),
                                  kServers.begin() +
                                    static_cast<std::ptrdiff_t>(row.mTried));
-    const auto policy = MakeBudgetedHedgePolicy(budget, 2);
+    const auto policy = MakeBudgetedHedgePolicy(budget, { 2, {} });
     const auto servers = policy->Hedge(query, kStart + row.mAfter);
     CHECK(!servers.empty() == row.mHedged);
     CHECK(budget.AvailableTokens() == (row.mHedged ? 900 : 1000));
@@ -100,7 +100,7 @@
     Random random(seed);
     ExtraWorkBudget budget(kMaxExtraWorkShare, 0, 5000);
     const auto retries = MakeBudgetedRetryPolicy(budget);
-    const auto hedges = MakeBudgetedHedgePolicy(budget, 2);
+    const auto hedges = MakeBudgetedHedgePolicy(budget, { 2, {} });
     double work = 0;
     double extra = 0;
     for (int n = 0; n < 10000; ++n) {
--- a/tests/faults/cell_checker.cpp
+++ b/tests/faults/cell_checker.cpp
@@ -3,6 +3,7 @@
 #include <bilberrytrail/platform/json_fields.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace bilberrytrail {
 
@@ -62,8 +63,8 @@
              : Outcome::Invalid;
   }
   const auto json = ParseJson(aCaller.mBody);
-  return json &&
-             json.value()["choices"][0].value("text", "") == WholeText(aCaller)
+  return json && WithoutRuns(json.value()["choices"][0].value("text", "")) ==
+                   WholeText(aCaller)
            ? Outcome::Whole
            : Outcome::Invalid;
 }
@@ -91,7 +92,8 @@
                                      : Outcome::Invalid;
     } else if (line.starts_with("data: ")) {
       const auto json = ParseJson(line.substr(6));
-      text += json ? json.value()["choices"][0].value("text", "") : "?";
+      text +=
+        json ? WithoutRuns(json.value()["choices"][0].value("text", "")) : "?";
     }
   }
   return Outcome::Invalid;
@@ -181,6 +183,7 @@
     Expect(aCaller.mBody.find("FOREIGN") == std::string::npos &&
              aCaller.mStream.find("FOREIGN") == std::string::npos,
            "text of another attempt reached the caller");
+    CheckPieces(aCaller);
     Expect(outcome != Outcome::NotRun || aCaller.mRuns == 0,
            "not_run, but it ran");
     Expect(aCaller.mTook <= kFinalAnswerBound,
@@ -188,6 +191,24 @@
              " ms");
   }
 
+  // Pieces of another run may only follow where that run resumed.
+  void CheckPieces(const CallerRecord& aCaller)
+  {
+    const std::string text = aCaller.mBody + aCaller.mStream;
+    int last = 0;
+    std::uint32_t position = 0;
+    for (auto at = text.find('#'); at != std::string::npos;
+         at = text.find('#', at + 1)) {
+      const int run = std::atoi(text.c_str() + at + 1);
+      const auto start = mHistory.mRunStarts.find(run);
+      const bool resumed =
+        start != mHistory.mRunStarts.end() && start->second == position;
+      Expect(run == last || resumed, "pieces of two attempts are mixed");
+      last = run;
+      ++position;
+    }
+  }
+
   void CheckRuns()
   {
     if (mPath != CallPath::ClaimedCall) {
--- a/tests/faults/fake_backend.cpp
+++ b/tests/faults/fake_backend.cpp
@@ -14,9 +14,11 @@
 public:
   FakeStream(RequestWorld& aWorld,
              RequestWorld::Node& aNode,
-             const GenerateRequest& aRequest)
+             const GenerateRequest& aRequest,
+             int aRun)
     : mWorld(aWorld)
     , mNode(aNode)
+    , mRun(aRun)
     , mAttempt(aRequest.mAttempt)
     , mPieces(AnswerPieces(aRequest.mVersion))
     , mNext(aRequest.mStartPosition)
@@ -35,6 +37,11 @@
     RequestWorld::CheckAlive(mNode);
     (void)mWorld.GetLoop().Sleep(kSmallPause);
     RequestWorld::CheckAlive(mNode);
+    if (!mHasBegun) {
+      mHasBegun = true;
+      mWorld.HoldAnswer(Step::FirstChunk);
+      RequestWorld::CheckAlive(mNode);
+    }
     const Step step = mNext >= mPieces.size() ? Step::End
                       : mNext == 0            ? Step::FirstChunk
                                               : Step::MiddleChunk;
@@ -58,6 +65,7 @@
     GenerateChunk chunk{ mAttempt, mNext, {}, mNext >= mPieces.size() };
     if (!chunk.mEnd) {
       chunk.mText = mPieces[mNext++];
+      chunk.mText.insert(chunk.mText.size() - 1, "#" + std::to_string(mRun));
     }
     if (!mLast && mWorld.Fires(step, Fault::DuplicateChunk)) {
       --mNext;
@@ -69,6 +77,8 @@
 private:
   RequestWorld& mWorld;
   RequestWorld::Node& mNode;
+  int mRun;
+  bool mHasBegun = false;
   AttemptId mAttempt;
   GenerateHead mHead;
   std::vector<std::string> mPieces;
@@ -95,7 +105,7 @@
     if (mWorld.Fires(Step::Granted, Fault::RefuseBeforeRunning)) {
       return FailCall(CallFate::NotRun, ErrorCode::Refused, "refused");
     }
-    mWorld.NoteEngineRun(aRequest, mNode.mId);
+    const int run = mWorld.NoteEngineRun(aRequest, mNode.mId);
     mWorld.Pass(Step::Running, mNode);
     RequestWorld::CheckAlive(mNode);
     if (mWorld.Fires(Step::Running, Fault::FailAfterRunning)) {
@@ -108,7 +118,7 @@
     mWorld.Pass(Step::Head, mNode);
     RequestWorld::CheckAlive(mNode);
     return std::unique_ptr<GenerateStream>(
-      std::make_unique<FakeStream>(mWorld, mNode, aRequest));
+      std::make_unique<FakeStream>(mWorld, mNode, aRequest, run));
   }
 
   CallResult<void> Cancel(const AttemptId& /*aAttempt*/,
@@ -180,6 +190,10 @@
     const AccountId account = mWorld.NoteServiceRun(aCall.mAttempt, mNode.mId);
     const ServiceAnswer answer{ 200, "text/plain", "done " + account.Text() };
     for (const Step step : { Step::Running, Step::ServiceAnswered }) {
+      if (step == Step::ServiceAnswered) {
+        mWorld.HoldAnswer(step);
+        RequestWorld::CheckAlive(mNode);
+      }
       mWorld.Pass(step, mNode);
       RequestWorld::CheckAlive(mNode);
       if (mWorld.Fires(step, Fault::FailAfterRunning)) {
--- a/tests/faults/fault_step.cpp
+++ b/tests/faults/fault_step.cpp
@@ -45,7 +45,7 @@
   if (IsAnswerStep(aStep)) {
     return "plain services do not stream";
   }
-  if (aPath == CallPath::RepeatableCall && IsTableStep(aStep)) {
+  if (aPath != CallPath::ClaimedCall && IsTableStep(aStep)) {
     return "repeatable calls are not claimed";
   }
   return kPossible;
@@ -109,6 +109,13 @@
     case Fault::TableLostRequest:
     case Fault::TableLostReply:
       return Unless(IsTableStep(step), "the table is not asked here");
+    case Fault::HedgeLate:
+    case Fault::BothAnswer:
+      if (!IsHedged(aCell.mPath)) {
+        return "the request is not hedged";
+      }
+      return Unless(step == Step::FirstChunk || step == Step::ServiceAnswered,
+                    "the answer does not begin here");
   }
   return "unknown fault";
 }
--- a/tests/faults/fault_step.h
+++ b/tests/faults/fault_step.h
@@ -13,17 +13,18 @@
   Completion,
   StreamedCompletion,
   RepeatableCall,
-  ClaimedCall
+  ClaimedCall,
+  // As their namesakes, but the first attempt is late and is hedged.
+  HedgedCompletion,
+  HedgedCall
 };
 
 template<>
 struct EnumNames<CallPath>
 {
-  static constexpr std::array<std::string_view, 4> kNames{
-    "completion",
-    "streamed_completion",
-    "repeatable_call",
-    "claimed_call"
+  static constexpr std::array<std::string_view, 6> kNames{
+    "completion",   "streamed_completion", "repeatable_call",
+    "claimed_call", "hedged_completion",   "hedged_call"
   };
 };
 
@@ -101,13 +102,16 @@
   // The table service.
   TableDown,
   TableLostReply,
-  TableLostRequest
+  TableLostRequest,
+  // The first attempt answers before its hedge; both answer at one moment.
+  HedgeLate,
+  BothAnswer
 };
 
 template<>
 struct EnumNames<Fault>
 {
-  static constexpr std::array<std::string_view, 26> kNames{
+  static constexpr std::array<std::string_view, 28> kNames{
     "kill_home",
     "caller_gone",
     "drain_home",
@@ -133,7 +137,9 @@
     "stall",
     "table_down",
     "table_lost_reply",
-    "table_lost_request"
+    "table_lost_request",
+    "hedge_late",
+    "both_answer"
   };
 };
 
@@ -153,7 +159,15 @@
 [[nodiscard]] constexpr bool
 IsCompletion(CallPath aPath) noexcept
 {
-  return aPath == CallPath::Completion || aPath == CallPath::StreamedCompletion;
+  return aPath == CallPath::Completion ||
+         aPath == CallPath::StreamedCompletion ||
+         aPath == CallPath::HedgedCompletion;
+}
+
+[[nodiscard]] constexpr bool
+IsHedged(CallPath aPath) noexcept
+{
+  return aPath == CallPath::HedgedCompletion || aPath == CallPath::HedgedCall;
 }
 
 } // namespace bilberrytrail
--- a/tests/faults/request_world.cpp
+++ b/tests/faults/request_world.cpp
@@ -25,6 +25,11 @@
 constexpr Duration kQuietCheck = 1ms;
 constexpr Duration kDrainDelay = 3ms;
 constexpr int kQueueSlots = 8;
+// Longest time for which an answer is held back for the other attempt's; the
+// hedge is sent after 50 ms.
+constexpr Duration kHoldTime = 300ms;
+// Calls after which an entry knows how long a service takes.
+constexpr int kWarmUpCalls = 8;
 
 // Index of each daemon in the world.
 constexpr std::size_t kEntryA = 0;
@@ -152,6 +157,20 @@
   return pieces;
 }
 
+std::string
+WithoutRuns(std::string_view aText)
+{
+  std::string text;
+  bool isNumber = false;
+  for (const char c : aText) {
+    isNumber = c == '#' || (isNumber && c != ' ');
+    if (!isNumber) {
+      text += c;
+    }
+  }
+  return text;
+}
+
 RequestWorld::Node::Node(RequestWorld& aWorld, std::string aName)
   : mId(std::move(aName))
   , mSettings(MakeSettings())
@@ -338,7 +357,7 @@
   return {};
 }
 
-void
+int
 RequestWorld::NoteEngineRun(const GenerateRequest& aRequest,
                             const DaemonId& aHome)
 {
@@ -353,9 +372,52 @@
   for (std::uint32_t n = 0; n < aRequest.mStartPosition; ++n) {
     prefix += pieces.at(n);
   }
-  if (aRequest.mResumeText != prefix) {
+  if (WithoutRuns(aRequest.mResumeText) != prefix) {
     mHistory.mFaults.emplace_back("an attempt resumes from a wrong text");
   }
+  mHistory.mRunStarts[++mLastRun] = aRequest.mStartPosition;
+  return mLastRun;
+}
+
+void
+RequestWorld::Hold(const bool& aUntil)
+{
+  const auto end = MonotonicNow() + kHoldTime;
+  while (!aUntil && MonotonicNow() < end && mLoop.Sleep(kQuietCheck)) {
+  }
+}
+
+void
+RequestWorld::HoldAnswer(Step aStep)
+{
+  if (!mIsArmed || !IsHedged(mPath)) {
+    return;
+  }
+  const int answer = ++mAnswers;
+  if (answer == 1) {
+    mHedgeLate = Fires(aStep, Fault::HedgeLate);
+    mBothAnswer = Fires(aStep, Fault::BothAnswer);
+    // With a late hedge the answer waits only for it to be sent.
+    Hold(mHasHedgeBegun);
+    mHasFirstBegun = true;
+  } else if (answer == 2) {
+    mHasHedgeBegun = mHedgeLate || mBothAnswer;
+    if (mHedgeLate) {
+      Hold(mHasFirstBegun);
+      (void)mLoop.Sleep(kDrainDelay);
+    }
+    mHasHedgeBegun = true;
+  }
+}
+
+void
+RequestWorld::WarmUp()
+{
+  for (int n = 0; n < kWarmUpCalls; ++n) {
+    Send(*mNodes[kEntryA], std::string(kFirstAccount));
+    AwaitQuiet();
+  }
+  mHistory = History();
 }
 
 HttpRequest
@@ -369,7 +431,7 @@
     const Json body = { { "model", kModel },
                         { "prompt", std::string(kPromptBytes, 'x') },
                         { "max_tokens", kFirstMaxTokens + aCaller },
-                        { "stream", mPath == CallPath::StreamedCompletion } };
+                        { "stream", mPath != CallPath::Completion } };
     request.mMethod = "POST";
     request.mTarget = "/v1/completions";
     request.mBody = body.dump();
@@ -418,6 +480,9 @@
 void
 RequestWorld::Main()
 {
+  if (mPath == CallPath::HedgedCall) {
+    WarmUp();
+  }
   mIsArmed = true;
   Send(*mNodes[kEntryA], std::string(kFirstAccount));
   AwaitQuiet();
--- a/tests/faults/request_world.h
+++ b/tests/faults/request_world.h
@@ -58,6 +58,8 @@
   std::map<AccountId, int> mServiceRuns;
   // Accounts for which each block id was seen.
   std::map<BlockId, std::set<AccountId>> mBlockAccounts;
+  // Position at which each run at an engine began; its pieces carry its number.
+  std::map<int, std::uint32_t> mRunStarts;
   // Faults that the fakes noticed.
   std::vector<std::string> mFaults;
 };
@@ -100,7 +102,11 @@
   // Notes a run of a plain service; returns the account that it is for.
   [[nodiscard]] AccountId NoteServiceRun(const AttemptId& aAttempt,
                                          const DaemonId& aHome);
-  void NoteEngineRun(const GenerateRequest& aRequest, const DaemonId& aHome);
+  // Notes a run at an engine; returns its number.
+  int NoteEngineRun(const GenerateRequest& aRequest, const DaemonId& aHome);
+  // Holds an answer back that is about to begin, so that attempt and hedge
+  // begin in the order that the path and its faults want.
+  void HoldAnswer(Step aStep);
   // Counts requests that run at homes.
   void ChangeServing(int aBy) noexcept { mServing += aBy; }
 
@@ -115,6 +121,9 @@
   void NoteRun(CallerRecord& aCaller, const DaemonId& aHome);
   void DrainHome(Step aStep, Node& aHome);
   void AwaitQuiet();
+  // Has the entry learn how long calls of the service take.
+  void WarmUp();
+  void Hold(const bool& aUntil);
 
   CallPath mPath;
   std::vector<Cell> mArmed;
@@ -134,10 +143,23 @@
   std::set<DaemonId> mLeaving;
   bool mIsEntryDraining = false;
   std::string mVersion = "v1";
+  // Answers of hedged attempts: how many were about to begin, whether the
+  // second one has, and the faults of the order.
+  int mAnswers = 0;
+  bool mHasFirstBegun = false;
+  bool mHasHedgeBegun = false;
+  bool mHedgeLate = false;
+  bool mBothAnswer = false;
+  int mLastRun = 0;
 };
 
 // Returns the pieces that a model answers with.
 [[nodiscard]] std::vector<std::string>
 AnswerPieces(const VersionId& aVersion);
 
+// Returns the text of an answer without the numbers of the runs that made its
+// pieces.
+[[nodiscard]] std::string
+WithoutRuns(std::string_view aText);
+
 } // namespace bilberrytrail
