--- a/packages/daemon/src/estimate_cache.cpp
+++ b/packages/daemon/src/estimate_cache.cpp
@@ -95,6 +95,18 @@
   return best->first;
 }
 
+double
+EstimateCache::PrefillSpeed(const EstimateKey& aKey,
+                            const ServerId& aServer) const
+{
+  const auto rows = mRows.find(aKey);
+  if (rows == mRows.end()) {
+    return 0;
+  }
+  const auto it = rows->second.find(aServer);
+  return it == rows->second.end() ? 0 : it->second.mPrefillTokensPerSecond;
+}
+
 void
 EstimateCache::DropOld(Rows& aRows, Instant aNow)
 {
--- a/packages/daemon/src/estimate_cache.h
+++ b/packages/daemon/src/estimate_cache.h
@@ -57,6 +57,10 @@
                                                const ServerPredicate& aUsable,
                                                Instant aNow,
                                                Random& aRandom);
+  // Returns how fast the server computes prompts, in tokens per second; 0 when
+  // nothing is known of it.
+  [[nodiscard]] double PrefillSpeed(const EstimateKey& aKey,
+                                    const ServerId& aServer) const;
 
 private:
   struct Row
--- a/packages/daemon/src/estimate_message.cpp
+++ b/packages/daemon/src/estimate_message.cpp
@@ -62,6 +62,8 @@
            { "service_us", aEstimate.mService.count() },
            { "prefill_per_s", aEstimate.mPrefillTokensPerSecond },
            { "resident", aEstimate.mResidentBlocks },
+           { "pending", aEstimate.mPendingBlocks },
+           { "pending_us", aEstimate.mPendingWait.count() },
            { "served_instead", aEstimate.mServedInstead.Text() },
            { "weight", aEstimate.mWeight },
            { "room", aEstimate.mHasRoom } };
@@ -78,6 +80,8 @@
   estimate.mService = Duration(fields.Unsigned("service_us"));
   estimate.mPrefillTokensPerSecond = fields.Real("prefill_per_s");
   estimate.mResidentBlocks = fields.Unsigned32("resident");
+  estimate.mPendingBlocks = fields.Unsigned32("pending");
+  estimate.mPendingWait = Duration(fields.Unsigned("pending_us"));
   if (fields.Has("served_instead")) {
     estimate.mServedInstead = VersionId(fields.Text("served_instead"));
   }
--- a/packages/daemon/src/estimate_message.h
+++ b/packages/daemon/src/estimate_message.h
@@ -34,6 +34,10 @@
   Duration mService{};
   double mPrefillTokensPerSecond = 0;
   std::uint32_t mResidentBlocks = 0;
+  // Blocks from the start that will be resident after the wait, because other
+  // requests import or compute them; 0 when there are no such blocks.
+  std::uint32_t mPendingBlocks = 0;
+  Duration mPendingWait{};
   // Another version of the model that an engine serves which does not serve the
   // one asked for; empty when it serves none.
   VersionId mServedInstead;
--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -35,7 +35,8 @@
   : mSettings(aSettings)
   , mViews(aViews)
   , mCache(aSettings, aViews)
-  , mHealth(MakeServerHealth(HealthSettings()))
+  , mHealth(aSettings.mFindSlowServers != 0 ? MakeServerHealth(HealthSettings())
+                                            : MakeNoDetection())
   , mQuarantine(aSettings.mQuarantineTime, aViews)
 {
 }
@@ -90,6 +91,7 @@
       continue;
     }
     auto estimate = EstimateFor(*server, aQuery, now);
+    NotePending(aQuery, now, estimate);
     estimate.mWeight = WeightFor(id, aQuery.mClass);
     estimates.push_back(std::move(estimate));
   }
@@ -141,6 +143,21 @@
   return estimate;
 }
 
+void
+HomeService::NotePending(const EstimateQuery& aQuery,
+                         Instant aNow,
+                         ServerEstimate& aEstimate)
+{
+  const auto blocks = std::span<const BlockId>(aQuery.mBlocks);
+  const auto missing = blocks.subspan(aEstimate.mResidentBlocks);
+  const auto pending = mCache.Inflight().Find(aEstimate.mServer, missing, aNow);
+  if (pending.mBlocks > 0) {
+    aEstimate.mPendingBlocks = aEstimate.mResidentBlocks + pending.mBlocks;
+    aEstimate.mPendingWait =
+      std::max<Duration>(pending.mReadyAt - aNow, Duration::zero());
+  }
+}
+
 void
 HomeService::Run(ThreadContext& aThread,
                  const HomeRequest& aRequest,
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -59,6 +59,10 @@
   // Returns whether this daemon's list has the server as leaving; it then gets
   // no new work, whatever the asker's view says.
   [[nodiscard]] bool IsLeaving(const ServerId& aServer) const;
+  // Adds what other requests are doing about the prompt's blocks.
+  void NotePending(const EstimateQuery& aQuery,
+                   Instant aNow,
+                   ServerEstimate& aEstimate);
   // Returns the weight for one request of the class, 1 for a probe.
   [[nodiscard]] double WeightFor(const ServerId& aServer, WorkClass aClass);
   // Returns the estimate for one server but for its weight.
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -83,6 +83,12 @@
   ServerChoice choice;
   choice.mServer = *server;
   choice.mIsUnasked = true;
+  const double speed =
+    aContext.mKnown->PrefillSpeed(aContext.KindOfRequest(), *server);
+  if (speed > 0) {
+    choice.mPlan.mTimeToFirstToken =
+      FromMillis(aContext.mEstimate.mPromptTokens / speed * 1000);
+  }
   return choice;
 }
 
@@ -191,6 +197,8 @@
     candidate.mRoundTrip = isLocal ? Duration::zero() : kHomeRoundTrip;
     candidate.mPrefillTokensPerSecond = it.mPrefillTokensPerSecond;
     candidate.mResidentBlocks = it.mResidentBlocks;
+    candidate.mPendingBlocks = it.mPendingBlocks;
+    candidate.mPendingWait = it.mPendingWait;
     request.mCandidates.push_back(std::move(candidate));
   }
   request.mCopies = aWhere.mCopies;
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -95,7 +95,8 @@
 {
   while (mLoop.Sleep(kPeerWatchPeriod)) {
     const auto view = mViews.Load();
-    mThread.Peers().CutDead(*view);
+    mThread.Peers().CutOver(*view);
+    mThread.Runs().Tick(mLoop);
     mPeers.KeepAlive();
     const auto homes = ClaimHomesInUse(
       view->mHomes.size(), static_cast<std::uint32_t>(mSettings.mClaimHomes));
--- a/tests/faults/fault_step.h
+++ b/tests/faults/fault_step.h
@@ -15,18 +15,18 @@
   // A completion whose prompt is kept in a store.
   KeptPrompt,
   RepeatableCall,
-  ClaimedCall
+  ClaimedCall,
+  // As their namesakes, but the first attempt is late and is hedged.
+  HedgedCompletion,
+  HedgedCall
 };
 
 template<>
 struct EnumNames<CallPath>
 {
-  static constexpr std::array<std::string_view, 5> kNames{
-    "completion",
-    "streamed_completion",
-    "kept_prompt",
-    "repeatable_call",
-    "claimed_call"
+  static constexpr std::array<std::string_view, 7> kNames{
+    "completion",   "streamed_completion", "kept_prompt", "repeatable_call",
+    "claimed_call", "hedged_completion",   "hedged_call"
   };
 };
 
@@ -124,13 +124,16 @@
   StoreCut,
   StoreSlow,
   StoreCorrupt,
-  StoreLostReply
+  StoreLostReply,
+  // The first attempt answers before its hedge; both answer at one moment.
+  HedgeLate,
+  BothAnswer
 };
 
 template<>
 struct EnumNames<Fault>
 {
-  static constexpr std::array<std::string_view, 35> kNames{
+  static constexpr std::array<std::string_view, 37> kNames{
     "kill_home",
     "caller_gone",
     "drain_home",
@@ -165,7 +168,9 @@
     "store_cut",
     "store_slow",
     "store_corrupt",
-    "store_lost_reply"
+    "store_lost_reply",
+    "hedge_late",
+    "both_answer"
   };
 };
 
@@ -186,7 +191,14 @@
 IsCompletion(CallPath aPath) noexcept
 {
   return aPath == CallPath::Completion ||
-         aPath == CallPath::StreamedCompletion || aPath == CallPath::KeptPrompt;
+         aPath == CallPath::StreamedCompletion ||
+         aPath == CallPath::KeptPrompt || aPath == CallPath::HedgedCompletion;
+}
+
+[[nodiscard]] constexpr bool
+IsHedged(CallPath aPath) noexcept
+{
+  return aPath == CallPath::HedgedCompletion || aPath == CallPath::HedgedCall;
 }
 
 } // namespace bilberrytrail
--- a/tests/faults/request_world.h
+++ b/tests/faults/request_world.h
@@ -60,6 +60,8 @@
   std::map<AccountId, int> mServiceRuns;
   // Accounts for which each block id was seen.
   std::map<BlockId, std::set<AccountId>> mBlockAccounts;
+  // Position at which each run at an engine began; its pieces carry its number.
+  std::map<int, std::uint32_t> mRunStarts;
   // Faults that the fakes noticed.
   std::vector<std::string> mFaults;
   // Imported blocks that engines used.
@@ -104,7 +106,11 @@
   // Notes a run of a plain service; returns the account that it is for.
   [[nodiscard]] AccountId NoteServiceRun(const AttemptId& aAttempt,
                                          const DaemonId& aHome);
-  void NoteEngineRun(const GenerateRequest& aRequest, const DaemonId& aHome);
+  // Notes a run at an engine; returns its number.
+  int NoteEngineRun(const GenerateRequest& aRequest, const DaemonId& aHome);
+  // Holds an answer back that is about to begin, so that attempt and hedge
+  // begin in the order that the path and its faults want.
+  void HoldAnswer(Step aStep);
   // The blocks in the store and in the engines' caches.
   [[nodiscard]] KeptBlocks& Kept() noexcept { return mKept; }
   // Applies the faults of a step at which the store or the directory is used.
@@ -124,6 +130,9 @@
   void NoteRun(CallerRecord& aCaller, const DaemonId& aHome);
   void DrainHome(Step aStep, Node& aHome);
   void AwaitQuiet();
+  // Has the entry learn how long calls of the service take.
+  void WarmUp();
+  void Hold(const bool& aUntil);
 
   CallPath mPath;
   std::vector<Cell> mArmed;
@@ -144,10 +153,23 @@
   bool mIsEntryDraining = false;
   std::string mVersion = "v1";
   KeptBlocks mKept;
+  // Answers of hedged attempts: how many were about to begin, whether the
+  // second one has, and the faults of the order.
+  int mAnswers = 0;
+  bool mHasFirstBegun = false;
+  bool mHasHedgeBegun = false;
+  bool mHedgeLate = false;
+  bool mBothAnswer = false;
+  int mLastRun = 0;
 };
 
 // Returns the pieces that a model answers with.
 [[nodiscard]] std::vector<std::string>
 AnswerPieces(const VersionId& aVersion);
 
+// Returns the text of an answer without the numbers of the runs that made its
+// pieces.
+[[nodiscard]] std::string
+WithoutRuns(std::string_view aText);
+
 } // namespace bilberrytrail
