Show in the status which servers a daemon itself knows as leaving

Change: the status has "leaving", the servers that leave by this daemon's own view; the tests of list readers ask for that. New tests: an operator's word reaches a zone whose two readers are frozen; daemons read the list in the silence of frozen readers; a home holds the listed VM, not one it replaced.

--- a/packages/daemon/src/operator_service.cpp
+++ b/packages/daemon/src/operator_service.cpp
@@ -351,8 +351,14 @@
                 { "draining", view->mDraining },
                 { "table_up", mReleases.IsTableUp() },
                 { "list_age_ms", ToMillis(mList.Age(now)) },
+                { "leaving", Json::array() },
                 { "products", Json::array() },
                 { "daemons", Json::array() } };
+  for (const auto& [id, server] : view->mServers) {
+    if (server.mVm.mLeaving) {
+      json["leaving"].push_back(id.Text());
+    }
+  }
   for (const auto& [id, product] : view->mProducts) {
     json["products"].push_back(
       { { "product", id.Text() }, { "release", product.mNumber.Value() } });
--- a/tests/faults/home_service_test.cpp
+++ b/tests/faults/home_service_test.cpp
@@ -77,5 +77,33 @@
   }
 }
 
+TEST_CASE("a home holds the VM that is listed, not one that it replaced")
+{
+  ControlViewHolder views;
+  const DaemonSettings settings = DefaultDaemonSettings();
+  HomeService homes(settings, views);
+  views.Store(MakeView("self", true));
+  homes.OnView(*views.Load());
+  // Held while it leaves, for a request or for its reports.
+  const auto leaving = homes.Find(kServer);
+  REQUIRE(leaving->Vm().mLeaving);
+  SUBCASE("it came back")
+  {
+    views.Store(MakeView("self", false));
+  }
+  SUBCASE("another VM has its name")
+  {
+    auto view = std::make_shared<ControlView>(*MakeView("self", false));
+    view->mServers[kServer].mVm.mEndpoint = { "10.0.0.9", 9 };
+    views.Store(view);
+  }
+  homes.OnView(*views.Load());
+  const auto held = homes.Find(kServer);
+  CHECK(held->Vm() == views.Load()->mServers.at(kServer).mVm);
+  CHECK(homes.Holds(*held));
+  CHECK_FALSE(homes.Holds(*leaving));
+  CHECK(IsReady(homes));
+}
+
 } // namespace
 } // namespace bilberrytrail
--- a/tests/process/list_readers_test.cpp
+++ b/tests/process/list_readers_test.cpp
@@ -26,21 +26,22 @@
   return shape;
 }
 
-// Indexes of the daemons that read the list, as daemon 0 sees it.
+// Indexes of the daemons that read the list in a zone, as daemon 0 sees it.
 std::set<std::size_t>
-ReadersOf(RunningSite& aSite)
+ReadersOf(RunningSite& aSite, const std::string& aZone = "zone-1")
 {
   std::vector<HomeCandidate> candidates;
   for (const auto& it : aSite.Status(0).value("daemons", Json::array())) {
     candidates.push_back(
       { DaemonId(it.value("name", "")), ZoneId(it.value("zone", "")), 1.0 });
   }
-  REQUIRE(candidates.size() == kDaemons);
+  const auto& daemons = aSite->Daemons();
+  REQUIRE(candidates.size() == daemons.size());
   std::set<std::size_t> readers;
-  for (const auto& id : ListReadersOf(candidates[0].mZone, candidates)) {
+  for (const auto& id : ListReadersOf(ZoneId(aZone), candidates)) {
     const std::string name = id.Text().substr(0, id.Text().find('~'));
-    for (std::size_t n = 0; n < kDaemons; ++n) {
-      if (aSite->Daemons()[n].mName == name) {
+    for (std::size_t n = 0; n < daemons.size(); ++n) {
+      if (daemons[n].mName == name) {
         readers.insert(n);
       }
     }
@@ -49,15 +50,13 @@
   return readers;
 }
 
+// Whether the daemon itself, whatever the server's home says, knows that the
+// server leaves.
 bool
 IsLeavingAt(RunningSite& aSite, std::size_t aDaemon, const std::string& aName)
 {
-  const Json status = aSite.Status(aDaemon);
-  const Json servers = status.value("servers", Json::array());
-  return std::any_of(servers.begin(), servers.end(), [&](const Json& aServer) {
-    return aServer.value("name", "") == aName &&
-           aServer.value("state", "") == "leaving";
-  });
+  const Json leaving = aSite.Status(aDaemon).value("leaving", Json::array());
+  return std::find(leaving.begin(), leaving.end(), aName) != leaving.end();
 }
 
 // Counts the daemons, but for those left out, that show the server as leaving.
@@ -101,8 +100,29 @@
   MESSAGE("all know after " << ToMillis(MonotonicNow() - told) << " ms");
 }
 
-TEST_CASE("daemons whose readers are frozen read the list themselves, and the "
-          "readers bring no old list back")
+TEST_CASE("daemons read the list themselves in the silence of frozen readers")
+{
+  SiteShape shape = Shape();
+  shape.mSettings["control"] = "list_poll = 100ms\nlist_heartbeat = 100ms\n"
+                               "list_silence = 300ms\n";
+  RunningSite site(shape);
+  const auto readers = ReadersOf(site);
+  for (const auto n : readers) {
+    site->Daemons()[n].mProcess->Signal(SIGSTOP);
+  }
+  const auto reads = site.Count(site->Platform(), "list_reads");
+  // Shorter than the readers are found dead and replaced.
+  std::this_thread::sleep_for(900ms);
+  const auto more = site.Count(site->Platform(), "list_reads") - reads;
+  for (const auto n : readers) {
+    site->Daemons()[n].mProcess->Signal(SIGCONT);
+  }
+  MESSAGE("list reads without readers: " << more);
+  CHECK(more >= kDaemons - 2);
+}
+
+TEST_CASE("a change reaches all while the readers are frozen, and the readers "
+          "bring no old list back")
 {
   RunningSite site(Shape());
   const auto readers = ReadersOf(site);
@@ -150,3 +170,31 @@
   CHECK(site->Await(
     kPatience, [&] { return site.Complete(0, "after the word", 2).mDone; }));
 }
+
+TEST_CASE("an operator's word reaches a zone whose readers are frozen")
+{
+  SiteShape shape = Shape();
+  shape.mDaemons = 6;
+  shape.mZones = 2;
+  RunningSite site(shape);
+  const auto readers = ReadersOf(site, "zone-2");
+  std::set<std::size_t> followers = { 1, 3, 5 };
+  for (const auto n : readers) {
+    followers.erase(n);
+    site->Daemons()[n].mProcess->Signal(SIGSTOP);
+  }
+  REQUIRE(followers.size() == 1);
+  const auto start = MonotonicNow();
+  const auto drained =
+    site->Operate(0, "POST", "/operator/drain", R"({"server":"engine-1"})");
+  REQUIRE(drained.mStatus == 200);
+  for (const std::size_t n : { *followers.begin(), std::size_t{ 2 } }) {
+    CHECK(site->Await(kLeavingBound - (MonotonicNow() - start),
+                      [&] { return IsLeavingAt(site, n, "engine-1"); }));
+  }
+  MESSAGE("known in both zones after " << ToMillis(MonotonicNow() - start)
+                                       << " ms");
+  for (const auto n : readers) {
+    site->Daemons()[n].mProcess->Signal(SIGCONT);
+  }
+}
