--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -38,6 +38,10 @@
 # Periods of the settings' defaults and of the code.
 HEAD_POLL_S = 2
 LIST_POLL_S = 1
+LIST_HEARTBEAT_S = 8
+LIST_CHECK_S = 600
+LIST_READERS = 2
+MEMBER_PAUSE_S = 0.1
 LEASE_RENEW_S = 2
 LEASE_SHARDS = 64
 STATE_PULLS_PER_S = 4
@@ -85,6 +89,25 @@
     return f"{micros_per_s / 1e4:.3f} %"
 
 
+def list_changes_per_s():
+    """A VM that fails or is restarted goes, comes and may be listed leaving."""
+    return (VM_FAILURES_PER_DAY + RESTARTS_PER_DAY) * 3 / SECONDS_PER_DAY
+
+
+def list_bytes(slope):
+    """Bytes a second for the list of VMs: of a follower, and of a reader."""
+    whole = (DAEMONS + SERVERS + STORES) * slope("sizes", "list_entry_bytes")
+    changes = list_changes_per_s()
+    answer = EXCHANGE_BYTES + slope("sizes", "list_answer_bytes")
+    told = (slope("sizes", "list_heartbeat_bytes") + answer) / LIST_HEARTBEAT_S
+    told += changes * (slope("sizes", "list_change_bytes") + answer)
+    # A check reads the whole list when it changed since the tag was given.
+    check = (EXCHANGE_BYTES + changes * LIST_POLL_S * whole) / LIST_CHECK_S
+    follower = LIST_READERS * told + check
+    reader = EXCHANGE_BYTES / LIST_POLL_S + changes * whole
+    return follower, reader, told * (DAEMONS / ZONES - LIST_READERS)
+
+
 def roles(slope):
     """State, messages, processor time and memory of one daemon by role."""
     requests = REQUESTS_PER_S / DAEMONS
@@ -97,7 +120,7 @@
         slope("busy", "core_percent") - slope("idle", "core_percent")
     ) * 1e4 / requests
     release = f"release_{ACCOUNTS}"
-    apply_micros = slope(release, "parse_micros") + slope(release, "view_micros")
+    apply_micros = slope(release, "apply_micros") + slope(release, "view_micros")
     return [
         (
             "caller entry",
@@ -191,7 +214,7 @@
         (
             "release follower",
             f"{ACCOUNTS:,} accounts",
-            f"{figure(changes * 3600)} bodies/h",
+            f"{figure(changes * 3600)} notes/h",
             core(changes * apply_micros),
             f"{slope(release, 'view_bytes') / 1e6:.1f} MB",
             "tools/bench view; " + figure(apply_micros / 1000, "ms each"),
@@ -203,7 +226,8 @@
     """Calls of the platform by all daemons."""
     heads = DAEMONS / HEAD_POLL_S
     leases = LEASE_SHARDS / LEASE_RENEW_S
-    lists = DAEMONS / LIST_POLL_S
+    readers = LIST_READERS * ZONES
+    lists = readers / LIST_POLL_S + (DAEMONS - readers) / LIST_CHECK_S
     bodies = DAEMONS * CHANGES_PER_DAY / SECONDS_PER_DAY
     claims = 2 * REQUESTS_PER_S * ORDER_SHARE
     orders = REQUESTS_PER_S * ORDER_SHARE
@@ -211,7 +235,7 @@
     releases = CHANGES_PER_DAY / SECONDS_PER_DAY
     reads = [
         ("heads, one scan each", heads, "ReleaseRunner"),
-        ("release bodies", bodies, "ReleaseRunner"),
+        ("release notes", bodies, "ReleaseRunner"),
         ("claim rows before a claim", orders, "ClaimedCall"),
     ]
     writes = [
@@ -241,7 +265,6 @@
     listed = (DAEMONS + SERVERS + STORES) * slope("sizes", "list_entry_bytes")
     report = slope("sizes", "engine_report_bytes") + CHUNK_BYTES
     state = slope("sizes", "engine_state_bytes")
-    body = slope(f"release_{ACCOUNTS}", "body_bytes")
     changes = CHANGES_PER_DAY / SECONDS_PER_DAY
     pull = STATE_PULLS_PER_S * (SERVERS * state + DAEMONS * EXCHANGE_BYTES)
     push = SERVERS * STATE_CHANGES_PER_S * (state + EXCHANGE_BYTES)
@@ -253,8 +276,8 @@
             (EXCHANGE_BYTES + 200 * PRODUCTS) / HEAD_POLL_S,
         ),
         (
-            f"list of VMs, whole each {LIST_POLL_S} s; or its changes from peers",
-            (listed + EXCHANGE_BYTES) / LIST_POLL_S,
+            "list of VMs, its changes from the zone's two readers",
+            list_bytes(slope)[0],
             (listed / (DAEMONS / ZONES) + EXCHANGE_BYTES) / 60,
         ),
         (
@@ -263,8 +286,8 @@
             servers * REPORT_CHANGE_PER_S * report,
         ),
         (
-            "release bodies, whole; or the note's text of 400 B",
-            changes * (body + EXCHANGE_BYTES),
+            "release notes, applied by each daemon",
+            changes * (slope("sizes", "note_row_bytes") + EXCHANGE_BYTES),
             changes * (400 + EXCHANGE_BYTES),
         ),
         (
@@ -284,6 +307,14 @@
     return shown, pull, push
 
 
+def rebuilds(slope, daemons):
+    """Processor time of the views when so many daemons die in a row."""
+    each = slope("view", "rebuild_micros_400") / 1e6
+    if daemons == 1:
+        return figure(each, "s")
+    return f"at most {each / MEMBER_PAUSE_S:.0%} of the time"
+
+
 def lost(slope):
     """What is re-homed when daemons go."""
     servers = SERVERS / DAEMONS
@@ -301,7 +332,7 @@
                 figure(daemons * servers) if daemons == 1 else "its servers are lost",
                 figure(daemons * prompts),
                 figure(daemons / DAEMONS * LEASE_SHARDS),
-                figure(daemons * slope("view", "rebuild_micros_400") / 1e6, "s"),
+                rebuilds(slope, daemons),
             )
         )
     return rows
@@ -310,6 +341,7 @@
 def render():
     slope = load()
     bytes_split, pull, push = split(slope)
+    _, read, sent = list_bytes(slope)
     parts = [
         "### Roles, per daemon at full size",
         table(
@@ -320,6 +352,9 @@
         table(["call", "rate", "carried by"], platform(slope)),
         "### Control bytes of a daemon",
         table(["mechanism", "as built", "as proposed"], bytes_split),
+        f"Each of the {LIST_READERS * ZONES} readers of the list of VMs has "
+        f"{figure(read / 1000, 'kB/s')} more from the platform, and sends "
+        f"{figure(sent / 1000, 'kB/s')} to its zone.",
         "A holder that has both products on its shards receives "
         f"{figure(pull / 1000, 'kB/s')} of states as built, "
         f"{figure(push / 1000, 'kB/s')} with pushed changes.",
