--- a/tests/faults/request_world.cpp
+++ b/tests/faults/request_world.cpp
@@ -312,6 +312,7 @@
   view.mServers[ServerId(std::string(kStore))] = {
     MakeVm(std::string(kStore), VmRole::Store, port), homeA
   };
+  view.IndexServers();
   const ProductId product{ std::string(kProduct) };
   view.mProducts[product] = MakeProduct(mVersion);
   for (const auto account : { kFirstAccount, kOtherAccount }) {
