Take a server of the own home first when it has room

Cause: a request without kept blocks was forwarded to whatever server came out of four picked at random, also when this daemon is home to one that would take it at once. The hop costs a seal, two HTTP exchanges and the frames' encoding.

Change: such a request goes to a server that this daemon is home to, in this process, as long as one has at most half of its slots taken and nothing waiting; of several one is picked at random. Otherwise all is as before. The look at them takes no probe of a slow server, which is never chosen so.

Tests: daemon, faults (the same cells as before), traces, traffic, process_stream, process_engine, process_recovery and process_leaving passed.

--- a/packages/daemon/src/home_service.cpp
+++ b/packages/daemon/src/home_service.cpp
@@ -77,6 +77,25 @@
   return estimates;
 }
 
+std::vector<ServerEstimate>
+HomeService::EstimateHeld(const EstimateQuery& aQuery,
+                          const ListedPredicate& aMatches)
+{
+  const auto now = MonotonicNow();
+  const auto view = mViews.Load();
+  std::vector<ServerEstimate> estimates;
+  for (const auto& server : Servers()) {
+    const ServerId id(server->Vm().mName);
+    const auto it = view->mServers.find(id);
+    if (it != view->mServers.end() && it->second.mHome == view->mSelf &&
+        aMatches(it->second)) {
+      estimates.push_back(EstimateFor(*server, aQuery, now));
+      estimates.back().mWeight = mHealth.Weight(id);
+    }
+  }
+  return estimates;
+}
+
 ServerEstimate
 HomeService::EstimateFor(const HomedServer& aServer,
                          const EstimateQuery& aQuery,
--- a/packages/daemon/src/home_service.h
+++ b/packages/daemon/src/home_service.h
@@ -11,6 +11,7 @@
 
 #include <bilberrytrail/settings/daemon_settings.h>
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -36,6 +37,12 @@
   [[nodiscard]] std::vector<HomedServerPtr> Servers() const;
   [[nodiscard]] std::vector<ServerEstimate> Estimate(
     const EstimateQuery& aQuery);
+  // Returns the servers held now that stand in the list and match, with what a
+  // request of the query would meet there. Takes no probe.
+  using ListedPredicate = std::function<bool(const BackendView&)>;
+  [[nodiscard]] std::vector<ServerEstimate> EstimateHeld(
+    const EstimateQuery& aQuery,
+    const ListedPredicate& aMatches);
   // Returns the newest view.
   [[nodiscard]] ControlViewPtr View() const noexcept { return mViews.Load(); }
 
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -37,6 +37,9 @@
                       const PromptBlocks& aBlocks,
                       const std::set<ServerId>& aTried)
 {
+  if (auto held = ChooseHeld(aContext, aBlocks, aTried)) {
+    return held;
+  }
   if (auto known = ChooseKnown(aContext, aBlocks, aTried)) {
     return known;
   }
@@ -53,6 +56,34 @@
   return std::nullopt;
 }
 
+std::optional<ServerChoice>
+ServerLocator::ChooseHeld(const RequestContext& aContext,
+                          const PromptBlocks& aBlocks,
+                          const std::set<ServerId>& aTried)
+{
+  if (!aBlocks.mBlocks.empty()) {
+    return std::nullopt;
+  }
+  const bool isEngine = aContext.mCompletion.has_value();
+  auto held = mHomes.EstimateHeld(
+    QueryOf(aContext, aBlocks), [&](const BackendView& aListed) {
+      const VmEntry& vm = aListed.mVm;
+      return vm.mProduct == aContext.mAccount.mProduct && !vm.mLeaving &&
+             vm.mRole == (isEngine ? VmRole::Engine : VmRole::Service) &&
+             (isEngine || vm.mGroup == aContext.ServiceGroup());
+    });
+  std::erase_if(held, [&](const ServerEstimate& aOne) {
+    return !aOne.mHasRoom || !aOne.TakesAtOnce() ||
+           aTried.contains(aOne.mServer);
+  });
+  if (held.empty()) {
+    return std::nullopt;
+  }
+  ServerChoice choice;
+  choice.mServer = held[mRandom.Below(held.size())].mServer;
+  return choice;
+}
+
 std::optional<ServerChoice>
 ServerLocator::ChooseKnown(const RequestContext& aContext,
                            const PromptBlocks& aBlocks,
@@ -118,6 +149,22 @@
   return mHomes.Cache().Find(aContext.mThread, query);
 }
 
+EstimateQuery
+ServerLocator::QueryOf(const RequestContext& aContext,
+                       const PromptBlocks& aBlocks)
+{
+  EstimateQuery query;
+  query.mAccount = aContext.mAccount.mAccount;
+  query.mClass = aContext.mEstimate.mClass;
+  query.mModel =
+    aContext.mCompletion ? aContext.mCompletion->mModel : ModelId();
+  query.mVersion = aContext.mVersion;
+  query.mPromptTokens = aContext.mEstimate.mPromptTokens;
+  query.mAnswerTokens = aContext.mEstimate.mAnswerTokens;
+  query.mBlocks = aBlocks.mBlocks;
+  return query;
+}
+
 std::vector<ServerEstimate>
 ServerLocator::Ask(RequestContext& aContext,
                    const PromptBlocks& aBlocks,
@@ -126,19 +173,12 @@
   const ControlView& view = *aContext.mRouting;
   std::map<DaemonId, EstimateQuery> queries;
   for (const auto& id : aServers) {
-    auto& query = queries[view.mServers.at(id).mHome];
-    query.mServers.push_back(id);
+    const auto& home = view.mServers.at(id).mHome;
+    const auto it = queries.try_emplace(home, QueryOf(aContext, aBlocks)).first;
+    it->second.mServers.push_back(id);
   }
   std::vector<ServerEstimate> estimates;
   for (auto& [home, query] : queries) {
-    query.mAccount = aContext.mAccount.mAccount;
-    query.mClass = aContext.mEstimate.mClass;
-    query.mModel =
-      aContext.mCompletion ? aContext.mCompletion->mModel : ModelId();
-    query.mVersion = aContext.mVersion;
-    query.mPromptTokens = aContext.mEstimate.mPromptTokens;
-    query.mAnswerTokens = aContext.mEstimate.mAnswerTokens;
-    query.mBlocks = aBlocks.mBlocks;
     const auto* peer = view.FindMember(home);
     if (home == view.mSelf || peer == nullptr) {
       const auto local = mHomes.Estimate(query);
--- a/packages/daemon/src/server_locator.h
+++ b/packages/daemon/src/server_locator.h
@@ -23,8 +23,9 @@
   bool mIsUnasked = false;
 };
 
-// Chooses the server of a request on one traffic thread: one of those that had
-// room a moment ago for a request without kept blocks; else it asks the homes
+// Chooses the server of a request on one traffic thread. For a request without
+// kept blocks: one that this daemon is home to and that has room, else one
+// that had room a moment ago. Else it asks the homes
 // of some candidates for fresh estimates and takes the least time to the first
 // token.
 class ServerLocator
@@ -44,6 +45,14 @@
                                      const std::set<ServerId>& aTried);
 
 private:
+  // Returns one of the servers with room that this daemon is home to, for
+  // requests without kept blocks.
+  [[nodiscard]] std::optional<ServerChoice> ChooseHeld(
+    const RequestContext& aContext,
+    const PromptBlocks& aBlocks,
+    const std::set<ServerId>& aTried);
+  [[nodiscard]] static EstimateQuery QueryOf(const RequestContext& aContext,
+                                             const PromptBlocks& aBlocks);
   // Returns a choice that needs no asking, for requests that run at most once
   // more when their home turns out to be frozen.
   [[nodiscard]] std::optional<ServerChoice> ChooseKnown(
--- a/tests/faults/home_service_test.cpp
+++ b/tests/faults/home_service_test.cpp
@@ -78,6 +78,37 @@
   }
 }
 
+TEST_CASE("only servers of this home that match are held for a choice")
+{
+  struct Row
+  {
+    const char* mHome;
+    bool mMatches;
+    std::size_t mHeld;
+  };
+  const Row rows[] = { { "self", true, 1 },
+                       { "self", false, 0 },
+                       { "other", true, 0 } };
+  for (const auto& row : rows) {
+    CAPTURE(row.mHome);
+    CAPTURE(row.mMatches);
+    ControlViewHolder views;
+    const DaemonSettings settings = DefaultDaemonSettings();
+    HomeService homes(settings, views);
+    views.Store(MakeView(row.mHome, false));
+    // Another daemon may have asked for it all the same.
+    REQUIRE(homes.Find(kServer) != nullptr);
+    const auto held = homes.EstimateHeld(
+      EstimateQuery(), [&](const BackendView&) { return row.mMatches; });
+    CHECK(held.size() == row.mHeld);
+    if (!held.empty()) {
+      CHECK(held.front().mServer == kServer);
+      CHECK(held.front().TakesAtOnce());
+      CHECK(held.front().mHasRoom);
+    }
+  }
+}
+
 // Keeps the last frame.
 class LastFrame final : public FrameSink
 {
