Measure slow servers on real processes, and links asked for too much

Cause: slow servers were measured in virtual time only, and nothing could show a store's link above its budget.

Process tests engine_fault, order_fault and stream_recovery pass with hedging.

--- a/bench/returning_prompts.cpp
+++ b/bench/returning_prompts.cpp
@@ -30,7 +30,6 @@
 constexpr std::uint64_t kBlockBytes = 8192;
 constexpr std::uint64_t kKvBytesPerToken = 16;
 constexpr double kPrefillTokensPerSecond = 20000;
-constexpr std::uint64_t kLinkBytesPerSecond = 3200000;
 constexpr std::size_t kCacheBlocks = 64;
 constexpr std::size_t kDaemons = 8;
 constexpr std::size_t kZones = 3;
@@ -39,7 +38,6 @@
 constexpr std::size_t kPromptsOfLarge = 6;
 constexpr std::size_t kPromptsOfSmall = 2;
 constexpr std::size_t kLoops = 2;
-constexpr std::size_t kCallers = 16;
 constexpr Duration kPause = 40ms;
 // Time after which all exports have ended, and all transfers are settled.
 constexpr Duration kSettleTime = 3s;
@@ -59,6 +57,10 @@
   // Blocks of a prompt: so many, and up to the spread more.
   std::uint64_t mBlocks;
   std::uint64_t mSpread;
+  std::size_t mCallers = 6;
+  // Budget of one store's link, and rate at which an engine takes blocks.
+  std::uint64_t mLinkBytesPerSecond = 3200000;
+  std::uint64_t mEngineBytesPerSecond = 3200000;
 };
 
 constexpr std::array kDeployments{
@@ -66,6 +68,13 @@
   Deployment{ "Lissadell", 9, 9, 10, 7 },
 };
 
+// More imports at once than the links carry, by engines that are as fast as one
+// link, and eight times as fast.
+constexpr std::array kLinkChecks{
+  Deployment{ "both, engines 1x", 3, 6, 6, 5, 16, 800000, 800000 },
+  Deployment{ "both, engines 8x", 3, 6, 6, 5, 16, 800000, 6400000 },
+};
+
 struct Prompt
 {
   std::string mToken;
@@ -190,7 +199,10 @@
 
 // Sends every prompt once, in an order drawn anew for each loop.
 void
-SendAll(Site& aSite, const std::vector<Prompt>& aPrompts, Figures* aFigures)
+SendAll(Site& aSite,
+        const std::vector<Prompt>& aPrompts,
+        std::size_t aCallers,
+        Figures* aFigures)
 {
   static std::uint64_t seed = kSeed;
   Random random(++seed);
@@ -202,7 +214,7 @@
   std::atomic<std::size_t> next = 0;
   std::mutex mutex;
   std::vector<std::thread> callers;
-  for (std::size_t caller = 0; caller < kCallers; ++caller) {
+  for (std::size_t caller = 0; caller < aCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (auto n = next++; n < order.size(); n = next++) {
         const Prompt& prompt = aPrompts[order[n]];
@@ -241,12 +253,13 @@
     "--cache-blocks=" + std::to_string(kCacheBlocks),
     "--kv-bytes-per-token=" + std::to_string(kKvBytesPerToken),
     "--prefill-tokens-per-s=" + std::to_string(kPrefillTokensPerSecond),
-    "--link-bytes-per-s=" + std::to_string(kLinkBytesPerSecond),
+    "--link-bytes-per-s=" + std::to_string(aDeployment.mEngineBytesPerSecond),
     "--load-ms=200"
   };
-  shape.mSettings["cache"] =
-    std::string("enabled = ") + (aKept ? "1" : "0") +
-    "\nlink_bytes_per_second = " + std::to_string(kLinkBytesPerSecond) + "B\n";
+  shape.mSettings["cache"] = std::string("enabled = ") + (aKept ? "1" : "0") +
+                             "\nlink_bytes_per_second = " +
+                             std::to_string(aDeployment.mLinkBytesPerSecond) +
+                             "B\n";
   return shape;
 }
 
@@ -258,7 +271,7 @@
   Site site(ShapeOf(aDeployment, aKept));
   site.Start();
   Apply(site, aDeployment);
-  SendAll(site, aPrompts, nullptr);
+  SendAll(site, aPrompts, aDeployment.mCallers, nullptr);
   std::this_thread::sleep_for(kSettleTime);
   Figures figures;
   const auto recomputed = Sum(site, site.Engines(), "recomputed_tokens");
@@ -270,7 +283,7 @@
                       { "POST", "/evict", {}, R"({"keep":0})" });
     }
     std::this_thread::sleep_for(200ms);
-    SendAll(site, aPrompts, &figures);
+    SendAll(site, aPrompts, aDeployment.mCallers, &figures);
   }
   std::this_thread::sleep_for(kSettleTime);
   figures.mRecomputedTokens =
@@ -279,7 +292,8 @@
   for (const auto& store : site.Stores()) {
     figures.mPeakLinkUse =
       std::max(figures.mPeakLinkUse,
-               Count(site, store, "peak_window_bytes") / kLinkBytesPerSecond);
+               Count(site, store, "peak_window_bytes") /
+                 static_cast<double>(aDeployment.mLinkBytesPerSecond));
   }
   ReadUse(site, figures);
   return figures;
@@ -349,11 +363,29 @@
         AtLeast(used, kMinUsed));
 }
 
+void
+CheckLink(const Deployment& aCheck)
+{
+  const auto kept = Measure(aCheck, true, MakePrompts(aCheck));
+  Print(
+    { "most bytes within 1 s over a store's link, more asked than it carries",
+      aCheck.mName,
+      Format(kept.mPeakLinkUse, 2, "x of the budget, ") +
+        Format(kept.mReadBytes / 1e6, 1, " MB read"),
+      "<= 1x",
+      AtMost(kept.mPeakLinkUse, 1) });
+}
+
 } // namespace
 
 int
 main(int aCount, char** aArguments)
 {
+  if (aCount < 2 || std::string(aArguments[1]) == "link") {
+    for (const auto& it : kLinkChecks) {
+      CheckLink(it);
+    }
+  }
   for (const auto& it : kDeployments) {
     if (aCount < 2 || std::string(aArguments[1]) == it.mName) {
       Report(it);
--- /dev/null
+++ b/bench/slow_servers.cmake
@@ -0,0 +1,1 @@
+bilberrytrail_add_bench(slow_servers DEPENDS bilberrytrail_bench)
--- a/packages/daemon/src/caller_service.cpp
+++ b/packages/daemon/src/caller_service.cpp
@@ -16,8 +16,6 @@
 constexpr double kMaxSavedTokens = 200000;
 // When a caller comes back that met a full daemon.
 constexpr Duration kFullRetry = 1s;
-// Hedges that are available before any request came.
-constexpr double kHedgeReserveTokens = 2000;
 // No answer counts as late before this time.
 constexpr Duration kLeastHedgeTime = 50ms;
 
@@ -30,7 +28,9 @@
   HedgeSettings settings;
   settings.mLeast = kLeastHedgeTime;
   settings.mShare = aSettings.mHedgeBudget;
-  settings.mReserveTokens = kHedgeReserveTokens;
+  // None before any request came: a reserve of each thread would pass the bound
+  // while there are few requests.
+  settings.mReserveTokens = 0;
   return MakeBudgetedHedgePolicy(aBudget, settings);
 }
 
