Put an accepted release in force at the daemon that accepted it

Cause: the daemon that appends a note read the new head and then the rows from the table. When the table went down in between, no daemon had the release, not even the one that had accepted it: none of three within 6 s, in one run of all tests. Reading notes one by one made the gap longer, it was there before. Besides, while the table is down a daemon asked always the first three members for heads and bodies, so that of 400 daemons those outside these three would never have been asked. Ruled out: the spreading by peers; it had nothing to spread. Change: the appended body is put in force before the operator is answered. Peers are picked at random for each question, and the one that told of the release is asked for its body first. The tests of the release package pass. Not shown: the picking of peers at more than three daemons.

--- a/packages/daemon/src/release_runner.cpp
+++ b/packages/daemon/src/release_runner.cpp
@@ -1,8 +1,12 @@
 #include "release_runner.h"
 
+#include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/log.h>
 #include <bilberrytrail/platform/json_fields.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace bilberrytrail {
 
 namespace {
@@ -26,6 +30,7 @@
   , mState(aState)
   , mMembers(aMembers)
   , mFollower(aSettings)
+  , mRandom(StableHash64(aState.View()->mSelf.Text()))
 {
 }
 
@@ -137,7 +142,9 @@
       if (result.mOutcome == AppendOutcome::Applied) {
         mMembers.Members().RaiseNumber(ReleaseNumberName(aNote.mProduct),
                                        result.mNumber.Value());
-        ScanHeadRows();
+        // The table may go down before anyone has read the rows.
+        Perform(mFollower.OnBody(
+          append.Written()->mHead, append.Written()->mBody, MonotonicNow()));
       }
       return result;
     }
@@ -200,12 +207,7 @@
 void
 ReleaseRunner::AskPeers()
 {
-  const auto view = mState.View();
-  std::size_t n = 0;
-  for (const auto& peer : view->mMembers) {
-    if (peer.mId == view->mSelf || n++ >= kPeersAsked) {
-      continue;
-    }
+  for (const auto& peer : PickPeers()) {
     mThread.GetLoop().Spawn([this, peer] {
       const auto reply = mThread.Peers().Call(
         peer, "release.heads", Json::object(), kPeerTimeout);
@@ -217,6 +219,7 @@
         auto head = ReleaseHeadFromText(it.is_string() ? it.get<std::string>()
                                                        : std::string());
         if (head) {
+          NoteHolder(head.value(), peer);
           heads.push_back(std::move(head).value());
         }
       }
@@ -264,17 +267,44 @@
   Perform(mFollower.OnNotes(aFetch, notes, MonotonicNow()));
 }
 
+std::vector<MemberRecord>
+ReleaseRunner::PickPeers()
+{
+  const auto view = mState.View();
+  std::vector<MemberRecord> peers;
+  for (const auto& it : view->mMembers) {
+    if (it.mId != view->mSelf) {
+      peers.push_back(it);
+    }
+  }
+  const std::size_t n = std::min(peers.size(), kPeersAsked);
+  for (std::size_t i = 0; i < n; ++i) {
+    std::swap(peers[i], peers[i + mRandom.Below(peers.size() - i)]);
+  }
+  peers.resize(n);
+  return peers;
+}
+
+void
+ReleaseRunner::NoteHolder(const ReleaseHead& aHead, const MemberRecord& aPeer)
+{
+  auto& holder = mHolders[aHead.mProduct];
+  if (aHead.mNumber >= holder.mNumber) {
+    holder = { aHead.mNumber, aPeer };
+  }
+}
+
 void
 ReleaseRunner::FetchFromPeers(const ReleaseHead& aHead)
 {
-  const auto view = mState.View();
   const Json params = { { "product", aHead.mProduct.Text() },
                         { "number", aHead.mNumber.Value() } };
-  std::size_t n = 0;
-  for (const auto& peer : view->mMembers) {
-    if (peer.mId == view->mSelf || n++ >= kPeersAsked) {
-      continue;
-    }
+  auto peers = PickPeers();
+  const auto holder = mHolders.find(aHead.mProduct);
+  if (holder != mHolders.end() && holder->second.mNumber >= aHead.mNumber) {
+    peers.insert(peers.begin(), holder->second.mPeer);
+  }
+  for (const auto& peer : peers) {
     const auto reply =
       mThread.Peers().Call(peer, "release.body", params, kPeerTimeout);
     if (reply) {
--- a/packages/daemon/src/release_runner.h
+++ b/packages/daemon/src/release_runner.h
@@ -4,13 +4,16 @@
 #include "membership_runner.h"
 #include "thread_context.h"
 
+#include <bilberrytrail/base/random.h>
 #include <bilberrytrail/release/release_follower.h>
 #include <bilberrytrail/release/release_log.h>
 #include <bilberrytrail/runtime/rpc.h>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace bilberrytrail {
 
@@ -46,6 +49,13 @@
   [[nodiscard]] AppendResult Apply(const ReleaseNote& aNote);
 
 private:
+  // A peer that said last that it has this release, or a later one, in force.
+  struct Holder
+  {
+    ReleaseNumber mNumber{};
+    MemberRecord mPeer{};
+  };
+
   void FollowAll();
   void Perform(const FollowerActions& aActions);
   void ScanHeadRows();
@@ -53,6 +63,9 @@
   void Fetch(const FetchRelease& aFetch);
   void ReadNotes(const FetchNotes& aFetch);
   void FetchFromPeers(const ReleaseHead& aHead);
+  // Returns some other daemons, picked at random.
+  [[nodiscard]] std::vector<MemberRecord> PickPeers();
+  void NoteHolder(const ReleaseHead& aHead, const MemberRecord& aPeer);
   [[nodiscard]] CallResult<std::optional<ReleaseBody>> ReadRelease(
     const ProductId& aProduct,
     ReleaseNumber aNumber);
@@ -63,6 +76,8 @@
   ControlState& mState;
   MembershipRunner& mMembers;
   ReleaseFollower mFollower;
+  Random mRandom;
+  std::map<ProductId, Holder> mHolders;
   bool mIsTableUp = false;
 };
 
--- a/packages/release/include/bilberrytrail/release/release_log.h
+++ b/packages/release/include/bilberrytrail/release/release_log.h
@@ -60,6 +60,13 @@
 };
 using AppendStep = std::variant<ReadRowStep, CommitStep, AppendResult>;
 
+// A release as it stands in the table: its head and the text of its body.
+struct WrittenRelease
+{
+  ReleaseHead mHead;
+  std::string mBody;
+};
+
 // Appends one release note to its product's log: the release row, the note row
 // and the head row in one transaction, so that of racing operators one wins. A
 // lost reply is settled by reading back the release row, which is written once
@@ -82,6 +89,13 @@
   // The step behind a commit.
   [[nodiscard]] AppendStep OnCommit(const CallResult<CommitOutcome>& aResult);
 
+  // Returns the release that a commit was to write, which is in the table when
+  // the outcome is Applied; nothing before a commit.
+  [[nodiscard]] const std::optional<WrittenRelease>& Written() const noexcept
+  {
+    return mWritten;
+  }
+
 private:
   enum class Phase : unsigned char
   {
@@ -106,6 +120,7 @@
   ReleaseNumber mTarget;
   Phase mPhase = Phase::ReadHead;
   std::vector<TableWrite> mWrites;
+  std::optional<WrittenRelease> mWritten;
   std::uint64_t mHeadVersion = 0;
   ReleaseNumber mHeadNumber;
   int mFailures = 0;
--- a/packages/release/src/release_log.cpp
+++ b/packages/release/src/release_log.cpp
@@ -113,6 +113,7 @@
                 ToText(NoteRow{ mNote.mId, mNote.mText }),
                 0 },
               { ReleaseHeadKey(mNote.mProduct), ToText(head), mHeadVersion } };
+  mWritten = WrittenRelease{ head, body };
   mPhase = Phase::Commit;
   return CommitStep{ mWrites };
 }
