Count the whole prompt among what a server computes

Cause: a home told how long its server still computes prompts by their whole blocks of 8 KiB only. A server busy with a short prompt looked idle, and of candidates with equal times the first was taken, so that requests crowded on few servers: with none slowed the first token stood at 203 ms in the middle where a server takes 105 ms, at a third of the load. Ruled out: the detection of slow servers and hedges; the crowding was there without both. Change: the prompt's whole length counts, but for what is resident, and candidates are mixed before the choice. Three tests share one fake table. The new test fails without the change for a prompt of 1,600 bytes (0 told by the code before).

--- a/packages/daemon/src/prefix_import.cpp
+++ b/packages/daemon/src/prefix_import.cpp
@@ -391,10 +391,13 @@
 PrefixImport::BeginPrefill()
 {
   EndPrefill();
-  const std::span<const BlockId> blocks(mRequest.mGenerate.mBlocks);
-  const auto missing = blocks.size() - mServer->ResidentPrefix(blocks);
-  mPrefillTokens = static_cast<double>(missing) *
-                   mRequest.mGenerate.mBlockBytes / kBytesPerToken;
+  const GenerateRequest& generate = mRequest.mGenerate;
+  const double resident =
+    static_cast<double>(mServer->ResidentPrefix(generate.mBlocks)) *
+    generate.mBlockBytes;
+  const auto prompt = static_cast<double>(generate.mPrompt.size());
+  // What lies behind the last whole block is computed in any case.
+  mPrefillTokens = std::max(prompt - resident, 0.0) / kBytesPerToken;
   mServer->BeginPrefill(mPrefillTokens);
 }
 
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <utility>
 
 namespace bilberrytrail {
 
@@ -26,6 +27,15 @@
   return FromMillis(ToMillis(aLength) / aWeight);
 }
 
+// Mixes the candidates, so that of equal ones not always the first is taken.
+void
+Shuffle(std::vector<PlanCandidate>& aCandidates, Random& aRandom)
+{
+  for (std::size_t n = aCandidates.size(); n > 1; --n) {
+    std::swap(aCandidates[n - 1], aCandidates[aRandom.Below(n)]);
+  }
+}
+
 // Returns the time in which a server of the speed, in tokens per second,
 // computes the whole prompt; zero when the speed is not known.
 Duration
@@ -268,6 +278,7 @@
     candidate.mPendingWait = it.mPendingWait;
     request.mCandidates.push_back(std::move(candidate));
   }
+  Shuffle(request.mCandidates, mRandom);
   request.mCopies = aWhere.mCopies;
   request.mLinks = mHomes.Cache().Links(aContext.mThread, aWhere);
   PrefixPlan plan = mPlanner->Choose(request);
--- a/packages/daemon/tests/claim_gatherer_test.cpp
+++ b/packages/daemon/tests/claim_gatherer_test.cpp
@@ -1,5 +1,6 @@
 #include "claim_gatherer.h"
 #include "claim_table.h"
+#include "write_only_table.h"
 
 #include <doctest/doctest.h>
 
@@ -12,7 +13,7 @@
 namespace {
 
 // Rows in memory; each commit takes a while, so that writes gather.
-class SlowTable final : public TableService
+class SlowTable final : public WriteOnlyTable
 {
 public:
   explicit SlowTable(Loop& aLoop)
@@ -25,19 +26,6 @@
 
   void LoseReplies() { mLosesReplies = true; }
 
-  CallResult<std::optional<TableRow>> Read(const std::string& /*aKey*/,
-                                           Duration /*aTimeout*/) override
-  {
-    return std::optional<TableRow>();
-  }
-
-  CallResult<std::vector<TableRow>> Scan(const std::string& /*aPrefix*/,
-                                         std::size_t /*aLimit*/,
-                                         Duration /*aTimeout*/) override
-  {
-    return std::vector<TableRow>();
-  }
-
   CallResult<CommitOutcome> Commit(const std::vector<TableWrite>& aWrites,
                                    Duration /*aTimeout*/) override
   {
--- a/packages/daemon/tests/claim_table_test.cpp
+++ b/packages/daemon/tests/claim_table_test.cpp
@@ -1,4 +1,5 @@
 #include "claim_table.h"
+#include "write_only_table.h"
 
 #include <bilberrytrail/platform/platform_json.h>
 
@@ -31,7 +32,7 @@
   int mCalls = 0;
 };
 
-class FakeTable final : public TableService
+class FakeTable final : public WriteOnlyTable
 {
 public:
   explicit FakeTable(World& aWorld)
@@ -39,19 +40,6 @@
   {
   }
 
-  CallResult<std::optional<TableRow>> Read(const std::string& /*aKey*/,
-                                           Duration /*aTimeout*/) override
-  {
-    return std::optional<TableRow>();
-  }
-
-  CallResult<std::vector<TableRow>> Scan(const std::string& /*aPrefix*/,
-                                         std::size_t /*aLimit*/,
-                                         Duration /*aTimeout*/) override
-  {
-    return std::vector<TableRow>();
-  }
-
   CallResult<CommitOutcome> Commit(const std::vector<TableWrite>& aWrites,
                                    Duration /*aTimeout*/) override
   {
--- a/packages/daemon/tests/service_run_slot_test.cpp
+++ b/packages/daemon/tests/service_run_slot_test.cpp
@@ -1,4 +1,5 @@
 #include "service_run.h"
+#include "write_only_table.h"
 
 #include <doctest/doctest.h>
 
@@ -29,7 +30,7 @@
   }
 };
 
-class FakeTable final : public TableService
+class FakeTable final : public WriteOnlyTable
 {
 public:
   explicit FakeTable(World& aWorld)
@@ -37,19 +38,6 @@
   {
   }
 
-  CallResult<std::optional<TableRow>> Read(const std::string& /*aKey*/,
-                                           Duration /*aTimeout*/) override
-  {
-    return std::optional<TableRow>();
-  }
-
-  CallResult<std::vector<TableRow>> Scan(const std::string& /*aPrefix*/,
-                                         std::size_t /*aLimit*/,
-                                         Duration /*aTimeout*/) override
-  {
-    return std::vector<TableRow>();
-  }
-
   CallResult<CommitOutcome> Commit(const std::vector<TableWrite>& aWrites,
                                    Duration /*aTimeout*/) override
   {
--- a/tests/faults/home_service_test.cpp
+++ b/tests/faults/home_service_test.cpp
@@ -1,4 +1,5 @@
 #include "home_service.h"
+#include "prefix_import.h"
 #include "site_seal.h"
 
 #include <doctest/doctest.h>
@@ -170,6 +171,37 @@
   }
 }
 
+TEST_CASE("a home tells of the prompts that its server computes")
+{
+  // Bytes of the prompt; the second one is shorter than a block.
+  for (const std::size_t bytes : { std::size_t{ 0 }, std::size_t{ 1600 } }) {
+    CAPTURE(bytes);
+    Loop loop;
+    ControlViewHolder views;
+    const DaemonSettings settings = DefaultDaemonSettings();
+    HomeService homes(settings, views);
+    views.Store(MakeView("self", false));
+    SiteSeal seal("key", DaemonId("self"), 1s);
+    ThreadContext thread(loop, seal, Endpoint());
+    HomeRequest request;
+    request.mServer = kServer;
+    request.mGenerate.mPrompt.assign(bytes, 'x');
+    const auto server = homes.Find(kServer);
+    loop.Spawn([&] {
+      {
+        PrefixImport import(thread, homes.Cache(), server, request);
+        import.Await(MonotonicNow());
+        const bool isTold = server->PrefillBacklog() > Duration::zero();
+        CHECK(isTold == (bytes > 0));
+        import.OnFirstToken();
+        CHECK(server->PrefillBacklog() == Duration::zero());
+      }
+      loop.Stop();
+    });
+    loop.Run();
+  }
+}
+
 TEST_CASE("a home holds the VM that is listed, not one that it replaced")
 {
   ControlViewHolder views;
