--- a/packages/backend/include/bilberrytrail/backend/store_json.h
+++ b/packages/backend/include/bilberrytrail/backend/store_json.h
@@ -9,6 +9,11 @@
 // program that stands in for a store VM. Readers fail with Corrupt.
 namespace bilberrytrail {
 
+[[nodiscard]] Json
+ToJson(const StoredBlock& aBlock);
+[[nodiscard]] Result<StoredBlock>
+ReadStoredBlock(const Json& aJson);
+
 [[nodiscard]] Json
 ToJson(const StoreInventory& aInventory);
 [[nodiscard]] Result<StoreInventory>
--- a/packages/backend/src/store_json.cpp
+++ b/packages/backend/src/store_json.cpp
@@ -8,16 +8,6 @@
 
 namespace {
 
-Result<StoredBlock>
-ReadStoredBlock(const Json& aJson)
-{
-  JsonFields fields(aJson);
-  StoredBlock block;
-  block.mTier = ReadName<StoreTier>(fields, "tier");
-  block.mRef = ReadPart(fields, "ref", ReadBlockRef);
-  return Checked(fields, block);
-}
-
 Result<BlockPin>
 ReadBlockPin(const Json& aJson)
 {
@@ -37,19 +27,31 @@
 
 } // namespace
 
+Json
+ToJson(const StoredBlock& aBlock)
+{
+  return { { "ref", ToJson(aBlock.mRef) }, { "tier", ToName(aBlock.mTier) } };
+}
+
+Result<StoredBlock>
+ReadStoredBlock(const Json& aJson)
+{
+  JsonFields fields(aJson);
+  StoredBlock block;
+  block.mTier = ReadName<StoreTier>(fields, "tier");
+  block.mRef = ReadPart(fields, "ref", ReadBlockRef);
+  return Checked(fields, block);
+}
+
 Json
 ToJson(const StoreInventory& aInventory)
 {
-  const auto write = [](const StoredBlock& aBlock) {
-    return Json{ { "ref", ToJson(aBlock.mRef) },
-                 { "tier", ToName(aBlock.mTier) } };
-  };
   return { { "incarnation", aInventory.mIncarnation },
            { "memory_bytes", aInventory.mMemoryBytes },
            { "memory_free_bytes", aInventory.mMemoryFreeBytes },
            { "disk_bytes", aInventory.mDiskBytes },
            { "disk_free_bytes", aInventory.mDiskFreeBytes },
-           { "blocks", ToJsonList(aInventory.mBlocks, write) } };
+           { "blocks", ToJsonList(aInventory.mBlocks) } };
 }
 
 Result<StoreInventory>
--- a/packages/daemon/src/directory_message.cpp
+++ b/packages/daemon/src/directory_message.cpp
@@ -1,6 +1,8 @@
 #include "directory_message.h"
 
 #include <bilberrytrail/backend/engine_json.h>
+#include <bilberrytrail/backend/store_json.h>
+#include <bilberrytrail/platform/json_read.h>
 
 namespace bilberrytrail {
 
@@ -9,11 +11,7 @@
 Json
 BlocksToJson(const std::vector<BlockId>& aBlocks)
 {
-  Json list = Json::array();
-  for (const auto block : aBlocks) {
-    list.push_back(block.Value());
-  }
-  return list;
+  return ToJsonList(aBlocks, [](BlockId aBlock) { return aBlock.Value(); });
 }
 
 std::vector<BlockId>
@@ -36,7 +34,7 @@
 }
 
 Json
-ToJson(const ServerChange& aChange)
+ServerChangeToJson(const ServerChange& aChange)
 {
   return { { "server", aChange.mServer.Text() },
            { "cached", BlocksToJson(aChange.mCached) },
@@ -51,74 +49,49 @@
   change.mServer = ServerId(fields.Text("server"));
   change.mCached = ReadBlocks(fields, "cached");
   change.mEvicted = ReadBlocks(fields, "evicted");
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return change;
+  return Checked(fields, std::move(change));
 }
 
 Json
-ToJson(const StoredBlock& aBlock)
+StoreChangeToJson(const StoreChange& aChange)
 {
-  return { { "tier", ToName(aBlock.mTier) }, { "ref", ToJson(aBlock.mRef) } };
+  return { { "store", aChange.mStore.Text() },
+           { "incarnation", aChange.mIncarnation },
+           { "new", aChange.mIsNew },
+           { "sealed", ToJsonList(aChange.mSealed) },
+           { "freed", ToJson(aChange.mFreed) } };
 }
 
-Result<StoredBlock>
-ReadStoredBlock(const Json& aJson)
+Result<StoreChange>
+ReadStoreChange(const Json& aJson)
 {
   JsonFields fields(aJson);
-  const auto tier = FromName<StoreTier>(fields.Text("tier"));
-  auto ref = ReadBlockRef(fields.Object("ref"));
-  if (!tier) {
-    fields.Reject("tier");
-  }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  if (!ref) {
-    return std::move(ref).error();
-  }
-  return StoredBlock{ ref.value(), *tier };
+  StoreChange change;
+  change.mStore = StoreId(fields.Text("store"));
+  change.mIncarnation = fields.Unsigned("incarnation");
+  change.mIsNew = fields.Flag("new");
+  change.mSealed = ReadListPart(fields, "sealed", ReadStoredBlock);
+  change.mFreed = ReadListPart(fields, "freed", ReadBlockRef);
+  return Checked(fields, std::move(change));
 }
 
 Json
-ToJson(const StoreChange& aChange)
+HoldingToJson(const ServerHolding& aHolding)
 {
-  Json json = { { "store", aChange.mStore.Text() },
-                { "incarnation", aChange.mIncarnation },
-                { "new", aChange.mIsNew },
-                { "sealed", Json::array() },
-                { "freed", ToJson(aChange.mFreed) } };
-  for (const auto& it : aChange.mSealed) {
-    json["sealed"].push_back(ToJson(it));
-  }
-  return json;
+  return { { "server", aHolding.mServer.Text() },
+           { "blocks", aHolding.mBlocks },
+           { "doubtful", aHolding.mIsDoubtful } };
 }
 
-Result<StoreChange>
-ReadStoreChange(const Json& aJson)
+Result<ServerHolding>
+ReadHolding(const Json& aJson)
 {
   JsonFields fields(aJson);
-  StoreChange change;
-  change.mStore = StoreId(fields.Text("store"));
-  change.mIncarnation = fields.Unsigned("incarnation");
-  change.mIsNew = fields.Flag("new");
-  for (const auto& it : fields.List("sealed")) {
-    auto block = ReadStoredBlock(it);
-    if (!block) {
-      return std::move(block).error();
-    }
-    change.mSealed.push_back(block.value());
-  }
-  auto freed = ReadBlockRefs(fields.List("freed"));
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  if (!freed) {
-    return std::move(freed).error();
-  }
-  change.mFreed = std::move(freed).value();
-  return change;
+  ServerHolding holding;
+  holding.mServer = ServerId(fields.Text("server"));
+  holding.mBlocks = fields.Unsigned32("blocks");
+  holding.mIsDoubtful = fields.Flag("doubtful");
+  return Checked(fields, std::move(holding));
 }
 
 } // namespace
@@ -139,16 +112,9 @@
   StoreCopy copy;
   copy.mStore = StoreId(fields.Text("store"));
   copy.mIncarnation = fields.Unsigned("incarnation");
-  auto block = ReadStoredBlock(aJson);
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  if (!block) {
-    return std::move(block).error();
-  }
-  copy.mTier = block.value().mTier;
-  copy.mRef = block.value().mRef;
-  return copy;
+  copy.mTier = ReadName<StoreTier>(fields, "tier");
+  copy.mRef = ReadPart(fields, "ref", ReadBlockRef);
+  return Checked(fields, std::move(copy));
 }
 
 Json
@@ -169,74 +135,36 @@
   query.mKey.mAccount = AccountId(fields.Text("account"));
   query.mKey.mRoot = BlockId(fields.Unsigned("root"));
   query.mBlocks = ReadBlocks(fields, "blocks");
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return query;
+  return Checked(fields, std::move(query));
 }
 
 Json
 ToJson(const PromptLocations& aLocations)
 {
-  Json json = { { "servers", Json::array() }, { "copies", Json::array() } };
-  for (const auto& it : aLocations.mServers) {
-    json["servers"].push_back({ { "server", it.mServer.Text() },
-                                { "blocks", it.mBlocks },
-                                { "doubtful", it.mIsDoubtful } });
-  }
-  for (const auto& copies : aLocations.mCopies) {
-    Json list = Json::array();
-    for (const auto& copy : copies) {
-      list.push_back(ToJson(copy));
-    }
-    json["copies"].push_back(std::move(list));
-  }
-  return json;
+  const auto copies = [](const std::vector<StoreCopy>& aCopies) {
+    return ToJsonList(aCopies);
+  };
+  return { { "servers", ToJsonList(aLocations.mServers, HoldingToJson) },
+           { "copies", ToJsonList(aLocations.mCopies, copies) } };
 }
 
 Result<PromptLocations>
 ReadPromptLocations(const Json& aJson)
 {
-  JsonFields outer(aJson);
+  JsonFields fields(aJson);
   PromptLocations locations;
-  for (const auto& it : outer.List("servers")) {
-    JsonFields fields(it);
-    ServerHolding holding;
-    holding.mServer = ServerId(fields.Text("server"));
-    holding.mBlocks = fields.Unsigned32("blocks");
-    holding.mIsDoubtful = fields.Flag("doubtful");
-    if (auto ok = fields.Check(); !ok) {
-      return std::move(ok).error();
-    }
-    locations.mServers.push_back(std::move(holding));
-  }
-  for (const auto& list : outer.List("copies")) {
-    auto& copies = locations.mCopies.emplace_back();
-    for (const auto& it : list) {
-      auto copy = ReadStoreCopy(it);
-      if (!copy) {
-        return std::move(copy).error();
-      }
-      copies.push_back(std::move(copy).value());
-    }
-  }
-  if (auto ok = outer.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return locations;
+  locations.mServers = ReadListPart(fields, "servers", ReadHolding);
+  locations.mCopies = ReadListPart(fields, "copies", [](const Json& aList) {
+    return ReadEach(aList, ReadStoreCopy);
+  });
+  return Checked(fields, std::move(locations));
 }
 
 Json
 ToJson(const DirectoryUpdate& aUpdate)
 {
-  Json json = { { "servers", Json::array() }, { "stores", Json::array() } };
-  for (const auto& it : aUpdate.mServers) {
-    json["servers"].push_back(ToJson(it));
-  }
-  for (const auto& it : aUpdate.mStores) {
-    json["stores"].push_back(ToJson(it));
-  }
-  return json;
+  return { { "servers", ToJsonList(aUpdate.mServers, ServerChangeToJson) },
+           { "stores", ToJsonList(aUpdate.mStores, StoreChangeToJson) } };
 }
 
 Result<DirectoryUpdate>
@@ -244,24 +172,9 @@
 {
   JsonFields fields(aJson);
   DirectoryUpdate update;
-  for (const auto& it : fields.List("servers")) {
-    auto change = ReadServerChange(it);
-    if (!change) {
-      return std::move(change).error();
-    }
-    update.mServers.push_back(std::move(change).value());
-  }
-  for (const auto& it : fields.List("stores")) {
-    auto change = ReadStoreChange(it);
-    if (!change) {
-      return std::move(change).error();
-    }
-    update.mStores.push_back(std::move(change).value());
-  }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return update;
+  update.mServers = ReadListPart(fields, "servers", ReadServerChange);
+  update.mStores = ReadListPart(fields, "stores", ReadStoreChange);
+  return Checked(fields, std::move(update));
 }
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/estimate_message.cpp
+++ b/packages/daemon/src/estimate_message.cpp
@@ -1,5 +1,7 @@
 #include "estimate_message.h"
 
+#include <bilberrytrail/platform/json_read.h>
+
 namespace bilberrytrail {
 
 Json
@@ -28,14 +30,11 @@
   JsonFields fields(aJson);
   EstimateQuery query;
   query.mAccount = AccountId(fields.Text("account"));
-  const auto workClass = FromName<WorkClass>(fields.Text("class"));
+  query.mClass = ReadName<WorkClass>(fields, "class");
   query.mModel = ModelId(fields.Text("model"));
   query.mVersion = VersionId(fields.Text("version"));
   query.mPromptTokens = fields.Real("prompt_tokens");
   query.mAnswerTokens = fields.Real("answer_tokens");
-  if (!workClass) {
-    fields.Reject("class");
-  }
   for (const auto& it : fields.List("servers")) {
     if (it.is_string()) {
       query.mServers.emplace_back(it.get<std::string>());
@@ -46,11 +45,7 @@
       query.mBlocks.emplace_back(it.get<std::uint64_t>());
     }
   }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  query.mClass = *workClass;
-  return query;
+  return Checked(fields, std::move(query));
 }
 
 Json
@@ -90,38 +85,21 @@
   if (estimate.mWeight <= 0 || estimate.mWeight > 1) {
     fields.Reject("weight");
   }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return estimate;
+  return Checked(fields, std::move(estimate));
 }
 
 Json
 ToJson(const std::vector<ServerEstimate>& aEstimates)
 {
-  Json list = Json::array();
-  for (const auto& it : aEstimates) {
-    list.push_back(ToJson(it));
-  }
-  return { { "servers", std::move(list) } };
+  return { { "servers", ToJsonList(aEstimates) } };
 }
 
 Result<std::vector<ServerEstimate>>
 ReadServerEstimates(const Json& aJson)
 {
-  JsonFields outer(aJson);
-  std::vector<ServerEstimate> estimates;
-  for (const auto& it : outer.List("servers")) {
-    auto estimate = ReadServerEstimate(it);
-    if (!estimate) {
-      return std::move(estimate).error();
-    }
-    estimates.push_back(std::move(estimate).value());
-  }
-  if (auto ok = outer.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return estimates;
+  JsonFields fields(aJson);
+  auto estimates = ReadListPart(fields, "servers", ReadServerEstimate);
+  return Checked(fields, std::move(estimates));
 }
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/home_message.cpp
+++ b/packages/daemon/src/home_message.cpp
@@ -5,25 +5,12 @@
 
 #include <bilberrytrail/backend/engine_json.h>
 #include <bilberrytrail/base/base64.h>
-#include <bilberrytrail/platform/json_fields.h>
+#include <bilberrytrail/platform/json_read.h>
 
 namespace bilberrytrail {
 
 namespace {
 
-// Reads an enumerator by its name and marks the field as bad without one.
-template<class E>
-E
-ReadName(JsonFields& aFields, std::string_view aField)
-{
-  const auto value = FromName<E>(aFields.Text(aField));
-  if (!value) {
-    aFields.Reject(aField);
-    return E{};
-  }
-  return *value;
-}
-
 // Reads bytes that are not text and marks the field as bad without them.
 std::string
 ReadBytes(JsonFields& aFields, std::string_view aField)
@@ -67,22 +54,11 @@
   }
 }
 
-Result<void>
+void
 ReadEngineParts(JsonFields& aFields, HomeRequest& aRequest)
 {
-  auto generate = ReadGenerateRequest(aFields.Object("generate"));
-  if (!generate) {
-    return std::move(generate).error();
-  }
-  aRequest.mGenerate = std::move(generate).value();
-  for (const auto& it : aFields.List("imports")) {
-    auto copy = ReadStoreCopy(it);
-    if (!copy) {
-      return std::move(copy).error();
-    }
-    aRequest.mImports.push_back(std::move(copy).value());
-  }
-  return Ok();
+  aRequest.mGenerate = ReadPart(aFields, "generate", ReadGenerateRequest);
+  aRequest.mImports = ReadListPart(aFields, "imports", ReadStoreCopy);
 }
 
 // Most frames are chunks: they are written without a document.
@@ -96,18 +72,13 @@
 }
 
 // Reads what a frame carries besides its kind and attempt.
-Result<void>
+void
 ReadFrameParts(JsonFields& aFields, HomeFrame& aFrame)
 {
   switch (aFrame.mKind) {
-    case FrameKind::Head: {
-      auto head = ReadGenerateHead(aFields.Object("head"));
-      if (!head) {
-        return std::move(head).error();
-      }
-      aFrame.mHead = std::move(head).value();
+    case FrameKind::Head:
+      aFrame.mHead = ReadPart(aFields, "head", ReadGenerateHead);
       break;
-    }
     case FrameKind::Chunk:
       aFrame.mText = aFields.Text("text");
       [[fallthrough]];
@@ -129,13 +100,8 @@
       break;
   }
   if (aFields.Has("estimate")) {
-    auto estimate = ReadServerEstimate(aFields.Object("estimate"));
-    if (!estimate) {
-      return std::move(estimate).error();
-    }
-    aFrame.mEstimate = std::move(estimate).value();
+    aFrame.mEstimate = ReadPart(aFields, "estimate", ReadServerEstimate);
   }
-  return Ok();
 }
 
 } // namespace
@@ -227,13 +193,10 @@
   request.mIsUnasked = fields.Has("unasked") && fields.Flag("unasked");
   if (request.mTarget == HomeTarget::Service) {
     ReadCall(JsonFields(fields.Object("call")), request, fields);
-  } else if (auto ok = ReadEngineParts(fields, request); !ok) {
-    return std::move(ok).error();
-  }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
+  } else {
+    ReadEngineParts(fields, request);
   }
-  return request;
+  return Checked(fields, std::move(request));
 }
 
 std::string
@@ -284,13 +247,8 @@
   HomeFrame frame;
   frame.mKind = ReadName<FrameKind>(fields, "kind");
   frame.mAttempt = AttemptId(fields.Text("attempt"));
-  if (auto ok = ReadFrameParts(fields, frame); !ok) {
-    return std::move(ok).error();
-  }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return frame;
+  ReadFrameParts(fields, frame);
+  return Checked(fields, std::move(frame));
 }
 
 } // namespace bilberrytrail
--- a/packages/daemon/src/list_message.cpp
+++ b/packages/daemon/src/list_message.cpp
@@ -1,5 +1,7 @@
 #include "list_message.h"
 
+#include <bilberrytrail/platform/json_read.h>
+
 #include <algorithm>
 
 namespace bilberrytrail {
@@ -75,10 +77,7 @@
     }
     news.mChange = std::move(change).value();
   }
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return news;
+  return Checked(fields, std::move(news));
 }
 
 Json
@@ -99,10 +98,7 @@
   word.mEndpoint.mHost = fields.Text("host");
   word.mEndpoint.mPort = fields.Unsigned16("port");
   word.mLeft = ReadAge(fields, "left_us");
-  if (auto ok = fields.Check(); !ok) {
-    return std::move(ok).error();
-  }
-  return word;
+  return Checked(fields, std::move(word));
 }
 
 } // namespace bilberrytrail
