Pick random elements in one place

Cause: the picking of some random elements stood in gossip twice, in the list reader, the release reader, the choice of candidates and their mixing. Change: PickRandom beside the generator, and ControlView::RandomPeers on it. Measured: six loops are one.

--- a/packages/base/include/bilberrytrail/base/random.h
+++ b/packages/base/include/bilberrytrail/base/random.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <utility>
+#include <vector>
 
 namespace bilberrytrail {
 
@@ -40,4 +44,18 @@
   std::uint64_t mState;
 };
 
+// Returns so many of the elements, or all of them when there are fewer, picked
+// at random and in a random order.
+template<class T>
+[[nodiscard]] std::vector<T>
+PickRandom(std::vector<T> aElements, std::size_t aMost, Random& aRandom)
+{
+  const std::size_t count = std::min(aMost, aElements.size());
+  for (std::size_t n = 0; n < count; ++n) {
+    std::swap(aElements[n], aElements[n + aRandom.Below(aElements.size() - n)]);
+  }
+  aElements.resize(count);
+  return aElements;
+}
+
 } // namespace bilberrytrail
--- a/packages/cache/src/prefix_planner.cpp
+++ b/packages/cache/src/prefix_planner.cpp
@@ -273,9 +273,8 @@
       others.push_back(server);
     }
   }
-  for (std::size_t n = 0; n < aOthers && n < others.size(); ++n) {
-    std::swap(others[n], others[n + aRandom.Below(others.size() - n)]);
-    picked.push_back(others[n]);
+  for (auto& it : PickRandom(std::move(others), aOthers, aRandom)) {
+    picked.push_back(std::move(it));
   }
   return picked;
 }
--- a/packages/daemon/src/control_view.cpp
+++ b/packages/daemon/src/control_view.cpp
@@ -25,6 +25,15 @@
   return it == mMembers.end() ? nullptr : &*it;
 }
 
+std::vector<MemberRecord>
+ControlView::RandomPeers(std::size_t aMost, Random& aRandom) const
+{
+  std::vector<MemberRecord> peers = mMembers;
+  std::erase_if(
+    peers, [&](const MemberRecord& aMember) { return aMember.mId == mSelf; });
+  return PickRandom(std::move(peers), aMost, aRandom);
+}
+
 const ProductState*
 ControlView::FindProduct(const ProductId& aId) const
 {
--- a/packages/daemon/src/control_view.h
+++ b/packages/daemon/src/control_view.h
@@ -2,6 +2,7 @@
 
 #include <bilberrytrail/base/endpoint.h>
 #include <bilberrytrail/base/ids.h>
+#include <bilberrytrail/base/random.h>
 #include <bilberrytrail/membership/gossip_message.h>
 #include <bilberrytrail/membership/rendezvous.h>
 #include <bilberrytrail/platform/vm_list.h>
@@ -56,6 +57,9 @@
 
   // Returns the live daemon with the id, or null.
   [[nodiscard]] const MemberRecord* FindMember(const DaemonId& aId) const;
+  // Returns so many live daemons but for this one, picked at random.
+  [[nodiscard]] std::vector<MemberRecord> RandomPeers(std::size_t aMost,
+                                                      Random& aRandom) const;
   // Returns the product's state, or null.
   [[nodiscard]] const ProductState* FindProduct(const ProductId& aId) const;
   // Returns the servers of the product with the role that get new work, in
--- a/packages/daemon/src/list_runner.cpp
+++ b/packages/daemon/src/list_runner.cpp
@@ -35,20 +35,6 @@
   return settings;
 }
 
-// Returns the members but for this daemon, in a random order.
-std::vector<MemberRecord>
-Peers(const ControlView& aView, Random& aRandom)
-{
-  std::vector<MemberRecord> peers = aView.mMembers;
-  std::erase_if(peers, [&](const MemberRecord& aMember) {
-    return aMember.mId == aView.mSelf;
-  });
-  for (std::size_t n = 0; n + 1 < peers.size(); ++n) {
-    std::swap(peers[n], peers[n + aRandom.Below(peers.size() - n)]);
-  }
-  return peers;
-}
-
 } // namespace
 
 ListRunner::ListRunner(ThreadContext& aThread,
@@ -189,9 +175,7 @@
 void
 ListRunner::AskPeers()
 {
-  auto peers = Peers(*mState.View(), mRandom);
-  peers.resize(std::min(peers.size(), kPeersAsked));
-  for (const auto& peer : peers) {
+  for (const auto& peer : mState.View()->RandomPeers(kPeersAsked, mRandom)) {
     mThread.GetLoop().Spawn([this, peer] { AskPeer(peer); });
   }
 }
--- a/packages/daemon/src/release_runner.cpp
+++ b/packages/daemon/src/release_runner.cpp
@@ -207,7 +207,7 @@
 void
 ReleaseRunner::AskPeers()
 {
-  for (const auto& peer : PickPeers()) {
+  for (const auto& peer : mState.View()->RandomPeers(kPeersAsked, mRandom)) {
     mThread.GetLoop().Spawn([this, peer] {
       const auto reply = mThread.Peers().Call(
         peer, "release.heads", Json::object(), kPeerTimeout);
@@ -267,24 +267,6 @@
   Perform(mFollower.OnNotes(aFetch, notes, MonotonicNow()));
 }
 
-std::vector<MemberRecord>
-ReleaseRunner::PickPeers()
-{
-  const auto view = mState.View();
-  std::vector<MemberRecord> peers;
-  for (const auto& it : view->mMembers) {
-    if (it.mId != view->mSelf) {
-      peers.push_back(it);
-    }
-  }
-  const std::size_t n = std::min(peers.size(), kPeersAsked);
-  for (std::size_t i = 0; i < n; ++i) {
-    std::swap(peers[i], peers[i + mRandom.Below(peers.size() - i)]);
-  }
-  peers.resize(n);
-  return peers;
-}
-
 void
 ReleaseRunner::NoteHolder(const ReleaseHead& aHead, const MemberRecord& aPeer)
 {
@@ -299,7 +281,7 @@
 {
   const Json params = { { "product", aHead.mProduct.Text() },
                         { "number", aHead.mNumber.Value() } };
-  auto peers = PickPeers();
+  auto peers = mState.View()->RandomPeers(kPeersAsked, mRandom);
   const auto holder = mHolders.find(aHead.mProduct);
   if (holder != mHolders.end() && holder->second.mNumber >= aHead.mNumber) {
     peers.insert(peers.begin(), holder->second.mPeer);
--- a/packages/daemon/src/release_runner.h
+++ b/packages/daemon/src/release_runner.h
@@ -63,8 +63,6 @@
   void Fetch(const FetchRelease& aFetch);
   void ReadNotes(const FetchNotes& aFetch);
   void FetchFromPeers(const ReleaseHead& aHead);
-  // Returns some other daemons, picked at random.
-  [[nodiscard]] std::vector<MemberRecord> PickPeers();
   void NoteHolder(const ReleaseHead& aHead, const MemberRecord& aPeer);
   [[nodiscard]] CallResult<std::optional<ReleaseBody>> ReadRelease(
     const ProductId& aProduct,
--- a/packages/daemon/src/server_locator.cpp
+++ b/packages/daemon/src/server_locator.cpp
@@ -27,15 +27,6 @@
   return FromMillis(ToMillis(aLength) / aWeight);
 }
 
-// Mixes the candidates, so that of equal ones not always the first is taken.
-void
-Shuffle(std::vector<PlanCandidate>& aCandidates, Random& aRandom)
-{
-  for (std::size_t n = aCandidates.size(); n > 1; --n) {
-    std::swap(aCandidates[n - 1], aCandidates[aRandom.Below(n)]);
-  }
-}
-
 // Returns the time in which a server of the speed, in tokens per second,
 // computes the whole prompt; zero when the speed is not known.
 Duration
@@ -278,7 +269,9 @@
     candidate.mPendingWait = it.mPendingWait;
     request.mCandidates.push_back(std::move(candidate));
   }
-  Shuffle(request.mCandidates, mRandom);
+  // Of equal candidates not always the first one is taken.
+  const std::size_t n = request.mCandidates.size();
+  request.mCandidates = PickRandom(std::move(request.mCandidates), n, mRandom);
   request.mCopies = aWhere.mCopies;
   request.mLinks = mHomes.Cache().Links(aContext.mThread, aWhere);
   PrefixPlan plan = mPlanner->Choose(request);
--- a/packages/membership/src/gossip.cpp
+++ b/packages/membership/src/gossip.cpp
@@ -158,11 +158,9 @@
   impl.mProbe.reset();
   impl.mNextPeriod = aNow + impl.mSettings.mPeriod;
   std::vector<MemberRecord> peers = impl.mTable.Live();
-  const std::size_t count =
-    std::min<std::size_t>(peers.size(), std::bit_width(peers.size()) + 2);
-  for (std::size_t n = 0; n < count; ++n) {
-    std::swap(peers[n], peers[n + impl.mRandom.Below(peers.size() - n)]);
-    impl.Send(peers[n].mEndpoint, impl.Compose(GossipKind::Notice, 0), actions);
+  const auto told = static_cast<std::size_t>(std::bit_width(peers.size())) + 2;
+  for (const auto& it : PickRandom(std::move(peers), told, impl.mRandom)) {
+    impl.Send(it.mEndpoint, impl.Compose(GossipKind::Notice, 0), actions);
   }
   return actions;
 }
--- a/packages/membership/src/gossip_timers.cpp
+++ b/packages/membership/src/gossip_timers.cpp
@@ -104,13 +104,12 @@
   std::erase_if(peers, [&](const MemberRecord& aPeer) {
     return aPeer.mId == mProbe->mTarget.mId;
   });
-  const std::size_t count = std::min(mSettings.mIndirectPings, peers.size());
-  for (std::size_t n = 0; n < count; ++n) {
-    std::swap(peers[n], peers[n + mRandom.Below(peers.size() - n)]);
+  for (const auto& it :
+       PickRandom(std::move(peers), mSettings.mIndirectPings, mRandom)) {
     GossipMessage request = Compose(GossipKind::PingRequest, mProbe->mSequence);
     request.mTarget = mProbe->mTarget.mId;
     request.mTargetEndpoint = mProbe->mTarget.mEndpoint;
-    Send(peers[n].mEndpoint, std::move(request), aActions);
+    Send(it.mEndpoint, std::move(request), aActions);
   }
 }
 
