Bound reads of kept KV cache in time, and let saves take the whole link

Cause: first tokens had a p99 of 2.2 s, since a server waits up to 2 s for its turn on a store's link. Reads are given up at 0.6 of the objective, by the servers' clock that the stores' events tell. The lease of the roll is taken up by all daemons in turn, and at once by the one that the row still names: a holder cut off from the store left a roll standing for 13 s.

A save that is left out costs more reading later than it frees of the link.

--- a/packages/entry/include/bilberrytrail/entry/backend_call.h
+++ b/packages/entry/include/bilberrytrail/entry/backend_call.h
@@ -36,6 +36,9 @@
   std::string mResumeAfter;
   // One for each part of the prompt, or none at all.
   std::vector<CachePlace> mCache;
+  // When a read of kept KV cache is given up, on the servers' clock in
+  // milliseconds; none for never.
+  std::optional<std::uint64_t> mCacheUntilMs;
   // Longest time to open a connection.
   Duration mConnectTime = 250ms;
 };
--- a/packages/entry/include/bilberrytrail/entry/cache_directory.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_directory.h
@@ -4,6 +4,7 @@
 #include <bilberrytrail/base/time.h>
 #include <bilberrytrail/entry/backend_call.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,6 +31,8 @@
   std::uint64_t mNext = 0;
   // Events between were dropped.
   bool mLost = false;
+  // The servers' clock, which all servers and stores share, in milliseconds.
+  std::optional<std::uint64_t> mClockMs;
   std::vector<CacheEvent> mEvents;
 };
 
@@ -59,6 +62,11 @@
   static constexpr Duration kFreshTime = 1100ms;
   // A part that was to be kept and does not show for so long is kept again.
   static constexpr Duration kKeepTime = 3s;
+  // Share of a store's link that parts on their way to it may take, so that
+  // those who read from it do not wait.
+  static constexpr double kKeepShare = 1.0;
+  // Time for which unused room on the link is saved up.
+  static constexpr Duration kKeepBurst = 1s;
   // Smallest part worth a transfer, in tokens: smaller ones are read again in
   // less time than the transfer takes to start.
   static constexpr std::uint64_t kMinTokens = 400;
@@ -68,12 +76,21 @@
   // by the last of them, the stores weighted by their room.
   [[nodiscard]] std::vector<CachePlace> Plan(const Prompt& aPrompt,
                                              const std::string& aSalt,
+                                             std::uint64_t aTokenBytes,
                                              Instant aNow);
+  // Returns a time on the servers' clock; nothing before any store told it.
+  [[nodiscard]] std::optional<std::uint64_t> ServersClockMs(
+    Instant aTime) const noexcept;
   // Returns the number of parts that a store is known to keep.
   [[nodiscard]] std::size_t PartsAt(const StoreId& aStore) const noexcept;
   // Returns the number to ask the store's events from.
   [[nodiscard]] std::uint64_t Next(const StoreId& aStore) const noexcept;
 
+  // Sets the number of daemons that share the links of the stores.
+  void SetDaemons(std::size_t aDaemons) noexcept
+  {
+    mDaemons = std::max<std::size_t>(aDaemons, 1);
+  }
   // Takes in the list of stores.
   void SetStores(std::span<const CacheStore> aStores);
   void OnEvents(const StoreId& aStore,
@@ -92,11 +109,18 @@
     std::set<std::pair<std::string, std::string>> mParts;
     // Parts on their way to the store, and until when they count as such.
     std::map<std::pair<std::string, std::string>, Instant> mKeeping;
+    // Bytes that may go to the store now.
+    double mRoom = 0;
+    std::optional<Instant> mRoomAt;
   };
 
   [[nodiscard]] Store* StoreFor(const PromptPart& aPart, Instant aNow);
+  [[nodiscard]] bool TakeRoom(Store& aStore, double aBytes, Instant aNow) const;
 
   std::map<StoreId, Store> mStores;
+  std::size_t mDaemons = 1;
+  // The servers' clock at the start of this process's monotonic clock.
+  std::optional<std::int64_t> mClockOffsetMs;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/include/bilberrytrail/entry/site_config.h
+++ b/packages/entry/include/bilberrytrail/entry/site_config.h
@@ -86,6 +86,8 @@
   std::uint64_t mSlots = 0;
   // Tokens that a server has memory for.
   std::uint64_t mCacheTokens = 0;
+  // Bytes of KV cache for a token.
+  std::uint64_t mTokenBytes = 0;
   std::vector<ModelId> mModels;
 };
 
@@ -96,6 +98,7 @@
   Endpoint mEndpoint;
   ZoneId mZone;
   std::uint64_t mCapacityTokens = 0;
+  double mBytesPerSecond = 0;
   // The store drops nothing by itself.
   bool mIsManaged = false;
 };
--- a/packages/entry/include/bilberrytrail/entry/weight_roll.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_roll.h
@@ -112,16 +112,15 @@
   std::map<ServerId, Entry> mOrders;
 };
 
-// Decides when a daemon asks for the lease of the roll. The daemons take turns
-// by rank, so that few of them use the table service: the first two at once,
-// the others when the roll does not get on.
+// Decides when a daemon asks for the lease of the roll. All ask, so that each
+// knows for how long a holder has been silent; they begin one after the other
+// by rank, so that the first has the lease before the others try to take it.
 class RollDuty
 {
 public:
-  // Daemons that ask for the lease at once.
-  static constexpr std::size_t kFirstRanks = 2;
-  // Time without progress after which all others ask.
-  static constexpr Duration kStallTime = 4s;
+  // Time between the beginnings of two ranks, and the most for any rank.
+  static constexpr Duration kRankTime = 150ms;
+  static constexpr Duration kMaxRankTime = 1500ms;
   // The lease is kept for so long behind the last pending server, so that the
   // orders of two holders in a row are apart.
   static constexpr Duration kKeepTime = 3500ms;
@@ -132,8 +131,7 @@
                               Instant aNow);
 
 private:
-  std::size_t mPending = 0;
-  std::optional<Instant> mProgressAt;
+  std::optional<Instant> mPendingSince;
   std::optional<Instant> mPendingUntil;
 };
 
--- a/packages/entry/src/cache_directory.cpp
+++ b/packages/entry/src/cache_directory.cpp
@@ -6,6 +6,28 @@
 
 namespace bilberrytrail {
 
+namespace {
+
+std::int64_t
+Millis(Instant aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           aTime.time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+std::optional<std::uint64_t>
+CacheDirectory::ServersClockMs(Instant aTime) const noexcept
+{
+  if (!mClockOffsetMs) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint64_t>(
+    std::max<std::int64_t>(Millis(aTime) + *mClockOffsetMs, 0));
+}
+
 std::size_t
 CacheDirectory::PartsAt(const StoreId& aStore) const noexcept
 {
@@ -58,6 +80,10 @@
   }
   store.mNext = aEvents.mNext;
   store.mHeardAt = aNow;
+  if (aEvents.mClockMs) {
+    mClockOffsetMs =
+      static_cast<std::int64_t>(*aEvents.mClockMs) - Millis(aNow);
+  }
   for (const auto& event : aEvents.mEvents) {
     const std::pair part(event.mSalt, event.mPart);
     store.mKeeping.erase(part);
@@ -104,9 +130,28 @@
   return &it->second;
 }
 
+// A token bucket; a part larger than the bucket goes when it is full.
+bool
+CacheDirectory::TakeRoom(Store& aStore, double aBytes, Instant aNow) const
+{
+  constexpr double kMillisInSecond = 1000;
+  const double rate = kKeepShare * aStore.mInfo.mBytesPerSecond /
+                      static_cast<double>(mDaemons) / kMillisInSecond;
+  const double most = rate * ToMillis(kKeepBurst);
+  const auto since = aStore.mRoomAt.value_or(aNow - kKeepBurst);
+  aStore.mRoom = std::min(most, aStore.mRoom + rate * ToMillis(aNow - since));
+  aStore.mRoomAt = aNow;
+  if (aStore.mRoom < std::min(aBytes, most)) {
+    return false;
+  }
+  aStore.mRoom -= aBytes;
+  return true;
+}
+
 std::vector<CachePlace>
 CacheDirectory::Plan(const Prompt& aPrompt,
                      const std::string& aSalt,
+                     std::uint64_t aTokenBytes,
                      Instant aNow)
 {
   const auto* last = aPrompt.LastSharedPart();
@@ -127,7 +172,9 @@
       continue;
     }
     auto& until = store->mKeeping[part];
-    if (aNow >= until) {
+    const auto bytes =
+      static_cast<double>(aPrompt.mParts[n].mTokens * aTokenBytes);
+    if (aNow >= until && TakeRoom(*store, bytes, aNow)) {
       until = aNow + kKeepTime;
       places[n].mTo = store->mInfo.mEndpoint;
       isUsed = true;
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -183,6 +183,7 @@
       mBackend->Forget(it);
     }
     mRetries.SetDaemons(mDaemons);
+    mCache.SetDaemons(mDaemons);
   }
   return view;
 }
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -28,6 +28,9 @@
 constexpr double kPatienceObjectives = 3.0;
 constexpr Duration kMinPatience = 250ms;
 constexpr Duration kMaxPatience = 2500ms;
+// Kept KV cache that is not read within this share of the objective is given
+// up, and the prompt is read instead.
+constexpr double kCacheReadShare = 0.6;
 // What refused callers are told to wait: a share of the objective, in bounds.
 constexpr double kReturnShare = 0.5;
 constexpr Duration kMinReturn = 100ms;
@@ -298,8 +301,15 @@
                         ? *mAccount->mPriority
                         : mRoute->mPriority;
     call.mPriority = std::min(rank, kLowestRank);
+    const auto* service = mView->FindService(mService);
+    const auto now = MonotonicNow();
     call.mCache =
-      mParts.mCache.Plan(*mRequest.mPrompt, call.mCacheSalt, MonotonicNow());
+      mParts.mCache.Plan(*mRequest.mPrompt,
+                         call.mCacheSalt,
+                         service == nullptr ? 0 : service->mTokenBytes,
+                         now);
+    call.mCacheUntilMs = mParts.mCache.ServersClockMs(
+      now + FromMillis(ToMillis(mRoute->mObjective) * kCacheReadShare));
   }
   call.mResumeAfter =
     mEvents.LastId().empty() ? mRequest.mResumeAfter : mEvents.LastId();
--- a/packages/entry/src/roll_runner.cpp
+++ b/packages/entry/src/roll_runner.cpp
@@ -14,11 +14,19 @@
 constexpr Duration kOrderTime = 500ms;
 // The lease's length and renewal: a holder that is cut off from the table
 // service stops within this time.
-constexpr Duration kLeaseLength = 2500ms;
+constexpr Duration kLeaseLength = 2200ms;
 constexpr Duration kRenewAfter = 800ms;
-constexpr Duration kLeaseRead = 700ms;
+// How often the others read the row.
+constexpr Duration kLeaseRead = 1200ms;
 constexpr Duration kLeaseCall = 700ms;
 
+// Orders of a daemon that starts again on the same VM are those of one holder.
+DaemonId
+HolderOf(const EntrySettings& aSettings)
+{
+  return DaemonId(aSettings.mName.Text() + "@" + aSettings.mPeers.mHost);
+}
+
 LeaseSettings
 MakeLeaseSettings(const EntrySettings& aSettings)
 {
@@ -42,12 +50,12 @@
                        PeerDirectory& aPeers,
                        SiteViewHolder& aViews)
   : mLoop(aLoop)
-  , mSelf(aSettings.mName)
+  , mSelf(HolderOf(aSettings))
   , mTable(aTable)
   , mOrders(aOrders)
   , mPeers(aPeers)
   , mViews(aViews)
-  , mLease(kLeaseKey, aSettings.mName, MakeLeaseSettings(aSettings))
+  , mLease(kLeaseKey, mSelf, MakeLeaseSettings(aSettings))
   , mRoll(WeightRollSettings())
 {
 }
--- a/packages/entry/src/weight_roll.cpp
+++ b/packages/entry/src/weight_roll.cpp
@@ -111,16 +111,13 @@
 RollDuty::IsWanted(std::size_t aRank, std::size_t aPending, Instant aNow)
 {
   if (aPending == 0) {
-    mProgressAt.reset();
-    mPending = 0;
+    mPendingSince.reset();
     return mPendingUntil && aNow < *mPendingUntil + kKeepTime;
   }
-  if (!mProgressAt || aPending < mPending) {
-    mProgressAt = aNow;
-  }
-  mPending = aPending;
+  mPendingSince = mPendingSince.value_or(aNow);
   mPendingUntil = aNow;
-  return aRank < kFirstRanks || aNow >= *mProgressAt + kStallTime;
+  const Duration turn = kRankTime * static_cast<std::int64_t>(aRank);
+  return aNow >= *mPendingSince + std::min(turn, kMaxRankTime);
 }
 
 } // namespace bilberrytrail
--- a/packages/release/src/lease.cpp
+++ b/packages/release/src/lease.cpp
@@ -146,12 +146,13 @@
   return aNow >= mNextRead ? std::optional(Read(aNow)) : std::nullopt;
 }
 
-// A row that is absent or given back is free. Otherwise the holder's orders
-// must have ended, seen from the last change of the row.
+// A row that is absent or given back is free, and so is one that still names
+// this daemon: nobody else can have sent orders since it lapsed. Otherwise the
+// holder's orders must have ended, seen from the last change of the row.
 bool
 Lease::MayTake(Instant aNow) const
 {
-  if (!mSeen || mSeen->mHolder.IsEmpty()) {
+  if (!mSeen || mSeen->mHolder.IsEmpty() || mSeen->mHolder == mSelf) {
     return true;
   }
   return mChangedAt &&
