Choose servers by the estimated time to the first event; bound repeats over restarts

Cause: requests stuck to the first server by affinity while it was seconds behind (one server p50 726 ms, the others 100 to 250), since each daemon saw only its own work. Delays seen of late and requests that wait now make the estimate; a server with older weights that refuses is taken to be loading until the list shows it.

--- a/packages/entry/include/bilberrytrail/entry/retry_meter.h
+++ b/packages/entry/include/bilberrytrail/entry/retry_meter.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace bilberrytrail {
 
@@ -24,7 +25,8 @@
 // Bounds how often this daemon sends a request once more, per service and
 // sliding window, so that the daemons together stay within the site's
 // allowance without talking: each takes the ratio of its own requests and an
-// equal part of the slack.
+// equal part of the slack. A daemon that has just started takes the slack by
+// and by over a window: the process before it may have used it up.
 class RetryMeter
 {
 public:
@@ -55,8 +57,12 @@
 
   [[nodiscard]] Slice& Current(Slices& aSlices, Instant aNow) const;
 
+  // Number of daemons assumed before it is known; more than small sites have.
+  static constexpr std::size_t kUnknownDaemons = 16;
+
   const RetryMeterSettings mSettings;
-  std::size_t mDaemons = 1;
+  std::size_t mDaemons = kUnknownDaemons;
+  std::optional<Instant> mStartedAt;
   std::map<ServiceId, Slices> mServices;
 };
 
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -25,6 +25,8 @@
   // Estimated work until the first event: tokens to read, or 1 for a request
   // without a prompt.
   double mWork = 1;
+  // Tokens to read besides at a server that keeps none of the shared parts.
+  double mMissWork = 0;
   // Time to the first event that callers expect.
   Duration mObjective = 1s;
   // Servers that were tried for this request.
@@ -36,10 +38,10 @@
 {
   // The first by affinity.
   Affinity,
-  // Those before it by affinity have too much work.
+  // The first by affinity would answer later.
   Spilled,
-  // The one with the least work.
-  LeastWork,
+  // The soonest, without affinity.
+  Soonest,
   // All servers have failed of late; this one the longest ago.
   LastResort
 };
@@ -49,7 +51,7 @@
 {
   static constexpr std::array<std::string_view, 4> kNames{ "affinity",
                                                            "spilled",
-                                                           "least_work",
+                                                           "soonest",
                                                            "last_resort" };
 };
 
@@ -62,7 +64,7 @@
   // Version of the model's weights that it is believed to have; 0 without a
   // model.
   std::uint64_t mWeightVersion = 0;
-  ChoiceReason mReason = ChoiceReason::LeastWork;
+  ChoiceReason mReason = ChoiceReason::Soonest;
   // Servers of the service that could have been chosen.
   std::size_t mCandidates = 0;
 };
@@ -115,23 +117,32 @@
   // twice as long each further time up to mMaxFullTime.
   Duration mFirstFullTime = 150ms;
   Duration mMaxFullTime = 1200ms;
+  // The same for a server whose weights are not the newest: it probably loads
+  // them, which shows in the list of servers when it is done.
+  Duration mLoadingTime = 3s;
   // A server that sent nothing for this multiple of the objective, within the
   // bounds, while a request waits at it gets no more until it does.
   double mSilenceObjectives = 2.0;
   Duration mMinSilence = 300ms;
   Duration mMaxSilence = 1200ms;
-  // A server takes more work by affinity while it has at most this multiple of
-  // the mean work, and the slack in tokens beyond it.
-  double mAffinityBound = 1.3;
-  double mAffinitySlackTokens = 6000;
-  // The same for servers with the newest weights, before older ones are used.
-  double mNewestBound = 2.0;
-  double mNewestSlackTokens = 4000;
+  // Tokens that a server reads in a millisecond, as the estimates assume it.
+  double mTokensPerMs = 100;
   // Work of a stream that has begun, in tokens to read.
   double mRunningTokens = 150;
-  // Work that makes a server in another zone as good as one in the own zone,
-  // for requests without prompts.
-  double mZoneWork = 0.9;
+  // How soon an observed delay loses its weight.
+  Duration mDelayLifetime = 800ms;
+  // Weight of the newest observed delay.
+  double mDelayWeight = 0.5;
+  // Reading a prompt's shared parts again is not only slow but takes a server's
+  // time from others: this multiple of its time is counted.
+  double mMissFactor = 1.5;
+  // Estimated time that older weights are worth, as a share of the objective.
+  double mOldWeightsObjectives = 0.5;
+  // Typical time of a request without a prompt, before one was seen.
+  Duration mPlainTime = 15ms;
+  // Time by which a server in another zone must be sooner, for requests
+  // without prompts.
+  Duration mZoneTime = 4ms;
 };
 
 // Identifies one send to one server.
@@ -170,6 +181,8 @@
   std::optional<HealthChange> End(SendTicket aTicket,
                                   SendEnd aEnd,
                                   Instant aNow);
+  // Notes that a server without room has older weights than the newest.
+  void ExpectLoading(const ServerId& aServer, Instant aNow);
   // Notes the version of a model's weights that an answer named.
   void ObserveVersion(const ServerId& aServer,
                       const ModelId& aModel,
@@ -192,13 +205,17 @@
                               Duration aObjective,
                               Instant aNow) const;
   [[nodiscard]] double WorkOf(const Server& aServer) const noexcept;
-  [[nodiscard]] double MeanWork(const Candidates& aCandidates) const noexcept;
-  [[nodiscard]] Candidates WithNewest(const ServerQuery& aQuery,
-                                      const Candidates& aCandidates) const;
-  [[nodiscard]] Server* LeastWork(const Candidates& aCandidates, bool aByZone);
-  [[nodiscard]] std::pair<Server*, ChoiceReason> ByAffinity(
-    const ServerQuery& aQuery,
-    const Candidates& aCandidates);
+  // The delay that requests to a server meet, by those of late and those that
+  // still wait.
+  [[nodiscard]] Duration DelayOf(const Server& aServer, Instant aNow) const;
+  // The estimated time to the first event at a server; aRank is its place by
+  // affinity.
+  [[nodiscard]] Duration TimeAt(const ServerQuery& aQuery,
+                                const Server& aServer,
+                                std::size_t aRank,
+                                Instant aNow) const;
+  // Sorts by affinity, or takes turns without.
+  void Order(const ServerQuery& aQuery, Candidates& aCandidates);
   [[nodiscard]] ChosenServer ToChoice(const ServerQuery& aQuery,
                                       const Server& aServer,
                                       ChoiceReason aReason,
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -117,7 +117,8 @@
   RequestFlow mFlow;
   std::unique_ptr<HttpHandler> mFront;
   HttpServer mCallerServer;
-  std::atomic<std::size_t> mDaemons = 1;
+  // 0 until it is known.
+  std::atomic<std::size_t> mDaemons = 0;
   std::vector<std::thread> mThreads;
 };
 
@@ -182,8 +183,10 @@
     for (const auto& it : mPool.Update(view->mServers, MonotonicNow())) {
       mBackend->Forget(it);
     }
-    mRetries.SetDaemons(mDaemons);
-    mCache.SetDaemons(mDaemons);
+    if (mDaemons > 0) {
+      mRetries.SetDaemons(mDaemons);
+      mCache.SetDaemons(mDaemons);
+    }
   }
   return view;
 }
@@ -233,7 +236,7 @@
   bool wasReady = false;
   std::shared_ptr<const SiteConfig> config;
   while (mControl.Sleep(kStoreListPeriod)) {
-    mDaemons = mPeers.All().size();
+    mDaemons = mPeers.IsComplete() ? mPeers.All().size() : 0;
     if (IsReady() != wasReady) {
       wasReady = !wasReady;
       LogLine(wasReady ? LogEvent::DaemonReady : LogEvent::DaemonNotReady,
--- a/packages/entry/src/peer_directory.cpp
+++ b/packages/entry/src/peer_directory.cpp
@@ -96,6 +96,7 @@
     peers.push_back({ name, endpoint.value() });
   }
   mPeers = std::move(peers);
+  mIsComplete = true;
   return true;
 }
 
--- a/packages/entry/src/peer_directory.h
+++ b/packages/entry/src/peer_directory.h
@@ -32,6 +32,8 @@
   {
     return mPeers;
   }
+  // Returns whether the rows were read once.
+  [[nodiscard]] bool IsComplete() const noexcept { return mIsComplete; }
   // Returns this daemon's place among all for a duty, 0 for the first.
   [[nodiscard]] std::size_t RankFor(std::string_view aDuty) const;
   // Returns some other daemons, in random order.
@@ -49,6 +51,7 @@
   const PeerAddress mSelf;
   Random mRandom;
   std::vector<PeerAddress> mPeers;
+  bool mIsComplete = false;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -110,6 +110,8 @@
   [[nodiscard]] ServerQuery MakeQuery() const;
   [[nodiscard]] BackendCall MakeCall();
   [[nodiscard]] std::string CacheSalt() const;
+  // Returns the newest weights of the prompt's model; 0 when none are named.
+  [[nodiscard]] std::uint64_t NewestWeights() const;
   [[nodiscard]] double Work() const noexcept;
   [[nodiscard]] bool MayRepeat() const noexcept;
   [[nodiscard]] bool TryRepeat();
@@ -236,6 +238,16 @@
            std::sqrt(static_cast<double>(prompt.mMaxOutputTokens));
 }
 
+std::uint64_t
+RequestRun::NewestWeights() const
+{
+  if (!mRequest.mPrompt) {
+    return 0;
+  }
+  const auto it = mView->mWeights.find(mRequest.mPrompt->mModel);
+  return it == mView->mWeights.end() ? 0 : it->second;
+}
+
 ServerQuery
 RequestRun::MakeQuery() const
 {
@@ -247,10 +259,10 @@
   if (mRequest.mPrompt) {
     const auto& prompt = *mRequest.mPrompt;
     query.mModel = prompt.mModel;
-    const auto newest = mView->mWeights.find(prompt.mModel);
-    query.mNewestVersion = newest == mView->mWeights.end() ? 0 : newest->second;
+    query.mNewestVersion = NewestWeights();
     if (const auto* part = prompt.LastSharedPart()) {
       query.mAffinity = StableHash64(part->mId);
+      query.mMissWork = static_cast<double>(prompt.SharedTokens());
     }
   }
   return query;
@@ -428,16 +440,17 @@
             { "age", MonotonicNow() - mArrivedAt },
             { "detail", aFailure.mDetail } });
   if (aFailure.mFault == SendFault::WrongVersion && mRequest.mPrompt) {
-    const auto& model = mRequest.mPrompt->mModel;
-    const auto newest = mView->mWeights.find(model);
     mParts.mPool.DenyVersion(mChoice.mServer,
-                             model,
+                             mRequest.mPrompt->mModel,
                              mChoice.mWeightVersion,
-                             newest == mView->mWeights.end() ? 0
-                                                             : newest->second);
+                             NewestWeights());
   } else {
     mTried.push_back(mChoice.mServer);
   }
+  if (aFailure.mFault == SendFault::Full &&
+      mChoice.mWeightVersion < NewestWeights()) {
+    mParts.mPool.ExpectLoading(mChoice.mServer, MonotonicNow());
+  }
   if (aFailure.mFault == SendFault::NoConnection) {
     mParts.mBackend.Forget(mChoice.mEndpoint);
     if (++mFailedConnections < kMaxFailedConnections) {
--- a/packages/entry/src/retry_meter.cpp
+++ b/packages/entry/src/retry_meter.cpp
@@ -40,7 +40,10 @@
     requests += static_cast<double>(it.mRequests);
     repeats += static_cast<double>(it.mRepeats);
   }
-  const double slack = mSettings.mSlack / static_cast<double>(mDaemons);
+  mStartedAt = mStartedAt.value_or(aNow);
+  const double age =
+    std::min(1.0, ToMillis(aNow - *mStartedAt) / ToMillis(mSettings.mWindow));
+  const double slack = age * mSettings.mSlack / static_cast<double>(mDaemons);
   return mSettings.mUse * (mSettings.mRatio * requests + slack) - repeats;
 }
 
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -4,6 +4,7 @@
 #include <bilberrytrail/base/random.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace bilberrytrail {
 
@@ -19,6 +20,9 @@
   // Work of the sends that have no byte of an answer yet.
   double mWaitingWork = 0;
   std::optional<Instant> mHeardAt;
+  // Delay of late, as of mDelayAt.
+  Duration mDelay{};
+  Instant mDelayAt;
   unsigned mFailures = 0;
   Duration mEjection{};
   std::optional<Instant> mEjectedUntil;
@@ -95,6 +99,9 @@
       server = std::make_unique<Server>();
       server->mHash = StableHash64(it.mId.Text());
     }
+    if (server->mRecord.mModels != it.mModels) {
+      server->mFullUntil.reset();
+    }
     server->mRecord = it;
   }
   return gone;
@@ -107,17 +114,6 @@
          mSettings.mRunningTokens * static_cast<double>(aServer.mRunning);
 }
 
-double
-ServerPool::MeanWork(const Candidates& aCandidates) const noexcept
-{
-  double work = 0;
-  for (const auto* it : aCandidates) {
-    work += WorkOf(*it);
-  }
-  return work /
-         static_cast<double>(std::max<std::size_t>(aCandidates.size(), 1));
-}
-
 // A request that waits there, and nothing from the server since.
 bool
 ServerPool::IsSilent(const Server& aServer,
@@ -163,60 +159,59 @@
   return usable;
 }
 
-// The servers with the newest weights alone, as long as they have room.
-ServerPool::Candidates
-ServerPool::WithNewest(const ServerQuery& aQuery,
-                       const Candidates& aCandidates) const
+Duration
+ServerPool::DelayOf(const Server& aServer, Instant aNow) const
 {
-  Candidates newest;
-  double least = 0;
-  for (auto* it : aCandidates) {
-    if (it->VersionOf(*aQuery.mModel) >= aQuery.mNewestVersion) {
-      least = newest.empty() ? WorkOf(*it) : std::min(least, WorkOf(*it));
-      newest.push_back(it);
+  const double age = ToMillis(aNow - aServer.mDelayAt);
+  const double left = std::exp(-age / ToMillis(mSettings.mDelayLifetime));
+  Duration delay = FromMillis(ToMillis(aServer.mDelay) * left);
+  for (const auto& [ticket, send] : mSends) {
+    if (send.mServer == aServer.mRecord.mId && !send.mHasBegun) {
+      const auto own = FromMillis(send.mWork / mSettings.mTokensPerMs);
+      delay = std::max(delay, aNow - send.mSentAt - own);
     }
   }
-  const double bound = mSettings.mNewestBound * MeanWork(aCandidates) +
-                       mSettings.mNewestSlackTokens;
-  return newest.empty() || least > bound ? aCandidates : newest;
+  return delay;
 }
 
-ServerPool::Server*
-ServerPool::LeastWork(const Candidates& aCandidates, bool aByZone)
+Duration
+ServerPool::TimeAt(const ServerQuery& aQuery,
+                   const Server& aServer,
+                   std::size_t aRank,
+                   Instant aNow) const
 {
-  const auto cost = [&](const Server& aServer) {
-    const bool isFar = aByZone && aServer.mRecord.mZone != mOwnZone;
-    return WorkOf(aServer) + (isFar ? mSettings.mZoneWork : 0.0);
-  };
-  // Equal ones take turns.
-  ++mTurn;
-  Server* best = nullptr;
-  for (std::size_t n = 0; n < aCandidates.size(); ++n) {
-    auto* it = aCandidates[(n + mTurn) % aCandidates.size()];
-    if (best == nullptr || cost(*it) < cost(*best)) {
-      best = it;
-    }
+  const auto delay = DelayOf(aServer, aNow);
+  if (!aQuery.mModel) {
+    const auto inFlight =
+      static_cast<std::int64_t>(aServer.mWaiting + aServer.mRunning);
+    const bool isFar = aServer.mRecord.mZone != mOwnZone;
+    return std::max(delay, mSettings.mPlainTime) * (1 + inFlight) +
+           (isFar ? mSettings.mZoneTime : Duration(0));
+  }
+  double tokens = WorkOf(aServer);
+  if (aRank > 0) {
+    tokens += mSettings.mMissFactor * aQuery.mMissWork;
   }
-  return best;
+  auto time = delay + FromMillis(tokens / mSettings.mTokensPerMs);
+  if (aServer.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion) {
+    time +=
+      FromMillis(ToMillis(aQuery.mObjective) * mSettings.mOldWeightsObjectives);
+  }
+  return time;
 }
 
-std::pair<ServerPool::Server*, ChoiceReason>
-ServerPool::ByAffinity(const ServerQuery& aQuery, const Candidates& aCandidates)
+void
+ServerPool::Order(const ServerQuery& aQuery, Candidates& aCandidates)
 {
-  const auto rank = [&](const Server* aServer) {
-    return Random(aQuery.mAffinity ^ aServer->mHash).Next();
-  };
-  Candidates order = aCandidates;
-  std::ranges::sort(order, std::ranges::greater(), rank);
-  const double bound = mSettings.mAffinityBound * MeanWork(aCandidates) +
-                       mSettings.mAffinitySlackTokens;
-  for (std::size_t n = 0; n < order.size(); ++n) {
-    if (WorkOf(*order[n]) <= bound) {
-      return { order[n],
-               n == 0 ? ChoiceReason::Affinity : ChoiceReason::Spilled };
-    }
+  if (aQuery.mAffinity != 0) {
+    std::ranges::sort(
+      aCandidates, std::ranges::greater(), [&](const Server* aServer) {
+        return Random(aQuery.mAffinity ^ aServer->mHash).Next();
+      });
+    return;
   }
-  return { LeastWork(aCandidates, false), ChoiceReason::LeastWork };
+  const auto turn = static_cast<std::ptrdiff_t>(++mTurn % aCandidates.size());
+  std::ranges::rotate(aCandidates, aCandidates.begin() + turn);
 }
 
 ChosenServer
@@ -251,16 +246,20 @@
       });
     return ToChoice(aQuery, *oldest, ChoiceReason::LastResort, 0);
   }
-  const auto count = usable.size();
-  if (aQuery.mModel && aQuery.mNewestVersion > 0) {
-    usable = WithNewest(aQuery, usable);
-  }
-  if (aQuery.mAffinity != 0) {
-    const auto [server, reason] = ByAffinity(aQuery, usable);
-    return ToChoice(aQuery, *server, reason, count);
+  Order(aQuery, usable);
+  std::size_t best = 0;
+  auto soonest = TimeAt(aQuery, *usable[0], 0, aNow);
+  for (std::size_t n = 1; n < usable.size(); ++n) {
+    const auto time = TimeAt(aQuery, *usable[n], n, aNow);
+    if (time < soonest) {
+      soonest = time;
+      best = n;
+    }
   }
-  return ToChoice(
-    aQuery, *LeastWork(usable, !aQuery.mModel), ChoiceReason::LeastWork, count);
+  const auto reason = aQuery.mAffinity == 0 ? ChoiceReason::Soonest
+                      : best == 0           ? ChoiceReason::Affinity
+                                            : ChoiceReason::Spilled;
+  return ToChoice(aQuery, *usable[best], reason, usable.size());
 }
 
 SendTicket
@@ -291,6 +290,13 @@
   server.mHeardAt = aNow;
   if (!send->second.mHasBegun) {
     send->second.mHasBegun = true;
+    const auto own = FromMillis(send->second.mWork / mSettings.mTokensPerMs);
+    const auto seen = std::max(aNow - send->second.mSentAt - own, Duration(0));
+    const auto before = DelayOf(server, aNow);
+    server.mDelay =
+      FromMillis(ToMillis(before) +
+                 mSettings.mDelayWeight * (ToMillis(seen) - ToMillis(before)));
+    server.mDelayAt = aNow;
     server.mWaiting -= std::min<std::size_t>(server.mWaiting, 1);
     server.mWaitingWork =
       std::max(0.0, server.mWaitingWork - send->second.mWork);
@@ -365,6 +371,15 @@
   return std::nullopt;
 }
 
+void
+ServerPool::ExpectLoading(const ServerId& aServer, Instant aNow)
+{
+  const auto it = mServers.find(aServer);
+  if (it != mServers.end()) {
+    it->second->mFullUntil = aNow + mSettings.mLoadingTime;
+  }
+}
+
 void
 ServerPool::ObserveVersion(const ServerId& aServer,
                            const ModelId& aModel,
