Order two servers at a time to load weights

A server that finishes its requests first is out for 3 to 5 s, of which loading is 1 to 2 s; capacity counts more than the length of the roll.

--- a/packages/entry/include/bilberrytrail/entry/weight_roll.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_roll.h
@@ -54,7 +54,7 @@
   // Servers that load at once at full speed.
   std::size_t mLoadsAtOnce = 2;
   // Further servers that finish their requests meanwhile.
-  std::size_t mDrainingAhead = 1;
+  std::size_t mDrainingAhead = 0;
   // An accepted order that shows no effect for so long is sent again.
   Duration mOrderTime = 8s;
   // Pause before a server is ordered again after an order that did not take.
