Keep requests off weights that are older than the bound; refuse prompts that would wait too long

WeightHistory keeps when each version was named; what was named before a daemon started counts as old.

--- a/packages/entry/include/bilberrytrail/entry/entry_settings.h
+++ b/packages/entry/include/bilberrytrail/entry/entry_settings.h
@@ -33,6 +33,9 @@
   Duration mRetryWindow = 10s;
   // Least time between orders of two holders to one server.
   Duration mOrderGap = 3s;
+  // Time from the naming of new weights to the last request that begins on
+  // older ones.
+  Duration mWeightsWithin = 15s;
 };
 
 // Returns the table of these settings.
--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -24,6 +24,9 @@
   CacheDirectory& mCache;
   HistogramRegistry& mTimes;
   CounterRegistry& mCounts;
+  // Time from the naming of new weights in which requests may still begin on
+  // older ones.
+  Duration mWeightsWithin;
   // The view in force; null before the first.
   std::function<std::shared_ptr<const SiteView>()> mView;
   // Whether the view was confirmed so lately that a route or key that it lacks
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -19,6 +19,9 @@
   std::optional<ModelId> mModel;
   // Version of the model's weights to prefer; 0 for none.
   std::uint64_t mNewestVersion = 0;
+  // Servers with older weights are not used while one with these is listed; 0
+  // for none.
+  std::uint64_t mLeastVersion = 0;
   // Requests with the same value, other than 0, go to the same server while it
   // has room, so that they find each other's KV cache.
   std::uint64_t mAffinity = 0;
@@ -65,6 +68,8 @@
   // model.
   std::uint64_t mWeightVersion = 0;
   ChoiceReason mReason = ChoiceReason::Soonest;
+  // Estimated time to the first event.
+  Duration mTime{};
   // Servers of the service that could have been chosen.
   std::size_t mCandidates = 0;
 };
@@ -198,6 +203,7 @@
   struct Send;
   using Candidates = std::vector<Server*>;
 
+  [[nodiscard]] std::uint64_t LeastVersion(const ServerQuery& aQuery) const;
   [[nodiscard]] Candidates Usable(const ServerQuery& aQuery,
                                   Instant aNow,
                                   Candidates& aEjected);
--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -2,6 +2,7 @@
 
 #include <bilberrytrail/entry/route_table.h>
 #include <bilberrytrail/entry/site_image.h>
+#include <bilberrytrail/entry/weight_history.h>
 
 #include <map>
 #include <memory>
@@ -16,8 +17,7 @@
   std::shared_ptr<const RouteTable> mRoutes;
   std::shared_ptr<const AccountKeys> mAccounts;
   std::vector<ServerRecord> mServers;
-  // Newest weights by model.
-  std::map<ModelId, std::uint64_t> mWeights;
+  WeightHistory mWeights;
 
   // Returns null when the configuration has no such service.
   [[nodiscard]] const BackendService* FindService(
@@ -37,10 +37,16 @@
 
   // Returns the view of the rows in force.
   [[nodiscard]] std::shared_ptr<const SiteView> Assemble(
-    const SiteImage& aImage);
+    const SiteImage& aImage,
+    Instant aNow);
+  // Counts the time since new weights were named from now on.
+  void RestartWeights(Instant aNow) noexcept
+  {
+    mOperator.mWeights.Restart(aNow);
+  }
 
 private:
-  void ReadOperatorRow(const SiteRow& aRow);
+  void ReadOperatorRow(const SiteRow& aRow, Instant aNow);
   void ReadServerRow(const SiteRow& aRow, SiteView& aView);
   void TakeConfig(SiteConfig aConfig);
   void Report(SiteTable aTable, const SiteRow& aRow, const Error& aError);
@@ -49,6 +55,7 @@
   // The view without servers, made of the operator's rows.
   SiteView mOperator;
   std::uint64_t mOperatorVersion = 0;
+  bool mHasReadOperator = false;
   // Records by key, with the version of the row that they were read from.
   std::map<std::string, std::pair<std::uint64_t, ServerRecord>> mServers;
   // Version of the last row of a key that was reported as unreadable.
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -29,6 +29,9 @@
 constexpr Duration kEventPause = 150ms;
 constexpr Duration kEventRetryPause = 300ms;
 constexpr Duration kStoreListPeriod = 500ms;
+// Kept back from the time in which new weights must be in use: a request may
+// wait at a server before it begins.
+constexpr Duration kWeightsReserve = 1500ms;
 constexpr const char* kMetricsPath = "/metrics";
 
 // Sizes of what daemons send each other; a copy of the tables is the largest.
@@ -162,15 +165,18 @@
 FlowParts
 EntryDaemon::Impl::MakeFlowParts()
 {
-  return { mTraffic,
-           *mBackend,
-           mPool,
-           mRetries,
-           mCache,
-           mTimes,
-           mCounts,
-           [this] { return TakeView(); },
-           [this] { return mViews.IsFresh(MonotonicNow()); } };
+  return {
+    mTraffic,
+    *mBackend,
+    mPool,
+    mRetries,
+    mCache,
+    mTimes,
+    mCounts,
+    mSettings.mWeightsWithin - kWeightsReserve,
+    [this] { return TakeView(); },
+    [this] { return mViews.IsFresh(MonotonicNow()); },
+  };
 }
 
 // Takes a new view over on the traffic thread.
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -127,6 +127,15 @@
                "3s",
                false,
                "Least time between orders of two daemons to one server." },
+  SettingInfo{ "weights",
+               "within",
+               Time,
+               2 * kSecond,
+               3600 * kSecond,
+               "15s",
+               false,
+               "Time from the naming of new weights to the last request that "
+               "begins on older ones." },
 };
 
 // Stores the value of one row of the table.
@@ -176,6 +185,9 @@
     [](auto& aTo, const auto& aValue) {
       aTo.mOrderGap = std::get<Duration>(aValue);
     },
+    [](auto& aTo, const auto& aValue) {
+      aTo.mWeightsWithin = std::get<Duration>(aValue);
+    },
   };
   return kStores;
 }
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -37,6 +37,11 @@
 constexpr Duration kMaxReturn = 800ms;
 // The same while this daemon does not know the site well enough.
 constexpr Duration kUnknownSiteReturn = 300ms;
+// A prompt whose first event would come later than this multiple of the
+// objective is refused at once: its caller would get a late answer or give up,
+// and its work would make others late too.
+constexpr double kMaxWaitObjectives = 0.8;
+constexpr Duration kMaxQueueReturn = 2s;
 // Work of a token that is written, in tokens that are read.
 constexpr double kOutputTokenWork = 4;
 constexpr unsigned kLowestRank = 9;
@@ -244,8 +249,7 @@
   if (!mRequest.mPrompt) {
     return 0;
   }
-  const auto it = mView->mWeights.find(mRequest.mPrompt->mModel);
-  return it == mView->mWeights.end() ? 0 : it->second;
+  return mView->mWeights.Newest(mRequest.mPrompt->mModel);
 }
 
 ServerQuery
@@ -260,6 +264,8 @@
     const auto& prompt = *mRequest.mPrompt;
     query.mModel = prompt.mModel;
     query.mNewestVersion = NewestWeights();
+    query.mLeastVersion = mView->mWeights.LeastAllowed(
+      prompt.mModel, mParts.mWeightsWithin, MonotonicNow());
     if (const auto* part = prompt.LastSharedPart()) {
       query.mAffinity = StableHash64(part->mId);
       query.mMissWork = static_cast<double>(prompt.SharedTokens());
@@ -281,6 +287,14 @@
     return false;
   }
   mChoice = *choice;
+  const auto longest =
+    FromMillis(ToMillis(mRoute->mObjective) * kMaxWaitObjectives);
+  if (mRequest.mPrompt && mSends == 0 && mChoice.mTime > longest) {
+    Refuse(RefusalReason::QueueFull,
+           "All servers of the service are behind.",
+           std::clamp(mChoice.mTime, kMinReturn, kMaxQueueReturn));
+    return false;
+  }
   return true;
 }
 
--- a/packages/entry/src/roll_runner.cpp
+++ b/packages/entry/src/roll_runner.cpp
@@ -75,7 +75,8 @@
   if (view == nullptr) {
     return;
   }
-  const auto pending = WeightRoll::Pending(view->mServers, view->mWeights);
+  const auto pending =
+    WeightRoll::Pending(view->mServers, view->mWeights.AllNewest());
   const auto rank = pending == 0 ? 0 : mPeers.RankFor(kDuty);
   const bool isWanted =
     mDuty.IsWanted(rank, pending, MonotonicNow()) && !mIsLeaving;
@@ -116,7 +117,7 @@
 RollRunner::SendOrders(const SiteView& aView, FencingNumber /*aFence*/)
 {
   const auto orders =
-    mRoll.Next(aView.mServers, aView.mWeights, MonotonicNow());
+    mRoll.Next(aView.mServers, aView.mWeights.AllNewest(), MonotonicNow());
   for (const auto& it : orders) {
     mLoop.Spawn([this, it] { SendOrder(it); });
   }
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -137,17 +137,30 @@
   return aNow - std::max(oldest, heard) > limit;
 }
 
+// The version asked for, or any while no server has it.
+std::uint64_t
+ServerPool::LeastVersion(const ServerQuery& aQuery) const
+{
+  const bool isListed =
+    aQuery.mModel && std::ranges::any_of(mServers, [&](const auto& aEntry) {
+      return aEntry.second->mRecord.mService == aQuery.mService &&
+             aEntry.second->VersionOf(*aQuery.mModel) >= aQuery.mLeastVersion;
+    });
+  return isListed ? aQuery.mLeastVersion : 0;
+}
+
 ServerPool::Candidates
 ServerPool::Usable(const ServerQuery& aQuery,
                    Instant aNow,
                    Candidates& aEjected)
 {
   Candidates usable;
+  const auto least = std::max<std::uint64_t>(LeastVersion(aQuery), 1);
   for (const auto& [id, server] : mServers) {
     const auto& record = server->mRecord;
     if (record.mService != aQuery.mService || record.mIsLeaving ||
         std::ranges::find(aQuery.mTried, id) != aQuery.mTried.end() ||
-        (aQuery.mModel && server->VersionOf(*aQuery.mModel) == 0)) {
+        (aQuery.mModel && server->VersionOf(*aQuery.mModel) < least)) {
       continue;
     }
     const bool isOut =
@@ -259,7 +272,9 @@
   const auto reason = aQuery.mAffinity == 0 ? ChoiceReason::Soonest
                       : best == 0           ? ChoiceReason::Affinity
                                             : ChoiceReason::Spilled;
-  return ToChoice(aQuery, *usable[best], reason, usable.size());
+  auto choice = ToChoice(aQuery, *usable[best], reason, usable.size());
+  choice.mTime = soonest;
+  return choice;
 }
 
 SendTicket
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -14,6 +14,8 @@
 // Pause behind a call that failed.
 constexpr Duration kRetryPause = 250ms;
 constexpr Duration kPeerTime = 400ms;
+// An outage in which the lease of a roll can have lapsed.
+constexpr Duration kLongOutage = 1500ms;
 // Daemons asked at a time.
 constexpr std::size_t kPeersAsked = 2;
 constexpr Duration kExpiryPeriod = 200ms;
@@ -101,6 +103,9 @@
   }
   if (mIsOut) {
     mIsOut = false;
+    if (now - mOutSince >= kLongOutage) {
+      mAssembler.RestartWeights(now);
+    }
     LogLine(LogEvent::TableUp, { { "table", aTable } });
   }
 }
@@ -111,6 +116,7 @@
   mImage.OnOutage();
   if (!mIsOut) {
     mIsOut = true;
+    mOutSince = MonotonicNow();
     LogLine(LogEvent::TableDown,
             { { "table", aTable },
               { "code", aError.mError.mCode },
@@ -198,7 +204,7 @@
 SiteFollower::Publish()
 {
   const auto before = mViews.Load();
-  auto view = mAssembler.Assemble(mImage);
+  auto view = mAssembler.Assemble(mImage, MonotonicNow());
   if (before == nullptr || before->mServers.size() != view->mServers.size()) {
     LogLine(LogEvent::SiteServersChanged,
             { { "cause", "list" },
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -79,6 +79,7 @@
   SiteImage mImage;
   SiteAssembler mAssembler;
   bool mIsOut = false;
+  Instant mOutSince;
   bool mIsAsking = false;
 };
 
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -52,17 +52,15 @@
 }
 
 void
-SiteAssembler::ReadOperatorRow(const SiteRow& aRow)
+SiteAssembler::ReadOperatorRow(const SiteRow& aRow, Instant aNow)
 {
   auto fact = mReader.Read(SiteTable::Operator, aRow);
   if (auto* config = std::get_if<SiteConfig>(&fact)) {
     TakeConfig(std::move(*config));
   } else if (const auto* target = std::get_if<WeightTarget>(&fact)) {
-    auto& version = mOperator.mWeights[target->mModel];
-    if (version < target->mVersion) {
-      version = target->mVersion;
+    if (mOperator.mWeights.Note(target->mModel, target->mVersion, aNow)) {
       LogLine(LogEvent::WeightsNamed,
-              { { "model", target->mModel }, { "weights", version } });
+              { { "model", target->mModel }, { "weights", target->mVersion } });
     }
   } else if (const auto* error = std::get_if<Error>(&fact)) {
     Report(SiteTable::Operator, aRow, *error);
@@ -89,12 +87,15 @@
 }
 
 std::shared_ptr<const SiteView>
-SiteAssembler::Assemble(const SiteImage& aImage)
+SiteAssembler::Assemble(const SiteImage& aImage, Instant aNow)
 {
   if (mOperatorVersion != aImage.Version(SiteTable::Operator)) {
     mOperatorVersion = aImage.Version(SiteTable::Operator);
+    // What was there before this daemon may have been named at any time.
+    const Instant at = mHasReadOperator ? aNow : Instant();
+    mHasReadOperator = true;
     for (const auto& row : aImage.Rows(SiteTable::Operator)) {
-      ReadOperatorRow(row);
+      ReadOperatorRow(row, at);
     }
   }
   auto view = std::make_shared<SiteView>(mOperator);
