--- a/packages/entry/include/bilberrytrail/entry/caller_request.h
+++ b/packages/entry/include/bilberrytrail/entry/caller_request.h
@@ -67,7 +67,7 @@
   virtual ~CallerSink() = default;
 
   // Calls the function at most once when the caller leaves.
-  virtual void OnCallerGone(std::function<void()> aGone) = 0;
+  virtual void OnCallerGone(const std::function<void()>& aGone) = 0;
   // Refuses the request.
   virtual void Refuse(const Refusal& aRefusal) = 0;
   // Sends a whole answer.
--- a/packages/entry/include/bilberrytrail/entry/retry_meter.h
+++ b/packages/entry/include/bilberrytrail/entry/retry_meter.h
@@ -60,7 +60,7 @@
   // Number of daemons assumed before it is known; more than small sites have.
   static constexpr std::size_t kUnknownDaemons = 16;
 
-  const RetryMeterSettings mSettings;
+  RetryMeterSettings mSettings;
   std::size_t mDaemons = kUnknownDaemons;
   std::optional<Instant> mStartedAt;
   std::map<ServiceId, Slices> mServices;
--- /dev/null
+++ b/packages/entry/src/admission.cpp
@@ -0,0 +1,18 @@
+#include <bilberrytrail/entry/admission.h>
+
+#include <algorithm>
+
+namespace bilberrytrail {
+
+std::optional<Duration>
+RefusePrompt(Duration aTime,
+             Duration aObjective,
+             const AdmissionSettings& aSettings) noexcept
+{
+  if (ToMillis(aTime) <= aSettings.mMaxObjectives * ToMillis(aObjective)) {
+    return std::nullopt;
+  }
+  return std::clamp(aTime, aSettings.mMinReturn, aSettings.mMaxReturn);
+}
+
+} // namespace bilberrytrail
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -79,7 +79,7 @@
   [[nodiscard]] bool IsReady() const;
   std::shared_ptr<const SiteView> TakeView();
   void FollowStores();
-  void FollowStore(StoreId aStore, Endpoint aEndpoint);
+  void FollowStore(const StoreId& aStore, const Endpoint& aEndpoint);
   void DrainOnControl();
   void SpreadSettings();
   HttpResponse ServeReadiness(const HttpRequest& aRequest) const;
@@ -287,7 +287,7 @@
 }
 
 void
-EntryDaemon::Impl::FollowStore(StoreId aStore, Endpoint aEndpoint)
+EntryDaemon::Impl::FollowStore(const StoreId& aStore, const Endpoint& aEndpoint)
 {
   bool isHeard = true;
   while (!mTraffic.IsStopping()) {
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -1,3 +1,4 @@
+#include <bilberrytrail/entry/admission.h>
 #include <bilberrytrail/entry/request_flow.h>
 
 #include <bilberrytrail/base/digest.h>
@@ -37,11 +38,6 @@
 constexpr Duration kMaxReturn = 800ms;
 // The same while this daemon does not know the site well enough.
 constexpr Duration kUnknownSiteReturn = 300ms;
-// A prompt whose first event would come later than this multiple of the
-// objective is refused at once: its caller would get a late answer or give up,
-// and its work would make others late too.
-constexpr double kMaxWaitObjectives = 0.8;
-constexpr Duration kMaxQueueReturn = 2s;
 // Work of a token that is written, in tokens that are read.
 constexpr double kOutputTokenWork = 4;
 constexpr unsigned kLowestRank = 9;
@@ -287,12 +283,14 @@
     return false;
   }
   mChoice = *choice;
-  const auto longest =
-    FromMillis(ToMillis(mRoute->mObjective) * kMaxWaitObjectives);
-  if (mRequest.mPrompt && mSends == 0 && mChoice.mTime > longest) {
+  if (!mRequest.mPrompt || mSends > 0) {
+    return true;
+  }
+  if (const auto wait =
+        RefusePrompt(mChoice.mTime, mRoute->mObjective, AdmissionSettings())) {
     Refuse(RefusalReason::QueueFull,
            "All servers of the service are behind.",
-           std::clamp(mChoice.mTime, kMinReturn, kMaxQueueReturn));
+           *wait);
     return false;
   }
   return true;
--- a/packages/entry/src/roll_runner.cpp
+++ b/packages/entry/src/roll_runner.cpp
@@ -51,6 +51,7 @@
                        SiteViewHolder& aViews)
   : mLoop(aLoop)
   , mSelf(HolderOf(aSettings))
+  , mOrderGap(aSettings.mOrderGap)
   , mTable(aTable)
   , mOrders(aOrders)
   , mPeers(aPeers)
@@ -78,8 +79,10 @@
   const auto pending =
     WeightRoll::Pending(view->mServers, view->mWeights.AllNewest());
   const auto rank = pending == 0 ? 0 : mPeers.RankFor(kDuty);
-  const bool isWanted =
-    mDuty.IsWanted(rank, pending, MonotonicNow()) && !mIsLeaving;
+  const auto now = MonotonicNow();
+  const bool isWanted = mIsLeaving
+                          ? mLastOrderAt && now < *mLastOrderAt + mOrderGap
+                          : mDuty.IsWanted(rank, pending, now);
   mLease.SetWanted(isWanted);
   RunLease();
   const auto fence = mLease.EpochForOrder(BootNow());
@@ -91,7 +94,7 @@
     mFence = fence;
     mRoll.Clear();
   }
-  if (fence && isWanted) {
+  if (fence && isWanted && !mIsLeaving) {
     SendOrders(*view, *fence);
   }
 }
@@ -157,6 +160,7 @@
   if (!fence || mIsLeaving) {
     return OrderOutcome::NotReached;
   }
+  mLastOrderAt = MonotonicNow();
   return mOrders.Send(aOrder, state.value(), mSelf, *fence, kOrderTime);
 }
 
--- a/packages/entry/src/roll_runner.h
+++ b/packages/entry/src/roll_runner.h
@@ -23,7 +23,8 @@
 
   // Runs until the loop stops.
   void Run();
-  // Gives the lease back and wants it no more.
+  // Sends no further orders, and gives the lease back once the next holder's
+  // orders are far enough from the last one.
   void Leave() noexcept { mIsLeaving = true; }
   // Returns whether the lease is still to be given back.
   [[nodiscard]] bool IsGivingBack() const noexcept
@@ -40,6 +41,7 @@
 
   Loop& mLoop;
   const DaemonId mSelf;
+  const Duration mOrderGap;
   TableService& mTable;
   OrderPort& mOrders;
   PeerDirectory& mPeers;
@@ -48,6 +50,7 @@
   WeightRoll mRoll;
   RollDuty mDuty;
   bool mIsLeaving = false;
+  std::optional<Instant> mLastOrderAt;
   std::optional<FencingNumber> mFence;
 };
 
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -224,7 +224,8 @@
     return;
   }
   const auto turn = static_cast<std::ptrdiff_t>(++mTurn % aCandidates.size());
-  std::ranges::rotate(aCandidates, aCandidates.begin() + turn);
+  std::rotate(
+    aCandidates.begin(), aCandidates.begin() + turn, aCandidates.end());
 }
 
 ChosenServer
--- a/packages/entry/src/site_image.cpp
+++ b/packages/entry/src/site_image.cpp
@@ -89,13 +89,13 @@
     return false;
   }
   SiteRows changes{ {}, aRows.mVersion };
-  for (const auto& [key, row] : table.mRows) {
+  for (const auto& it : table.mRows) {
     const bool isThere =
       std::ranges::any_of(aRows.mRows, [&](const SiteRow& aRow) {
-        return aRow.mKey == key && !aRow.mRemoved;
+        return aRow.mKey == it.first && !aRow.mRemoved;
       });
     if (!isThere) {
-      changes.mRows.push_back({ key, {}, aRows.mVersion, true });
+      changes.mRows.push_back({ it.first, {}, aRows.mVersion, true });
     }
   }
   changes.mRows.insert(
--- a/packages/entry/src/weight_roll.cpp
+++ b/packages/entry/src/weight_roll.cpp
@@ -47,8 +47,9 @@
 WeightRoll::Settle(std::span<const ServerRecord> aServers, Instant aNow)
 {
   std::erase_if(mOrders, [&](const auto& aEntry) {
-    const auto& [id, order] = aEntry;
-    const auto it = std::ranges::find(aServers, id, &ServerRecord::mId);
+    const auto& order = aEntry.second;
+    const auto it =
+      std::ranges::find(aServers, aEntry.first, &ServerRecord::mId);
     if (it == aServers.end() || aNow >= order.mUntil) {
       return true;
     }
--- /dev/null
+++ b/packages/entry/tests/admission_test.cpp
@@ -0,0 +1,100 @@
+#include <bilberrytrail/entry/admission.h>
+#include <bilberrytrail/entry/server_pool.h>
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace bilberrytrail;
+
+TEST_CASE("prompts that would be late are refused with the time to return")
+{
+  const AdmissionSettings settings;
+  CHECK_FALSE(RefusePrompt(0ms, 500ms, settings));
+  CHECK_FALSE(RefusePrompt(400ms, 500ms, settings));
+  CHECK(RefusePrompt(401ms, 500ms, settings) == 401ms);
+  CHECK(RefusePrompt(90ms, 100ms, settings) == settings.mMinReturn);
+  CHECK(RefusePrompt(9s, 500ms, settings) == settings.mMaxReturn);
+}
+
+namespace {
+
+// A server that reads prompts one after the other.
+struct SerialServer
+{
+  Instant mFreeAt;
+};
+
+struct CrestResult
+{
+  int mInTime = 0;
+  int mLate = 0;
+  int mRefused = 0;
+};
+
+// A crest of twice what three servers can read, for four seconds, seen by one
+// daemon.
+CrestResult
+RunCrest(bool aIsAdmitting)
+{
+  constexpr Duration kObjective = 500ms;
+  constexpr double kTokens = 3000;
+  constexpr Duration kReadTime = 30ms;
+  const ServiceId service("s");
+  const ModelId model("m");
+  const Instant start = Instant() + 1000s;
+  std::vector<ServerRecord> records(3);
+  std::map<ServerId, SerialServer> servers;
+  for (std::size_t n = 0; n < records.size(); ++n) {
+    records[n].mId = ServerId("s" + std::to_string(n));
+    records[n].mService = service;
+    records[n].mModels = { { model, 1 } };
+    servers[records[n].mId].mFreeAt = start;
+  }
+  ServerPool pool(ZoneId("z"), ServerPoolSettings());
+  (void)pool.Update(records, start);
+  ServerQuery query;
+  query.mService = service;
+  query.mModel = model;
+  query.mWork = kTokens;
+  query.mObjective = kObjective;
+  CrestResult result;
+  std::multimap<Instant, SendTicket> running;
+  for (Instant now = start; now < start + 4s; now += 5ms) {
+    while (!running.empty() && running.begin()->first <= now) {
+      pool.OnProgress(running.begin()->second, running.begin()->first);
+      (void)pool.End(
+        running.begin()->second, SendEnd::Answered, running.begin()->first);
+      running.erase(running.begin());
+    }
+    const auto choice = pool.Choose(query, now);
+    REQUIRE(choice);
+    if (aIsAdmitting &&
+        RefusePrompt(choice->mTime, kObjective, AdmissionSettings())) {
+      ++result.mRefused;
+      continue;
+    }
+    auto& server = servers[choice->mServer];
+    server.mFreeAt = std::max(server.mFreeAt, now) + kReadTime;
+    running.emplace(server.mFreeAt, pool.Begin(choice->mServer, kTokens, now));
+    ++(server.mFreeAt - now <= kObjective ? result.mInTime : result.mLate);
+  }
+  return result;
+}
+
+} // namespace
+
+// Pattern: more prompts than the servers can read. Without admission the queue
+// grows and nearly all answers are late; with it the servers' whole capacity is
+// answered in time and the others are told at once.
+TEST_CASE("at a crest those who are admitted are answered in time")
+{
+  const auto open = RunCrest(false);
+  const auto admitting = RunCrest(true);
+  CAPTURE(open.mInTime);
+  CAPTURE(admitting.mInTime);
+  CAPTURE(admitting.mLate);
+  CHECK(admitting.mInTime > 3 * open.mInTime / 2);
+  CHECK(admitting.mLate * 20 <= admitting.mInTime);
+  CHECK(admitting.mRefused > 0);
+}
--- /dev/null
+++ b/packages/entry/tests/cache_directory_test.cpp
@@ -0,0 +1,174 @@
+#include <bilberrytrail/entry/cache_directory.h>
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr std::uint64_t kTokenBytes = 1000;
+const StoreId kStore("store");
+const Endpoint kEndpoint{ "10.0.0.9", 80 };
+
+Instant
+At(Duration aTime)
+{
+  return Instant() + 1000s + aTime;
+}
+
+CacheDirectory
+OneStore(bool aIsManaged = true)
+{
+  CacheStore store;
+  store.mName = kStore;
+  store.mEndpoint = kEndpoint;
+  store.mCapacityTokens = 100000;
+  store.mBytesPerSecond = 1e9;
+  store.mIsManaged = aIsManaged;
+  CacheDirectory directory;
+  directory.SetStores({ { store } });
+  return directory;
+}
+
+Prompt
+SomePrompt()
+{
+  Prompt prompt;
+  prompt.mParts = { { "a", 500 }, { "b", 8000 }, { "own", 2000 } };
+  return prompt;
+}
+
+CacheEvents
+Events(std::uint64_t aEpoch,
+       std::uint64_t aNext,
+       std::vector<CacheEvent> aEvents)
+{
+  CacheEvents events;
+  events.mEpoch = aEpoch;
+  events.mNext = aNext;
+  events.mEvents = std::move(aEvents);
+  return events;
+}
+
+// Which parts are read from the store and which are kept: "from", "to" or "-".
+std::string
+PlanText(CacheDirectory& aDirectory,
+         const std::string& aSalt,
+         Duration aTime,
+         const Prompt& aPrompt = SomePrompt())
+{
+  std::string text;
+  for (const auto& it :
+       aDirectory.Plan(aPrompt, aSalt, kTokenBytes, At(aTime))) {
+    text += it.mFrom ? "from " : it.mTo ? "to " : "- ";
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("only complete parts with the same salt are read")
+{
+  auto directory = OneStore();
+  CHECK(PlanText(directory, "w1", 0s).empty());
+  directory.OnEvents(kStore, Events(7, 1, {}), At(0s));
+  CHECK(PlanText(directory, "w1", 0s) == "to to - ");
+  // On their way: neither read nor kept again.
+  CHECK(PlanText(directory, "w1", 1s).empty());
+  directory.OnEvents(kStore, Events(7, 3, { { true, "w1", "a" } }), At(1s));
+  CHECK(PlanText(directory, "w1", 1s) == "from - - ");
+  directory.OnEvents(kStore, Events(7, 4, { { true, "w1", "b" } }), At(1s));
+  CHECK(PlanText(directory, "w1", 1s) == "from from - ");
+  CHECK(PlanText(directory, "w2", 1s) == "to to - ");
+  directory.OnEvents(kStore, Events(7, 5, { { false, "w1", "b" } }), At(2s));
+  CHECK(PlanText(directory, "w1", 2s) == "from to - ");
+}
+
+TEST_CASE("nothing is read from a store that may have started anew")
+{
+  struct Case
+  {
+    const char* mName;
+    bool mIsSilent;
+    bool mIsNewEpoch;
+    bool mIsLost;
+    Duration mAt;
+  };
+  for (const Case& it : { Case{ "did not answer", true, false, false, 100ms },
+                          Case{ "another epoch", false, true, false, 100ms },
+                          Case{ "lost events", false, false, true, 100ms },
+                          Case{ "long unheard",
+                                false,
+                                false,
+                                false,
+                                CacheDirectory::kFreshTime + 1ms } }) {
+    CAPTURE(it.mName);
+    auto directory = OneStore();
+    directory.OnEvents(
+      kStore,
+      Events(7, 3, { { true, "w1", "a" }, { true, "w1", "b" } }),
+      At(0s));
+    CHECK(PlanText(directory, "w1", 0s) == "from from - ");
+    if (it.mIsSilent) {
+      directory.OnSilence(kStore);
+    }
+    if (it.mIsNewEpoch || it.mIsLost) {
+      auto events = Events(it.mIsNewEpoch ? 8 : 7, 4, {});
+      events.mLost = it.mIsLost;
+      directory.OnEvents(kStore, events, At(50ms));
+    }
+    CHECK(PlanText(directory, "w1", it.mAt).find("from") == std::string::npos);
+    if (it.mIsNewEpoch) {
+      CHECK(directory.Next(kStore) == 0);
+    }
+  }
+}
+
+TEST_CASE("short prompts, single parts and other stores are left alone")
+{
+  auto directory = OneStore();
+  directory.OnEvents(kStore, Events(7, 1, {}), At(0s));
+  Prompt shortOne;
+  shortOne.mParts = { { "a", CacheDirectory::kMinTokens - 1 }, { "own", 9 } };
+  CHECK(PlanText(directory, "w1", 0s, shortOne).empty());
+  Prompt single;
+  single.mParts = { { "own", 9000 } };
+  CHECK(PlanText(directory, "w1", 0s, single).empty());
+  auto unmanaged = OneStore(false);
+  unmanaged.OnEvents(kStore, Events(7, 1, {}), At(0s));
+  CHECK(PlanText(unmanaged, "w1", 0s).empty());
+}
+
+// Many parts to keep at once, as after new weights: the link has to carry
+// reads too.
+TEST_CASE("parts to keep take no more than the daemon's share of the link")
+{
+  auto directory = OneStore();
+  directory.SetDaemons(4);
+  directory.OnEvents(kStore, Events(7, 1, {}), At(0s));
+  double bytes = 0;
+  constexpr int kSeconds = 10;
+  for (int n = 0; n < kSeconds * 100; ++n) {
+    const auto now = 10ms * n;
+    directory.OnEvents(kStore, Events(7, 1, {}), At(now));
+    Prompt prompt;
+    prompt.mParts = { { "p" + std::to_string(n), 8000 }, { "own", 10 } };
+    for (const auto& it : directory.Plan(prompt, "w1", kTokenBytes, At(now))) {
+      bytes += it.mTo ? 8000.0 * kTokenBytes : 0.0;
+    }
+  }
+  const double share = CacheDirectory::kKeepShare * 1e9 / 4;
+  CHECK(bytes <=
+        share * (kSeconds + ToMillis(CacheDirectory::kKeepBurst) / 1e3));
+  CHECK(bytes >= 0.9 * share * kSeconds);
+}
+
+TEST_CASE("the servers' clock is known from the stores")
+{
+  auto directory = OneStore();
+  CHECK_FALSE(directory.ServersClockMs(At(0s)));
+  auto events = Events(7, 1, {});
+  events.mClockMs = 50000;
+  directory.OnEvents(kStore, events, At(0s));
+  CHECK(directory.ServersClockMs(At(250ms)) == 50250);
+}
--- /dev/null
+++ b/packages/entry/tests/entry_settings_test.cpp
@@ -0,0 +1,64 @@
+#include <bilberrytrail/entry/entry_settings.h>
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+
+namespace {
+
+constexpr const char* kText = R"([daemon]
+name = edge-1
+zone = naas
+[listen]
+callers = 10.0.0.1:80
+readiness = 10.0.0.1:81
+peers = 10.0.0.1:82
+metrics = 10.0.0.1:83
+[store]
+address = 10.0.0.9:90
+)";
+
+} // namespace
+
+TEST_CASE("settings of an entry daemon are read, with defaults")
+{
+  const auto settings = ParseEntrySettings(
+    std::string(kText) + "[stop]\ntime = 5s\n[retries]\nratio = 0.1\n"
+                         "slack = 7\nwindow = 20s\n[weights]\n"
+                         "order_gap = 2500ms\nwithin = 12s\n",
+    "a.ini");
+  REQUIRE(settings.has_value());
+  const auto& value = settings.value();
+  CHECK(value.mName == DaemonId("edge-1"));
+  CHECK(value.mZone == ZoneId("naas"));
+  CHECK(value.mStore == Endpoint{ "10.0.0.9", 90 });
+  CHECK(value.mStopTime == 5s);
+  CHECK(value.mRetryRatio == doctest::Approx(0.1));
+  CHECK(value.mRetrySlack == 7);
+  CHECK(value.mRetryWindow == 20s);
+  CHECK(value.mOrderGap == 2500ms);
+  CHECK(value.mWeightsWithin == 12s);
+  CHECK(ParseEntrySettings(kText, "a.ini").value().mStopTime == 8s);
+}
+
+TEST_CASE("all faults of the settings are told")
+{
+  struct Row
+  {
+    std::string mText;
+    const char* mFault;
+  };
+  for (const Row& row :
+       { Row{ std::string(kText) + "[x]\ny = 1\n", "unknown setting x.y" },
+         Row{ std::string(kText) + "[stop]\ntime = fast\n", "stop.time" },
+         Row{ std::string(kText) + "[daemon]\nname = b\n", "set twice" },
+         Row{ "[daemon]\nname = a\n", "missing setting daemon.zone" },
+         Row{ "", "missing setting store.address" } }) {
+    CAPTURE(row.mText);
+    const auto settings = ParseEntrySettings(row.mText, "a.ini");
+    REQUIRE_FALSE(settings.has_value());
+    CHECK(settings.error().mMessage.find(row.mFault) != std::string::npos);
+  }
+  CHECK(LoadEntrySettings("/no/such/file").error().mCode ==
+        ErrorCode::NotFound);
+}
--- /dev/null
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -0,0 +1,155 @@
+#include "request_flow_fixture.h"
+
+namespace bilberrytrail {
+
+namespace {
+
+class FakeAnswer final : public BackendAnswer
+{
+public:
+  FakeAnswer(Loop& aLoop, FakeSend aSend, HttpCancel& aCancel)
+    : mLoop(aLoop)
+    , mSend(std::move(aSend))
+    , mCancel(aCancel)
+    , mHead{ mSend.mStatus, {} }
+  {
+  }
+
+  [[nodiscard]] const AnswerHead& Head() const noexcept override
+  {
+    return mHead;
+  }
+  [[nodiscard]] std::optional<std::uint64_t> WeightVersion()
+    const noexcept override
+  {
+    return std::nullopt;
+  }
+  Result<std::optional<std::string>> Read(Duration aTimeout) override
+  {
+    (void)mLoop.Sleep(std::min(mSend.mPieceTime, aTimeout));
+    if (mCancel.IsCancelled()) {
+      return Fail(ErrorCode::Cancelled, "cancelled");
+    }
+    if (mSend.mPieceTime > aTimeout) {
+      return Fail(ErrorCode::Timeout, "no bytes");
+    }
+    if (mNext < mSend.mPieces.size()) {
+      return std::optional(mSend.mPieces[mNext++]);
+    }
+    if (mSend.mIsCut) {
+      return Fail(ErrorCode::Unavailable, "cut");
+    }
+    return std::optional<std::string>();
+  }
+
+private:
+  Loop& mLoop;
+  FakeSend mSend;
+  HttpCancel& mCancel;
+  AnswerHead mHead;
+  std::size_t mNext = 0;
+};
+
+} // namespace
+
+Result<std::unique_ptr<BackendAnswer>, SendFailure>
+FakeBackend::Send(const BackendCall& aCall,
+                  const CallerRequest& /*aRequest*/,
+                  Duration aHeadTime,
+                  HttpCancel& aCancel)
+{
+  mCalls.push_back(aCall);
+  FakeSend send;
+  send.mPieces = { "extra" };
+  if (!mScript.empty()) {
+    send = mScript.front();
+    mScript.pop_front();
+  }
+  (void)mLoop.Sleep(std::min(send.mHeadTime, aHeadTime));
+  if (aCancel.IsCancelled()) {
+    return SendFailure{ SendFault::Cancelled, false, "cancelled" };
+  }
+  if (send.mHeadTime > aHeadTime) {
+    return SendFailure{ SendFault::TimedOut, false, "no head" };
+  }
+  if (send.mFailure) {
+    return *send.mFailure;
+  }
+  return std::make_unique<FakeAnswer>(mLoop, std::move(send), aCancel);
+}
+
+FlowFixture::FlowFixture()
+{
+  Route route;
+  route.mName = "r";
+  route.mHost = "h";
+  route.mPrefix = "/";
+  route.mTargets = { { ServiceId("s"), 1 } };
+  route.mTimeout = 2s;
+  route.mObjective = 100ms;
+  mConfig.mVersion = 1;
+  mConfig.mRoutes = { route };
+  ClientAccount account;
+  account.mName = AccountId("wick");
+  account.mKeys = { "key" };
+  mConfig.mAccounts = { account };
+  for (int n = 0; n < 4; ++n) {
+    ServerRecord server;
+    server.mId = ServerId("s" + std::to_string(n));
+    server.mService = ServiceId("s");
+    server.mZone = ZoneId("z");
+    server.mModels = { { ModelId("m"), 1 } };
+    mServers.push_back(server);
+  }
+  mRequest.mId = AttemptId("a1");
+  mRequest.mHost = "h";
+  mRequest.mKey = "key";
+  mRequest.mPassedOn.mTarget = "/x";
+}
+
+void
+FlowFixture::Run(std::optional<Duration> aLeavesAfter)
+{
+  auto view = std::make_shared<SiteView>();
+  view->mConfig = std::make_shared<const SiteConfig>(mConfig);
+  view->mRoutes = std::make_shared<const RouteTable>(mConfig.mRoutes);
+  view->mAccounts = std::make_shared<const AccountKeys>(mConfig.mAccounts);
+  view->mServers = mServers;
+  view->mWeights = mWeights;
+  RequestFlow flow({ mLoop,
+                     mBackend,
+                     mPool,
+                     mRetries,
+                     mCache,
+                     mTimes,
+                     mCounts,
+                     10s,
+                     [&]() -> std::shared_ptr<const SiteView> {
+                       return mHasView ? view : nullptr;
+                     },
+                     [&] { return mIsFresh; } });
+  mRetries.SetDaemons(1);
+  (void)mRetries.Allowance(ServiceId("s"), MonotonicNow() - 20s);
+  (void)mPool.Update(mServers, MonotonicNow());
+  if (aLeavesAfter) {
+    mLoop.Spawn([&] {
+      (void)mLoop.Sleep(*aLeavesAfter);
+      mSink.mGone();
+    });
+  }
+  mLoop.Spawn([&] {
+    const auto begin = MonotonicNow();
+    flow.Handle(mRequest, mSink);
+    mTook = MonotonicNow() - begin;
+    mLoop.Stop();
+  });
+  mLoop.Run();
+}
+
+std::string
+EventText(int aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: x\n\n";
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <bilberrytrail/entry/request_flow.h>
+#include <bilberrytrail/runtime/loop.h>
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bilberrytrail {
+
+// What a fake server does with one send.
+struct FakeSend
+{
+  std::optional<SendFailure> mFailure;
+  unsigned mStatus = 200;
+  std::vector<std::string> mPieces;
+  // The answer breaks off behind its pieces.
+  bool mIsCut = false;
+  // Time to the head of the answer, and before each piece.
+  Duration mHeadTime = 10ms;
+  Duration mPieceTime = 10ms;
+};
+
+// Answers sends by a script and keeps what was sent. A send beyond the script
+// is answered with "extra".
+class FakeBackend final : public BackendPort
+{
+public:
+  explicit FakeBackend(Loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  Result<std::unique_ptr<BackendAnswer>, SendFailure> Send(
+    const BackendCall& aCall,
+    const CallerRequest& aRequest,
+    Duration aHeadTime,
+    HttpCancel& aCancel) override;
+  void Forget(const Endpoint& /*aEndpoint*/) override {}
+
+  std::deque<FakeSend> mScript;
+  std::vector<BackendCall> mCalls;
+
+private:
+  Loop& mLoop;
+};
+
+// Keeps the answer that a caller gets.
+class FakeSink final : public CallerSink
+{
+public:
+  void OnCallerGone(const std::function<void()>& aGone) override
+  {
+    mGone = aGone;
+  }
+  void Refuse(const Refusal& aRefusal) override
+  {
+    mRefusal = aRefusal;
+    ++mFinals;
+  }
+  Result<void> SendWhole(AnswerHead aHead, std::string aBody) override
+  {
+    mStatus = aHead.mStatus;
+    mBody = std::move(aBody);
+    ++mFinals;
+    return Ok();
+  }
+  Result<void> Begin(AnswerHead aHead) override
+  {
+    mStatus = aHead.mStatus;
+    return Ok();
+  }
+  Result<void> Write(std::string_view aBytes) override
+  {
+    mBody += aBytes;
+    return Ok();
+  }
+  Result<void> End() override
+  {
+    ++mFinals;
+    return Ok();
+  }
+  void Cut() override
+  {
+    mIsCut = true;
+    ++mFinals;
+  }
+
+  std::function<void()> mGone;
+  std::optional<Refusal> mRefusal;
+  unsigned mStatus = 0;
+  std::string mBody;
+  bool mIsCut = false;
+  // Final answers of any kind; each request gets one, or its caller has left.
+  int mFinals = 0;
+};
+
+// One request on its way through the flow, in virtual time.
+class FlowFixture
+{
+public:
+  FlowFixture();
+
+  // Sends the request and returns when it has ended; the caller leaves after
+  // the time, if one is given.
+  void Run(std::optional<Duration> aLeavesAfter = std::nullopt);
+
+  Loop mLoop{ LoopTime::Virtual };
+  FakeBackend mBackend{ mLoop };
+  ServerPool mPool{ ZoneId("z"), ServerPoolSettings() };
+  RetryMeter mRetries{ { 0.2, 1000, 10s, 0.8 } };
+  CacheDirectory mCache;
+  HistogramRegistry mTimes{ 16 };
+  CounterRegistry mCounts{ 16 };
+  SiteConfig mConfig;
+  std::vector<ServerRecord> mServers;
+  WeightHistory mWeights;
+  bool mHasView = true;
+  bool mIsFresh = true;
+  CallerRequest mRequest;
+  FakeSink mSink;
+  Duration mTook{};
+};
+
+// Returns a stream's event.
+[[nodiscard]] std::string
+EventText(int aId);
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -0,0 +1,307 @@
+#include "request_flow_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace bilberrytrail;
+
+namespace {
+
+FakeSend
+Failing(SendFault aFault, bool aIsNotRun)
+{
+  FakeSend send;
+  send.mFailure = SendFailure{ aFault, aIsNotRun, "by the script" };
+  return send;
+}
+
+FakeSend
+Answering(unsigned aStatus, std::string aBody)
+{
+  FakeSend send;
+  send.mStatus = aStatus;
+  send.mPieces = { std::move(aBody) };
+  return send;
+}
+
+FakeSend
+Streaming(std::vector<std::string> aPieces, bool aIsCut)
+{
+  FakeSend send;
+  send.mPieces = std::move(aPieces);
+  send.mIsCut = aIsCut;
+  return send;
+}
+
+} // namespace
+
+TEST_CASE("who is not known for certain to be wrong is told to come back")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mHasView;
+    bool mIsFresh;
+    const char* mPath;
+    const char* mKey;
+    RefusalReason mReason;
+  };
+  using enum RefusalReason;
+  for (const Row& row :
+       { Row{ "no view", false, true, "/x", "key", PlatformUnavailable },
+         Row{ "no route", true, true, "y", "key", NoRoute },
+         Row{ "no route, old", true, false, "y", "key", PlatformUnavailable },
+         Row{ "no key", true, true, "/x", "other", Unauthorized },
+         Row{ "no key, old", true, false, "/x", "", PlatformUnavailable } }) {
+    CAPTURE(row.mName);
+    FlowFixture fixture;
+    fixture.mHasView = row.mHasView;
+    fixture.mIsFresh = row.mIsFresh;
+    fixture.mRequest.mPassedOn.mTarget = row.mPath;
+    fixture.mRequest.mKey = row.mKey;
+    fixture.Run();
+    REQUIRE(fixture.mSink.mRefusal);
+    CHECK(fixture.mSink.mRefusal->Reason() == row.mReason);
+    CHECK(fixture.mSink.mRefusal->GetDisposition() == Disposition::NotRun);
+    CHECK(fixture.mSink.mRefusal->RetryAfter().has_value() ==
+          (row.mReason == PlatformUnavailable));
+    CHECK(fixture.mBackend.mCalls.empty());
+    CHECK(fixture.mSink.mFinals == 1);
+  }
+}
+
+// Every failure of the first send against every kind of route: what may run
+// twice, and what a refusal may say.
+TEST_CASE("a send is repeated only with proof, or where repeating is allowed")
+{
+  struct Fault
+  {
+    SendFault mFault;
+    bool mIsNotRun;
+  };
+  struct Kind
+  {
+    RequestKind mKind;
+    bool mIsResumable;
+    unsigned mAttempts;
+    bool mMayRunAgain;
+  };
+  for (const Fault& fault : { Fault{ SendFault::NoConnection, true },
+                              Fault{ SendFault::Full, true },
+                              Fault{ SendFault::WrongServer, true },
+                              Fault{ SendFault::Broken, false },
+                              Fault{ SendFault::Garbled, false } }) {
+    for (const Kind& kind :
+         { Kind{ RequestKind::Idempotent, false, 2, true },
+           Kind{ RequestKind::Idempotent, false, 1, false },
+           Kind{ RequestKind::NonIdempotent, false, 2, false },
+           Kind{ RequestKind::Streaming, false, 2, false },
+           Kind{ RequestKind::Streaming, true, 2, true } }) {
+      CAPTURE(fault.mFault);
+      CAPTURE(kind.mKind);
+      CAPTURE(kind.mAttempts);
+      FlowFixture fixture;
+      auto& route = fixture.mConfig.mRoutes.front();
+      route.mKind = kind.mKind;
+      route.mResumable = kind.mIsResumable;
+      route.mMaxAttempts = kind.mAttempts;
+      fixture.mBackend.mScript = { Failing(fault.mFault, fault.mIsNotRun),
+                                   Answering(200, EventText(1)) };
+      fixture.Run();
+      const bool isRepeated = fault.mIsNotRun || kind.mMayRunAgain;
+      CHECK(fixture.mBackend.mCalls.size() == (isRepeated ? 2 : 1));
+      CHECK(fixture.mSink.mFinals == 1);
+      if (isRepeated) {
+        CHECK(fixture.mSink.mBody == EventText(1));
+        CHECK(fixture.mBackend.mCalls[0].mServer !=
+              fixture.mBackend.mCalls[1].mServer);
+      } else {
+        REQUIRE(fixture.mSink.mRefusal);
+        CHECK(fixture.mSink.mRefusal->GetDisposition() == Disposition::Unknown);
+      }
+    }
+  }
+}
+
+TEST_CASE("a request that no server takes is refused as not run, at once")
+{
+  FlowFixture fixture;
+  for (int n = 0; n < 10; ++n) {
+    fixture.mBackend.mScript.push_back(Failing(SendFault::Full, true));
+  }
+  fixture.Run();
+  REQUIRE(fixture.mSink.mRefusal);
+  CHECK(fixture.mSink.mRefusal->GetDisposition() == Disposition::NotRun);
+  CHECK(fixture.mSink.mRefusal->RetryAfter().has_value());
+  CHECK(fixture.mTook < 200ms);
+  // Each server once.
+  std::set<ServerId> servers;
+  for (const auto& it : fixture.mBackend.mCalls) {
+    CHECK(servers.insert(it.mServer).second);
+  }
+}
+
+TEST_CASE("a proof from one server says nothing of a send before it")
+{
+  FlowFixture fixture;
+  auto& route = fixture.mConfig.mRoutes.front();
+  route.mKind = RequestKind::Idempotent;
+  route.mMaxAttempts = 2;
+  fixture.mBackend.mScript = { Failing(SendFault::Broken, false) };
+  for (int n = 0; n < 6; ++n) {
+    fixture.mBackend.mScript.push_back(Failing(SendFault::Full, true));
+  }
+  fixture.Run();
+  REQUIRE(fixture.mSink.mRefusal);
+  CHECK(fixture.mSink.mRefusal->GetDisposition() == Disposition::Unknown);
+}
+
+TEST_CASE("a failed run of an idempotent request is repeated within attempts")
+{
+  for (const unsigned attempts : { 1U, 2U }) {
+    FlowFixture fixture;
+    auto& route = fixture.mConfig.mRoutes.front();
+    route.mKind = RequestKind::Idempotent;
+    route.mMaxAttempts = attempts;
+    fixture.mBackend.mScript = { Answering(500, "no"), Answering(200, "yes") };
+    fixture.Run();
+    CHECK(fixture.mSink.mStatus == (attempts == 1 ? 500 : 200));
+    CHECK(fixture.mSink.mBody == (attempts == 1 ? "no" : "yes"));
+  }
+}
+
+TEST_CASE("an idempotent request leaves a silent server in time")
+{
+  FlowFixture fixture;
+  auto& route = fixture.mConfig.mRoutes.front();
+  route.mKind = RequestKind::Idempotent;
+  route.mMaxAttempts = 2;
+  FakeSend silent;
+  silent.mHeadTime = std::chrono::hours(1);
+  fixture.mBackend.mScript = { silent, Answering(200, "yes") };
+  fixture.Run();
+  CHECK(fixture.mSink.mBody == "yes");
+  CHECK(fixture.mTook < 500ms);
+}
+
+TEST_CASE("a request that may not be repeated waits to its deadline")
+{
+  for (const bool isClientsDeadline : { false, true }) {
+    FlowFixture fixture;
+    if (isClientsDeadline) {
+      fixture.mRequest.mPatience = 700ms;
+    }
+    FakeSend silent;
+    silent.mHeadTime = std::chrono::hours(1);
+    fixture.mBackend.mScript = { silent };
+    fixture.Run();
+    REQUIRE(fixture.mSink.mRefusal);
+    CHECK(fixture.mSink.mRefusal->Reason() == RefusalReason::DeadlinePassed);
+    CHECK(fixture.mSink.mRefusal->GetDisposition() == Disposition::Unknown);
+    CHECK(fixture.mTook == (isClientsDeadline ? 700ms : 2s));
+    CHECK(fixture.mBackend.mCalls.front().mTimeLeft <= fixture.mTook);
+  }
+}
+
+TEST_CASE("a cut stream goes on elsewhere behind its last whole event")
+{
+  FlowFixture fixture;
+  auto& route = fixture.mConfig.mRoutes.front();
+  route.mKind = RequestKind::Streaming;
+  route.mResumable = true;
+  route.mMaxAttempts = 2;
+  fixture.mBackend.mScript = {
+    Streaming({ EventText(1), EventText(2) + "id: 3\nda" }, true),
+    Streaming({ EventText(3), EventText(4) }, false)
+  };
+  fixture.Run();
+  REQUIRE(fixture.mBackend.mCalls.size() == 2);
+  CHECK(fixture.mBackend.mCalls[1].mResumeAfter == "2");
+  CHECK(fixture.mSink.mBody ==
+        EventText(1) + EventText(2) + EventText(3) + EventText(4));
+  CHECK_FALSE(fixture.mSink.mIsCut);
+}
+
+TEST_CASE("a cut stream that may not go on never ends as complete")
+{
+  struct Row
+  {
+    bool mIsResumable;
+    bool mHasBegun;
+    unsigned mSecondStatus;
+  };
+  for (const Row& row : { Row{ false, true, 200 },
+                          Row{ false, false, 200 },
+                          Row{ true, true, 500 } }) {
+    CAPTURE(row.mHasBegun);
+    FlowFixture fixture;
+    auto& route = fixture.mConfig.mRoutes.front();
+    route.mKind = RequestKind::Streaming;
+    route.mResumable = row.mIsResumable;
+    route.mMaxAttempts = 2;
+    fixture.mBackend.mScript = {
+      Streaming({ row.mHasBegun ? EventText(1) : "id: 1\n" }, true),
+      Answering(row.mSecondStatus, "no")
+    };
+    fixture.Run();
+    CHECK(fixture.mSink.mFinals == 1);
+    CHECK(fixture.mSink.mIsCut == row.mHasBegun);
+    CHECK(fixture.mSink.mRefusal.has_value() != row.mHasBegun);
+    CHECK(fixture.mSink.mBody == (row.mHasBegun ? EventText(1) : ""));
+  }
+}
+
+TEST_CASE("nothing is sent, and no answer given, once the caller has left")
+{
+  FlowFixture fixture;
+  auto& route = fixture.mConfig.mRoutes.front();
+  route.mKind = RequestKind::Idempotent;
+  route.mMaxAttempts = 3;
+  FakeSend slow = Answering(200, "late");
+  slow.mHeadTime = 200ms;
+  fixture.mBackend.mScript = { slow };
+  fixture.Run(50ms);
+  CHECK(fixture.mBackend.mCalls.size() == 1);
+  CHECK(fixture.mSink.mFinals == 0);
+}
+
+TEST_CASE("kept KV cache is shared by version and never with isolated accounts")
+{
+  struct Row
+  {
+    bool mIsIsolated;
+    std::uint64_t mVersion;
+    const char* mSalt;
+  };
+  for (const Row& row : { Row{ false, 1, "w1" },
+                          Row{ false, 4, "w4" },
+                          Row{ true, 4, "w4.wick" } }) {
+    FlowFixture fixture;
+    fixture.mConfig.mAccounts.front().mIsolated = row.mIsIsolated;
+    for (auto& it : fixture.mServers) {
+      it.mModels = { { ModelId("m"), row.mVersion } };
+    }
+    fixture.mRequest.mPrompt = Prompt{ ModelId("m"), { { "a", 10 } }, 10, 5 };
+    fixture.Run();
+    REQUIRE(fixture.mBackend.mCalls.size() == 1);
+    CHECK(fixture.mBackend.mCalls[0].mCacheSalt == row.mSalt);
+    CHECK(fixture.mBackend.mCalls[0].mWeightVersion == row.mVersion);
+    CHECK(fixture.mBackend.mCalls[0].mAccount == AccountId("wick"));
+  }
+}
+
+TEST_CASE("an account's priority goes before the route's")
+{
+  for (const bool hasOwn : { false, true }) {
+    FlowFixture fixture;
+    fixture.mConfig.mRoutes.front().mPriority = 2;
+    if (hasOwn) {
+      fixture.mConfig.mAccounts.front().mPriority = 12;
+    }
+    fixture.mRequest.mPrompt = Prompt{ ModelId("m"), { { "a", 10 } }, 10, 5 };
+    fixture.Run();
+    CHECK(fixture.mBackend.mCalls.front().mPriority ==
+          std::optional<unsigned>(hasOwn ? 9 : 2));
+  }
+}
--- /dev/null
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -0,0 +1,284 @@
+#include <bilberrytrail/entry/server_pool.h>
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace bilberrytrail;
+
+namespace {
+
+const ServiceId kEngines("engines");
+const ServiceId kShop("shop");
+const ModelId kModel("m");
+const ZoneId kOwnZone("z1");
+
+Instant
+At(Duration aTime)
+{
+  return Instant() + 1000s + aTime;
+}
+
+ServerRecord
+Server(int aNumber, const ServiceId& aService, std::uint64_t aVersion = 1)
+{
+  ServerRecord record;
+  record.mId = ServerId("s" + std::to_string(aNumber));
+  record.mService = aService;
+  record.mEndpoint = { "10.0.0." + std::to_string(aNumber), 80 };
+  record.mZone = ZoneId("z" + std::to_string(aNumber % 3));
+  record.mModels = { { kModel, aVersion } };
+  return record;
+}
+
+std::vector<ServerRecord>
+Servers(int aCount, const ServiceId& aService, std::uint64_t aVersion = 1)
+{
+  std::vector<ServerRecord> servers;
+  servers.reserve(static_cast<std::size_t>(aCount));
+  for (int n = 0; n < aCount; ++n) {
+    servers.push_back(Server(n, aService, aVersion));
+  }
+  return servers;
+}
+
+ServerQuery
+PromptQuery(std::uint64_t aAffinity)
+{
+  ServerQuery query;
+  query.mService = kEngines;
+  query.mModel = kModel;
+  query.mAffinity = aAffinity;
+  query.mWork = 3000;
+  query.mMissWork = 9000;
+  query.mObjective = 500ms;
+  return query;
+}
+
+ServerQuery
+PlainQuery()
+{
+  ServerQuery query;
+  query.mService = kShop;
+  query.mObjective = 100ms;
+  return query;
+}
+
+} // namespace
+
+TEST_CASE(
+  "prompts with the same shared part go to one server while it keeps up")
+{
+  ServerPool first(kOwnZone, ServerPoolSettings());
+  ServerPool second(kOwnZone, ServerPoolSettings());
+  const auto servers = Servers(9, kEngines);
+  (void)first.Update(servers, At(0s));
+  (void)second.Update(servers, At(0s));
+  std::set<ServerId> used;
+  for (std::uint64_t part = 1; part <= 200; ++part) {
+    const auto choice = first.Choose(PromptQuery(part * 7919), At(0s));
+    REQUIRE(choice);
+    CHECK(choice->mReason == ChoiceReason::Affinity);
+    used.insert(choice->mServer);
+    // Daemons agree without talking.
+    CHECK(second.Choose(PromptQuery(part * 7919), At(1s))->mServer ==
+          choice->mServer);
+  }
+  CHECK(used.size() == servers.size());
+}
+
+TEST_CASE(
+  "a prompt leaves a server that is behind by more than reading it again")
+{
+  struct Case
+  {
+    Duration mBehind;
+    bool mStays;
+  };
+  // Reading 9000 tokens again counts 1.5 times 90 ms.
+  for (const Case& it : { Case{ 60ms, true }, Case{ 400ms, false } }) {
+    CAPTURE(it.mBehind.count());
+    ServerPool pool(kOwnZone, ServerPoolSettings());
+    (void)pool.Update(Servers(9, kEngines), At(0s));
+    const auto query = PromptQuery(42);
+    const auto home = pool.Choose(query, At(0s))->mServer;
+    (void)pool.Begin(home, 0, At(0s));
+    CHECK((pool.Choose(query, At(it.mBehind))->mServer == home) == it.mStays);
+  }
+}
+
+TEST_CASE("a delay that was seen is forgotten after a while")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  (void)pool.Update(Servers(9, kEngines), At(0s));
+  const auto query = PromptQuery(42);
+  const auto home = pool.Choose(query, At(0s))->mServer;
+  const auto ticket = pool.Begin(home, 0, At(0s));
+  pool.OnProgress(ticket, At(900ms));
+  (void)pool.End(ticket, SendEnd::Answered, At(900ms));
+  CHECK(pool.Choose(query, At(910ms))->mServer != home);
+  CHECK(pool.Choose(query, At(4s))->mServer == home);
+}
+
+TEST_CASE("requests without prompts are spread by work and zone")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  (void)pool.Update(Servers(3, kShop), At(0s));
+  const auto near = pool.Choose(PlainQuery(), At(0s));
+  CHECK(near->mZone == kOwnZone);
+  (void)pool.Begin(near->mServer, 1, At(0s));
+  const auto next = pool.Choose(PlainQuery(), At(0s));
+  CHECK(next->mServer != near->mServer);
+  (void)pool.Begin(next->mServer, 1, At(0s));
+  const auto last = pool.Choose(PlainQuery(), At(0s));
+  CHECK(last->mServer != near->mServer);
+  CHECK(last->mServer != next->mServer);
+}
+
+TEST_CASE("a server is left out by how its sends end")
+{
+  struct Case
+  {
+    SendEnd mEnd;
+    int mTimes;
+    bool mIsOut;
+    Duration mBackAfter;
+  };
+  for (const Case& it : { Case{ SendEnd::NoConnection, 1, true, 400ms },
+                          Case{ SendEnd::WrongServer, 1, true, 400ms },
+                          Case{ SendEnd::Full, 1, true, 150ms },
+                          Case{ SendEnd::Broken, 2, false, 0ms },
+                          Case{ SendEnd::Broken, 3, true, 400ms },
+                          Case{ SendEnd::ServerError, 3, true, 400ms },
+                          Case{ SendEnd::WrongVersion, 3, false, 0ms },
+                          Case{ SendEnd::Abandoned, 5, false, 0ms } }) {
+    CAPTURE(it.mEnd);
+    CAPTURE(it.mTimes);
+    ServerPool pool(kOwnZone, ServerPoolSettings());
+    (void)pool.Update(Servers(3, kShop), At(0s));
+    const auto server = pool.Choose(PlainQuery(), At(0s))->mServer;
+    for (int n = 0; n < it.mTimes; ++n) {
+      (void)pool.End(pool.Begin(server, 1, At(0s)), it.mEnd, At(0s));
+    }
+    const auto isUsed = [&](Duration aTime) {
+      auto query = PlainQuery();
+      for (const auto& other : Servers(3, kShop)) {
+        if (other.mId != server) {
+          query.mTried.push_back(other.mId);
+        }
+      }
+      return pool.Choose(query, At(aTime))->mReason != ChoiceReason::LastResort;
+    };
+    CHECK(isUsed(0ms) != it.mIsOut);
+    if (it.mIsOut) {
+      CHECK_FALSE(isUsed(it.mBackAfter - 1ms));
+      CHECK(isUsed(it.mBackAfter));
+    }
+  }
+}
+
+TEST_CASE("ejection never empties a service, and the longest out goes first")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  (void)pool.Update(Servers(2, kShop), At(0s));
+  const ServerId first("s0");
+  const ServerId second("s1");
+  for (const auto& [server, at] :
+       { std::pair{ first, 0ms }, std::pair{ second, 100ms } }) {
+    (void)pool.End(
+      pool.Begin(server, 1, At(at)), SendEnd::NoConnection, At(at));
+  }
+  const auto choice = pool.Choose(PlainQuery(), At(200ms));
+  REQUIRE(choice);
+  CHECK(choice->mReason == ChoiceReason::LastResort);
+  CHECK(choice->mServer == first);
+}
+
+TEST_CASE("a server that is silent while a request waits gets no more")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  (void)pool.Update(Servers(2, kShop), At(0s));
+  const auto silent = pool.Choose(PlainQuery(), At(0s))->mServer;
+  const auto ticket = pool.Begin(silent, 1, At(0s));
+  auto query = PlainQuery();
+  query.mTried = { silent == ServerId("s0") ? ServerId("s1") : ServerId("s0") };
+  CHECK(pool.Choose(query, At(299ms))->mReason != ChoiceReason::LastResort);
+  CHECK(pool.Choose(query, At(301ms))->mReason == ChoiceReason::LastResort);
+  pool.OnProgress(ticket, At(400ms));
+  CHECK(pool.Choose(query, At(401ms))->mReason != ChoiceReason::LastResort);
+}
+
+TEST_CASE("newest weights go first unless their servers are far behind")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  auto servers = Servers(4, kEngines);
+  servers[0].mModels = { { kModel, 2 } };
+  (void)pool.Update(servers, At(0s));
+  auto query = PromptQuery(0);
+  query.mMissWork = 0;
+  query.mNewestVersion = 2;
+  CHECK(pool.Choose(query, At(0s))->mWeightVersion == 2);
+  (void)pool.Begin(servers[0].mId, 60000, At(0s));
+  CHECK(pool.Choose(query, At(0s))->mWeightVersion == 1);
+  // Older weights are out of the question once their time is over.
+  query.mLeastVersion = 2;
+  CHECK(pool.Choose(query, At(0s))->mWeightVersion == 2);
+  // But they are better than nothing.
+  query.mLeastVersion = 3;
+  CHECK(pool.Choose(query, At(0s)).has_value());
+}
+
+TEST_CASE("versions that answers name go before the list")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  (void)pool.Update({ { Server(1, kEngines, 1) } }, At(0s));
+  const auto query = PromptQuery(0);
+  CHECK(pool.Choose(query, At(0s))->mWeightVersion == 1);
+  pool.DenyVersion(ServerId("s1"), kModel, 1, 2);
+  CHECK(pool.Choose(query, At(0s))->mWeightVersion == 2);
+  // It was not the newest either: the list decides.
+  pool.DenyVersion(ServerId("s1"), kModel, 2, 2);
+  CHECK(pool.Choose(query, At(0s))->mWeightVersion == 1);
+  pool.ObserveVersion(ServerId("s1"), kModel, 5);
+  CHECK(pool.Choose(query, At(0s))->mWeightVersion == 5);
+  // A server that starts again knows nothing of before.
+  auto restarted = Server(1, kEngines, 3);
+  restarted.mStartedAtMs = 77;
+  CHECK(pool.Update({ { restarted } }, At(1s)).size() == 1);
+  CHECK(pool.Choose(query, At(1s))->mWeightVersion == 3);
+}
+
+TEST_CASE("a server that loads is left out until the list shows it")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  (void)pool.Update(Servers(2, kEngines, 1), At(0s));
+  auto query = PromptQuery(0);
+  const auto loading = pool.Choose(query, At(0s))->mServer;
+  (void)pool.End(pool.Begin(loading, 1, At(0s)), SendEnd::Full, At(0s));
+  pool.ExpectLoading(loading, At(0s));
+  for (int n = 0; n < 4; ++n) {
+    CHECK(pool.Choose(query, At(1s))->mServer != loading);
+  }
+  (void)pool.Update(Servers(2, kEngines, 2), At(1s));
+  std::set<ServerId> used;
+  for (int n = 0; n < 4; ++n) {
+    used.insert(pool.Choose(query, At(1s))->mServer);
+  }
+  CHECK(used.contains(loading));
+}
+
+TEST_CASE("leaving and tried servers are not chosen")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  auto servers = Servers(3, kShop);
+  servers[0].mIsLeaving = true;
+  (void)pool.Update(servers, At(0s));
+  auto query = PlainQuery();
+  query.mTried = { servers[1].mId };
+  CHECK(pool.Choose(query, At(0s))->mServer == servers[2].mId);
+  query.mTried.push_back(servers[2].mId);
+  CHECK_FALSE(pool.Choose(query, At(0s)));
+  query.mService = ServiceId("unknown");
+  CHECK_FALSE(pool.Choose(query, At(0s)));
+}
--- /dev/null
+++ b/packages/entry/tests/site_view_test.cpp
@@ -0,0 +1,122 @@
+#include <bilberrytrail/entry/site_view.h>
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+
+namespace {
+
+// Reads "config N", "weights MODEL N" and "server SERVICE"; anything else is
+// unreadable.
+class FakeReader final : public SiteReader
+{
+public:
+  [[nodiscard]] SiteFact Read(SiteTable /*aTable*/,
+                              const SiteRow& aRow) const override
+  {
+    const auto& text = aRow.mValue;
+    if (text.starts_with("config ")) {
+      SiteConfig config;
+      config.mVersion = std::stoull(text.substr(7));
+      return config;
+    }
+    if (text.starts_with("weights ")) {
+      return WeightTarget{ ModelId("m"), std::stoull(text.substr(8)) };
+    }
+    if (text.starts_with("server ")) {
+      ServerRecord record;
+      record.mId = ServerId(aRow.mKey);
+      record.mService = ServiceId(text.substr(7));
+      return record;
+    }
+    return Fail(ErrorCode::Corrupt, "unreadable");
+  }
+};
+
+Instant
+At(Duration aTime)
+{
+  return Instant() + 1000s + aTime;
+}
+
+void
+Put(SiteImage& aImage,
+    SiteTable aTable,
+    const std::string& aKey,
+    const std::string& aValue,
+    std::uint64_t aVersion)
+{
+  (void)aImage.Merge(
+    aTable, { { { aKey, aValue, aVersion, false } }, aVersion }, At(0s));
+}
+
+} // namespace
+
+TEST_CASE("rows that cannot be read name nothing and stop nothing")
+{
+  FakeReader reader;
+  SiteAssembler assembler(reader);
+  SiteImage image;
+  Put(image, SiteTable::Operator, "config", "config 4", 1);
+  Put(image, SiteTable::Servers, "s1", "server shop", 2);
+  Put(image, SiteTable::Servers, "s2", "spoiled", 3);
+  auto view = assembler.Assemble(image, At(0s));
+  REQUIRE(view->mConfig != nullptr);
+  CHECK(view->mConfig->mVersion == 4);
+  REQUIRE(view->mServers.size() == 1);
+  CHECK(view->mServers.front().mId == ServerId("s1"));
+
+  Put(image, SiteTable::Operator, "config", "spoiled", 4);
+  Put(image, SiteTable::Servers, "s1", "spoiled", 5);
+  Put(image, SiteTable::Servers, "s2", "server shop", 6);
+  view = assembler.Assemble(image, At(1s));
+  CHECK(view->mConfig->mVersion == 4);
+  REQUIRE(view->mServers.size() == 1);
+  CHECK(view->mServers.front().mId == ServerId("s2"));
+}
+
+TEST_CASE("a configuration with a lower number is not put in force")
+{
+  FakeReader reader;
+  SiteAssembler assembler(reader);
+  SiteImage image;
+  Put(image, SiteTable::Operator, "config", "config 9", 1);
+  (void)assembler.Assemble(image, At(0s));
+  Put(image, SiteTable::Operator, "config", "config 8", 2);
+  CHECK(assembler.Assemble(image, At(1s))->mConfig->mVersion == 9);
+  Put(image, SiteTable::Operator, "config", "config 12", 3);
+  CHECK(assembler.Assemble(image, At(2s))->mConfig->mVersion == 12);
+}
+
+TEST_CASE("weights named before the start count as old, later ones as new")
+{
+  FakeReader reader;
+  SiteAssembler assembler(reader);
+  SiteImage image;
+  const ModelId model("m");
+  Put(image, SiteTable::Operator, "m", "weights 2", 1);
+  CHECK(assembler.Assemble(image, At(0s))
+          ->mWeights.LeastAllowed(model, 10s, At(0s)) == 2);
+  Put(image, SiteTable::Operator, "m", "weights 3", 2);
+  const auto view = assembler.Assemble(image, At(5s));
+  CHECK(view->mWeights.Newest(model) == 3);
+  CHECK(view->mWeights.LeastAllowed(model, 10s, At(14s)) == 2);
+  CHECK(view->mWeights.LeastAllowed(model, 10s, At(15s)) == 3);
+}
+
+TEST_CASE("each version of weights is judged from its own naming")
+{
+  WeightHistory history;
+  const ModelId model("m");
+  CHECK(history.Note(model, 1, At(0s)));
+  CHECK(history.Note(model, 2, At(4s)));
+  CHECK_FALSE(history.Note(model, 2, At(5s)));
+  CHECK_FALSE(history.Note(model, 1, At(5s)));
+  CHECK(history.LeastAllowed(model, 10s, At(9s)) == 0);
+  CHECK(history.LeastAllowed(model, 10s, At(10s)) == 1);
+  CHECK(history.LeastAllowed(model, 10s, At(14s)) == 2);
+  history.Restart(At(13s));
+  CHECK(history.LeastAllowed(model, 10s, At(22s)) == 0);
+  CHECK(history.LeastAllowed(model, 10s, At(23s)) == 2);
+  CHECK(history.LeastAllowed(ModelId("other"), 10s, At(99s)) == 0);
+}
--- a/packages/release/tests/fake_table.h
+++ b/packages/release/tests/fake_table.h
@@ -58,6 +58,9 @@
   }
 
   std::map<std::string, TableRow> mRows;
+  // When not 0, all rows of a commit get one version, which grows by so much
+  // with each commit, and the commit's outcome tells it.
+  std::uint64_t mVersionsPerCommit = 0;
 
 private:
   static CallError Failure(TableFault aFault)
@@ -82,12 +85,17 @@
       }
     }
     if (outcome.mCommitted) {
+      mCommits += mVersionsPerCommit;
+      outcome.mNewVersion = mCommits;
       for (const auto& it : aWrites) {
-        mRows[it.mKey] = { it.mKey, it.mValue, it.mExpectedVersion + 1 };
+        const auto version = mCommits > 0 ? mCommits : it.mExpectedVersion + 1;
+        mRows[it.mKey] = { it.mKey, it.mValue, version };
       }
     }
     return outcome;
   }
+
+  std::uint64_t mCommits = 0;
 };
 
 } // namespace bilberrytrail
--- a/packages/release/tests/lease_test.cpp
+++ b/packages/release/tests/lease_test.cpp
@@ -337,3 +337,36 @@
   }
   CHECK(holders > 10000);
 }
+
+// A holder that was cut off comes back before anybody took over: nobody else
+// can have sent orders, so it need not wait.
+TEST_CASE("a lapsed holder takes its lease again at once, with a higher epoch")
+{
+  FakeTable table;
+  Daemon first("a");
+  Daemon second("b");
+  Instant now = At(0s);
+  RunSteps(table, { &first, &second }, now, 5s);
+  const Instant back = now + kSettings.mLength + 1s;
+  for (; now < back; now += kStep) {
+    first.Step(table, now, TableFault::Down);
+    second.Step(table, now, TableFault::None);
+  }
+  CHECK_FALSE(first.mLease.EpochForOrder(now));
+  RunSteps(table, { &first, &second }, now, kSettings.mReadInterval + kStep);
+  CHECK(first.mLease.EpochForOrder(now) == FencingNumber(2));
+  CHECK_FALSE(second.mLease.EpochForOrder(now));
+}
+
+// A table service that numbers its transactions, not each row's writes.
+TEST_CASE("renewals follow the versions that the table service gives")
+{
+  FakeTable table;
+  table.mVersionsPerCommit = 10;
+  Daemon first("a");
+  Instant now = At(0s);
+  for (int n = 0; n < 30; ++n) {
+    RunSteps(table, { &first }, now, 1s);
+    CHECK(first.mLease.EpochForOrder(now) == FencingNumber(1));
+  }
+}
--- a/packages/runtime/include/bilberrytrail/runtime/http_server.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_server.h
@@ -27,7 +27,7 @@
   // Calls the function on the loop's thread, at most once, when the peer closes
   // its side before the handler returns. A peer that sends on can no longer be
   // watched. The function must not wait.
-  virtual void OnPeerClosed(std::function<void()> /*aGone*/) {}
+  virtual void OnPeerClosed(const std::function<void()>& /*aGone*/) {}
 
   // Sends a whole response.
   virtual Result<void> Send(HttpResponse aResponse) = 0;
--- a/packages/runtime/src/http_responder_impl.cpp
+++ b/packages/runtime/src/http_responder_impl.cpp
@@ -91,9 +91,9 @@
 }
 
 void
-HttpResponderImpl::OnPeerClosed(std::function<void()> aGone)
+HttpResponderImpl::OnPeerClosed(const std::function<void()>& aGone)
 {
-  mGone = std::make_shared<std::function<void()>>(std::move(aGone));
+  mGone = std::make_shared<std::function<void()>>(aGone);
   auto& socket = mStream.socket();
   socket.async_wait(
     asio::ip::tcp::socket::wait_read,
--- a/packages/runtime/src/http_responder_impl.h
+++ b/packages/runtime/src/http_responder_impl.h
@@ -26,7 +26,7 @@
   [[nodiscard]] bool IsKeepAlive() const noexcept { return mKeepAlive; }
   [[nodiscard]] bool IsPeerOpen() noexcept override;
 
-  void OnPeerClosed(std::function<void()> aGone) override;
+  void OnPeerClosed(const std::function<void()>& aGone) override;
   // Ends the watch of OnPeerClosed.
   void StopWatching();
   Result<void> Send(HttpResponse aResponse) override;
--- /dev/null
+++ b/packages/runtime/tests/http_exchange_test.cpp
@@ -0,0 +1,234 @@
+#include <bilberrytrail/runtime/http_client.h>
+#include <bilberrytrail/runtime/http_server.h>
+#include <bilberrytrail/runtime/loop.h>
+
+#include <boost/asio.hpp>
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace bilberrytrail;
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+// A peer that sends the given bytes for each request it reads, on its own
+// thread, and counts its connections.
+class ScriptedPeer
+{
+public:
+  explicit ScriptedPeer(std::vector<std::string> aResponses)
+    : mResponses(std::move(aResponses))
+    , mAcceptor(mContext,
+                tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+  {
+    mThread = std::thread([this] { Run(); });
+  }
+  ~ScriptedPeer()
+  {
+    mStopped = true;
+    boost::system::error_code ec;
+    tcp::socket last(mContext);
+    last.connect(mAcceptor.local_endpoint(), ec);
+    mThread.join();
+  }
+  ScriptedPeer(const ScriptedPeer&) = delete;
+  ScriptedPeer& operator=(const ScriptedPeer&) = delete;
+
+  [[nodiscard]] Endpoint At() const
+  {
+    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
+  }
+  [[nodiscard]] int Connections() const { return mConnections; }
+
+private:
+  void Run()
+  {
+    std::size_t next = 0;
+    while (!mStopped) {
+      tcp::socket socket(mContext);
+      mAcceptor.accept(socket);
+      if (mStopped) {
+        return;
+      }
+      ++mConnections;
+      boost::system::error_code ec;
+      while (!ec && next < mResponses.size()) {
+        std::string head;
+        boost::asio::read_until(
+          socket, boost::asio::dynamic_buffer(head), "\r\n\r\n", ec);
+        if (!ec) {
+          boost::asio::write(
+            socket, boost::asio::buffer(mResponses[next++]), ec);
+        }
+      }
+    }
+  }
+
+  std::vector<std::string> mResponses;
+  boost::asio::io_context mContext;
+  tcp::acceptor mAcceptor;
+  std::atomic<bool> mStopped = false;
+  std::atomic<int> mConnections = 0;
+  std::thread mThread;
+};
+
+std::string
+Response(const std::string& aId,
+         const std::string& aBody,
+         std::string aMore = "")
+{
+  return "HTTP/1.1 200 OK\r\nX-Id: " + aId + "\r\n" + std::move(aMore) +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+// Sends GETs with the ids, one after the other, and returns the bodies; "-"
+// for a failure.
+std::vector<std::string>
+Exchange(const Endpoint& aPeer, const std::vector<std::string>& aIds)
+{
+  std::vector<std::string> bodies;
+  Loop loop;
+  loop.Spawn([&] {
+    HttpClient client(loop);
+    for (const auto& id : aIds) {
+      HttpRequest request;
+      request.mHeaders = { { "X-Id", id } };
+      HttpCallOptions options;
+      options.mTimeout = 2s;
+      options.mEchoHeader = "X-Id";
+      auto stream = client.Open(aPeer, request, options);
+      std::string body = "-";
+      if (stream) {
+        auto piece = stream.value().Read(2s);
+        body = piece && piece.value() ? *piece.value() : "-";
+        (void)stream.value().Read(2s);
+      }
+      bodies.push_back(body);
+    }
+    loop.Stop();
+  });
+  loop.Run();
+  return bodies;
+}
+
+// Leaves a stream open until the caller has gone.
+class WatchingHandler final : public HttpHandler
+{
+public:
+  explicit WatchingHandler(Loop& aLoop)
+    : mEvent(aLoop)
+  {
+  }
+  void Handle(const HttpRequest& /*aRequest*/,
+              HttpResponder& aResponder) override
+  {
+    aResponder.OnPeerClosed([this] { mEvent.Notify(); });
+    (void)aResponder.BeginStream(200, {});
+    (void)aResponder.WriteChunk("first");
+    mSawClose = mEvent.Wait(3s);
+  }
+
+  Event mEvent;
+  bool mSawClose = false;
+};
+
+} // namespace
+
+TEST_CASE("a late response to an earlier request is not taken for this one's")
+{
+  ScriptedPeer peer({ Response("1", "one") + Response("1", "one again"),
+                      Response("2", "two"),
+                      Response("3", "three") });
+  CHECK(Exchange(peer.At(), { "1", "2", "3" }) ==
+        std::vector<std::string>{ "one", "two", "three" });
+}
+
+TEST_CASE("an extra response that comes with the next one is dropped")
+{
+  ScriptedPeer peer({ Response("1", "one"),
+                      Response("1", "one again") + Response("2", "two") });
+  CHECK(Exchange(peer.At(), { "1", "2" }) ==
+        std::vector<std::string>{ "one", "two" });
+  CHECK(peer.Connections() == 1);
+}
+
+TEST_CASE("a response with another request's id alone is a failure")
+{
+  ScriptedPeer peer({ Response("7", "other", "Connection: close\r\n") });
+  CHECK(Exchange(peer.At(), { "1" }) == std::vector<std::string>{ "-" });
+}
+
+TEST_CASE("a connection is not kept beyond the idle time that the peer names")
+{
+  ScriptedPeer peer({ Response("1", "one", "Keep-Alive: timeout=0\r\n"),
+                      Response("2", "two", "Keep-Alive: timeout=9\r\n"),
+                      Response("3", "three") });
+  // The peer serves one connection at a time, until the client closes it.
+  CHECK(Exchange(peer.At(), { "1", "2", "3" }) ==
+        std::vector<std::string>{ "one", "two", "three" });
+  CHECK(peer.Connections() == 2);
+}
+
+TEST_CASE("a handler learns that its caller has gone")
+{
+  Loop loop;
+  WatchingHandler handler(loop);
+  HttpServer server(loop, HttpLimits());
+  const auto port = server.Listen({ "127.0.0.1", 0 });
+  REQUIRE(port.has_value());
+  server.Serve(handler);
+  loop.Spawn([&] {
+    {
+      HttpClient client(loop);
+      auto stream = client.Open({ "127.0.0.1", port.value() }, {}, 2s);
+      REQUIRE(stream.has_value());
+      CHECK(stream.value().Read(2s).has_value());
+    }
+    while (server.ActiveRequests() > 0 && loop.Sleep(5ms)) {
+    }
+    loop.Stop();
+  });
+  loop.Run();
+  CHECK(handler.mSawClose);
+}
+
+TEST_CASE("an exchange that is cancelled ends at once")
+{
+  struct Row
+  {
+    bool mIsBefore;
+    SendState mSent;
+  };
+  for (const Row& row : { Row{ true, SendState::NotSent },
+                          Row{ false, SendState::MaybeSent } }) {
+    ScriptedPeer peer({ "", "" });
+    Loop loop;
+    loop.Spawn([&] {
+      HttpClient client(loop);
+      HttpCancel cancel;
+      HttpCallOptions options;
+      options.mTimeout = 5s;
+      options.mCancel = &cancel;
+      if (row.mIsBefore) {
+        cancel.Cancel();
+      } else {
+        loop.Spawn([&] {
+          (void)loop.Sleep(50ms);
+          cancel.Cancel();
+        });
+      }
+      const auto begin = MonotonicNow();
+      const auto stream = client.Open(peer.At(), {}, options);
+      REQUIRE_FALSE(stream.has_value());
+      CHECK(stream.error().mCode == ErrorCode::Cancelled);
+      CHECK(stream.error().mSent == row.mSent);
+      CHECK(MonotonicNow() - begin < 4s);
+      loop.Stop();
+    });
+    loop.Run();
+  }
+}
