Refuse prompts beyond 0.35 of the objective, by the estimated time alone

Cause: at crests and in rolls the estimate includes what speaks against old weights, and queues grew until half of all first events were late.

--- a/packages/entry/include/bilberrytrail/entry/admission.h
+++ b/packages/entry/include/bilberrytrail/entry/admission.h
@@ -12,7 +12,7 @@
   // A prompt whose first event is estimated to come later than this multiple
   // of its objective is refused at once: its caller would get a late answer or
   // give up, and its work would make others late too.
-  double mMaxObjectives = 0.8;
+  double mMaxObjectives = 0.35;
   // What refused callers are told to wait: the estimated time, in bounds.
   Duration mMinReturn = 100ms;
   Duration mMaxReturn = 2s;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -220,6 +220,11 @@
                                 const Server& aServer,
                                 std::size_t aRank,
                                 Instant aNow) const;
+  // The estimated time, and what older weights are worth.
+  [[nodiscard]] Duration CostAt(const ServerQuery& aQuery,
+                                const Server& aServer,
+                                std::size_t aRank,
+                                Instant aNow) const;
   // Sorts by affinity, or takes turns without.
   void Order(const ServerQuery& aQuery, Candidates& aCandidates);
   [[nodiscard]] ChosenServer ToChoice(const ServerQuery& aQuery,
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -205,12 +205,21 @@
   if (aRank > 0) {
     tokens += mSettings.mMissFactor * aQuery.mMissWork;
   }
-  auto time = delay + FromMillis(tokens / mSettings.mTokensPerMs);
-  if (aServer.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion) {
-    time +=
-      FromMillis(ToMillis(aQuery.mObjective) * mSettings.mOldWeightsObjectives);
-  }
-  return time;
+  return delay + FromMillis(tokens / mSettings.mTokensPerMs);
+}
+
+Duration
+ServerPool::CostAt(const ServerQuery& aQuery,
+                   const Server& aServer,
+                   std::size_t aRank,
+                   Instant aNow) const
+{
+  const auto time = TimeAt(aQuery, aServer, aRank, aNow);
+  const bool isOld =
+    aQuery.mModel && aServer.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
+  return isOld ? time + FromMillis(ToMillis(aQuery.mObjective) *
+                                   mSettings.mOldWeightsObjectives)
+               : time;
 }
 
 void
@@ -262,11 +271,11 @@
   }
   Order(aQuery, usable);
   std::size_t best = 0;
-  auto soonest = TimeAt(aQuery, *usable[0], 0, aNow);
+  auto least = CostAt(aQuery, *usable[0], 0, aNow);
   for (std::size_t n = 1; n < usable.size(); ++n) {
-    const auto time = TimeAt(aQuery, *usable[n], n, aNow);
-    if (time < soonest) {
-      soonest = time;
+    const auto cost = CostAt(aQuery, *usable[n], n, aNow);
+    if (cost < least) {
+      least = cost;
       best = n;
     }
   }
@@ -274,7 +283,7 @@
                       : best == 0           ? ChoiceReason::Affinity
                                             : ChoiceReason::Spilled;
   auto choice = ToChoice(aQuery, *usable[best], reason, usable.size());
-  choice.mTime = soonest;
+  choice.mTime = TimeAt(aQuery, *usable[best], best, aNow);
   return choice;
 }
 
