Order as many servers at once as the time that is left asks for

Cause: two servers at a time take 22 s for twelve, and the bound is 15 s; behind a cut of the holder the rest of the site then refused nearly all prompts, since older weights may not be used any more.

--- a/packages/entry/include/bilberrytrail/entry/weight_history.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_history.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bilberrytrail {
@@ -22,6 +23,11 @@
   [[nodiscard]] std::uint64_t LeastAllowed(const ModelId& aModel,
                                            Duration aWithin,
                                            Instant aNow) const noexcept;
+  // Returns when a server with a version of a model must have a newer one;
+  // nothing when there is no newer one.
+  [[nodiscard]] std::optional<Instant> Due(const ModelId& aModel,
+                                           std::uint64_t aVersion,
+                                           Duration aWithin) const noexcept;
   // Returns the newest version of each model.
   [[nodiscard]] const std::map<ModelId, std::uint64_t>& AllNewest()
     const noexcept
--- a/packages/entry/include/bilberrytrail/entry/weight_roll.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_roll.h
@@ -51,10 +51,12 @@
 // Times and bounds of a roll.
 struct WeightRollSettings
 {
-  // Servers that load at once at full speed.
-  std::size_t mLoadsAtOnce = 2;
-  // Further servers that finish their requests meanwhile.
-  std::size_t mDrainingAhead = 0;
+  // Servers under order at once while there is time, and the most when there
+  // is not: those that finish their requests or load serve nobody.
+  std::size_t mLeastAtOnce = 2;
+  std::size_t mMostAtOnce = 4;
+  // Time that a server takes from the order to the new weights.
+  Duration mServerTime = 2400ms;
   // An accepted order that shows no effect for so long is sent again.
   Duration mOrderTime = 8s;
   // Pause before a server is ordered again after an order that did not take.
@@ -85,10 +87,12 @@
     std::span<const ServerRecord> aServers,
     const std::map<ModelId, std::uint64_t>& aWeights);
 
-  // Returns the orders to send now and counts them as under way.
+  // Returns the orders to send now and counts them as under way. All servers
+  // are to have the newest weights after aTimeLeft.
   [[nodiscard]] std::vector<WeightOrder> Next(
     std::span<const ServerRecord> aServers,
     const std::map<ModelId, std::uint64_t>& aWeights,
+    Duration aTimeLeft,
     Instant aNow);
   void OnOutcome(const WeightOrder& aOrder,
                  OrderOutcome aOutcome,
@@ -106,6 +110,8 @@
   };
 
   [[nodiscard]] std::size_t UnderWay() const noexcept;
+  [[nodiscard]] std::size_t AtOnce(std::size_t aPending,
+                                   Duration aTimeLeft) const noexcept;
   void Settle(std::span<const ServerRecord> aServers, Instant aNow);
 
   const WeightRollSettings mSettings;
--- a/packages/entry/src/roll_runner.cpp
+++ b/packages/entry/src/roll_runner.cpp
@@ -52,6 +52,7 @@
   : mLoop(aLoop)
   , mSelf(HolderOf(aSettings))
   , mOrderGap(aSettings.mOrderGap)
+  , mWeightsWithin(aSettings.mWeightsWithin)
   , mTable(aTable)
   , mOrders(aOrders)
   , mPeers(aPeers)
@@ -95,7 +96,7 @@
     mRoll.Clear();
   }
   if (fence && isWanted && !mIsLeaving) {
-    SendOrders(*view, *fence);
+    SendOrders(*view);
   }
 }
 
@@ -116,11 +117,29 @@
   mLease.OnWrite(write.mSequence, done, BootNow());
 }
 
+// Returns the time until the first server must have newer weights.
+Duration
+RollRunner::TimeLeft(const SiteView& aView, Instant aNow) const
+{
+  Duration left = mWeightsWithin;
+  for (const auto& server : aView.mServers) {
+    for (const auto& it : server.mModels) {
+      const auto due =
+        aView.mWeights.Due(it.mModel, it.mVersion, mWeightsWithin);
+      if (due && !server.mIsLeaving) {
+        left = std::min(left, *due - aNow);
+      }
+    }
+  }
+  return left;
+}
+
 void
-RollRunner::SendOrders(const SiteView& aView, FencingNumber /*aFence*/)
+RollRunner::SendOrders(const SiteView& aView)
 {
-  const auto orders =
-    mRoll.Next(aView.mServers, aView.mWeights.AllNewest(), MonotonicNow());
+  const auto now = MonotonicNow();
+  const auto orders = mRoll.Next(
+    aView.mServers, aView.mWeights.AllNewest(), TimeLeft(aView, now), now);
   for (const auto& it : orders) {
     mLoop.Spawn([this, it] { SendOrder(it); });
   }
--- a/packages/entry/src/roll_runner.h
+++ b/packages/entry/src/roll_runner.h
@@ -35,13 +35,15 @@
 private:
   void Step();
   void RunLease();
-  void SendOrders(const SiteView& aView, FencingNumber aFence);
+  [[nodiscard]] Duration TimeLeft(const SiteView& aView, Instant aNow) const;
+  void SendOrders(const SiteView& aView);
   void SendOrder(const WeightOrder& aOrder);
   OrderOutcome SendOnce(const WeightOrder& aOrder);
 
   Loop& mLoop;
   const DaemonId mSelf;
   const Duration mOrderGap;
+  const Duration mWeightsWithin;
   TableService& mTable;
   OrderPort& mOrders;
   PeerDirectory& mPeers;
--- a/packages/entry/src/weight_history.cpp
+++ b/packages/entry/src/weight_history.cpp
@@ -26,6 +26,23 @@
   return least;
 }
 
+std::optional<Instant>
+WeightHistory::Due(const ModelId& aModel,
+                   std::uint64_t aVersion,
+                   Duration aWithin) const noexcept
+{
+  const auto it = mNamed.find(aModel);
+  if (it == mNamed.end()) {
+    return std::nullopt;
+  }
+  for (const auto& named : it->second) {
+    if (named.mVersion > aVersion) {
+      return named.mAt + aWithin;
+    }
+  }
+  return std::nullopt;
+}
+
 bool
 WeightHistory::Note(const ModelId& aModel, std::uint64_t aVersion, Instant aNow)
 {
--- a/packages/entry/src/weight_roll.cpp
+++ b/packages/entry/src/weight_roll.cpp
@@ -42,6 +42,15 @@
     mOrders, [](const auto& aEntry) { return aEntry.second.mUnderWay; }));
 }
 
+std::size_t
+WeightRoll::AtOnce(std::size_t aPending, Duration aTimeLeft) const noexcept
+{
+  const auto left = std::max(aTimeLeft, mSettings.mServerTime);
+  const auto needed = static_cast<std::size_t>(
+    static_cast<std::int64_t>(aPending) * mSettings.mServerTime / left);
+  return std::clamp(needed, mSettings.mLeastAtOnce, mSettings.mMostAtOnce);
+}
+
 // Forgets orders whose effect shows, and those that had their time.
 void
 WeightRoll::Settle(std::span<const ServerRecord> aServers, Instant aNow)
@@ -62,11 +71,12 @@
 std::vector<WeightOrder>
 WeightRoll::Next(std::span<const ServerRecord> aServers,
                  const std::map<ModelId, std::uint64_t>& aWeights,
+                 Duration aTimeLeft,
                  Instant aNow)
 {
   Settle(aServers, aNow);
   std::vector<WeightOrder> orders;
-  const auto most = mSettings.mLoadsAtOnce + mSettings.mDrainingAhead;
+  const auto most = AtOnce(Pending(aServers, aWeights), aTimeLeft);
   for (const auto& it : aServers) {
     if (UnderWay() >= most) {
       break;
--- a/packages/entry/tests/weight_roll_test.cpp
+++ b/packages/entry/tests/weight_roll_test.cpp
@@ -11,6 +11,8 @@
 const ModelId kModel("m");
 const std::map<ModelId, std::uint64_t> kNewest{ { kModel, 2 } };
 
+constexpr Duration kTime = 15s;
+
 Instant
 At(Duration aTime)
 {
@@ -40,7 +42,7 @@
   Instant now = At(0s);
   for (; now < At(60s) && WeightRoll::Pending(servers, kNewest) > 0;
        now += 200ms) {
-    for (const auto& order : roll.Next(servers, kNewest, now)) {
+    for (const auto& order : roll.Next(servers, kNewest, kTime, now)) {
       CHECK(order.mVersion == 2);
       CHECK(order.mServer != servers[3].mId);
       roll.OnOutcome(order, OrderOutcome::Accepted, now);
@@ -59,6 +61,28 @@
   CHECK(now < At(11s));
 }
 
+TEST_CASE("more servers load at once when the time runs out")
+{
+  struct Row
+  {
+    std::size_t mServers;
+    Duration mTimeLeft;
+    std::size_t mAtOnce;
+  };
+  for (const Row& row : { Row{ 1, 15s, 1 },
+                          Row{ 12, 13s, 2 },
+                          Row{ 12, 9s, 3 },
+                          Row{ 12, 3s, 4 },
+                          Row{ 12, -5s, 4 },
+                          Row{ 3, 1s, 3 } }) {
+    CAPTURE(row.mTimeLeft.count());
+    WeightRoll roll{ WeightRollSettings() };
+    const auto servers = Servers(row.mServers);
+    CHECK(roll.Next(servers, kNewest, row.mTimeLeft, At(0s)).size() ==
+          row.mAtOnce);
+  }
+}
+
 TEST_CASE("an order that did not take is sent again, when depends on why")
 {
   struct Case
@@ -77,11 +101,11 @@
     CAPTURE(it.mOutcome);
     const auto servers = Servers(1);
     WeightRoll roll(settings);
-    const auto first = roll.Next(servers, kNewest, At(0s));
+    const auto first = roll.Next(servers, kNewest, kTime, At(0s));
     REQUIRE(first.size() == 1);
     roll.OnOutcome(first.front(), it.mOutcome, At(0s));
-    CHECK(roll.Next(servers, kNewest, At(it.mAgainAfter - 1ms)).empty());
-    CHECK(roll.Next(servers, kNewest, At(it.mAgainAfter)).size() == 1);
+    CHECK(roll.Next(servers, kNewest, kTime, At(it.mAgainAfter - 1ms)).empty());
+    CHECK(roll.Next(servers, kNewest, kTime, At(it.mAgainAfter)).size() == 1);
   }
 }
 
@@ -89,12 +113,12 @@
 {
   auto servers = Servers(1);
   WeightRoll roll{ WeightRollSettings() };
-  const auto order = roll.Next(servers, kNewest, At(0s)).front();
+  const auto order = roll.Next(servers, kNewest, kTime, At(0s)).front();
   roll.OnOutcome(order, OrderOutcome::Accepted, At(0s));
   const std::map<ModelId, std::uint64_t> newer{ { kModel, 3 } };
-  CHECK(roll.Next(servers, newer, At(1s)).empty());
+  CHECK(roll.Next(servers, newer, kTime, At(1s)).empty());
   servers[0].mModels = { { kModel, 2 } };
-  const auto next = roll.Next(servers, newer, At(2s));
+  const auto next = roll.Next(servers, newer, kTime, At(2s));
   REQUIRE(next.size() == 1);
   CHECK(next.front().mVersion == 3);
 }
