Write logs to standard output without waiting; stand-ins and whole-daemon tests of the fleet

Cause: the log went to standard error and a stalled reader would have stopped the daemon. Lines wait up to 256 KiB, whole lines beyond are dropped, counted and told.

--- a/packages/base/include/bilberrytrail/base/log.h
+++ b/packages/base/include/bilberrytrail/base/log.h
@@ -65,12 +65,14 @@
 struct LogOptions
 {
   LogLevel mLevel = LogLevel::Info;
-  // File to append to; empty for standard error.
+  // File to append to; empty for standard output, which is written without
+  // waiting: lines that its reader does not take in time are dropped and
+  // counted.
   std::string mFile;
 };
 
 // Directs the log of this process. Before the first call, lines of Info and
-// above go to standard error. Fails with Unavailable when the file cannot be
+// above go to standard output. Fails with Unavailable when the file cannot be
 // opened for appending, and leaves the log as it was.
 [[nodiscard]] Result<void>
 OpenLog(const LogOptions& aOptions);
--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -97,7 +97,8 @@
   SendFailed,
   RequestDone,
   CallerLeft,
-  SettingsReloaded
+  SettingsReloaded,
+  LogLinesDropped
 };
 
 // One row of the catalogue of events.
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -450,6 +450,13 @@
                 "settings_reloaded",
                 "The settings were read again on SIGHUP.",
                 "Nothing." },
+  LogEventInfo{ LogLinesDropped,
+                2012,
+                Warning,
+                "log_lines_dropped",
+                "The reader of standard output was too slow; `lines` were "
+                "dropped.",
+                "Check what reads the log." },
 };
 
 constexpr bool
@@ -460,7 +467,7 @@
       return false;
     }
   }
-  return kEvents.back().mEvent == SettingsReloaded;
+  return kEvents.back().mEvent == LogLinesDropped;
 }
 
 static_assert(IsInOrder());
--- a/packages/base/src/log_sink.cpp
+++ b/packages/base/src/log_sink.cpp
@@ -1,14 +1,47 @@
+#include "bounded_lines.h"
+
 #include <bilberrytrail/base/log.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <fstream>
-#include <iostream>
 #include <mutex>
+#include <ostream>
+
+namespace bilberrytrail {
+
+namespace {
+
+// Lines that wait for the reader of standard output: some seconds of a busy
+// daemon.
+constexpr std::size_t kMaxWaitingBytes = 256 * 1024;
+
+// Standard output without waiting; the logging library locks around each line.
+std::ostream&
+LogStream()
+{
+  static BoundedLines sLines(
+    kMaxWaitingBytes,
+    [](const char* aText, std::size_t aCount) {
+      return WriteWithoutWaiting(STDOUT_FILENO, aText, aCount);
+    },
+    [](std::size_t aCount) {
+      return RenderLogLine(LogEvent::LogLinesDropped, { { "lines", aCount } }) +
+             "\n";
+    });
+  static std::ostream sStream(&sLines);
+  return sStream;
+}
+
+} // namespace
+
+} // namespace bilberrytrail
 
 #define ELPP_THREAD_SAFE
 #define ELPP_NO_DEFAULT_LOG_FILE
 #define ELPP_DISABLE_DEFAULT_CRASH_HANDLING
-#define ELPP_CUSTOM_COUT std::cerr
+#define ELPP_CUSTOM_COUT bilberrytrail::LogStream()
 #include <easylogging++.cc> // NOLINT(bugprone-suspicious-include)
 
 INITIALIZE_EASYLOGGINGPP
--- a/packages/daemon/main/bilberryd.cpp
+++ b/packages/daemon/main/bilberryd.cpp
@@ -27,11 +27,12 @@
   "       bilberryd --check --settings FILE\n"
   "       bilberryd --print-defaults\n"
   "       bilberryd --entry [--check] [--settings FILE]\n"
+  "       bilberryd --entry --print-defaults\n"
   "  -s, --settings FILE   settings in INI, see docs/SETTINGS.md\n"
   "  -c, --check           check the settings and exit\n"
   "  -d, --print-defaults  print all settings with their defaults\n"
   "  -e, --entry           serve on a table platform, by the settings of\n"
-  "                        docs/SETTINGS.md, \"Entry daemons\"; without\n"
+  "                        docs/SETTINGS-ENTRY.md; without\n"
   "                        --settings from the file that the environment\n"
   "                        variable BILBERRYTRAIL_CONFIG names\n"
   "  -h, --help            print this text\n";
@@ -191,6 +192,10 @@
     std::cout << kUsage;
     return EXIT_SUCCESS;
   }
+  if (options.mPrintDefaults && options.mEntry) {
+    std::cout << RenderEntrySettingsPage();
+    return EXIT_SUCCESS;
+  }
   if (options.mPrintDefaults) {
     std::cout << RenderDefaults(DaemonSettingTable());
     return EXIT_SUCCESS;
--- a/packages/entry/include/bilberrytrail/entry/entry_settings.h
+++ b/packages/entry/include/bilberrytrail/entry/entry_settings.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace bilberrytrail {
@@ -42,6 +43,10 @@
 [[nodiscard]] std::span<const SettingInfo>
 EntrySettingTable() noexcept;
 
+// Returns the text of docs/SETTINGS-ENTRY.md.
+[[nodiscard]] std::string
+RenderEntrySettingsPage();
+
 // Reads INI text. Fails with InvalidInput and all faults, a line each.
 [[nodiscard]] Result<EntrySettings>
 ParseEntrySettings(std::string_view aText, std::string_view aName);
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -267,6 +267,19 @@
   return kTable;
 }
 
+std::string
+RenderEntrySettingsPage()
+{
+  return "# Settings of an entry daemon\n\n"
+         "`bilberryd --entry` reads one INI file, in the form of SETTINGS.md. "
+         "Without `--settings` its path\nis in the environment variable "
+         "`BILBERRYTRAIL_CONFIG`. `--check` tries a file. SIGHUP reads the file\n"
+         "again and takes over the log level; the other settings hold until "
+         "the next start.\nMade by `bilberryd --entry --print-defaults`; a test "
+         "compares both.\n\n" +
+         RenderSettingTables(kTable);
+}
+
 Result<EntrySettings>
 ParseEntrySettings(std::string_view aText, std::string_view aName)
 {
--- a/packages/entry/tests/entry_settings_test.cpp
+++ b/packages/entry/tests/entry_settings_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <fstream>
+#include <iterator>
+
 using namespace bilberrytrail;
 
 namespace {
@@ -62,3 +65,12 @@
   CHECK(LoadEntrySettings("/no/such/file").error().mCode ==
         ErrorCode::NotFound);
 }
+
+TEST_CASE("docs/SETTINGS-ENTRY.md is made from the table")
+{
+  std::ifstream in(BILBERRYTRAIL_SOURCE_DIR "/docs/SETTINGS-ENTRY.md");
+  const std::string text{ std::istreambuf_iterator<char>(in), {} };
+  const bool isEqual = text == RenderEntrySettingsPage();
+  CHECK_MESSAGE(isEqual,
+                "write it with: bilberryd --entry --print-defaults");
+}
--- a/packages/settings/src/daemon_setting_rows.cpp
+++ b/packages/settings/src/daemon_setting_rows.cpp
@@ -539,7 +539,7 @@
          0,
          "",
          false,
-         "File to append the log to; standard error when it is not set." },
+         "File to append the log to; standard output when it is not set." },
        &DaemonSettings::mLogFile },
   Row{ { "trace",
          "file",
--- /dev/null
+++ b/standins/src/fleet/fleet_server.cpp
@@ -0,0 +1,114 @@
+#include "fleet/fleet_server.h"
+
+#include <bilberrytrail/platform/json_fields.h>
+
+namespace bilberrytrail::standins {
+
+namespace {
+
+constexpr int kEvents = 5;
+constexpr Duration kLoadTime = 50ms;
+
+} // namespace
+
+void
+FleetServer::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  if (aRequest.mTarget == "/report") {
+    const Json report{ { "models",
+                         { { { "name", "m" },
+                             { "version", mWeights },
+                             { "adapters", Json::array() } } } },
+                       { "busy", false },
+                       { "sequence", mOrders } };
+    (void)aResponder.Send({ 200, {}, report.dump() });
+    return;
+  }
+  if (aRequest.mTarget == "/order") {
+    TakeOrder(aRequest, aResponder);
+    return;
+  }
+  const auto& headers = aRequest.mHeaders;
+  const auto weights = FindHeader(headers, "Bilberrytrail-Expected-Version");
+  if (FindHeader(headers, "Bilberrytrail-Target-Instance") != mId ||
+      (!weights.empty() && weights != std::to_string(mWeights))) {
+    (void)aResponder.Send(
+      { 421, { { "Bilberrytrail-Instance-Id", mId } }, {} });
+    return;
+  }
+  if (mIsFull) {
+    (void)aResponder.Send(
+      { 503, { { "Bilberrytrail-Not-Executed", "1" } }, {} });
+    return;
+  }
+  Run(aRequest, aResponder);
+}
+
+void
+FleetServer::Run(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  const std::string id(
+    FindHeader(aRequest.mHeaders, "Bilberrytrail-Request-Id"));
+  ++mRuns[id];
+  mLastHeaders = aRequest.mHeaders;
+  HttpHeaders headers{ { "Bilberrytrail-Request-Id", id },
+                       { "Bilberrytrail-Response-Signature", "sig-" + id } };
+  if (aRequest.mTarget.find("/stream/") == std::string::npos) {
+    (void)aResponder.Send({ 200, std::move(headers), aRequest.mBody });
+    return;
+  }
+  headers.push_back(
+    { "Bilberrytrail-Weight-Versions", std::to_string(mWeights) });
+  if (aResponder.BeginStream(200, std::move(headers))) {
+    Stream(aRequest, aResponder);
+  }
+}
+
+void
+FleetServer::Stream(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  const auto after = FindHeader(aRequest.mHeaders, "Last-Event-Id");
+  int next = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
+  for (int sent = 1; next <= kEvents; ++next, ++sent) {
+    (void)mLoop.Sleep(mEventTime);
+    const auto event = "id: " + std::to_string(next) + "\ndata: x\n\n";
+    if (!aResponder.WriteChunk(event)) {
+      return;
+    }
+    if (sent == mCutAfter) {
+      aResponder.Cut();
+      return;
+    }
+  }
+  (void)aResponder.EndStream();
+}
+
+void
+FleetServer::TakeOrder(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  const auto body = ParseJson(aRequest.mBody);
+  if (!body) {
+    (void)aResponder.Send({ 400, {}, {} });
+    return;
+  }
+  JsonFields fields(body.value());
+  const auto version = fields.Unsigned("version");
+  const auto fence = fields.Unsigned("fencing_token");
+  const auto expected = fields.Unsigned("expected");
+  const auto holder = fields.Text("holder");
+  if (!fields.Check() || holder.empty()) {
+    (void)aResponder.Send({ 400, {}, {} });
+    return;
+  }
+  if (expected != mOrders) {
+    (void)aResponder.Send({ 409, {}, {} });
+    return;
+  }
+  ++mOrders;
+  mFences.push_back(fence);
+  (void)aResponder.Send({ 202, {}, {} });
+  (void)mLoop.Sleep(kLoadTime);
+  mWeights = version;
+}
+
+} // namespace bilberrytrail::standins
--- /dev/null
+++ b/standins/src/fleet/row_table.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <bilberrytrail/base/enum_names.h>
+#include <bilberrytrail/platform/json_fields.h>
+#include <bilberrytrail/runtime/http_server.h>
+#include <bilberrytrail/runtime/loop.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace bilberrytrail::standins {
+
+// What the table service of the fleet does to the calls that it gets.
+enum class RowTableFault : unsigned char
+{
+  None,
+  // Answers 503: nothing is done.
+  Busy,
+  // Answers 429: nothing is done.
+  Many,
+  // Answers nothing.
+  Silent,
+  // Does what is asked and answers nothing.
+  LostAnswer
+};
+
+} // namespace bilberrytrail::standins
+
+template<>
+struct bilberrytrail::EnumNames<bilberrytrail::standins::RowTableFault>
+{
+  static constexpr std::array<std::string_view, 5> kNames{ "none",
+                                                           "busy",
+                                                           "many",
+                                                           "silent",
+                                                           "lost_answer" };
+};
+
+namespace bilberrytrail::standins {
+
+// Stands in for the fleet's table service: rows by table and key, changes
+// since a version, transactions with conditions. All on the thread of a loop.
+class RowTable final : public HttpHandler
+{
+public:
+  explicit RowTable(Loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  [[nodiscard]] std::uint64_t Version() const noexcept { return mVersion; }
+  // Returns a row's value; empty when it is not there.
+  [[nodiscard]] std::string Value(const std::string& aTable,
+                                  const std::string& aKey) const;
+
+  void Put(const std::string& aTable,
+           const std::string& aKey,
+           std::string aValue);
+  void Remove(const std::string& aTable, const std::string& aKey);
+  // Answers requests for older changes with 410 from now on.
+  void DropHistory() noexcept { mOldest = mVersion; }
+  void SetFault(RowTableFault aFault) noexcept { mFault = aFault; }
+
+  void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
+
+private:
+  struct Row
+  {
+    std::string mValue;
+    std::uint64_t mVersion = 0;
+    bool mRemoved = false;
+  };
+  using Query = std::map<std::string, std::string>;
+
+  [[nodiscard]] HttpResponse Serve(const HttpRequest& aRequest);
+  [[nodiscard]] HttpResponse Get(const Query& aQuery) const;
+  [[nodiscard]] HttpResponse Feed(const Query& aQuery) const;
+  [[nodiscard]] HttpResponse Commit(const Json& aBody);
+  [[nodiscard]] Json Rows(const Query& aQuery, std::uint64_t aAfter) const;
+  [[nodiscard]] HttpResponse Page(Json aRows) const;
+
+  Loop& mLoop;
+  std::map<std::pair<std::string, std::string>, Row> mRows;
+  std::uint64_t mVersion = 0;
+  std::uint64_t mOldest = 0;
+  RowTableFault mFault = RowTableFault::None;
+};
+
+} // namespace bilberrytrail::standins
