--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -273,9 +273,11 @@
   return "# Settings of an entry daemon\n\n"
          "`bilberryd --entry` reads one INI file, in the form of SETTINGS.md. "
          "Without `--settings` its path\nis in the environment variable "
-         "`BILBERRYTRAIL_CONFIG`. `--check` tries a file. SIGHUP reads the file\n"
+         "`BILBERRYTRAIL_CONFIG`. `--check` tries a file. SIGHUP reads the "
+         "file\n"
          "again and takes over the log level; the other settings hold until "
-         "the next start.\nMade by `bilberryd --entry --print-defaults`; a test "
+         "the next start.\nMade by `bilberryd --entry --print-defaults`; a "
+         "test "
          "compares both.\n\n" +
          RenderSettingTables(kTable);
 }
--- a/packages/entry/tests/entry_settings_test.cpp
+++ b/packages/entry/tests/entry_settings_test.cpp
@@ -71,6 +71,5 @@
   std::ifstream in(BILBERRYTRAIL_SOURCE_DIR "/docs/SETTINGS-ENTRY.md");
   const std::string text{ std::istreambuf_iterator<char>(in), {} };
   const bool isEqual = text == RenderEntrySettingsPage();
-  CHECK_MESSAGE(isEqual,
-                "write it with: bilberryd --entry --print-defaults");
+  CHECK_MESSAGE(isEqual, "write it with: bilberryd --entry --print-defaults");
 }
