--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -83,6 +83,7 @@
     , mRequest(aRequest)
     , mSink(aSink)
     , mArrivedAt(MonotonicNow())
+    , mDeadline(mArrivedAt)
   {
   }
 
@@ -638,7 +639,10 @@
                 : mView->mConfig->mVersion },
             { "sends", mSends },
             { "age", MonotonicNow() - mArrivedAt },
-            { "left", mRoute == nullptr ? Duration(0) : TimeLeft() },
+            { "left", TimeLeft() },
+            { "server", mChoice.mServer },
+            { "candidates", mChoice.mCandidates },
+            { "estimate", mChoice.mTime },
             { "return_in", aRetryAfter.value_or(Duration(0)) } });
   mSink.Refuse(refusal);
 }
--- a/standins/tests/fleet_daemon_test.cpp
+++ b/standins/tests/fleet_daemon_test.cpp
@@ -7,6 +7,8 @@
 
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <atomic>
 #include <thread>
@@ -87,6 +89,16 @@
   return { "127.0.0.1", port.value() };
 }
 
+// An address of this process's own on loopback, so that a free port of it stays
+// free whatever runs beside.
+std::string
+OwnAddress()
+{
+  const auto pid = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(1 + (pid >> 8U) % 250) + "." +
+         std::to_string(pid % 256) + ".1";
+}
+
 // Free ports are found by listening on them for a moment.
 EntrySettings
 FleetSite::MakeSettings(int aNumber)
@@ -103,9 +115,9 @@
                     &settings.mPeers,
                     &settings.mMetrics }) {
     HttpServer probe(mLoop, HttpLimits());
-    const auto port = probe.Listen({ "127.0.0.1", 0 });
+    const auto port = probe.Listen({ OwnAddress(), 0 });
     REQUIRE(port.has_value());
-    *it = { "127.0.0.1", port.value() };
+    *it = { OwnAddress(), port.value() };
   }
   return settings;
 }
