--- a/packages/entry/include/bilberrytrail/entry/cache_directory.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_directory.h
@@ -62,8 +62,8 @@
   static constexpr Duration kFreshTime = 1100ms;
   // A part that was to be kept and does not show for so long is kept again.
   static constexpr Duration kKeepTime = 3s;
-  // Share of a store's link that parts on their way to it may take, so that
-  // those who read from it do not wait.
+  // Share of a store's link that parts on their way to it may take. Less of it
+  // costs more reading of prompts later than it frees of the link.
   static constexpr double kKeepShare = 1.0;
   // Time for which unused room on the link is saved up.
   static constexpr Duration kKeepBurst = 1s;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -164,13 +164,13 @@
 {
 public:
   ServerPool(ZoneId aOwnZone, const ServerPoolSettings& aSettings);
+  ~ServerPool();
+  ServerPool(const ServerPool&) = delete;
+  ServerPool& operator=(const ServerPool&) = delete;
 
   // Returns the server for a request, or nothing when there is none to try.
   [[nodiscard]] std::optional<ChosenServer> Choose(const ServerQuery& aQuery,
                                                    Instant aNow);
-  // Returns whether a server of the service has room, for the wait that a
-  // refusal states.
-  [[nodiscard]] bool HasServers(const ServiceId& aService) const noexcept;
   [[nodiscard]] std::size_t InFlight(const ServerId& aServer) const noexcept;
 
   // Takes in the list of servers. Returns the addresses of those that went.
@@ -239,9 +239,6 @@
   std::map<SendTicket, Send> mSends;
   std::uint64_t mLastTicket = 0;
   std::uint64_t mTurn = 0;
-
-public:
-  ~ServerPool();
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -64,15 +64,6 @@
 
 ServerPool::~ServerPool() = default;
 
-bool
-ServerPool::HasServers(const ServiceId& aService) const noexcept
-{
-  return std::ranges::any_of(mServers, [&](const auto& aEntry) {
-    const auto& record = aEntry.second->mRecord;
-    return record.mService == aService && !record.mIsLeaving;
-  });
-}
-
 std::size_t
 ServerPool::InFlight(const ServerId& aServer) const noexcept
 {
