--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -120,6 +120,8 @@
   [[nodiscard]] Duration TimeLeft() const noexcept;
   [[nodiscard]] Duration HeadTime() const noexcept;
   void EndSend(SendEnd aEnd);
+  void CutStream(RefusalReason aReason);
+  // Refuses the request, or cuts its stream when that has begun.
   void Refuse(RefusalReason aReason,
               std::string aText,
               std::optional<Duration> aRetryAfter = std::nullopt);
@@ -479,12 +481,6 @@
     mParts.mCounts.Add(Labels(), Counter::Retries);
     return Next::Send;
   }
-  if (mStreamHasBegun) {
-    mSink.Cut();
-    LogLine(LogEvent::StreamIncomplete,
-            { { "request", mRequest.mId }, { "server", mChoice.mServer } });
-    return Next::Done;
-  }
   if (aFailure.mNotRun) {
     Refuse(RefusalReason::QueueFull,
            "No server of the service could take the request.",
@@ -616,11 +612,29 @@
   return ShareOf(mRoute->mObjective, kReturnShare, kMinReturn, kMaxReturn);
 }
 
+// A stream of which the caller has a part can only end short.
+void
+RequestRun::CutStream(RefusalReason aReason)
+{
+  mParts.mCounts.Add(Labels(), Counter::Incomplete);
+  LogLine(LogEvent::StreamIncomplete,
+          { { "request", mRequest.mId },
+            { "server", mChoice.mServer },
+            { "reason", aReason },
+            { "sends", mSends },
+            { "age", MonotonicNow() - mArrivedAt } });
+  mSink.Cut();
+}
+
 void
 RequestRun::Refuse(RefusalReason aReason,
                    std::string aText,
                    std::optional<Duration> aRetryAfter)
 {
+  if (mStreamHasBegun) {
+    CutStream(aReason);
+    return;
+  }
   const auto refusal =
     Refusal::From(mLedger, aReason, std::move(aText), aRetryAfter);
   mParts.mCounts.Add(Labels(),
--- a/packages/entry/tests/request_flow_test.cpp
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -252,6 +252,32 @@
   }
 }
 
+// What ends the attempt to go on: no server takes it, or its time is over.
+TEST_CASE("a stream that has begun is never followed by a refusal")
+{
+  for (const bool isTimeOver : { false, true }) {
+    CAPTURE(isTimeOver);
+    FlowFixture fixture;
+    auto& route = fixture.mConfig.mRoutes.front();
+    route.mKind = RequestKind::Streaming;
+    route.mResumable = true;
+    route.mMaxAttempts = 9;
+    auto cut = Streaming({ EventText(1) }, true);
+    if (isTimeOver) {
+      cut.mPieceTime = 997ms;
+    }
+    fixture.mBackend.mScript = { cut };
+    for (int n = 0; n < 6; ++n) {
+      fixture.mBackend.mScript.push_back(Failing(SendFault::Full, true));
+    }
+    fixture.Run();
+    CHECK(fixture.mSink.mFinals == 1);
+    CHECK(fixture.mSink.mIsCut);
+    CHECK_FALSE(fixture.mSink.mRefusal);
+    CHECK(fixture.mSink.mBody == EventText(1));
+  }
+}
+
 TEST_CASE("nothing is sent, and no answer given, once the caller has left")
 {
   FlowFixture fixture;
--- a/packages/release/include/bilberrytrail/release/release_note.h
+++ b/packages/release/include/bilberrytrail/release/release_note.h
@@ -85,7 +85,7 @@
 // Reads a release note:
 //
 //   [release]
-//   product = brotlag
+//   product = guides
 //   against = 4
 //   [add account tailor]
 //   token_sha256 = 9f86...0a08
