--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -98,6 +98,9 @@
   RequestDone,
   CallerLeft,
   SettingsReloaded,
+  RelayFollowed,
+  RelayLeft,
+  RelayFailed,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -450,6 +450,29 @@
                 "settings_reloaded",
                 "The settings were read again on SIGHUP.",
                 "Nothing." },
+  LogEventInfo{ RelayFollowed,
+                2013,
+                Info,
+                "relay_followed",
+                "This daemon asks another one of its availability zone for "
+                "what is new, and does not follow the tables and stores "
+                "itself.",
+                "Nothing." },
+  LogEventInfo{ RelayLeft,
+                2014,
+                Info,
+                "relay_left",
+                "This daemon follows the tables and stores itself; `serving` "
+                "says whether others rely on it.",
+                "Nothing." },
+  LogEventInfo{ RelayFailed,
+                2015,
+                Warning,
+                "relay_failed",
+                "The daemon that this one asks did not answer, or its copies "
+                "are older than `age` allows; the tables are followed "
+                "directly and the next daemon is asked.",
+                "Nothing, if it was stopped; else check that VM." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/cache_directory.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_directory.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <bilberrytrail/base/call.h>
 #include <bilberrytrail/base/time.h>
 #include <bilberrytrail/entry/backend_call.h>
+#include <bilberrytrail/entry/cache_news.h>
 
 #include <algorithm>
 #include <map>
@@ -14,47 +14,11 @@
 
 namespace bilberrytrail {
 
-// A change of what a store keeps.
-struct CacheEvent
-{
-  bool mAdded = true;
-  std::string mSalt;
-  std::string mPart;
-};
-
-// Changes of one store since the last ones.
-struct CacheEvents
-{
-  // Changes when the store starts anew, empty.
-  std::uint64_t mEpoch = 0;
-  // Number to ask for next.
-  std::uint64_t mNext = 0;
-  // Events between were dropped.
-  bool mLost = false;
-  // The servers' clock, which all servers and stores share, in milliseconds.
-  std::optional<std::uint64_t> mClockMs;
-  std::vector<CacheEvent> mEvents;
-};
-
-// Reads the events of a store VM. It translates and decides nothing.
-class CacheEventPort
-{
-public:
-  virtual ~CacheEventPort() = default;
-
-  // Returns the events from a number on as soon as there are some, or none
-  // after aWait.
-  [[nodiscard]] virtual CallResult<CacheEvents> ReadEvents(
-    const Endpoint& aStore,
-    std::uint64_t aSince,
-    Duration aWait,
-    Duration aTimeout) = 0;
-};
-
-// Which complete parts of prompts the store VMs keep, from their events.
-// Soft state: what is missing here costs a computation. A store that did not
-// answer within kFreshTime is not used, since it may have started anew: an
-// entry from before could name a part that is being written again.
+// Which complete parts of prompts the store VMs keep, from the news of the
+// daemon that follows them. Soft state: what is missing here costs a
+// computation. A store that did not answer within kFreshTime is not used, since
+// it may have started anew: an entry from before could name a part that is
+// being written again.
 class CacheDirectory
 {
 public:
@@ -83,8 +47,6 @@
     Instant aTime) const noexcept;
   // Returns the number of parts that a store is known to keep.
   [[nodiscard]] std::size_t PartsAt(const StoreId& aStore) const noexcept;
-  // Returns the number to ask the store's events from.
-  [[nodiscard]] std::uint64_t Next(const StoreId& aStore) const noexcept;
 
   // Sets the number of daemons that share the links of the stores.
   void SetDaemons(std::size_t aDaemons) noexcept
@@ -93,18 +55,15 @@
   }
   // Takes in the list of stores.
   void SetStores(std::span<const CacheStore> aStores);
-  void OnEvents(const StoreId& aStore,
-                const CacheEvents& aEvents,
-                Instant aNow);
-  // Notes that a store did not answer: nothing is known of it any more.
-  void OnSilence(const StoreId& aStore);
+  // Takes in news. Those of a store that is not listed yet are kept for when
+  // it is.
+  void Apply(const CachePage& aPage, Instant aNow);
 
 private:
   struct Store
   {
-    CacheStore mInfo;
-    std::uint64_t mEpoch = 0;
-    std::uint64_t mNext = 0;
+    // Nothing while the store is not listed.
+    std::optional<CacheStore> mInfo;
     std::optional<Instant> mHeardAt;
     std::set<std::pair<std::string, std::string>> mParts;
     // Parts on their way to the store, and until when they count as such.
--- a/packages/entry/include/bilberrytrail/entry/site_image.h
+++ b/packages/entry/include/bilberrytrail/entry/site_image.h
@@ -3,6 +3,7 @@
 #include <bilberrytrail/entry/site_feed.h>
 
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -27,6 +28,11 @@
   [[nodiscard]] std::vector<SiteRow> Rows(SiteTable aTable) const;
   // Returns the whole copy of a table for another daemon, without lapsed rows.
   [[nodiscard]] SiteRows Export(SiteTable aTable) const;
+  // Returns what changed behind a version, lapsed rows as removed; nothing when
+  // the removals since are not all kept.
+  [[nodiscard]] std::optional<SiteRows> ChangesSince(
+    SiteTable aTable,
+    std::uint64_t aVersion) const;
   // Returns when Expire is due next, if ever.
   [[nodiscard]] std::optional<Instant> NextExpiry() const noexcept;
 
@@ -46,10 +52,20 @@
   {
     std::map<std::string, SiteRow> mRows;
     std::uint64_t mVersion = 0;
+    // The newest removals, oldest first: key and version.
+    std::deque<std::pair<std::string, std::uint64_t>> mRemovals;
+    // All removals behind this version are kept.
+    std::uint64_t mRemovalsSince = 0;
   };
 
+  // Removals kept for other daemons; many times those of a few seconds.
+  static constexpr std::size_t kMostRemovals = 1024;
+
   [[nodiscard]] bool IsDoubtful(Instant aNow) const noexcept;
-  bool Remove(SiteTable aTable, const std::string& aKey, Instant aNow);
+  bool Remove(SiteTable aTable,
+              const std::string& aKey,
+              std::uint64_t aVersion,
+              Instant aNow);
   [[nodiscard]] Table& Of(SiteTable aTable) noexcept;
   [[nodiscard]] const Table& Of(SiteTable aTable) const noexcept;
 
--- a/packages/entry/src/cache_directory.cpp
+++ b/packages/entry/src/cache_directory.cpp
@@ -35,20 +35,14 @@
   return it == mStores.end() ? 0 : it->second.mParts.size();
 }
 
-std::uint64_t
-CacheDirectory::Next(const StoreId& aStore) const noexcept
-{
-  const auto it = mStores.find(aStore);
-  return it == mStores.end() ? 0 : it->second.mNext;
-}
-
 void
 CacheDirectory::SetStores(std::span<const CacheStore> aStores)
 {
   std::erase_if(mStores, [&](const auto& aEntry) {
     return std::ranges::none_of(aStores, [&](const CacheStore& aStore) {
       return aStore.mName == aEntry.first &&
-             aStore.mEndpoint == aEntry.second.mInfo.mEndpoint;
+             (!aEntry.second.mInfo ||
+              aStore.mEndpoint == aEntry.second.mInfo->mEndpoint);
     });
   });
   for (const auto& it : aStores) {
@@ -57,56 +51,42 @@
 }
 
 void
-CacheDirectory::OnEvents(const StoreId& aStore,
-                         const CacheEvents& aEvents,
-                         Instant aNow)
+CacheDirectory::Apply(const CachePage& aPage, Instant aNow)
 {
-  const auto it = mStores.find(aStore);
-  if (it == mStores.end()) {
-    return;
+  if (aPage.mIsReset) {
+    for (auto& [id, store] : mStores) {
+      store.mParts.clear();
+      store.mKeeping.clear();
+    }
   }
-  auto& store = it->second;
-  if (store.mEpoch != aEvents.mEpoch || aEvents.mLost) {
-    store.mParts.clear();
-    store.mKeeping.clear();
+  for (const auto& it : aPage.mNews) {
+    auto& store = mStores[it.mStore];
+    const std::pair part(it.mSalt, it.mPart);
+    switch (it.mKind) {
+      case CacheNewsKind::Added:
+        store.mKeeping.erase(part);
+        store.mParts.insert(part);
+        break;
+      case CacheNewsKind::Removed:
+        store.mKeeping.erase(part);
+        store.mParts.erase(part);
+        break;
+      case CacheNewsKind::Cleared:
+        store.mParts.clear();
+        store.mKeeping.clear();
+        break;
+    }
   }
-  const bool isNewEpoch = store.mEpoch != aEvents.mEpoch && store.mNext != 0;
-  store.mEpoch = aEvents.mEpoch;
-  if (isNewEpoch) {
-    // The number belonged to the old epoch: all is read again.
-    store.mNext = 0;
+  for (auto& [id, store] : mStores) {
     store.mHeardAt.reset();
-    return;
-  }
-  store.mNext = aEvents.mNext;
-  store.mHeardAt = aNow;
-  if (aEvents.mClockMs) {
-    mClockOffsetMs =
-      static_cast<std::int64_t>(*aEvents.mClockMs) - Millis(aNow);
   }
-  for (const auto& event : aEvents.mEvents) {
-    const std::pair part(event.mSalt, event.mPart);
-    store.mKeeping.erase(part);
-    if (event.mAdded) {
-      store.mParts.insert(part);
-    } else {
-      store.mParts.erase(part);
-    }
+  for (const auto& it : aPage.mHeard) {
+    mStores[it.mStore].mHeardAt = aNow - it.mAge;
   }
-}
-
-void
-CacheDirectory::OnSilence(const StoreId& aStore)
-{
-  const auto it = mStores.find(aStore);
-  if (it == mStores.end()) {
-    return;
+  if (aPage.mServersClockMs) {
+    mClockOffsetMs =
+      static_cast<std::int64_t>(*aPage.mServersClockMs) - Millis(aNow);
   }
-  it->second.mParts.clear();
-  it->second.mKeeping.clear();
-  it->second.mHeardAt.reset();
-  it->second.mNext = 0;
-  it->second.mEpoch = 0;
 }
 
 CacheDirectory::Store*
@@ -114,11 +94,11 @@
 {
   std::vector<HomeCandidate> candidates;
   for (const auto& [id, store] : mStores) {
-    if (store.mInfo.mIsManaged) {
+    if (store.mInfo && store.mInfo->mIsManaged) {
       candidates.push_back(
         { DaemonId(id.Text()),
-          store.mInfo.mZone,
-          static_cast<double>(store.mInfo.mCapacityTokens) });
+          store.mInfo->mZone,
+          static_cast<double>(store.mInfo->mCapacityTokens) });
     }
   }
   const auto home = HomeOf(aPart.mId, candidates);
@@ -135,7 +115,7 @@
 CacheDirectory::TakeRoom(Store& aStore, double aBytes, Instant aNow) const
 {
   constexpr double kMillisInSecond = 1000;
-  const double rate = kKeepShare * aStore.mInfo.mBytesPerSecond /
+  const double rate = kKeepShare * aStore.mInfo->mBytesPerSecond /
                       static_cast<double>(mDaemons) / kMillisInSecond;
   const double most = rate * ToMillis(kKeepBurst);
   const auto since = aStore.mRoomAt.value_or(aNow - kKeepBurst);
@@ -167,7 +147,7 @@
   for (std::size_t n = 0; n + 1 < places.size(); ++n) {
     const std::pair part(aSalt, aPrompt.mParts[n].mId);
     if (store->mParts.contains(part)) {
-      places[n].mFrom = store->mInfo.mEndpoint;
+      places[n].mFrom = store->mInfo->mEndpoint;
       isUsed = true;
       continue;
     }
@@ -176,7 +156,7 @@
       static_cast<double>(aPrompt.mParts[n].mTokens * aTokenBytes);
     if (aNow >= until && TakeRoom(*store, bytes, aNow)) {
       until = aNow + kKeepTime;
-      places[n].mTo = store->mInfo.mEndpoint;
+      places[n].mTo = store->mInfo->mEndpoint;
       isUsed = true;
     }
   }
--- /dev/null
+++ b/packages/entry/src/cache_news.cpp
@@ -0,0 +1,142 @@
+#include <bilberrytrail/entry/cache_news.h>
+
+#include <algorithm>
+
+namespace bilberrytrail {
+
+namespace {
+
+std::int64_t
+Millis(Instant aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           aTime.time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+std::uint64_t
+CacheNewsLog::Next(const StoreId& aStore) const noexcept
+{
+  const auto it = mStores.find(aStore);
+  return it == mStores.end() ? 0 : it->second.mNext;
+}
+
+void
+CacheNewsLog::Add(CacheNews aNews)
+{
+  mNews.push_back(std::move(aNews));
+  if (mNews.size() > kMostNews) {
+    mNews.pop_front();
+    ++mFirst;
+  }
+}
+
+void
+CacheNewsLog::Clear(const StoreId& aId, Store& aStore)
+{
+  if (aStore.mIsTold) {
+    Add({ aId, CacheNewsKind::Cleared, {}, {} });
+    aStore.mIsTold = false;
+  }
+}
+
+void
+CacheNewsLog::SetStores(std::span<const CacheStore> aStores)
+{
+  for (auto it = mStores.begin(); it != mStores.end();) {
+    const bool isListed =
+      std::ranges::any_of(aStores, [&](const CacheStore& aStore) {
+        return aStore.mName == it->first &&
+               aStore.mEndpoint == it->second.mEndpoint;
+      });
+    if (isListed) {
+      ++it;
+      continue;
+    }
+    Clear(it->first, it->second);
+    it = mStores.erase(it);
+  }
+  for (const auto& it : aStores) {
+    mStores[it.mName].mEndpoint = it.mEndpoint;
+  }
+}
+
+void
+CacheNewsLog::OnEvents(const StoreId& aStore,
+                       const CacheEvents& aEvents,
+                       Instant aNow)
+{
+  const auto it = mStores.find(aStore);
+  if (it == mStores.end()) {
+    return;
+  }
+  auto& store = it->second;
+  if (store.mEpoch != aEvents.mEpoch || aEvents.mLost) {
+    Clear(aStore, store);
+  }
+  const bool isNewEpoch = store.mEpoch != aEvents.mEpoch && store.mNext != 0;
+  store.mEpoch = aEvents.mEpoch;
+  if (isNewEpoch) {
+    // The number belonged to the old epoch: all is read again.
+    store.mNext = 0;
+    store.mHeardAt.reset();
+    return;
+  }
+  store.mNext = aEvents.mNext;
+  store.mHeardAt = aNow;
+  if (aEvents.mClockMs) {
+    mClockOffsetMs =
+      static_cast<std::int64_t>(*aEvents.mClockMs) - Millis(aNow);
+  }
+  for (const auto& event : aEvents.mEvents) {
+    store.mIsTold = true;
+    Add({ aStore,
+          event.mAdded ? CacheNewsKind::Added : CacheNewsKind::Removed,
+          event.mSalt,
+          event.mPart });
+  }
+}
+
+void
+CacheNewsLog::OnSilence(const StoreId& aStore)
+{
+  const auto it = mStores.find(aStore);
+  if (it == mStores.end()) {
+    return;
+  }
+  auto& store = it->second;
+  Clear(aStore, store);
+  store.mHeardAt.reset();
+  store.mNext = 0;
+  store.mEpoch = 0;
+}
+
+CachePage
+CacheNewsLog::PageAt(const CacheCursor& aCursor, Instant aNow) const
+{
+  CachePage page;
+  const auto end = mFirst + mNews.size();
+  page.mIsReset =
+    aCursor.mLog != mId || aCursor.mNext < mFirst || aCursor.mNext > end;
+  const auto begin = page.mIsReset ? mFirst : aCursor.mNext;
+  const auto count = std::min<std::uint64_t>(end - begin, kMostInPage);
+  for (auto n = begin; n < begin + count; ++n) {
+    page.mNews.push_back(mNews[n - mFirst]);
+  }
+  page.mCursor = { mId, begin + count };
+  page.mHasMore = begin + count < end;
+  for (const auto& [id, store] : mStores) {
+    if (store.mHeardAt) {
+      page.mHeard.push_back({ id, aNow - *store.mHeardAt });
+    }
+  }
+  if (mClockOffsetMs) {
+    page.mServersClockMs = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(Millis(aNow) + *mClockOffsetMs, 0));
+  }
+  return page;
+}
+
+} // namespace bilberrytrail
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -1,3 +1,4 @@
+#include "news_follower.h"
 #include "peer_directory.h"
 #include "roll_runner.h"
 #include "site_follower.h"
@@ -7,7 +8,6 @@
 #include <bilberrytrail/base/metrics_text.h>
 #include <bilberrytrail/entry/entry_daemon.h>
 
-#include <set>
 #include <thread>
 
 namespace bilberrytrail {
@@ -22,13 +22,7 @@
 // Kept back from the stop time, to end before the process is killed.
 constexpr Duration kStopReserve = 400ms;
 constexpr Duration kDrainCheck = 20ms;
-// Longest wait of a call for events of a store, and its time to answer.
-constexpr Duration kEventWait = 600ms;
-constexpr Duration kEventTime = 1000ms;
-// Pause between two calls for events, so that a busy store costs few.
-constexpr Duration kEventPause = 150ms;
-constexpr Duration kEventRetryPause = 300ms;
-constexpr Duration kStoreListPeriod = 500ms;
+constexpr Duration kSpreadPeriod = 500ms;
 // Kept back from the time in which new weights must be in use: a request may
 // wait at a server before it begins.
 constexpr Duration kWeightsReserve = 1500ms;
@@ -63,9 +57,21 @@
   Function mFunction;
 };
 
+// Returns a number that no other daemon, and no earlier process of this one,
+// has for its news.
+std::uint64_t
+MakeLogId(const PeerAddress& aSelf)
+{
+  const auto start = MonotonicNow().time_since_epoch().count();
+  const auto wall = std::chrono::system_clock::now().time_since_epoch().count();
+  return StableHash64(ToText(aSelf.mEndpoint) + "/" + std::to_string(start) +
+                      "/" + std::to_string(wall)) |
+         1U;
+}
+
 } // namespace
 
-class EntryDaemon::Impl
+class EntryDaemon::Impl : private CacheSink
 {
 public:
   Impl(EntrySettings aSettings, EntryPlatform& aPlatform);
@@ -78,8 +84,8 @@
   [[nodiscard]] FlowParts MakeFlowParts();
   [[nodiscard]] bool IsReady() const;
   std::shared_ptr<const SiteView> TakeView();
-  void FollowStores();
-  void FollowStore(const StoreId& aStore, const Endpoint& aEndpoint);
+  void OnStores(std::vector<CacheStore> aStores) override;
+  void OnPage(CachePage aPage) override;
   void DrainOnControl();
   void SpreadSettings();
   HttpResponse ServeReadiness(const HttpRequest& aRequest) const;
@@ -94,9 +100,13 @@
   std::unique_ptr<TableService> mTable;
   std::unique_ptr<SiteReader> mReader;
   std::unique_ptr<OrderPort> mOrders;
+  std::unique_ptr<CacheEventPort> mCacheEvents;
   SiteViewHolder mViews;
+  const PeerAddress mSelf;
   PeerDirectory mPeers;
   SiteFollower mFollower;
+  StoreFollower mStores;
+  NewsFollower mNews;
   RollRunner mRoll;
   RpcMethods mMethods;
   HttpServer mReadinessServer;
@@ -109,14 +119,12 @@
   // Traffic.
   Loop mTraffic;
   std::unique_ptr<BackendPort> mBackend;
-  std::unique_ptr<CacheEventPort> mCacheEvents;
   ServerPool mPool;
   RetryMeter mRetries;
   CacheDirectory mCache;
   HistogramRegistry mTimes;
   CounterRegistry mCounts;
   std::shared_ptr<const SiteView> mSeenView;
-  std::set<StoreId> mFollowedStores;
   RequestFlow mFlow;
   std::unique_ptr<HttpHandler> mFront;
   HttpServer mCallerServer;
@@ -132,11 +140,12 @@
   , mTable(aPlatform.MakeTable(mControl, mSettings.mStore))
   , mReader(aPlatform.MakeReader())
   , mOrders(aPlatform.MakeOrders(mControl))
-  , mPeers(mControl,
-           *mTable,
-           { mSettings.mName, mSettings.mPeers },
-           StableHash64(mSettings.mName.Text()))
+  , mCacheEvents(aPlatform.MakeCacheEvents(mControl))
+  , mSelf{ mSettings.mName, mSettings.mPeers, mSettings.mZone }
+  , mPeers(mControl, *mTable, mSelf, StableHash64(mSettings.mName.Text()))
   , mFollower(mControl, *mFeed, *mReader, mPeers, mViews)
+  , mStores(mControl, *mCacheEvents, mViews, *this, MakeLogId(mSelf))
+  , mNews(mControl, mPeers, mFollower, mStores, *this, RelayChoice(mSelf))
   , mRoll(mControl, mSettings, *mTable, *mOrders, mPeers, mViews)
   , mReadinessServer(mControl, HttpLimits())
   , mPeerServer(mControl, PeerLimits())
@@ -148,7 +157,6 @@
   , mMetricsHandler(
       [this](const HttpRequest& aRequest) { return ServeMetrics(aRequest); })
   , mBackend(aPlatform.MakeBackend(mTraffic))
-  , mCacheEvents(aPlatform.MakeCacheEvents(mTraffic))
   , mPool(mSettings.mZone, ServerPoolSettings())
   , mRetries({ mSettings.mRetryRatio,
                static_cast<double>(mSettings.mRetrySlack),
@@ -161,6 +169,7 @@
   , mCallerServer(mTraffic, HttpLimits())
 {
   mFollower.AddMethods(mMethods);
+  mNews.AddMethods(mMethods);
 }
 
 FlowParts
@@ -215,10 +224,11 @@
   mMetricsServer.Serve(mMetricsHandler);
   mCallerServer.Serve(*mFront);
   mFollower.Start();
+  mStores.Start();
+  mControl.Spawn([this] { mNews.Run(); });
   mControl.Spawn([this] { mPeers.Run(); });
   mControl.Spawn([this] { mRoll.Run(); });
   mControl.Spawn([this] { SpreadSettings(); });
-  mTraffic.Spawn([this] { FollowStores(); });
   mThreads.emplace_back([this] { mControl.Run(); });
   mThreads.emplace_back([this] { mTraffic.Run(); });
   LogLine(LogEvent::DaemonStarted,
@@ -242,7 +252,7 @@
 {
   bool wasReady = false;
   std::shared_ptr<const SiteConfig> config;
-  while (mControl.Sleep(kStoreListPeriod)) {
+  while (mControl.Sleep(kSpreadPeriod)) {
     mDaemons = mPeers.IsComplete() ? mPeers.All().size() : 0;
     if (IsReady() != wasReady) {
       wasReady = !wasReady;
@@ -264,52 +274,19 @@
   }
 }
 
-// Follows the events of each store of the configuration.
 void
-EntryDaemon::Impl::FollowStores()
+EntryDaemon::Impl::OnStores(std::vector<CacheStore> aStores)
 {
-  std::shared_ptr<const SiteConfig> config;
-  while (mTraffic.Sleep(kStoreListPeriod)) {
-    const auto view = TakeView();
-    if (view == nullptr || view->mConfig == nullptr ||
-        view->mConfig == config) {
-      continue;
-    }
-    config = view->mConfig;
-    mCache.SetStores(config->mStores);
-    for (const auto& it : config->mStores) {
-      if (mFollowedStores.insert(it.mName).second) {
-        mTraffic.Spawn([this, name = it.mName, endpoint = it.mEndpoint] {
-          FollowStore(name, endpoint);
-        });
-      }
-    }
-  }
+  mTraffic.Post(
+    [this, stores = std::move(aStores)] { mCache.SetStores(stores); });
 }
 
 void
-EntryDaemon::Impl::FollowStore(const StoreId& aStore, const Endpoint& aEndpoint)
+EntryDaemon::Impl::OnPage(CachePage aPage)
 {
-  bool isHeard = true;
-  while (!mTraffic.IsStopping()) {
-    const auto events = mCacheEvents->ReadEvents(
-      aEndpoint, mCache.Next(aStore), kEventWait, kEventTime);
-    if (events) {
-      isHeard = true;
-      mCache.OnEvents(aStore, events.value(), MonotonicNow());
-      (void)mTraffic.Sleep(kEventPause);
-      continue;
-    }
-    if (isHeard) {
-      isHeard = false;
-      LogLine(LogEvent::StoreLost,
-              { { "store", aStore },
-                { "parts", mCache.PartsAt(aStore) },
-                { "reason", events.error().mError.mMessage } });
-    }
-    mCache.OnSilence(aStore);
-    (void)mTraffic.Sleep(kEventRetryPause);
-  }
+  const auto now = MonotonicNow();
+  mTraffic.Post(
+    [this, page = std::move(aPage), now] { mCache.Apply(page, now); });
 }
 
 HttpResponse
--- /dev/null
+++ b/packages/entry/src/news_follower.cpp
@@ -0,0 +1,198 @@
+#include "news_follower.h"
+
+#include <bilberrytrail/base/log.h>
+#include <bilberrytrail/platform/json_read.h>
+
+namespace bilberrytrail {
+
+namespace {
+
+// How often another daemon is asked; new versions are this late at most.
+constexpr Duration kAskPeriod = 300ms;
+// Inside an availability zone a call takes a few milliseconds.
+constexpr Duration kAskTime = 300ms;
+// A daemon whose copies were confirmed longer ago is not relied on. A daemon
+// that follows for others has an answer each SiteFollower::kServingWait.
+constexpr Duration kMaxAge = 1200ms;
+// How long this daemon follows by itself behind a failed call, and behind the
+// last call of another daemon.
+constexpr Duration kDirectTime = 2s;
+constexpr Duration kServeTime = 3s;
+constexpr const char* kRpcPath = "/rpc";
+
+bool
+IsWithin(const std::optional<Instant>& aSince, Duration aTime, Instant aNow)
+{
+  return aSince && aNow < *aSince + aTime;
+}
+
+} // namespace
+
+Json
+ToJson(const NewsQuery& aQuery)
+{
+  return { { "image", ToJson(aQuery.mImage) },
+           { "cache", ToJson(aQuery.mCache) } };
+}
+
+Result<NewsQuery>
+ReadNewsQuery(const Json& aJson)
+{
+  JsonFields fields(aJson);
+  NewsQuery query;
+  query.mImage = ReadPart(fields, "image", ReadImageQuery);
+  query.mCache = ReadPart(fields, "cache", ReadCacheCursor);
+  return Checked(fields, query);
+}
+
+Json
+ToJson(const NewsReply& aReply)
+{
+  return { { "image", ToJson(aReply.mImage) },
+           { "cache", ToJson(aReply.mCache) } };
+}
+
+Result<NewsReply>
+ReadNewsReply(const Json& aJson)
+{
+  JsonFields fields(aJson);
+  NewsReply reply;
+  reply.mImage = ReadPart(fields, "image", ReadImageReply);
+  reply.mCache = ReadPart(fields, "cache", ReadCachePage);
+  return Checked(fields, std::move(reply));
+}
+
+NewsFollower::NewsFollower(Loop& aLoop,
+                           PeerDirectory& aPeers,
+                           SiteFollower& aSite,
+                           StoreFollower& aStores,
+                           CacheSink& aSink,
+                           RelayChoice aChoice)
+  : mLoop(aLoop)
+  , mPeers(aPeers)
+  , mSite(aSite)
+  , mStores(aStores)
+  , mSink(aSink)
+  , mClient(aLoop)
+  , mChoice(std::move(aChoice))
+{
+}
+
+void
+NewsFollower::SetDirect(Instant aNow)
+{
+  const bool isServing = IsWithin(mAskedAt, kServeTime, aNow);
+  const bool isAlone = isServing || !mHasRelay;
+  mSite.SetDirect(isAlone || IsWithin(mFailedAt, kDirectTime, aNow), isServing);
+  mStores.SetDirect(isAlone);
+  if (isAlone) {
+    // The next daemon's news begin anew.
+    mCursor = CacheCursor();
+  }
+}
+
+void
+NewsFollower::LeaveRelay(bool aIsServing)
+{
+  if (!mRelay.IsEmpty()) {
+    LogLine(LogEvent::RelayLeft,
+            { { "daemon", mRelay }, { "serving", aIsServing } });
+    mRelay = DaemonId();
+  }
+}
+
+void
+NewsFollower::Run()
+{
+  while (mLoop.Sleep(kAskPeriod)) {
+    const auto now = MonotonicNow();
+    const auto relay = mChoice.Pick(mPeers.All(), now);
+    const bool isServing = IsWithin(mAskedAt, kServeTime, now);
+    mHasRelay = relay && !isServing;
+    SetDirect(now);
+    if (!mHasRelay) {
+      LeaveRelay(isServing);
+      continue;
+    }
+    while (Ask(*relay)) {
+    }
+    SetDirect(MonotonicNow());
+  }
+}
+
+bool
+NewsFollower::Ask(const PeerAddress& aRelay)
+{
+  const auto reply = Call(aRelay);
+  const auto now = MonotonicNow();
+  const bool isGood = reply && reply.value().mImage.mIsInReach &&
+                      reply.value().mImage.mAge <= kMaxAge;
+  if (!isGood) {
+    LogLine(
+      LogEvent::RelayFailed,
+      { { "daemon", aRelay.mName },
+        { "reason", reply ? "its copies are old" : reply.error().mMessage },
+        { "age", reply ? reply.value().mImage.mAge : Duration(0) } });
+    mChoice.OnFailure(aRelay.mName, now);
+    mFailedAt = now;
+    return false;
+  }
+  mChoice.OnAnswer(aRelay.mName);
+  Take(aRelay, reply.value());
+  return reply.value().mCache.mHasMore && !mLoop.IsStopping();
+}
+
+Result<NewsReply>
+NewsFollower::Call(const PeerAddress& aRelay)
+{
+  const NewsQuery query{ mSite.Versions(), mCursor };
+  const auto reply =
+    CallRpc(std::string(kNewsMethod),
+            ToJson(query),
+            [&](const std::string& aText) -> Result<std::string> {
+              auto response = mClient.Call(
+                aRelay.mEndpoint, { "POST", kRpcPath, {}, aText }, kAskTime);
+              if (!response) {
+                return Fail(response.error().mCode, response.error().mMessage);
+              }
+              return std::move(response.value().mBody);
+            });
+  if (!reply) {
+    return reply.error();
+  }
+  return ReadNewsReply(reply.value());
+}
+
+void
+NewsFollower::Take(const PeerAddress& aRelay, const NewsReply& aReply)
+{
+  if (mRelay != aRelay.mName) {
+    LogLine(LogEvent::RelayFollowed, { { "daemon", aRelay.mName } });
+    mRelay = aRelay.mName;
+  }
+  mSite.TakeReply(aRelay, aReply.mImage);
+  mCursor = aReply.mCache.mCursor;
+  mSink.OnPage(aReply.mCache);
+}
+
+Result<Json>
+NewsFollower::Answer(const Json& aParams)
+{
+  const auto query = ReadNewsQuery(aParams);
+  if (!query) {
+    return query.error();
+  }
+  mAskedAt = MonotonicNow();
+  SetDirect(*mAskedAt);
+  return ToJson(NewsReply{ mSite.AnswerQuery(query.value().mImage),
+                           mStores.PageAt(query.value().mCache) });
+}
+
+void
+NewsFollower::AddMethods(RpcMethods& aMethods)
+{
+  aMethods.Add(std::string(kNewsMethod),
+               [this](const Json& aParams) { return Answer(aParams); });
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/entry/src/news_follower.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "cache_page_codec.h"
+#include "relay_choice.h"
+#include "store_follower.h"
+
+namespace bilberrytrail {
+
+// Name of the call by which a daemon follows another one.
+inline constexpr std::string_view kNewsMethod = "site.news";
+
+// What a daemon that follows another asks of it.
+struct NewsQuery
+{
+  ImageQuery mImage;
+  CacheCursor mCache;
+};
+
+// What is new behind it.
+struct NewsReply
+{
+  ImageReply mImage;
+  CachePage mCache;
+};
+
+[[nodiscard]] Json
+ToJson(const NewsQuery& aQuery);
+[[nodiscard]] Result<NewsQuery>
+ReadNewsQuery(const Json& aJson);
+[[nodiscard]] Json
+ToJson(const NewsReply& aReply);
+[[nodiscard]] Result<NewsReply>
+ReadNewsReply(const Json& aJson);
+
+// Decides whether this daemon follows the tables and stores itself or asks
+// another one for what is new, and does the latter. It follows itself
+//
+// - while no other daemon is to be asked, as at its start,
+// - while others ask it,
+// - at once when the other one does not answer or is itself behind.
+class NewsFollower
+{
+public:
+  NewsFollower(Loop& aLoop,
+               PeerDirectory& aPeers,
+               SiteFollower& aSite,
+               StoreFollower& aStores,
+               CacheSink& aSink,
+               RelayChoice aChoice);
+
+  // Asks until the loop stops.
+  void Run();
+  // Adds the call that other daemons make.
+  void AddMethods(RpcMethods& aMethods);
+
+private:
+  // Returns whether there is more to ask for.
+  bool Ask(const PeerAddress& aRelay);
+  Result<NewsReply> Call(const PeerAddress& aRelay);
+  void Take(const PeerAddress& aRelay, const NewsReply& aReply);
+  void SetDirect(Instant aNow);
+  void LeaveRelay(bool aIsServing);
+  Result<Json> Answer(const Json& aParams);
+
+  Loop& mLoop;
+  PeerDirectory& mPeers;
+  SiteFollower& mSite;
+  StoreFollower& mStores;
+  CacheSink& mSink;
+  HttpClient mClient;
+  RelayChoice mChoice;
+  CacheCursor mCursor;
+  // The daemon that answered last; empty while this one follows itself.
+  DaemonId mRelay;
+  std::optional<Instant> mFailedAt;
+  bool mHasRelay = false;
+  std::optional<Instant> mAskedAt;
+};
+
+} // namespace bilberrytrail
--- a/packages/entry/src/peer_directory.cpp
+++ b/packages/entry/src/peer_directory.cpp
@@ -19,6 +19,27 @@
 
 } // namespace
 
+std::string
+ToRowText(const PeerAddress& aPeer)
+{
+  return ToText(aPeer.mEndpoint) + " " + aPeer.mZone.Text();
+}
+
+Result<PeerAddress>
+ReadPeerRow(const DaemonId& aName, const std::string& aText)
+{
+  const auto space = aText.find(' ');
+  auto endpoint = ParseEndpoint(aText.substr(0, space));
+  if (!endpoint) {
+    return std::move(endpoint).error();
+  }
+  PeerAddress peer{ aName, endpoint.value(), ZoneId() };
+  if (space != std::string::npos && space + 1 < aText.size()) {
+    peer.mZone = ZoneId(aText.substr(space + 1));
+  }
+  return peer;
+}
+
 PeerDirectory::PeerDirectory(Loop& aLoop,
                              TableService& aTable,
                              PeerAddress aSelf,
@@ -57,7 +78,7 @@
 PeerDirectory::Register()
 {
   const auto key = std::string(kPrefix) + mSelf.mName.Text();
-  const auto value = ToText(mSelf.mEndpoint);
+  const auto value = ToRowText(mSelf);
   const auto row = mTable.Read(key, kCallTimeout);
   if (!row) {
     return false;
@@ -81,19 +102,19 @@
   std::vector<PeerAddress> peers{ mSelf };
   for (const auto& row : rows.value()) {
     const DaemonId name(row.mKey.substr(kPrefix.size()));
-    const auto endpoint = ParseEndpoint(row.mValue);
-    if (!endpoint || name == mSelf.mName) {
+    auto peer = ReadPeerRow(name, row.mValue);
+    if (!peer || name == mSelf.mName) {
       continue;
     }
     const bool isKnown =
       std::ranges::any_of(mPeers, [&](const PeerAddress& aPeer) {
-        return aPeer.mName == name && aPeer.mEndpoint == endpoint.value();
+        return aPeer.mName == name && aPeer.mEndpoint == peer.value().mEndpoint;
       });
     if (!isKnown) {
       LogLine(LogEvent::MemberJoined,
               { { "daemon", name }, { "endpoint", row.mValue } });
     }
-    peers.push_back({ name, endpoint.value() });
+    peers.push_back(std::move(peer).value());
   }
   mPeers = std::move(peers);
   mIsComplete = true;
--- a/packages/entry/src/peer_directory.h
+++ b/packages/entry/src/peer_directory.h
@@ -15,8 +15,17 @@
 {
   DaemonId mName;
   Endpoint mEndpoint;
+  // Empty when its row does not say.
+  ZoneId mZone;
 };
 
+// Returns the text of a daemon's row.
+[[nodiscard]] std::string
+ToRowText(const PeerAddress& aPeer);
+// Reads a daemon's row; fails with InvalidInput.
+[[nodiscard]] Result<PeerAddress>
+ReadPeerRow(const DaemonId& aName, const std::string& aText);
+
 // The daemons of the site, from a row that each writes at its start. Rows of
 // daemons that went stay: whoever asks such a daemon asks another one then.
 class PeerDirectory
--- a/packages/entry/src/peer_images.cpp
+++ b/packages/entry/src/peer_images.cpp
@@ -8,15 +8,27 @@
 namespace {
 
 Json
-ToJson(const SiteRows& aRows)
+ToJson(const SiteRow& aRow)
+{
+  Json json{ { "key", aRow.mKey }, { "version", aRow.mVersion } };
+  if (aRow.mRemoved) {
+    json["removed"] = true;
+  } else {
+    json["value"] = ToBase64(aRow.mValue);
+  }
+  return json;
+}
+
+Json
+ToJson(const ImageRows& aRows)
 {
   auto rows = Json::array();
-  for (const auto& it : aRows.mRows) {
-    rows.push_back({ { "key", it.mKey },
-                     { "value", ToBase64(it.mValue) },
-                     { "version", it.mVersion } });
+  for (const auto& it : aRows.mRows.mRows) {
+    rows.push_back(ToJson(it));
   }
-  return { { "version", aRows.mVersion }, { "rows", std::move(rows) } };
+  return { { "whole", aRows.mIsWhole },
+           { "version", aRows.mRows.mVersion },
+           { "rows", std::move(rows) } };
 }
 
 Result<SiteRow>
@@ -26,6 +38,10 @@
   SiteRow row;
   row.mKey = fields.Text("key");
   row.mVersion = fields.Unsigned("version");
+  row.mRemoved = fields.Has("removed") && fields.Flag("removed");
+  if (row.mRemoved) {
+    return Checked(fields, std::move(row));
+  }
   auto value = FromBase64(fields.Text("value"));
   if (!value) {
     return std::move(value).error();
@@ -34,17 +50,18 @@
   return Checked(fields, std::move(row));
 }
 
-Result<SiteRows>
+Result<ImageRows>
 ReadRows(const Json& aJson)
 {
   JsonFields fields(aJson);
-  SiteRows rows;
-  rows.mVersion = fields.Unsigned("version");
-  rows.mRows = ReadListPart(fields, "rows", ReadRow);
+  ImageRows rows;
+  rows.mIsWhole = fields.Flag("whole");
+  rows.mRows.mVersion = fields.Unsigned("version");
+  rows.mRows.mRows = ReadListPart(fields, "rows", ReadRow);
   return Checked(fields, std::move(rows));
 }
 
-std::optional<SiteRows>
+std::optional<ImageRows>
 ReadOptionalRows(JsonFields& aFields, std::string_view aName)
 {
   if (!aFields.Has(aName)) {
@@ -53,6 +70,19 @@
   return ReadPart(aFields, aName, ReadRows);
 }
 
+// Returns what the asker lacks of a table.
+std::optional<ImageRows>
+RowsBehind(SiteTable aTable, std::uint64_t aVersion, const SiteImage& aImage)
+{
+  if (aImage.Version(aTable) <= aVersion) {
+    return std::nullopt;
+  }
+  if (auto changes = aImage.ChangesSince(aTable, aVersion)) {
+    return ImageRows{ false, *std::move(changes) };
+  }
+  return ImageRows{ true, aImage.Export(aTable) };
+}
+
 } // namespace
 
 Json
@@ -75,7 +105,8 @@
 Json
 ToJson(const ImageReply& aReply)
 {
-  Json json{ { "in_reach", aReply.mIsInReach } };
+  Json json{ { "in_reach", aReply.mIsInReach },
+             { "age_ms", ToMillis(aReply.mAge) } };
   if (aReply.mOperator) {
     json["operator"] = ToJson(*aReply.mOperator);
   }
@@ -91,6 +122,7 @@
   JsonFields fields(aJson);
   ImageReply reply;
   reply.mIsInReach = fields.Flag("in_reach");
+  reply.mAge = FromMillis(fields.Real("age_ms"));
   reply.mOperator = ReadOptionalRows(fields, "operator");
   reply.mServers = ReadOptionalRows(fields, "servers");
   return Checked(fields, std::move(reply));
@@ -99,17 +131,13 @@
 ImageReply
 AnswerImageQuery(const ImageQuery& aQuery,
                  const SiteImage& aImage,
-                 bool aIsInReach)
+                 bool aIsInReach,
+                 Duration aAge)
 {
-  ImageReply reply;
-  reply.mIsInReach = aIsInReach;
-  if (aImage.Version(SiteTable::Operator) > aQuery.mOperatorVersion) {
-    reply.mOperator = aImage.Export(SiteTable::Operator);
-  }
-  if (aImage.Version(SiteTable::Servers) > aQuery.mServersVersion) {
-    reply.mServers = aImage.Export(SiteTable::Servers);
-  }
-  return reply;
+  return { aIsInReach,
+           aAge,
+           RowsBehind(SiteTable::Operator, aQuery.mOperatorVersion, aImage),
+           RowsBehind(SiteTable::Servers, aQuery.mServersVersion, aImage) };
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/src/peer_images.h
+++ b/packages/entry/src/peer_images.h
@@ -20,13 +20,23 @@
   std::uint64_t mServersVersion = 0;
 };
 
+// A table's rows for another daemon.
+struct ImageRows
+{
+  // All rows of the table; else what changed behind the asker's version.
+  bool mIsWhole = true;
+  SiteRows mRows;
+};
+
 // The other daemon's copies, those that are newer than the asker's.
 struct ImageReply
 {
   // The table service answered that daemon of late.
   bool mIsInReach = false;
-  std::optional<SiteRows> mOperator;
-  std::optional<SiteRows> mServers;
+  // How long ago that daemon's copies were confirmed.
+  Duration mAge{};
+  std::optional<ImageRows> mOperator;
+  std::optional<ImageRows> mServers;
 };
 
 [[nodiscard]] Json
@@ -43,6 +53,7 @@
 [[nodiscard]] ImageReply
 AnswerImageQuery(const ImageQuery& aQuery,
                  const SiteImage& aImage,
-                 bool aIsInReach);
+                 bool aIsInReach,
+                 Duration aAge);
 
 } // namespace bilberrytrail
--- /dev/null
+++ b/packages/entry/src/relay_choice.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "peer_directory.h"
+
+#include <bilberrytrail/base/time.h>
+
+#include <map>
+#include <optional>
+#include <span>
+
+namespace bilberrytrail {
+
+// Decides which daemon of the own availability zone this one asks for news of
+// the tables and stores instead of following them itself. With many daemons
+// that spares the table service and the stores a call of each; with few it
+// would only add a daemon that can fail. Daemons of a zone agree on the order
+// without talking, and disagreement costs calls only, since a daemon that is
+// asked follows itself.
+//
+//   if (auto relay = choice.Pick(peers, now)) {
+//     Ask(*relay) ? choice.OnAnswer(relay->mName)
+//                 : choice.OnFailure(relay->mName, now);
+//   }
+class RelayChoice
+{
+public:
+  // Zones with so many daemons or fewer follow directly.
+  static constexpr std::size_t kDirectDaemons = 5;
+  // How long a daemon that did not answer is not asked, at first and at most;
+  // the time doubles with each failure in a row.
+  static constexpr Duration kFirstRest = 2s;
+  static constexpr Duration kMaxRest = 60s;
+
+  explicit RelayChoice(PeerAddress aSelf)
+    : mSelf(std::move(aSelf))
+  {
+  }
+
+  // Returns the daemon to ask, or nothing when this one follows directly.
+  // aPeers are all daemons, this one included.
+  [[nodiscard]] std::optional<PeerAddress> Pick(
+    std::span<const PeerAddress> aPeers,
+    Instant aNow) const;
+
+  void OnAnswer(const DaemonId& aPeer) { mRests.erase(aPeer); }
+  // Notes that a daemon did not answer, or knows too little.
+  void OnFailure(const DaemonId& aPeer, Instant aNow);
+
+private:
+  struct Rest
+  {
+    Duration mTime{};
+    Instant mUntil;
+  };
+
+  [[nodiscard]] bool IsResting(const DaemonId& aPeer, Instant aNow) const;
+
+  const PeerAddress mSelf;
+  std::map<DaemonId, Rest> mRests;
+};
+
+} // namespace bilberrytrail
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -10,9 +10,15 @@
 // noticed kSilenceTime behind it.
 constexpr Duration kChangeWait = 2500ms;
 constexpr Duration kSilenceTime = 600ms;
+// The same while other daemons rely on this one.
+constexpr Duration kServingSilence = 300ms;
 constexpr Duration kReadTime = 1500ms;
-// Pause behind a call that failed.
+// Pause behind a call that failed, in which other daemons are asked, and the
+// most such pauses between two calls.
 constexpr Duration kRetryPause = 250ms;
+constexpr unsigned kMostPauses = 4;
+// Longest wait until this daemon follows by itself again.
+constexpr Duration kIndirectPause = 50ms;
 constexpr Duration kPeerTime = 400ms;
 // An outage in which the lease of a roll can have lapsed.
 constexpr Duration kLongOutage = 1500ms;
@@ -26,8 +32,7 @@
 bool
 SiteViewHolder::IsFresh(Instant aNow) const noexcept
 {
-  const Instant confirmedAt{ Duration(mConfirmedAt.load()) };
-  return aNow - confirmedAt <= kFreshTime;
+  return Age(aNow) <= kFreshTime;
 }
 
 SiteFollower::SiteFollower(Loop& aLoop,
@@ -57,23 +62,33 @@
 SiteFollower::Follow(SiteTable aTable)
 {
   bool mustReadAll = true;
+  unsigned pauses = 1;
   while (!mLoop.IsStopping()) {
-    if (!ReadOnce(aTable, mustReadAll)) {
+    if (!mIsDirect) {
+      (void)mLoop.Sleep(kIndirectPause);
+      continue;
+    }
+    if (ReadOnce(aTable, mustReadAll)) {
+      pauses = 1;
+      continue;
+    }
+    for (unsigned n = 0; n < pauses && mIsDirect; ++n) {
       AskPeers();
       (void)mLoop.Sleep(kRetryPause);
     }
+    pauses = std::min(pauses * 2, kMostPauses);
   }
 }
 
 bool
 SiteFollower::ReadOnce(SiteTable aTable, bool& aMustReadAll)
 {
-  const auto rows = aMustReadAll
-                      ? mFeed.ReadAll(aTable, kReadTime)
-                      : mFeed.ReadChanges(aTable,
-                                          mImage.Version(aTable),
-                                          kChangeWait,
-                                          kChangeWait + kSilenceTime);
+  const auto wait = mIsServing ? kServingWait : kChangeWait;
+  const auto silence = mIsServing ? kServingSilence : kSilenceTime;
+  const auto rows =
+    aMustReadAll
+      ? mFeed.ReadAll(aTable, kReadTime)
+      : mFeed.ReadChanges(aTable, mImage.Version(aTable), wait, wait + silence);
   if (!rows) {
     if (rows.error().mError.mCode == ErrorCode::NotFound) {
       aMustReadAll = true;
@@ -144,11 +159,9 @@
 Result<ImageReply>
 SiteFollower::AskPeer(const PeerAddress& aPeer)
 {
-  const ImageQuery query{ mImage.Version(SiteTable::Operator),
-                          mImage.Version(SiteTable::Servers) };
   const auto reply =
     CallRpc(std::string(kImageMethod),
-            ToJson(query),
+            ToJson(Versions()),
             [&](const std::string& aText) -> Result<std::string> {
               auto response = mClient.Call(
                 aPeer.mEndpoint, { "POST", kRpcPath, {}, aText }, kPeerTime);
@@ -169,24 +182,46 @@
   const auto now = MonotonicNow();
   if (aReply.mIsInReach) {
     mImage.OnContact(now);
-    mViews.Confirm(now);
+    mViews.Confirm(now - aReply.mAge);
   }
   bool changed = false;
   if (aReply.mOperator) {
-    changed = mImage.Replace(SiteTable::Operator, *aReply.mOperator, now);
+    changed = TakeRows(SiteTable::Operator, *aReply.mOperator, now);
   }
   if (aReply.mServers) {
-    changed =
-      mImage.Replace(SiteTable::Servers, *aReply.mServers, now) || changed;
+    changed = TakeRows(SiteTable::Servers, *aReply.mServers, now) || changed;
   }
-  if (changed) {
+  if (!changed) {
+    return;
+  }
+  if (mIsDirect) {
     LogLine(LogEvent::PeerImageTaken,
             { { "daemon", aPeer.mName },
               { "in_reach", aReply.mIsInReach },
               { "operator_version", mImage.Version(SiteTable::Operator) },
               { "servers_version", mImage.Version(SiteTable::Servers) } });
-    Publish();
   }
+  Publish();
+}
+
+bool
+SiteFollower::TakeRows(SiteTable aTable, const ImageRows& aRows, Instant aNow)
+{
+  return aRows.mIsWhole ? mImage.Replace(aTable, aRows.mRows, aNow)
+                        : mImage.Merge(aTable, aRows.mRows, aNow);
+}
+
+ImageQuery
+SiteFollower::Versions() const noexcept
+{
+  return { mImage.Version(SiteTable::Operator),
+           mImage.Version(SiteTable::Servers) };
+}
+
+ImageReply
+SiteFollower::AnswerQuery(const ImageQuery& aQuery) const
+{
+  return AnswerImageQuery(aQuery, mImage, !mIsOut, mViews.Age(MonotonicNow()));
 }
 
 void
@@ -217,14 +252,14 @@
 void
 SiteFollower::AddMethods(RpcMethods& aMethods)
 {
-  aMethods.Add(
-    std::string(kImageMethod), [this](const Json& aParams) -> Result<Json> {
-      const auto query = ReadImageQuery(aParams);
-      if (!query) {
-        return query.error();
-      }
-      return ToJson(AnswerImageQuery(query.value(), mImage, !mIsOut));
-    });
+  aMethods.Add(std::string(kImageMethod),
+               [this](const Json& aParams) -> Result<Json> {
+                 const auto query = ReadImageQuery(aParams);
+                 if (!query) {
+                   return query.error();
+                 }
+                 return ToJson(AnswerQuery(query.value()));
+               });
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -8,6 +8,7 @@
 #include <bilberrytrail/runtime/loop.h>
 #include <bilberrytrail/runtime/rpc.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -31,9 +32,16 @@
   {
     mView.store(std::move(aView));
   }
-  void Confirm(Instant aNow) noexcept
+  // Notes that the view was confirmed at a time.
+  void Confirm(Instant aAt) noexcept
   {
-    mConfirmedAt = aNow.time_since_epoch().count();
+    mConfirmedAt =
+      std::max(mConfirmedAt.load(), aAt.time_since_epoch().count());
+  }
+  // Returns how long ago the view was confirmed.
+  [[nodiscard]] Duration Age(Instant aNow) const noexcept
+  {
+    return aNow - Instant(Duration(mConfirmedAt.load()));
   }
 
   // Longer than a wait for changes, so that a calm daemon stays fresh.
@@ -55,8 +63,24 @@
                PeerDirectory& aPeers,
                SiteViewHolder& aViews);
 
+  // Longest wait for changes in one call while other daemons rely on this one.
+  static constexpr Duration kServingWait = 700ms;
+
   // Starts the fibers that follow.
   void Start();
+  // Sets whether this daemon follows the tables itself, and whether others rely
+  // on it.
+  void SetDirect(bool aIsDirect, bool aIsServing) noexcept
+  {
+    mIsDirect = aIsDirect;
+    mIsServing = aIsServing;
+  }
+  // Returns the versions of the copies.
+  [[nodiscard]] ImageQuery Versions() const noexcept;
+  // Returns what another daemon lacks.
+  [[nodiscard]] ImageReply AnswerQuery(const ImageQuery& aQuery) const;
+  // Takes in another daemon's answer.
+  void TakeReply(const PeerAddress& aPeer, const ImageReply& aReply);
   // Adds the call by which other daemons ask for the copies.
   void AddMethods(RpcMethods& aMethods);
 
@@ -68,7 +92,7 @@
   void OnOutage(SiteTable aTable, const CallError& aError);
   void AskPeers();
   Result<ImageReply> AskPeer(const PeerAddress& aPeer);
-  void TakeReply(const PeerAddress& aPeer, const ImageReply& aReply);
+  bool TakeRows(SiteTable aTable, const ImageRows& aRows, Instant aNow);
   void Publish();
 
   Loop& mLoop;
@@ -81,6 +105,8 @@
   bool mIsOut = false;
   Instant mOutSince;
   bool mIsAsking = false;
+  bool mIsDirect = true;
+  bool mIsServing = false;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/site_image.cpp
+++ b/packages/entry/src/site_image.cpp
@@ -1,6 +1,8 @@
 #include <bilberrytrail/entry/site_image.h>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace bilberrytrail {
 
@@ -48,6 +50,27 @@
   return rows;
 }
 
+std::optional<SiteRows>
+SiteImage::ChangesSince(SiteTable aTable, std::uint64_t aVersion) const
+{
+  const auto& table = Of(aTable);
+  if (aVersion < table.mRemovalsSince || aVersion == 0) {
+    return std::nullopt;
+  }
+  SiteRows rows{ {}, table.mVersion };
+  for (const auto& [key, row] : table.mRows) {
+    if (row.mVersion > aVersion) {
+      rows.mRows.push_back(row);
+    }
+  }
+  for (const auto& [key, version] : table.mRemovals) {
+    if (version > aVersion && !table.mRows.contains(key)) {
+      rows.mRows.push_back({ key, {}, version, true });
+    }
+  }
+  return rows;
+}
+
 std::optional<Instant>
 SiteImage::NextExpiry() const noexcept
 {
@@ -66,9 +89,13 @@
 // A removal seen while, or just after, the table service was out of reach may
 // only show that the server could not write.
 bool
-SiteImage::Remove(SiteTable aTable, const std::string& aKey, Instant aNow)
+SiteImage::Remove(SiteTable aTable,
+                  const std::string& aKey,
+                  std::uint64_t aVersion,
+                  Instant aNow)
 {
-  auto& rows = Of(aTable).mRows;
+  auto& table = Of(aTable);
+  auto& rows = table.mRows;
   const auto it = rows.find(aKey);
   if (it == rows.end()) {
     return false;
@@ -78,6 +105,12 @@
     mLapsed[aKey] = it->second;
   }
   rows.erase(it);
+  table.mRemovals.emplace_back(aKey, aVersion);
+  if (table.mRemovals.size() > kMostRemovals) {
+    table.mRemovalsSince =
+      std::max(table.mRemovalsSince, table.mRemovals.front().second);
+    table.mRemovals.pop_front();
+  }
   return !lapses;
 }
 
@@ -89,12 +122,14 @@
     return false;
   }
   SiteRows changes{ {}, aRows.mVersion };
+  std::set<std::string_view> there;
+  for (const auto& it : aRows.mRows) {
+    if (!it.mRemoved) {
+      there.insert(it.mKey);
+    }
+  }
   for (const auto& it : table.mRows) {
-    const bool isThere =
-      std::ranges::any_of(aRows.mRows, [&](const SiteRow& aRow) {
-        return aRow.mKey == it.first && !aRow.mRemoved;
-      });
-    if (!isThere) {
+    if (!there.contains(it.first)) {
       changes.mRows.push_back({ it.first, {}, aRows.mVersion, true });
     }
   }
@@ -114,7 +149,7 @@
       continue;
     }
     if (row.mRemoved) {
-      changed = Remove(aTable, row.mKey, aNow) || changed;
+      changed = Remove(aTable, row.mKey, row.mVersion, aNow) || changed;
       continue;
     }
     table.mRows[row.mKey] = row;
--- /dev/null
+++ b/packages/entry/src/store_follower.cpp
@@ -0,0 +1,138 @@
+#include "store_follower.h"
+
+#include <bilberrytrail/base/log.h>
+
+#include <algorithm>
+
+namespace bilberrytrail {
+
+namespace {
+
+// Longest wait of a call for events of a store, and its time to answer. With
+// the pause and the time between daemons a store is heard again within
+// CacheDirectory::kFreshTime.
+constexpr Duration kEventWait = 400ms;
+constexpr Duration kEventTime = 1000ms;
+// Pause between two calls for events, so that a busy store costs few.
+constexpr Duration kEventPause = 150ms;
+constexpr Duration kEventRetryPause = 300ms;
+// Shortest time between two looks at the configuration.
+constexpr Duration kListPeriod = 200ms;
+
+} // namespace
+
+StoreFollower::StoreFollower(Loop& aLoop,
+                             CacheEventPort& aPort,
+                             const SiteViewHolder& aViews,
+                             CacheSink& aSink,
+                             std::uint64_t aLogId)
+  : mLoop(aLoop)
+  , mPort(aPort)
+  , mViews(aViews)
+  , mSink(aSink)
+  , mLog(aLogId)
+{
+}
+
+void
+StoreFollower::Start()
+{
+  mLoop.Spawn([this] { WatchStores(); });
+}
+
+void
+StoreFollower::SetDirect(bool aIsDirect) noexcept
+{
+  if (aIsDirect && !mIsDirect) {
+    // What another daemon told does not hold any more.
+    mPublished = CacheCursor();
+  }
+  mIsDirect = aIsDirect;
+}
+
+CachePage
+StoreFollower::PageAt(const CacheCursor& aCursor) const
+{
+  return mLog.PageAt(aCursor, MonotonicNow());
+}
+
+void
+StoreFollower::WatchStores()
+{
+  while (mLoop.Sleep(kListPeriod)) {
+    TakeStores();
+    if (!mIsDirect || mConfig == nullptr) {
+      continue;
+    }
+    for (const auto& it : mConfig->mStores) {
+      if (mFollowed.emplace(it.mName, ToText(it.mEndpoint)).second) {
+        mLoop.Spawn([this, it] { Follow(it); });
+      }
+    }
+  }
+}
+
+void
+StoreFollower::TakeStores()
+{
+  const auto view = mViews.Load();
+  if (view == nullptr || view->mConfig == nullptr || view->mConfig == mConfig) {
+    return;
+  }
+  mConfig = view->mConfig;
+  mLog.SetStores(mConfig->mStores);
+  mSink.OnStores(mConfig->mStores);
+}
+
+bool
+StoreFollower::IsListed(const CacheStore& aStore) const
+{
+  return std::ranges::any_of(mConfig->mStores, [&](const CacheStore& aOther) {
+    return aOther.mName == aStore.mName && aOther.mEndpoint == aStore.mEndpoint;
+  });
+}
+
+// Ends when the store is not listed or not followed from here any more.
+void
+StoreFollower::Follow(const CacheStore& aStore)
+{
+  bool isHeard = true;
+  while (!mLoop.IsStopping() && mIsDirect && IsListed(aStore)) {
+    const auto events = mPort.ReadEvents(
+      aStore.mEndpoint, mLog.Next(aStore.mName), kEventWait, kEventTime);
+    if (events) {
+      isHeard = true;
+      mLog.OnEvents(aStore.mName, events.value(), MonotonicNow());
+      Publish();
+      (void)mLoop.Sleep(kEventPause);
+      continue;
+    }
+    if (isHeard) {
+      isHeard = false;
+      LogLine(LogEvent::StoreLost,
+              { { "store", aStore.mName },
+                { "reason", events.error().mError.mMessage } });
+    }
+    mLog.OnSilence(aStore.mName);
+    Publish();
+    (void)mLoop.Sleep(kEventRetryPause);
+  }
+  mLog.OnSilence(aStore.mName);
+  mFollowed.erase({ aStore.mName, ToText(aStore.mEndpoint) });
+}
+
+void
+StoreFollower::Publish()
+{
+  while (mIsDirect) {
+    auto page = PageAt(mPublished);
+    mPublished = page.mCursor;
+    const bool hasMore = page.mHasMore;
+    mSink.OnPage(std::move(page));
+    if (!hasMore) {
+      return;
+    }
+  }
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/entry/src/store_follower.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "site_follower.h"
+
+#include <bilberrytrail/entry/cache_news.h>
+#include <bilberrytrail/runtime/loop.h>
+
+#include <functional>
+#include <set>
+
+namespace bilberrytrail {
+
+// Hands what is known of the stores to the thread that plans with it.
+class CacheSink
+{
+public:
+  virtual ~CacheSink() = default;
+
+  virtual void OnStores(std::vector<CacheStore> aStores) = 0;
+  virtual void OnPage(CachePage aPage) = 0;
+};
+
+// Follows the events of each store of the configuration while this daemon does
+// so itself, and keeps the news for the daemons that ask it.
+class StoreFollower
+{
+public:
+  StoreFollower(Loop& aLoop,
+                CacheEventPort& aPort,
+                const SiteViewHolder& aViews,
+                CacheSink& aSink,
+                std::uint64_t aLogId);
+
+  // Starts the fibers that follow.
+  void Start();
+  // Sets whether this daemon follows the stores itself.
+  void SetDirect(bool aIsDirect) noexcept;
+  // Returns the news behind an asker's cursor.
+  [[nodiscard]] CachePage PageAt(const CacheCursor& aCursor) const;
+
+private:
+  using Followed = std::pair<StoreId, std::string>;
+
+  void WatchStores();
+  void TakeStores();
+  void Follow(const CacheStore& aStore);
+  [[nodiscard]] bool IsListed(const CacheStore& aStore) const;
+  void Publish();
+
+  Loop& mLoop;
+  CacheEventPort& mPort;
+  const SiteViewHolder& mViews;
+  CacheSink& mSink;
+  CacheNewsLog mLog;
+  // What the sink has got of the own news.
+  CacheCursor mPublished;
+  std::shared_ptr<const SiteConfig> mConfig;
+  // Stores with a fiber, by name and address.
+  std::set<Followed> mFollowed;
+  bool mIsDirect = true;
+};
+
+} // namespace bilberrytrail
--- a/packages/entry/tests/cache_directory_test.cpp
+++ b/packages/entry/tests/cache_directory_test.cpp
@@ -16,7 +16,32 @@
   return Instant() + 1000s + aTime;
 }
 
-CacheDirectory
+// A directory fed by the daemon's own news of one store.
+struct FollowedStore
+{
+  CacheNewsLog mLog{ 1 };
+  CacheDirectory mDirectory;
+  CacheCursor mCursor;
+
+  void Update(Instant aNow)
+  {
+    const auto page = mLog.PageAt(mCursor, aNow);
+    mCursor = page.mCursor;
+    mDirectory.Apply(page, aNow);
+  }
+  void OnEvents(const StoreId& aStore, const CacheEvents& aEvents, Instant aNow)
+  {
+    mLog.OnEvents(aStore, aEvents, aNow);
+    Update(aNow);
+  }
+  void OnSilence(const StoreId& aStore, Instant aNow)
+  {
+    mLog.OnSilence(aStore);
+    Update(aNow);
+  }
+};
+
+FollowedStore
 OneStore(bool aIsManaged = true)
 {
   CacheStore store;
@@ -25,9 +50,10 @@
   store.mCapacityTokens = 100000;
   store.mBytesPerSecond = 1e9;
   store.mIsManaged = aIsManaged;
-  CacheDirectory directory;
-  directory.SetStores({ { store } });
-  return directory;
+  FollowedStore followed;
+  followed.mLog.SetStores({ { store } });
+  followed.mDirectory.SetStores({ { store } });
+  return followed;
 }
 
 Prompt
@@ -52,14 +78,14 @@
 
 // Which parts are read from the store and which are kept: "from", "to" or "-".
 std::string
-PlanText(CacheDirectory& aDirectory,
+PlanText(FollowedStore& aFollowed,
          const std::string& aSalt,
          Duration aTime,
          const Prompt& aPrompt = SomePrompt())
 {
   std::string text;
   for (const auto& it :
-       aDirectory.Plan(aPrompt, aSalt, kTokenBytes, At(aTime))) {
+       aFollowed.mDirectory.Plan(aPrompt, aSalt, kTokenBytes, At(aTime))) {
     text += it.mFrom ? "from " : it.mTo ? "to " : "- ";
   }
   return text;
@@ -110,7 +136,7 @@
       At(0s));
     CHECK(PlanText(directory, "w1", 0s) == "from from - ");
     if (it.mIsSilent) {
-      directory.OnSilence(kStore);
+      directory.OnSilence(kStore, At(50ms));
     }
     if (it.mIsNewEpoch || it.mIsLost) {
       auto events = Events(it.mIsNewEpoch ? 8 : 7, 4, {});
@@ -119,7 +145,7 @@
     }
     CHECK(PlanText(directory, "w1", it.mAt).find("from") == std::string::npos);
     if (it.mIsNewEpoch) {
-      CHECK(directory.Next(kStore) == 0);
+      CHECK(directory.mLog.Next(kStore) == 0);
     }
   }
 }
@@ -144,7 +170,7 @@
 TEST_CASE("parts to keep take no more than the daemon's share of the link")
 {
   auto directory = OneStore();
-  directory.SetDaemons(4);
+  directory.mDirectory.SetDaemons(4);
   directory.OnEvents(kStore, Events(7, 1, {}), At(0s));
   double bytes = 0;
   constexpr int kSeconds = 10;
@@ -153,7 +179,8 @@
     directory.OnEvents(kStore, Events(7, 1, {}), At(now));
     Prompt prompt;
     prompt.mParts = { { "p" + std::to_string(n), 8000 }, { "own", 10 } };
-    for (const auto& it : directory.Plan(prompt, "w1", kTokenBytes, At(now))) {
+    for (const auto& it :
+         directory.mDirectory.Plan(prompt, "w1", kTokenBytes, At(now))) {
       bytes += it.mTo ? 8000.0 * kTokenBytes : 0.0;
     }
   }
@@ -166,9 +193,9 @@
 TEST_CASE("the servers' clock is known from the stores")
 {
   auto directory = OneStore();
-  CHECK_FALSE(directory.ServersClockMs(At(0s)));
+  CHECK_FALSE(directory.mDirectory.ServersClockMs(At(0s)));
   auto events = Events(7, 1, {});
   events.mClockMs = 50000;
   directory.OnEvents(kStore, events, At(0s));
-  CHECK(directory.ServersClockMs(At(250ms)) == 50250);
+  CHECK(directory.mDirectory.ServersClockMs(At(250ms)) == 50250);
 }
--- /dev/null
+++ b/packages/entry/tests/cache_news_test.cpp
@@ -0,0 +1,185 @@
+#include "cache_page_codec.h"
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+
+namespace {
+
+const StoreId kStore("store");
+const Endpoint kEndpoint{ "10.0.0.9", 80 };
+
+Instant
+At(Duration aTime)
+{
+  return Instant() + 1000s + aTime;
+}
+
+CacheStore
+SomeStore(const StoreId& aName = kStore)
+{
+  CacheStore store;
+  store.mName = aName;
+  store.mEndpoint = kEndpoint;
+  store.mCapacityTokens = 1;
+  store.mBytesPerSecond = 1;
+  store.mIsManaged = true;
+  return store;
+}
+
+CacheEvents
+Added(std::uint64_t aEpoch, std::uint64_t aNext, const std::string& aPart)
+{
+  CacheEvents events;
+  events.mEpoch = aEpoch;
+  events.mNext = aNext;
+  events.mEvents = { { true, "w1", aPart } };
+  return events;
+}
+
+CacheNewsLog
+LogOfOne(std::uint64_t aId = 1)
+{
+  CacheNewsLog log(aId);
+  log.SetStores({ { SomeStore() } });
+  return log;
+}
+
+} // namespace
+
+TEST_CASE("a page holds what is behind the cursor, or all that is kept")
+{
+  auto log = LogOfOne(5);
+  log.OnEvents(kStore, Added(7, 2, "a"), At(0s));
+  log.OnEvents(kStore, Added(7, 3, "b"), At(0s));
+  struct Row
+  {
+    CacheCursor mCursor;
+    bool mIsReset;
+    std::size_t mNews;
+  };
+  for (const Row& row : { Row{ { 0, 0 }, true, 2 },
+                          Row{ { 5, 1 }, false, 2 },
+                          Row{ { 5, 2 }, false, 1 },
+                          Row{ { 5, 3 }, false, 0 },
+                          // Of another process, or of none.
+                          Row{ { 4, 2 }, true, 2 },
+                          Row{ { 5, 9 }, true, 2 } }) {
+    CAPTURE(row.mCursor.mLog);
+    CAPTURE(row.mCursor.mNext);
+    const auto page = log.PageAt(row.mCursor, At(100ms));
+    CHECK(page.mIsReset == row.mIsReset);
+    CHECK(page.mNews.size() == row.mNews);
+    CHECK(page.mCursor.mLog == 5);
+    CHECK(page.mCursor.mNext == 3);
+    REQUIRE(page.mHeard.size() == 1);
+    CHECK(page.mHeard.front().mAge == 100ms);
+  }
+}
+
+TEST_CASE("what was told is cleared when a store falls silent or starts anew")
+{
+  enum class What : unsigned char
+  {
+    Silent,
+    NewEpoch,
+    Lost,
+    NotListed
+  };
+  for (const auto what :
+       { What::Silent, What::NewEpoch, What::Lost, What::NotListed }) {
+    CAPTURE(static_cast<int>(what));
+    auto log = LogOfOne();
+    log.OnEvents(kStore, Added(7, 2, "a"), At(0s));
+    const auto cursor = log.PageAt({}, At(0s)).mCursor;
+    auto events = Added(what == What::NewEpoch ? 8 : 7, 3, "b");
+    events.mLost = what == What::Lost;
+    if (what == What::Silent) {
+      log.OnSilence(kStore);
+    } else if (what == What::NotListed) {
+      log.SetStores({});
+    } else {
+      log.OnEvents(kStore, events, At(1s));
+    }
+    const auto page = log.PageAt(cursor, At(1s));
+    REQUIRE_FALSE(page.mNews.empty());
+    CHECK(page.mNews.front().mKind == CacheNewsKind::Cleared);
+    CHECK(page.mHeard.empty() == (what != What::Lost));
+    // A second silence tells nothing new.
+    log.OnSilence(kStore);
+    log.OnSilence(kStore);
+    CHECK(log.PageAt(cursor, At(1s)).mNews.size() <= 3);
+  }
+}
+
+TEST_CASE("many news come in pages; whoever is too far behind begins anew")
+{
+  auto log = LogOfOne();
+  const auto add = [&](std::size_t aCount) {
+    CacheEvents events;
+    events.mEpoch = 7;
+    events.mNext = log.Next(kStore) + aCount;
+    for (std::size_t n = 0; n < aCount; ++n) {
+      events.mEvents.push_back({ true, "w1", std::to_string(n) });
+    }
+    log.OnEvents(kStore, events, At(0s));
+  };
+  add(CacheNewsLog::kMostInPage + 10);
+  const auto first = log.PageAt({}, At(0s));
+  CHECK(first.mNews.size() == CacheNewsLog::kMostInPage);
+  CHECK(first.mHasMore);
+  const auto second = log.PageAt(first.mCursor, At(0s));
+  CHECK(second.mNews.size() == 10);
+  CHECK_FALSE(second.mHasMore);
+  CHECK_FALSE(second.mIsReset);
+  add(CacheNewsLog::kMostNews);
+  CHECK(log.PageAt(first.mCursor, At(0s)).mIsReset);
+}
+
+TEST_CASE("pages read back as they were written")
+{
+  auto log = LogOfOne();
+  auto events = Added(7, 2, "a");
+  events.mClockMs = 90000;
+  log.OnEvents(kStore, events, At(0s));
+  log.OnSilence(kStore);
+  log.OnEvents(kStore, Added(7, 2, "b"), At(1s));
+  const auto page = log.PageAt({}, At(2s));
+  const auto read = ReadCachePage(ToJson(page));
+  REQUIRE(read.has_value());
+  CHECK(read.value().mIsReset);
+  CHECK(read.value().mServersClockMs == 92000);
+  CHECK(read.value().mCursor.mNext == page.mCursor.mNext);
+  REQUIRE(read.value().mNews.size() == 3);
+  CHECK(read.value().mNews[1].mKind == CacheNewsKind::Cleared);
+  CHECK(read.value().mNews[2].mPart == "b");
+  CHECK(read.value().mNews[2].mSalt == "w1");
+  CHECK(read.value().mNews[2].mStore == kStore);
+  CHECK(read.value().mHeard.front().mAge == 1s);
+}
+
+TEST_CASE("malformed pages are refused")
+{
+  const auto good = ToJson(LogOfOne().PageAt({}, At(0s)));
+  REQUIRE(ReadCachePage(good).has_value());
+  struct Row
+  {
+    const char* mField;
+    const char* mValue;
+  };
+  for (const Row& row : { Row{ "reset", "1" },
+                          Row{ "more", "null" },
+                          Row{ "cursor", "{}" },
+                          Row{ "stores", "[1]" },
+                          Row{ "news", R"([[0,"added","w1","a"]])" },
+                          Row{ "news", R"([["added"]])" },
+                          Row{ "news", R"({"a":1})" },
+                          Row{ "heard", R"([{"store":"s"}])" },
+                          Row{ "clock_ms", "-1" } }) {
+    CAPTURE(row.mField);
+    CAPTURE(row.mValue);
+    auto json = good;
+    json[row.mField] = Json::parse(row.mValue);
+    CHECK_FALSE(ReadCachePage(json).has_value());
+  }
+}
--- a/packages/entry/tests/peer_images_test.cpp
+++ b/packages/entry/tests/peer_images_test.cpp
@@ -25,15 +25,16 @@
                           Row{ { 9, 9 }, false, false } }) {
     const auto query = ReadImageQuery(ToJson(row.mQuery));
     REQUIRE(query.has_value());
-    const auto reply =
-      ReadImageReply(ToJson(AnswerImageQuery(query.value(), image, true)));
+    const auto reply = ReadImageReply(
+      ToJson(AnswerImageQuery(query.value(), image, true, 250ms)));
     REQUIRE(reply.has_value());
     CHECK(reply.value().mIsInReach);
+    CHECK(reply.value().mAge == 250ms);
     CHECK(reply.value().mOperator.has_value() == row.mHasOperator);
     CHECK(reply.value().mServers.has_value() == row.mHasServers);
     if (row.mHasOperator) {
-      CHECK(reply.value().mOperator->mVersion == 6);
-      CHECK(reply.value().mOperator->mRows.front().mValue == bytes);
+      CHECK(reply.value().mOperator->mRows.mVersion == 6);
+      CHECK(reply.value().mOperator->mRows.mRows.front().mValue == bytes);
     }
   }
 }
@@ -42,12 +43,78 @@
 {
   for (const char* text :
        { "{}",
-         R"({"in_reach":1})",
-         R"({"in_reach":true,"operator":{"version":1}})",
-         R"({"in_reach":true,"operator":{"version":1,"rows":[{"key":"a"}]}})",
-         R"({"in_reach":true,"servers":{"version":1,"rows":[
+         R"({"in_reach":1,"age_ms":0})",
+         R"({"in_reach":true})",
+         R"({"in_reach":true,"age_ms":"x"})",
+         R"({"in_reach":true,"age_ms":0,"operator":{"version":1,"rows":[]}})",
+         R"({"in_reach":true,"age_ms":0,"operator":{"whole":true,
+            "version":1}})",
+         R"({"in_reach":true,"age_ms":0,"operator":{"whole":true,
+            "version":1,"rows":[{"key":"a"}]}})",
+         R"({"in_reach":true,"age_ms":0,"servers":{"whole":true,
+            "version":1,"rows":[
             {"key":"a","version":1,"value":"not base64!"}]}})" }) {
     CAPTURE(text);
     CHECK_FALSE(ReadImageReply(Json::parse(text)).has_value());
   }
 }
+
+TEST_CASE("an asker that follows gets changes and removals only")
+{
+  SiteImage image;
+  const Instant now = Instant() + 1000s;
+  image.OnContact(now - 100s);
+  (void)image.Replace(
+    SiteTable::Servers,
+    { { { "s1", "x", 3, false }, { "s2", "y", 4, false } }, 4 },
+    now);
+  SiteImage copy;
+  copy.OnContact(now - 100s);
+  const auto follow = [&] {
+    const ImageQuery query{ 0, copy.Version(SiteTable::Servers) };
+    const auto reply =
+      ReadImageReply(ToJson(AnswerImageQuery(query, image, true, 0ms)));
+    REQUIRE(reply.has_value());
+    const auto& rows = reply.value().mServers;
+    if (!rows) {
+      return std::size_t{ 0 };
+    }
+    (void)(rows->mIsWhole ? copy.Replace(SiteTable::Servers, rows->mRows, now)
+                          : copy.Merge(SiteTable::Servers, rows->mRows, now));
+    return rows->mRows.mRows.size();
+  };
+  CHECK(follow() == 2);
+  CHECK(follow() == 0);
+  (void)image.Merge(SiteTable::Servers,
+                    { { { "s1", {}, 5, true }, { "s3", "z", 6, false } }, 6 },
+                    now);
+  CHECK(follow() == 2);
+  CHECK(copy.Rows(SiteTable::Servers) == image.Rows(SiteTable::Servers));
+  CHECK(copy.Version(SiteTable::Servers) == 6);
+}
+
+TEST_CASE("an asker behind the removals that are kept gets the whole table")
+{
+  SiteImage image;
+  const Instant now = Instant() + 1000s;
+  image.OnContact(now - 100s);
+  std::uint64_t version = 1;
+  (void)image.Merge(SiteTable::Servers, { { { "s", "x", 1, false } }, 1 }, now);
+  for (int n = 0; n < 2000; ++n) {
+    const auto key = "t" + std::to_string(n);
+    ++version;
+    (void)image.Merge(
+      SiteTable::Servers, { { { key, "x", version, false } }, version }, now);
+    ++version;
+    (void)image.Merge(
+      SiteTable::Servers, { { { key, {}, version, true } }, version }, now);
+  }
+  const auto old = AnswerImageQuery({ 0, 1 }, image, true, 0ms);
+  REQUIRE(old.mServers);
+  CHECK(old.mServers->mIsWhole);
+  CHECK(old.mServers->mRows.mRows.size() == 1);
+  const auto late = AnswerImageQuery({ 0, version - 4 }, image, true, 0ms);
+  REQUIRE(late.mServers);
+  CHECK_FALSE(late.mServers->mIsWhole);
+  CHECK(late.mServers->mRows.mRows.size() == 2);
+}
--- /dev/null
+++ b/packages/entry/tests/relay_choice_test.cpp
@@ -0,0 +1,131 @@
+#include "relay_choice.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace bilberrytrail;
+
+namespace {
+
+const ZoneId kZone("a");
+
+Instant
+At(Duration aTime)
+{
+  return Instant() + 1000s + aTime;
+}
+
+std::vector<PeerAddress>
+Daemons(std::size_t aCount, const ZoneId& aZone = kZone)
+{
+  std::vector<PeerAddress> daemons;
+  for (std::size_t n = 0; n < aCount; ++n) {
+    daemons.push_back({ DaemonId(aZone.Text() + std::to_string(n)),
+                        { "10.0.0.1", static_cast<std::uint16_t>(n + 1) },
+                        aZone });
+  }
+  return daemons;
+}
+
+} // namespace
+
+TEST_CASE("daemons of a large zone agree on whom to ask")
+{
+  auto peers = Daemons(20);
+  for (const auto& it : Daemons(20, ZoneId("b"))) {
+    peers.push_back(it);
+  }
+  std::set<DaemonId> asked;
+  std::size_t direct = 0;
+  for (const auto& self : Daemons(20)) {
+    const auto relay = RelayChoice(self).Pick(peers, At(0s));
+    if (relay) {
+      asked.insert(relay->mName);
+      CHECK(relay->mZone == kZone);
+    } else {
+      ++direct;
+    }
+  }
+  CHECK(asked.size() == 1);
+  CHECK(direct == 1);
+}
+
+TEST_CASE("daemons of small zones follow by themselves")
+{
+  auto peers = Daemons(RelayChoice::kDirectDaemons);
+  for (const auto& it : Daemons(20, ZoneId("b"))) {
+    peers.push_back(it);
+  }
+  for (const auto& self : Daemons(RelayChoice::kDirectDaemons)) {
+    CHECK_FALSE(RelayChoice(self).Pick(peers, At(0s)));
+  }
+}
+
+TEST_CASE("a daemon that does not answer is left for longer and longer")
+{
+  const auto peers = Daemons(20);
+  PeerAddress self;
+  std::optional<PeerAddress> first;
+  for (const auto& it : peers) {
+    first = RelayChoice(it).Pick(peers, At(0s));
+    if (first) {
+      self = it;
+      break;
+    }
+  }
+  REQUIRE(first);
+  RelayChoice choice(self);
+  Duration rest = RelayChoice::kFirstRest;
+  Instant now = At(0s);
+  for (int n = 0; n < 8; ++n) {
+    CAPTURE(n);
+    choice.OnFailure(first->mName, now);
+    const auto next = choice.Pick(peers, now);
+    CHECK((!next || next->mName != first->mName));
+    const auto before = choice.Pick(peers, now + rest - 1ms);
+    CHECK((!before || before->mName != first->mName));
+    now += rest;
+    REQUIRE(choice.Pick(peers, now));
+    CHECK(choice.Pick(peers, now)->mName == first->mName);
+    rest = std::min(rest * 2, RelayChoice::kMaxRest);
+  }
+  choice.OnAnswer(first->mName);
+  choice.OnFailure(first->mName, now);
+  CHECK(choice.Pick(peers, now + RelayChoice::kFirstRest)->mName ==
+        first->mName);
+}
+
+TEST_CASE("with all others silent a daemon follows by itself")
+{
+  const auto peers = Daemons(7);
+  RelayChoice choice(peers.front());
+  for (const auto& it : peers) {
+    choice.OnFailure(it.mName, At(0s));
+  }
+  CHECK_FALSE(choice.Pick(peers, At(0s)));
+}
+
+TEST_CASE("rows of daemons are read with and without a zone")
+{
+  struct Row
+  {
+    const char* mText;
+    bool mIsGood;
+    const char* mZone;
+  };
+  for (const Row& row : { Row{ "10.0.0.1:7700 a", true, "a" },
+                          Row{ "10.0.0.1:7700", true, "" },
+                          Row{ "10.0.0.1:7700 ", true, "" },
+                          Row{ "10.0.0.1", false, "" },
+                          Row{ "", false, "" } }) {
+    CAPTURE(row.mText);
+    const auto peer = ReadPeerRow(DaemonId("d"), row.mText);
+    CHECK(peer.has_value() == row.mIsGood);
+    if (peer) {
+      CHECK(peer.value().mZone == ZoneId(row.mZone));
+    }
+  }
+  const PeerAddress peer{ DaemonId("d"), { "10.0.0.1", 7700 }, kZone };
+  CHECK(ReadPeerRow(peer.mName, ToRowText(peer)).value().mZone == kZone);
+}
