Tell all daemons which servers load weights; prefer daemons with wide links as relays

Cause: on a large site two to four servers loaded at a time, so that a roll of 140 servers could not end within the time that new weights have; at the pace that it needs, servers that loaded refused 6,213 prompts, each of which took a repeat from the budget. Ruled out by measurement: an exchange of all servers' load among the daemons (work, running streams, delays; one collector a zone). Change: the holder of the roll tells which servers are under order; the pace follows the time that is left, up to a third of the servers; eight daemons seek the lease, the rest when the roll stalls. Rows of daemons carry the zone and the link; relays are chosen among the wide links first. The pool keeps the waiting sends by server.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -101,6 +101,7 @@
   RelayFollowed,
   RelayLeft,
   RelayFailed,
+  NoticeNotTaken,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -473,6 +473,13 @@
                 "are older than `age` allows; the tables are followed "
                 "directly and the next daemon is asked.",
                 "Nothing, if it was stopped; else check that VM." },
+  LogEventInfo{ NoticeNotTaken,
+                2016,
+                Info,
+                "notice_not_taken",
+                "A daemon was not told which servers load weights; it may "
+                "send them prompts that they refuse.",
+                "Nothing, if it was stopped; else check that VM." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/entry_settings.h
+++ b/packages/entry/include/bilberrytrail/entry/entry_settings.h
@@ -20,6 +20,8 @@
   DaemonId mName;
   ZoneId mZone;
   LogLevel mLogLevel = LogLevel::Info;
+  // Megabits per second of this VM's link; 0 when it is not known.
+  double mLinkMbps = 0;
   Endpoint mCallers;
   Endpoint mReadiness;
   Endpoint mPeers;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -125,6 +126,9 @@
   // The same for a server whose weights are not the newest: it probably loads
   // them, which shows in the list of servers when it is done.
   Duration mLoadingTime = 3s;
+  // How long a server counts as loading that was told to load; told again
+  // sooner while it does.
+  Duration mNoticeTime = 1500ms;
   // A server that sent nothing for this multiple of the objective, within the
   // bounds, while a request waits at it gets no more until it does.
   double mSilenceObjectives = 2.0;
@@ -186,6 +190,9 @@
   std::optional<HealthChange> End(SendTicket aTicket,
                                   SendEnd aEnd,
                                   Instant aNow);
+  // Takes in which servers load weights, as told by the daemon that orders
+  // them; it counts for mNoticeTime.
+  void SetLoading(const std::set<ServerId>& aServers, Instant aNow);
   // Notes that a server without room has older weights than the newest.
   void ExpectLoading(const ServerId& aServer, Instant aNow);
   // Notes the version of a model's weights that an answer named.
--- a/packages/entry/include/bilberrytrail/entry/weight_roll.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_roll.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -52,9 +53,11 @@
 struct WeightRollSettings
 {
   // Servers under order at once while there is time, and the most when there
-  // is not: those that finish their requests or load serve nobody.
+  // is not: those that finish their requests or load serve nobody. The most is
+  // the larger of a number and a share of the servers.
   std::size_t mLeastAtOnce = 2;
   std::size_t mMostAtOnce = 4;
+  double mMostShare = 1.0 / 3;
   // Time that a server takes from the order to the new weights.
   Duration mServerTime = 2400ms;
   // An accepted order that shows no effect for so long is sent again.
@@ -87,6 +90,9 @@
     std::span<const ServerRecord> aServers,
     const std::map<ModelId, std::uint64_t>& aWeights);
 
+  // Returns the servers under order.
+  [[nodiscard]] std::set<ServerId> Loading() const;
+
   // Returns the orders to send now and counts them as under way. All servers
   // are to have the newest weights after aTimeLeft.
   [[nodiscard]] std::vector<WeightOrder> Next(
@@ -110,7 +116,8 @@
   };
 
   [[nodiscard]] std::size_t UnderWay() const noexcept;
-  [[nodiscard]] std::size_t AtOnce(std::size_t aPending,
+  [[nodiscard]] std::size_t AtOnce(std::size_t aServers,
+                                   std::size_t aPending,
                                    Duration aTimeLeft) const noexcept;
   void Settle(std::span<const ServerRecord> aServers, Instant aNow);
 
@@ -118,12 +125,19 @@
   std::map<ServerId, Entry> mOrders;
 };
 
-// Decides when a daemon asks for the lease of the roll. All ask, so that each
-// knows for how long a holder has been silent; they begin one after the other
-// by rank, so that the first has the lease before the others try to take it.
+// Decides when a daemon asks for the lease of the roll. Several ask, so that
+// each knows for how long a holder has been silent; they begin one after the
+// other by rank, so that the first has the lease before the others try to take
+// it. The daemons behind them ask when the roll makes no progress.
 class RollDuty
 {
 public:
+  // Daemons that ask at once; more than fail together, and few enough that
+  // their reads of the lease stay a small part of the site's calls.
+  static constexpr std::size_t kSeekers = 8;
+  // Time without a server that got newer weights, many times that of a load,
+  // behind which all ask.
+  static constexpr Duration kStallTime = 4s;
   // Time between the beginnings of two ranks, and the most for any rank.
   static constexpr Duration kRankTime = 150ms;
   static constexpr Duration kMaxRankTime = 1500ms;
@@ -139,6 +153,7 @@
 private:
   std::optional<Instant> mPendingSince;
   std::optional<Instant> mPendingUntil;
+  std::size_t mLastPending = 0;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -84,6 +84,7 @@
   [[nodiscard]] FlowParts MakeFlowParts();
   [[nodiscard]] bool IsReady() const;
   std::shared_ptr<const SiteView> TakeView();
+  void TakeLoading(const std::set<ServerId>& aServers);
   void OnStores(std::vector<CacheStore> aStores) override;
   void OnPage(CachePage aPage) override;
   void DrainOnControl();
@@ -106,6 +107,7 @@
   PeerDirectory mPeers;
   SiteFollower mFollower;
   StoreFollower mStores;
+  RollNotice mNotice;
   NewsFollower mNews;
   RollRunner mRoll;
   RpcMethods mMethods;
@@ -141,12 +143,25 @@
   , mReader(aPlatform.MakeReader())
   , mOrders(aPlatform.MakeOrders(mControl))
   , mCacheEvents(aPlatform.MakeCacheEvents(mControl))
-  , mSelf{ mSettings.mName, mSettings.mPeers, mSettings.mZone }
+  , mSelf{ mSettings.mName,
+           mSettings.mPeers,
+           mSettings.mZone,
+           mSettings.mLinkMbps }
   , mPeers(mControl, *mTable, mSelf, StableHash64(mSettings.mName.Text()))
   , mFollower(mControl, *mFeed, *mReader, mPeers, mViews)
   , mStores(mControl, *mCacheEvents, mViews, *this, MakeLogId(mSelf))
-  , mNews(mControl, mPeers, mFollower, mStores, *this, RelayChoice(mSelf))
-  , mRoll(mControl, mSettings, *mTable, *mOrders, mPeers, mViews)
+  , mNotice(mControl,
+            mPeers,
+            mSelf,
+            [this](const auto& aServers) { TakeLoading(aServers); })
+  , mNews(mControl,
+          mPeers,
+          mFollower,
+          mStores,
+          mNotice,
+          *this,
+          RelayChoice(mSelf))
+  , mRoll(mControl, mSettings, *mTable, *mOrders, mPeers, mNotice, mViews)
   , mReadinessServer(mControl, HttpLimits())
   , mPeerServer(mControl, PeerLimits())
   , mMetricsServer(mControl, HttpLimits())
@@ -170,6 +185,7 @@
 {
   mFollower.AddMethods(mMethods);
   mNews.AddMethods(mMethods);
+  mNotice.AddMethods(mMethods);
 }
 
 FlowParts
@@ -274,6 +290,13 @@
   }
 }
 
+void
+EntryDaemon::Impl::TakeLoading(const std::set<ServerId>& aServers)
+{
+  mTraffic.Post(
+    [this, aServers] { mPool.SetLoading(aServers, MonotonicNow()); });
+}
+
 void
 EntryDaemon::Impl::OnStores(std::vector<CacheStore> aStores)
 {
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -18,6 +18,7 @@
 constexpr double kMs = 1e3;
 constexpr double kSecond = 1e6;
 constexpr double kMostRepeats = 1e6;
+constexpr double kMostMbps = 1e7;
 
 constexpr std::array kTable{
   SettingInfo{ "daemon",
@@ -44,6 +45,15 @@
                "info",
                false,
                "Least level logged." },
+  SettingInfo{ "daemon",
+               "link_mbps",
+               Number,
+               0,
+               kMostMbps,
+               "0",
+               false,
+               "Megabits per second of this VM's link, 0 for not known; "
+               "daemons with wide links serve others of their zone first." },
   SettingInfo{ "listen",
                "callers",
                Address,
@@ -155,6 +165,9 @@
       aTo.mLogLevel = FromName<LogLevel>(std::get<std::string>(aValue))
                         .value_or(LogLevel::Info);
     },
+    [](auto& aTo, const auto& aValue) {
+      aTo.mLinkMbps = std::get<double>(aValue);
+    },
     [](auto& aTo, const auto& aValue) {
       aTo.mCallers = std::get<Endpoint>(aValue);
     },
--- a/packages/entry/src/news_follower.cpp
+++ b/packages/entry/src/news_follower.cpp
@@ -49,7 +49,8 @@
 ToJson(const NewsReply& aReply)
 {
   return { { "image", ToJson(aReply.mImage) },
-           { "cache", ToJson(aReply.mCache) } };
+           { "cache", ToJson(aReply.mCache) },
+           { "loading", ToJson(aReply.mLoading) } };
 }
 
 Result<NewsReply>
@@ -59,6 +60,7 @@
   NewsReply reply;
   reply.mImage = ReadPart(fields, "image", ReadImageReply);
   reply.mCache = ReadPart(fields, "cache", ReadCachePage);
+  reply.mLoading = ReadServerIds(fields, "loading");
   return Checked(fields, std::move(reply));
 }
 
@@ -66,12 +68,14 @@
                            PeerDirectory& aPeers,
                            SiteFollower& aSite,
                            StoreFollower& aStores,
+                           RollNotice& aNotice,
                            CacheSink& aSink,
                            RelayChoice aChoice)
   : mLoop(aLoop)
   , mPeers(aPeers)
   , mSite(aSite)
   , mStores(aStores)
+  , mNotice(aNotice)
   , mSink(aSink)
   , mClient(aLoop)
   , mChoice(std::move(aChoice))
@@ -173,6 +177,7 @@
   mSite.TakeReply(aRelay, aReply.mImage);
   mCursor = aReply.mCache.mCursor;
   mSink.OnPage(aReply.mCache);
+  mNotice.Take(aReply.mLoading);
 }
 
 Result<Json>
@@ -185,7 +190,8 @@
   mAskedAt = MonotonicNow();
   SetDirect(*mAskedAt);
   return ToJson(NewsReply{ mSite.AnswerQuery(query.value().mImage),
-                           mStores.PageAt(query.value().mCache) });
+                           mStores.PageAt(query.value().mCache),
+                           mNotice.Loading(*mAskedAt) });
 }
 
 void
--- a/packages/entry/src/news_follower.h
+++ b/packages/entry/src/news_follower.h
@@ -2,6 +2,7 @@
 
 #include "cache_page_codec.h"
 #include "relay_choice.h"
+#include "roll_notice.h"
 #include "store_follower.h"
 
 namespace bilberrytrail {
@@ -21,6 +22,8 @@
 {
   ImageReply mImage;
   CachePage mCache;
+  // Servers that load weights.
+  std::set<ServerId> mLoading;
 };
 
 [[nodiscard]] Json
@@ -45,6 +48,7 @@
                PeerDirectory& aPeers,
                SiteFollower& aSite,
                StoreFollower& aStores,
+               RollNotice& aNotice,
                CacheSink& aSink,
                RelayChoice aChoice);
 
@@ -66,6 +70,7 @@
   PeerDirectory& mPeers;
   SiteFollower& mSite;
   StoreFollower& mStores;
+  RollNotice& mNotice;
   CacheSink& mSink;
   HttpClient mClient;
   RelayChoice mChoice;
--- a/packages/entry/src/peer_directory.cpp
+++ b/packages/entry/src/peer_directory.cpp
@@ -4,6 +4,7 @@
 #include <bilberrytrail/membership/rendezvous.h>
 
 #include <algorithm>
+#include <sstream>
 
 namespace bilberrytrail {
 
@@ -22,21 +23,25 @@
 std::string
 ToRowText(const PeerAddress& aPeer)
 {
-  return ToText(aPeer.mEndpoint) + " " + aPeer.mZone.Text();
+  return ToText(aPeer.mEndpoint) + " " + aPeer.mZone.Text() + " " +
+         std::to_string(aPeer.mLinkMbps);
 }
 
 Result<PeerAddress>
 ReadPeerRow(const DaemonId& aName, const std::string& aText)
 {
-  const auto space = aText.find(' ');
-  auto endpoint = ParseEndpoint(aText.substr(0, space));
+  std::istringstream text(aText);
+  std::string address;
+  std::string zone;
+  PeerAddress peer;
+  text >> address >> zone >> peer.mLinkMbps;
+  auto endpoint = ParseEndpoint(address);
   if (!endpoint) {
     return std::move(endpoint).error();
   }
-  PeerAddress peer{ aName, endpoint.value(), ZoneId() };
-  if (space != std::string::npos && space + 1 < aText.size()) {
-    peer.mZone = ZoneId(aText.substr(space + 1));
-  }
+  peer.mName = aName;
+  peer.mEndpoint = endpoint.value();
+  peer.mZone = ZoneId(std::move(zone));
   return peer;
 }
 
--- a/packages/entry/src/peer_directory.h
+++ b/packages/entry/src/peer_directory.h
@@ -17,6 +17,8 @@
   Endpoint mEndpoint;
   // Empty when its row does not say.
   ZoneId mZone;
+  // Megabits per second of its VM's link; 0 when its row does not say.
+  double mLinkMbps = 0;
 };
 
 // Returns the text of a daemon's row.
--- a/packages/entry/src/relay_choice.cpp
+++ b/packages/entry/src/relay_choice.cpp
@@ -10,6 +10,23 @@
 
 constexpr std::string_view kDuty = "relay";
 
+// Returns the candidates by rendezvous, those with wide links first.
+std::vector<const PeerAddress*>
+InOrder(std::span<const PeerAddress> aPeers,
+        std::span<const HomeCandidate> aCandidates)
+{
+  std::vector<const PeerAddress*> order;
+  double widest = 0;
+  for (const auto& name : HomesOf(kDuty, aCandidates, aCandidates.size())) {
+    order.push_back(&*std::ranges::find(aPeers, name, &PeerAddress::mName));
+    widest = std::max(widest, order.back()->mLinkMbps);
+  }
+  const double least = RelayChoice::kLinkShare * widest;
+  std::ranges::stable_partition(
+    order, [&](const PeerAddress* aPeer) { return aPeer->mLinkMbps >= least; });
+  return order;
+}
+
 } // namespace
 
 bool
@@ -24,19 +41,20 @@
 {
   std::vector<HomeCandidate> candidates;
   for (const auto& it : aPeers) {
-    if (it.mZone == mSelf.mZone) {
+    if (it.mZone == mZone) {
       candidates.push_back({ it.mName, it.mZone, 1.0 });
     }
   }
-  if (candidates.size() <= kDirectDaemons) {
+  if (candidates.size() <= mDirectDaemons) {
     return std::nullopt;
   }
-  for (const auto& name : HomesOf(kDuty, candidates, candidates.size())) {
-    if (name == mSelf.mName) {
+  const auto order = InOrder(aPeers, candidates);
+  for (const auto* peer : order) {
+    if (peer->mName == mSelf.mName) {
       return std::nullopt;
     }
-    if (!IsResting(name, aNow)) {
-      return *std::ranges::find(aPeers, name, &PeerAddress::mName);
+    if (!IsResting(peer->mName, aNow)) {
+      return *peer;
     }
   }
   return std::nullopt;
--- a/packages/entry/src/relay_choice.h
+++ b/packages/entry/src/relay_choice.h
@@ -10,7 +10,7 @@
 
 namespace bilberrytrail {
 
-// Decides which daemon of the own availability zone this one asks for news of
+// Decides which daemon of an availability zone this one asks, as for news of
 // the tables and stores instead of following them itself. With many daemons
 // that spares the table service and the stores a call of each; with few it
 // would only add a daemon that can fail. Daemons of a zone agree on the order
@@ -24,6 +24,9 @@
 class RelayChoice
 {
 public:
+  // Daemons with less than this share of the widest link of the zone are asked
+  // behind the others: one daemon's answers go to all of its zone.
+  static constexpr double kLinkShare = 0.5;
   // Zones with so many daemons or fewer follow directly.
   static constexpr std::size_t kDirectDaemons = 5;
   // How long a daemon that did not answer is not asked, at first and at most;
@@ -31,8 +34,16 @@
   static constexpr Duration kFirstRest = 2s;
   static constexpr Duration kMaxRest = 60s;
 
-  explicit RelayChoice(PeerAddress aSelf)
+  // Asks daemons of aZone, if there are more than aDirectDaemons.
+  RelayChoice(PeerAddress aSelf, ZoneId aZone, std::size_t aDirectDaemons)
     : mSelf(std::move(aSelf))
+    , mZone(std::move(aZone))
+    , mDirectDaemons(aDirectDaemons)
+  {
+  }
+  // Asks daemons of the own zone, if there are enough to spare calls.
+  explicit RelayChoice(const PeerAddress& aSelf)
+    : RelayChoice(aSelf, aSelf.mZone, kDirectDaemons)
   {
   }
 
@@ -56,6 +67,8 @@
   [[nodiscard]] bool IsResting(const DaemonId& aPeer, Instant aNow) const;
 
   const PeerAddress mSelf;
+  const ZoneId mZone;
+  const std::size_t mDirectDaemons;
   std::map<DaemonId, Rest> mRests;
 };
 
--- a/packages/entry/src/roll_runner.cpp
+++ b/packages/entry/src/roll_runner.cpp
@@ -48,6 +48,7 @@
                        TableService& aTable,
                        OrderPort& aOrders,
                        PeerDirectory& aPeers,
+                       RollNotice& aNotice,
                        SiteViewHolder& aViews)
   : mLoop(aLoop)
   , mSelf(HolderOf(aSettings))
@@ -56,6 +57,7 @@
   , mTable(aTable)
   , mOrders(aOrders)
   , mPeers(aPeers)
+  , mNotice(aNotice)
   , mViews(aViews)
   , mLease(kLeaseKey, mSelf, MakeLeaseSettings(aSettings))
   , mRoll(WeightRollSettings())
@@ -140,6 +142,7 @@
   const auto now = MonotonicNow();
   const auto orders = mRoll.Next(
     aView.mServers, aView.mWeights.AllNewest(), TimeLeft(aView, now), now);
+  mNotice.Publish(mRoll.Loading());
   for (const auto& it : orders) {
     mLoop.Spawn([this, it] { SendOrder(it); });
   }
--- a/packages/entry/src/roll_runner.h
+++ b/packages/entry/src/roll_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peer_directory.h"
+#include "roll_notice.h"
 #include "site_follower.h"
 
 #include <bilberrytrail/entry/entry_platform.h>
@@ -19,6 +20,7 @@
              TableService& aTable,
              OrderPort& aOrders,
              PeerDirectory& aPeers,
+             RollNotice& aNotice,
              SiteViewHolder& aViews);
 
   // Runs until the loop stops.
@@ -47,6 +49,7 @@
   TableService& mTable;
   OrderPort& mOrders;
   PeerDirectory& mPeers;
+  RollNotice& mNotice;
   SiteViewHolder& mViews;
   Lease mLease;
   WeightRoll mRoll;
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace bilberrytrail {
 
@@ -15,7 +16,8 @@
   // Versions that answers named, which are newer than the list.
   std::map<ModelId, std::uint64_t> mObserved;
   std::uint64_t mHash = 0;
-  std::size_t mWaiting = 0;
+  // Sends without a byte of an answer yet, oldest first.
+  std::set<SendTicket> mWaiting;
   std::size_t mRunning = 0;
   // Work of the sends that have no byte of an answer yet.
   double mWaitingWork = 0;
@@ -28,6 +30,7 @@
   std::optional<Instant> mEjectedUntil;
   Duration mFullTime{};
   std::optional<Instant> mFullUntil;
+  std::optional<Instant> mLoadingUntil;
 
   [[nodiscard]] std::uint64_t VersionOf(const ModelId& aModel) const
   {
@@ -68,7 +71,9 @@
 ServerPool::InFlight(const ServerId& aServer) const noexcept
 {
   const auto it = mServers.find(aServer);
-  return it == mServers.end() ? 0 : it->second->mWaiting + it->second->mRunning;
+  return it == mServers.end()
+           ? 0
+           : it->second->mWaiting.size() + it->second->mRunning;
 }
 
 std::vector<Endpoint>
@@ -111,19 +116,14 @@
                      Duration aObjective,
                      Instant aNow) const
 {
-  if (aServer.mWaiting == 0) {
+  if (aServer.mWaiting.empty()) {
     return false;
   }
   const auto limit =
     std::clamp(FromMillis(ToMillis(aObjective) * mSettings.mSilenceObjectives),
                mSettings.mMinSilence,
                mSettings.mMaxSilence);
-  Instant oldest = aNow;
-  for (const auto& [ticket, send] : mSends) {
-    if (send.mServer == aServer.mRecord.mId && !send.mHasBegun) {
-      oldest = std::min(oldest, send.mSentAt);
-    }
-  }
+  const Instant oldest = mSends.at(*aServer.mWaiting.begin()).mSentAt;
   const auto heard = aServer.mHeardAt.value_or(oldest);
   return aNow - std::max(oldest, heard) > limit;
 }
@@ -154,9 +154,12 @@
         (aQuery.mModel && server->VersionOf(*aQuery.mModel) < least)) {
       continue;
     }
+    const bool isLoading =
+      aQuery.mModel && server->mLoadingUntil && aNow < *server->mLoadingUntil &&
+      server->VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
     const bool isOut =
       (server->mEjectedUntil && aNow < *server->mEjectedUntil) ||
-      (server->mFullUntil && aNow < *server->mFullUntil) ||
+      (server->mFullUntil && aNow < *server->mFullUntil) || isLoading ||
       IsSilent(*server, aQuery.mObjective, aNow);
     (isOut ? aEjected : usable).push_back(server.get());
   }
@@ -169,11 +172,10 @@
   const double age = ToMillis(aNow - aServer.mDelayAt);
   const double left = std::exp(-age / ToMillis(mSettings.mDelayLifetime));
   Duration delay = FromMillis(ToMillis(aServer.mDelay) * left);
-  for (const auto& [ticket, send] : mSends) {
-    if (send.mServer == aServer.mRecord.mId && !send.mHasBegun) {
-      const auto own = FromMillis(send.mWork / mSettings.mTokensPerMs);
-      delay = std::max(delay, aNow - send.mSentAt - own);
-    }
+  for (const auto& ticket : aServer.mWaiting) {
+    const auto& send = mSends.at(ticket);
+    const auto own = FromMillis(send.mWork / mSettings.mTokensPerMs);
+    delay = std::max(delay, aNow - send.mSentAt - own);
   }
   return delay;
 }
@@ -187,7 +189,7 @@
   const auto delay = DelayOf(aServer, aNow);
   if (!aQuery.mModel) {
     const auto inFlight =
-      static_cast<std::int64_t>(aServer.mWaiting + aServer.mRunning);
+      static_cast<std::int64_t>(aServer.mWaiting.size() + aServer.mRunning);
     const bool isFar = aServer.mRecord.mZone != mOwnZone;
     return std::max(delay, mSettings.mPlainTime) * (1 + inFlight) +
            (isFar ? mSettings.mZoneTime : Duration(0));
@@ -285,7 +287,7 @@
   mSends[ticket] = { aServer, aWork, aNow, false };
   const auto it = mServers.find(aServer);
   if (it != mServers.end()) {
-    ++it->second->mWaiting;
+    it->second->mWaiting.insert(ticket);
     it->second->mWaitingWork += aWork;
   }
   return ticket;
@@ -308,12 +310,12 @@
     send->second.mHasBegun = true;
     const auto own = FromMillis(send->second.mWork / mSettings.mTokensPerMs);
     const auto seen = std::max(aNow - send->second.mSentAt - own, Duration(0));
+    server.mWaiting.erase(aTicket);
     const auto before = DelayOf(server, aNow);
     server.mDelay =
       FromMillis(ToMillis(before) +
                  mSettings.mDelayWeight * (ToMillis(seen) - ToMillis(before)));
     server.mDelayAt = aNow;
-    server.mWaiting -= std::min<std::size_t>(server.mWaiting, 1);
     server.mWaitingWork =
       std::max(0.0, server.mWaitingWork - send->second.mWork);
     ++server.mRunning;
@@ -350,10 +352,10 @@
     return std::nullopt;
   }
   auto& server = *it->second;
+  server.mWaiting.erase(aTicket);
   if (ended.mHasBegun) {
     server.mRunning -= std::min<std::size_t>(server.mRunning, 1);
   } else {
-    server.mWaiting -= std::min<std::size_t>(server.mWaiting, 1);
     server.mWaitingWork = std::max(0.0, server.mWaitingWork - ended.mWork);
   }
   switch (aEnd) {
@@ -387,6 +389,18 @@
   return std::nullopt;
 }
 
+void
+ServerPool::SetLoading(const std::set<ServerId>& aServers, Instant aNow)
+{
+  for (const auto& [id, server] : mServers) {
+    if (aServers.contains(id)) {
+      server->mLoadingUntil = aNow + mSettings.mNoticeTime;
+    } else {
+      server->mLoadingUntil.reset();
+    }
+  }
+}
+
 void
 ServerPool::ExpectLoading(const ServerId& aServer, Instant aNow)
 {
--- a/packages/entry/src/weight_roll.cpp
+++ b/packages/entry/src/weight_roll.cpp
@@ -42,13 +42,31 @@
     mOrders, [](const auto& aEntry) { return aEntry.second.mUnderWay; }));
 }
 
+std::set<ServerId>
+WeightRoll::Loading() const
+{
+  std::set<ServerId> servers;
+  for (const auto& [server, order] : mOrders) {
+    if (order.mUnderWay) {
+      servers.insert(server);
+    }
+  }
+  return servers;
+}
+
 std::size_t
-WeightRoll::AtOnce(std::size_t aPending, Duration aTimeLeft) const noexcept
+WeightRoll::AtOnce(std::size_t aServers,
+                   std::size_t aPending,
+                   Duration aTimeLeft) const noexcept
 {
+  const auto most =
+    std::max(mSettings.mMostAtOnce,
+             static_cast<std::size_t>(mSettings.mMostShare *
+                                      static_cast<double>(aServers)));
   const auto left = std::max(aTimeLeft, mSettings.mServerTime);
   const auto needed = static_cast<std::size_t>(
     static_cast<std::int64_t>(aPending) * mSettings.mServerTime / left);
-  return std::clamp(needed, mSettings.mLeastAtOnce, mSettings.mMostAtOnce);
+  return std::clamp(needed, mSettings.mLeastAtOnce, most);
 }
 
 // Forgets orders whose effect shows, and those that had their time.
@@ -76,7 +94,11 @@
 {
   Settle(aServers, aNow);
   std::vector<WeightOrder> orders;
-  const auto most = AtOnce(Pending(aServers, aWeights), aTimeLeft);
+  const auto engines = static_cast<std::size_t>(
+    std::ranges::count_if(aServers, [](const ServerRecord& aServer) {
+      return !aServer.mModels.empty() && !aServer.mIsLeaving;
+    }));
+  const auto most = AtOnce(engines, Pending(aServers, aWeights), aTimeLeft);
   for (const auto& it : aServers) {
     if (UnderWay() >= most) {
       break;
@@ -125,10 +147,15 @@
     mPendingSince.reset();
     return mPendingUntil && aNow < *mPendingUntil + kKeepTime;
   }
-  mPendingSince = mPendingSince.value_or(aNow);
+  const bool isBehind = aRank >= kSeekers;
+  if (!mPendingSince || (isBehind && aPending != mLastPending)) {
+    mPendingSince = aNow;
+  }
+  mLastPending = aPending;
   mPendingUntil = aNow;
   const Duration turn = kRankTime * static_cast<std::int64_t>(aRank);
-  return aNow >= *mPendingSince + std::min(turn, kMaxRankTime);
+  return aNow >= *mPendingSince + std::min(turn, kMaxRankTime) +
+                   (isBehind ? kStallTime : Duration(0));
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/tests/entry_settings_test.cpp
+++ b/packages/entry/tests/entry_settings_test.cpp
@@ -36,12 +36,17 @@
   CHECK(value.mZone == ZoneId("naas"));
   CHECK(value.mStore == Endpoint{ "10.0.0.9", 90 });
   CHECK(value.mStopTime == 5s);
+  CHECK(value.mLinkMbps == 0);
   CHECK(value.mRetryRatio == doctest::Approx(0.1));
   CHECK(value.mRetrySlack == 7);
   CHECK(value.mRetryWindow == 20s);
   CHECK(value.mOrderGap == 2500ms);
   CHECK(value.mWeightsWithin == 12s);
   CHECK(ParseEntrySettings(kText, "a.ini").value().mStopTime == 8s);
+  const auto wide = ParseEntrySettings(
+    std::string(kText) + "[daemon]\nlink_mbps = 1000.0\n", "a.ini");
+  REQUIRE(wide.has_value());
+  CHECK(wide.value().mLinkMbps == 1000);
 }
 
 TEST_CASE("all faults of the settings are told")
--- a/packages/entry/tests/server_pool_test.cpp
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -282,3 +282,31 @@
   query.mService = ServiceId("unknown");
   CHECK_FALSE(pool.Choose(query, At(0s)));
 }
+
+TEST_CASE("servers that were told to load weights get no prompts meanwhile")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  const auto servers = Servers(3, kEngines);
+  (void)pool.Update(servers, At(0s));
+  const auto chosen = [&](Instant aNow, std::uint64_t aNewest) {
+    auto query = PromptQuery(7919);
+    query.mNewestVersion = aNewest;
+    const auto choice = pool.Choose(query, aNow);
+    REQUIRE(choice);
+    return choice->mServer;
+  };
+  const auto first = chosen(At(0s), 2);
+  pool.SetLoading({ first }, At(0s));
+  CHECK(chosen(At(0s), 2) != first);
+  // It has the newest weights already.
+  CHECK(chosen(At(0s), 1) == first);
+  const auto time = ServerPoolSettings().mNoticeTime;
+  CHECK(chosen(At(time - 1ms), 2) != first);
+  CHECK(chosen(At(time), 2) == first);
+  pool.SetLoading({ first }, At(10s));
+  pool.SetLoading({}, At(10s));
+  CHECK(chosen(At(10s), 2) == first);
+  // With no other server it is still tried.
+  pool.SetLoading({ servers[0].mId, servers[1].mId, servers[2].mId }, At(20s));
+  CHECK(pool.Choose(PromptQuery(7919), At(20s)));
+}
--- a/packages/settings/include/bilberrytrail/settings/setting_table.h
+++ b/packages/settings/include/bilberrytrail/settings/setting_table.h
@@ -30,6 +30,8 @@
   Count,
   // Fraction of 1.
   Share,
+  // Number, also with a fraction.
+  Number,
   // SHA-256 as 64 hexadecimal digits in lower case.
   Hash,
   // Level of the log.
@@ -39,8 +41,9 @@
 template<>
 struct EnumNames<SettingType>
 {
-  static constexpr std::array<std::string_view, 9> kNames{
-    "name", "text", "address", "time", "size", "count", "share", "hash", "level"
+  static constexpr std::array<std::string_view, 10> kNames{
+    "name",  "text",  "address", "time", "size",
+    "count", "share", "number",  "hash", "level"
   };
 };
 
@@ -60,7 +63,7 @@
 };
 
 // Value of a setting: Duration for Time, a whole number for Size and Count,
-// double for Share, Endpoint for Address, text else.
+// double for Share and Number, Endpoint for Address, text else.
 using SettingValue =
   std::variant<std::string, Endpoint, Duration, std::uint64_t, double>;
 
--- a/packages/settings/src/setting_table.cpp
+++ b/packages/settings/src/setting_table.cpp
@@ -67,6 +67,12 @@
 }
 
 // Reads the digits that begin the text; a fraction only for shares.
+bool
+MayHaveFraction(SettingType aType)
+{
+  return aType == SettingType::Share || aType == SettingType::Number;
+}
+
 std::optional<double>
 TakeNumber(SettingType aType, std::string_view& aText)
 {
@@ -77,7 +83,7 @@
   const char* end = begin + aText.size();
   double value = 0;
   std::from_chars_result got{};
-  if (aType == SettingType::Share) {
+  if (MayHaveFraction(aType)) {
     got = std::from_chars(begin, end, value, std::chars_format::fixed);
   } else {
     std::uint64_t whole = 0;
@@ -153,6 +159,7 @@
     case SettingType::Time:
       return Duration(static_cast<std::int64_t>(*number));
     case SettingType::Share:
+    case SettingType::Number:
       return *number;
     default:
       return static_cast<std::uint64_t>(*number);
@@ -179,7 +186,7 @@
 std::string
 RenderBound(SettingType aType, double aValue)
 {
-  if (aType == SettingType::Share) {
+  if (MayHaveFraction(aType)) {
     std::array<char, 32> buf{};
     const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), aValue);
     return { buf.data(), end.ptr };
@@ -204,7 +211,7 @@
 IsNumeric(SettingType aType)
 {
   return aType == SettingType::Time || aType == SettingType::Size ||
-         aType == SettingType::Count || aType == SettingType::Share;
+         aType == SettingType::Count || MayHaveFraction(aType);
 }
 
 std::string
@@ -252,6 +259,8 @@
       return "a whole number of " + RenderRange(aInfo);
     case SettingType::Share:
       return "a share of " + RenderRange(aInfo);
+    case SettingType::Number:
+      return "a number of " + RenderRange(aInfo);
   }
   return "a value";
 }
--- a/packages/settings/tests/setting_value_test.cpp
+++ b/packages/settings/tests/setting_value_test.cpp
@@ -20,6 +20,7 @@
   const auto size = Info(SettingType::Size, 1024, 0x1p30);
   const auto count = Info(SettingType::Count, 1, 100);
   const auto share = Info(SettingType::Share, 0, 1);
+  const auto number = Info(SettingType::Number, 0, 2000);
   const std::string timeText =
     "expected a time of 1ms to 1min with its unit us, ms, s, min or h";
   const std::string sizeText =
@@ -55,6 +56,10 @@
     { count, "0", {}, countText },
     { count, "1e1", {}, countText },
     { count, "5x", {}, countText },
+    { number, "1000.0", 1000.0, "" },
+    { number, "12", 12.0, "" },
+    { number, "2001", {}, "expected a number of 0 to 2000" },
+    { number, "-1", {}, "expected a number of 0 to 2000" },
     { share, "0.25", 0.25, "" },
     { share, "1", 1.0, "" },
     { share, "1.01", {}, "expected a share of 0 to 1" },
