--- a/packages/entry/include/bilberrytrail/entry/cache_directory.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_directory.h
@@ -31,6 +31,9 @@
   static constexpr double kKeepShare = 1.0;
   // Time for which unused room on the link is saved up.
   static constexpr Duration kKeepBurst = 1s;
+  // Time to read a part from a store, as a share of the time to compute it: the
+  // links carry some ten times what a server computes, but queue.
+  static constexpr double kFetchShare = 0.3;
   // Smallest part worth a transfer, in tokens: smaller ones are read again in
   // less time than the transfer takes to start.
   static constexpr std::uint64_t kMinTokens = 400;
@@ -42,6 +45,12 @@
                                              const std::string& aSalt,
                                              std::uint64_t aTokenBytes,
                                              Instant aNow);
+  // Returns the work of having the shared parts of a prompt at a server that
+  // keeps none of them, in tokens to read: parts that a store keeps take
+  // kFetchShare of it.
+  [[nodiscard]] double MissWork(const Prompt& aPrompt,
+                                const std::string& aSalt,
+                                Instant aNow);
   // Returns a time on the servers' clock; nothing before any store told it.
   [[nodiscard]] std::optional<std::uint64_t> ServersClockMs(
     Instant aTime) const noexcept;
--- a/packages/entry/src/cache_directory.cpp
+++ b/packages/entry/src/cache_directory.cpp
@@ -128,6 +128,26 @@
   return true;
 }
 
+double
+CacheDirectory::MissWork(const Prompt& aPrompt,
+                         const std::string& aSalt,
+                         Instant aNow)
+{
+  const auto* last = aPrompt.LastSharedPart();
+  if (last == nullptr) {
+    return 0;
+  }
+  const Store* store = StoreFor(*last, aNow);
+  double work = 0;
+  for (std::size_t n = 0; n + 1 < aPrompt.mParts.size(); ++n) {
+    const auto& part = aPrompt.mParts[n];
+    const bool isKept =
+      store != nullptr && store->mParts.contains({ aSalt, part.mId });
+    work += (isKept ? kFetchShare : 1.0) * static_cast<double>(part.mTokens);
+  }
+  return work;
+}
+
 std::vector<CachePlace>
 CacheDirectory::Plan(const Prompt& aPrompt,
                      const std::string& aSalt,
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -111,7 +111,7 @@
   bool ChooseServer();
   [[nodiscard]] ServerQuery MakeQuery() const;
   [[nodiscard]] BackendCall MakeCall();
-  [[nodiscard]] std::string CacheSalt() const;
+  [[nodiscard]] std::string CacheSalt(std::uint64_t aWeightVersion) const;
   // Returns the newest weights of the prompt's model; 0 when none are named.
   [[nodiscard]] std::uint64_t NewestWeights() const;
   [[nodiscard]] double Work() const noexcept;
@@ -267,7 +267,8 @@
       prompt.mModel, mParts.mWeightsWithin, MonotonicNow());
     if (const auto* part = prompt.LastSharedPart()) {
       query.mAffinity = StableHash64(part->mId);
-      query.mMissWork = static_cast<double>(prompt.SharedTokens());
+      query.mMissWork = mParts.mCache.MissWork(
+        prompt, CacheSalt(query.mNewestVersion), MonotonicNow());
     }
   }
   return query;
@@ -300,9 +301,9 @@
 }
 
 std::string
-RequestRun::CacheSalt() const
+RequestRun::CacheSalt(std::uint64_t aWeightVersion) const
 {
-  std::string salt = "w" + std::to_string(mChoice.mWeightVersion);
+  std::string salt = "w" + std::to_string(aWeightVersion);
   if (mAccount != nullptr && mAccount->mIsolated) {
     salt += "." + mAccount->mName.Text();
   }
@@ -323,7 +324,7 @@
   }
   if (mRequest.mPrompt) {
     call.mWeightVersion = mChoice.mWeightVersion;
-    call.mCacheSalt = CacheSalt();
+    call.mCacheSalt = CacheSalt(mChoice.mWeightVersion);
     const auto rank = mAccount != nullptr && mAccount->mPriority
                         ? *mAccount->mPriority
                         : mRoute->mPriority;
--- a/standins/tests/fleet_daemon_test.cpp
+++ b/standins/tests/fleet_daemon_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/fleet_rows.h"
 #include "fleet/fleet_server.h"
 #include "fleet/row_table.h"
 
@@ -125,33 +126,7 @@
 void
 FleetSite::PutConfig(std::uint64_t aVersion, const std::string& aKey)
 {
-  const auto route = [](const char* aName,
-                        const char* aPrefix,
-                        const char* aType,
-                        const char* aService,
-                        bool aIsResumable) {
-    return Json{ { "name", aName },
-                 { "host", "h.example" },
-                 { "prefix", aPrefix },
-                 { "route_type", aType },
-                 { "timeout_ms", 5000 },
-                 { "target_latency_ms", 1000 },
-                 { "priority", 1 },
-                 { "service", aService },
-                 { "max_attempts", 2 },
-                 { "anonymous", false },
-                 { "resumable", aIsResumable } };
-  };
-  const Json config{
-    { "version", aVersion },
-    { "routes",
-      { route("s", "/stream/", "streaming", "llm", true),
-        route("o", "/order/", "non_idempotent", "shop", false),
-        route("r", "/read/", "idempotent", "shop", false) } },
-    { "services", { { { "name", "llm" } }, { { "name", "shop" } } } },
-    { "tenants", { { { "name", "wick" }, { "api_keys", { aKey } } } } }
-  };
-  mTable.Put("op", "config", config.dump());
+  mTable.Put("op", "config", SmallSiteConfig(aVersion, { aKey }));
 }
 
 void
@@ -160,16 +135,8 @@
                      const std::string& aService,
                      const std::string& aState)
 {
-  const Json row{
-    { "service", aService },
-    { "address", ToText(aEndpoint) },
-    { "zone", "z" },
-    { "slots", 8 },
-    { "state", aState },
-    { "born", 1 },
-    { "models", { { { "name", "m" }, { "version", aServer.Weights() } } } }
-  };
-  mTable.Put("servers", aServer.Id(), row.dump());
+  mTable.Put(
+    "servers", aServer.Id(), ServerRow(aServer, aEndpoint, aService, aState));
 }
 
 void
