--- a/packages/entry/src/news_follower.cpp
+++ b/packages/entry/src/news_follower.cpp
@@ -82,10 +82,17 @@
 {
 }
 
+bool
+NewsFollower::IsServing(Instant aNow) const
+{
+  return IsWithin(mAskedAt, kServeTime, aNow) || !mPeers.IsComplete() ||
+         mChoice.IsFirst(mPeers.All());
+}
+
 void
 NewsFollower::SetDirect(Instant aNow)
 {
-  const bool isServing = IsWithin(mAskedAt, kServeTime, aNow);
+  const bool isServing = IsServing(aNow);
   const bool isAlone = isServing || !mHasRelay;
   mSite.SetDirect(isAlone || IsWithin(mFailedAt, kDirectTime, aNow), isServing);
   mStores.SetDirect(isAlone);
@@ -111,7 +118,7 @@
   while (mLoop.Sleep(kAskPeriod)) {
     const auto now = MonotonicNow();
     const auto relay = mChoice.Pick(mPeers.All(), now);
-    const bool isServing = IsWithin(mAskedAt, kServeTime, now);
+    const bool isServing = IsServing(now);
     mHasRelay = relay && !isServing;
     SetDirect(now);
     if (!mHasRelay) {
--- a/packages/entry/src/news_follower.h
+++ b/packages/entry/src/news_follower.h
@@ -63,6 +63,9 @@
   Result<NewsReply> Call(const PeerAddress& aRelay);
   void Take(const PeerAddress& aRelay, const NewsReply& aReply);
   void SetDirect(Instant aNow);
+  // Returns whether others rely on this daemon, or will as soon as they have
+  // started too.
+  [[nodiscard]] bool IsServing(Instant aNow) const;
   void LeaveRelay(bool aIsServing);
   Result<Json> Answer(const Json& aParams);
 
--- a/packages/entry/src/relay_choice.cpp
+++ b/packages/entry/src/relay_choice.cpp
@@ -36,8 +36,8 @@
   return it != mRests.end() && aNow < it->second.mUntil;
 }
 
-std::optional<PeerAddress>
-RelayChoice::Pick(std::span<const PeerAddress> aPeers, Instant aNow) const
+std::vector<const PeerAddress*>
+RelayChoice::Order(std::span<const PeerAddress> aPeers) const
 {
   std::vector<HomeCandidate> candidates;
   for (const auto& it : aPeers) {
@@ -46,10 +46,22 @@
     }
   }
   if (candidates.size() <= mDirectDaemons) {
-    return std::nullopt;
+    return {};
   }
-  const auto order = InOrder(aPeers, candidates);
-  for (const auto* peer : order) {
+  return InOrder(aPeers, candidates);
+}
+
+bool
+RelayChoice::IsFirst(std::span<const PeerAddress> aPeers) const
+{
+  const auto order = Order(aPeers);
+  return !order.empty() && order.front()->mName == mSelf.mName;
+}
+
+std::optional<PeerAddress>
+RelayChoice::Pick(std::span<const PeerAddress> aPeers, Instant aNow) const
+{
+  for (const auto* peer : Order(aPeers)) {
     if (peer->mName == mSelf.mName) {
       return std::nullopt;
     }
--- a/packages/entry/src/relay_choice.h
+++ b/packages/entry/src/relay_choice.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace bilberrytrail {
 
@@ -53,6 +54,9 @@
     std::span<const PeerAddress> aPeers,
     Instant aNow) const;
 
+  // Returns whether this daemon is the first that the others of the zone ask.
+  [[nodiscard]] bool IsFirst(std::span<const PeerAddress> aPeers) const;
+
   void OnAnswer(const DaemonId& aPeer) { mRests.erase(aPeer); }
   // Notes that a daemon did not answer, or knows too little.
   void OnFailure(const DaemonId& aPeer, Instant aNow);
@@ -64,6 +68,10 @@
     Instant mUntil;
   };
 
+  // Returns the daemons to ask, best first; none when this one follows
+  // directly.
+  [[nodiscard]] std::vector<const PeerAddress*> Order(
+    std::span<const PeerAddress> aPeers) const;
   [[nodiscard]] bool IsResting(const DaemonId& aPeer, Instant aNow) const;
 
   const PeerAddress mSelf;
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -13,6 +13,8 @@
 // The same while other daemons rely on this one.
 constexpr Duration kServingSilence = 300ms;
 constexpr Duration kReadTime = 1500ms;
+// Pause behind a call that brought changes: those of a moment come together.
+constexpr Duration kChangePause = 80ms;
 // Pause behind a call that failed, in which other daemons are asked, and the
 // most such pauses between two calls.
 constexpr Duration kRetryPause = 250ms;
@@ -104,6 +106,7 @@
   aMustReadAll = false;
   if (changed) {
     Publish();
+    (void)mLoop.Sleep(kChangePause);
   }
   return true;
 }
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -106,7 +106,8 @@
   Instant mOutSince;
   bool mIsAsking = false;
   bool mIsDirect = true;
-  bool mIsServing = false;
+  // Others may rely on this daemon as soon as it has started.
+  bool mIsServing = true;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/tests/relay_choice_test.cpp
+++ b/packages/entry/tests/relay_choice_test.cpp
@@ -40,6 +40,7 @@
   std::size_t direct = 0;
   for (const auto& self : Daemons(20)) {
     const auto relay = RelayChoice(self).Pick(peers, At(0s));
+    CHECK(RelayChoice(self).IsFirst(peers) == !relay.has_value());
     if (relay) {
       asked.insert(relay->mName);
       CHECK(relay->mZone == kZone);
@@ -59,6 +60,7 @@
   }
   for (const auto& self : Daemons(RelayChoice::kDirectDaemons)) {
     CHECK_FALSE(RelayChoice(self).Pick(peers, At(0s)));
+    CHECK_FALSE(RelayChoice(self).IsFirst(peers));
   }
 }
 
