Call other daemons, build test requests and match rows in one place each

The call of a method of another daemon stood three times, the request of the small test site twice. The list of servers is matched by sorted names: with 3,700 servers each change compared all pairs.

--- a/packages/entry/include/bilberrytrail/entry/cache_events.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_events.h
@@ -11,6 +11,15 @@
 
 namespace bilberrytrail {
 
+// Returns a time as whole milliseconds, which the servers' clock counts in.
+[[nodiscard]] inline std::int64_t
+WholeMillis(Instant aTime) noexcept
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           aTime.time_since_epoch())
+    .count();
+}
+
 // A change of what a store keeps.
 struct CacheEvent
 {
--- a/packages/entry/src/cache_directory.cpp
+++ b/packages/entry/src/cache_directory.cpp
@@ -6,18 +6,6 @@
 
 namespace bilberrytrail {
 
-namespace {
-
-std::int64_t
-Millis(Instant aTime)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           aTime.time_since_epoch())
-    .count();
-}
-
-} // namespace
-
 std::optional<std::uint64_t>
 CacheDirectory::ServersClockMs(Instant aTime) const noexcept
 {
@@ -25,7 +13,7 @@
     return std::nullopt;
   }
   return static_cast<std::uint64_t>(
-    std::max<std::int64_t>(Millis(aTime) + *mClockOffsetMs, 0));
+    std::max<std::int64_t>(WholeMillis(aTime) + *mClockOffsetMs, 0));
 }
 
 std::size_t
@@ -85,7 +73,7 @@
   }
   if (aPage.mServersClockMs) {
     mClockOffsetMs =
-      static_cast<std::int64_t>(*aPage.mServersClockMs) - Millis(aNow);
+      static_cast<std::int64_t>(*aPage.mServersClockMs) - WholeMillis(aNow);
   }
 }
 
--- a/packages/entry/src/cache_news.cpp
+++ b/packages/entry/src/cache_news.cpp
@@ -4,18 +4,6 @@
 
 namespace bilberrytrail {
 
-namespace {
-
-std::int64_t
-Millis(Instant aTime)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           aTime.time_since_epoch())
-    .count();
-}
-
-} // namespace
-
 std::uint64_t
 CacheNewsLog::Next(const StoreId& aStore) const noexcept
 {
@@ -88,7 +76,7 @@
   store.mHeardAt = aNow;
   if (aEvents.mClockMs) {
     mClockOffsetMs =
-      static_cast<std::int64_t>(*aEvents.mClockMs) - Millis(aNow);
+      static_cast<std::int64_t>(*aEvents.mClockMs) - WholeMillis(aNow);
   }
   for (const auto& event : aEvents.mEvents) {
     store.mIsTold = true;
@@ -134,7 +122,7 @@
   }
   if (mClockOffsetMs) {
     page.mServersClockMs = static_cast<std::uint64_t>(
-      std::max<std::int64_t>(Millis(aNow) + *mClockOffsetMs, 0));
+      std::max<std::int64_t>(WholeMillis(aNow) + *mClockOffsetMs, 0));
   }
   return page;
 }
--- a/packages/entry/src/news_follower.cpp
+++ b/packages/entry/src/news_follower.cpp
@@ -1,5 +1,7 @@
 #include "news_follower.h"
 
+#include "peer_call.h"
+
 #include <bilberrytrail/base/log.h>
 #include <bilberrytrail/platform/json_read.h>
 
@@ -18,7 +20,6 @@
 // last call of another daemon.
 constexpr Duration kDirectTime = 2s;
 constexpr Duration kServeTime = 3s;
-constexpr const char* kRpcPath = "/rpc";
 
 bool
 IsWithin(const std::optional<Instant>& aSince, Duration aTime, Instant aNow)
@@ -158,16 +159,7 @@
 {
   const NewsQuery query{ mSite.Versions(), mCursor };
   const auto reply =
-    CallRpc(std::string(kNewsMethod),
-            ToJson(query),
-            [&](const std::string& aText) -> Result<std::string> {
-              auto response = mClient.Call(
-                aRelay.mEndpoint, { "POST", kRpcPath, {}, aText }, kAskTime);
-              if (!response) {
-                return Fail(response.error().mCode, response.error().mMessage);
-              }
-              return std::move(response.value().mBody);
-            });
+    CallPeer(mClient, aRelay, kNewsMethod, ToJson(query), kAskTime);
   if (!reply) {
     return reply.error();
   }
--- a/packages/entry/src/roll_notice.cpp
+++ b/packages/entry/src/roll_notice.cpp
@@ -1,5 +1,7 @@
 #include "roll_notice.h"
 
+#include "peer_call.h"
+
 #include <bilberrytrail/base/log.h>
 #include <bilberrytrail/platform/json_read.h>
 
@@ -11,7 +13,6 @@
 constexpr Duration kRepeat = 500ms;
 // A call crosses a zone's border at most.
 constexpr Duration kCallTime = 250ms;
-constexpr const char* kRpcPath = "/rpc";
 
 Result<ServerId>
 ReadServerId(const Json& aJson)
@@ -105,16 +106,7 @@
 RollNotice::Tell(const PeerAddress& aPeer, const Json& aParams)
 {
   const auto reply =
-    CallRpc(std::string(kLoadingMethod),
-            aParams,
-            [&](const std::string& aText) -> Result<std::string> {
-              auto response = mClient.Call(
-                aPeer.mEndpoint, { "POST", kRpcPath, {}, aText }, kCallTime);
-              if (!response) {
-                return Fail(response.error().mCode, response.error().mMessage);
-              }
-              return std::move(response.value().mBody);
-            });
+    CallPeer(mClient, aPeer, kLoadingMethod, aParams, kCallTime);
   auto& relay = RelayOf(aPeer.mZone);
   if (reply) {
     relay.OnAnswer(aPeer.mName);
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -79,11 +79,15 @@
 std::vector<Endpoint>
 ServerPool::Update(std::span<const ServerRecord> aServers, Instant /*aNow*/)
 {
+  std::map<ServerId, const ServerRecord*> listed;
+  for (const auto& it : aServers) {
+    listed.emplace(it.mId, &it);
+  }
   std::vector<Endpoint> gone;
   std::erase_if(mServers, [&](const auto& aEntry) {
     const auto& record = aEntry.second->mRecord;
-    const auto it = std::ranges::find(aServers, record.mId, &ServerRecord::mId);
-    if (it != aServers.end() && IsSameIncarnation(*it, record)) {
+    const auto it = listed.find(record.mId);
+    if (it != listed.end() && IsSameIncarnation(*it->second, record)) {
       return false;
     }
     gone.push_back(record.mEndpoint);
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -1,5 +1,7 @@
 #include "site_follower.h"
 
+#include "peer_call.h"
+
 #include <bilberrytrail/base/log.h>
 
 namespace bilberrytrail {
@@ -27,7 +29,6 @@
 // Daemons asked at a time.
 constexpr std::size_t kPeersAsked = 2;
 constexpr Duration kExpiryPeriod = 200ms;
-constexpr const char* kRpcPath = "/rpc";
 
 } // namespace
 
@@ -163,16 +164,7 @@
 SiteFollower::AskPeer(const PeerAddress& aPeer)
 {
   const auto reply =
-    CallRpc(std::string(kImageMethod),
-            ToJson(Versions()),
-            [&](const std::string& aText) -> Result<std::string> {
-              auto response = mClient.Call(
-                aPeer.mEndpoint, { "POST", kRpcPath, {}, aText }, kPeerTime);
-              if (!response) {
-                return Fail(response.error().mCode, response.error().mMessage);
-              }
-              return std::move(response.value().mBody);
-            });
+    CallPeer(mClient, aPeer, kImageMethod, ToJson(Versions()), kPeerTime);
   if (!reply) {
     return reply.error();
   }
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -3,6 +3,8 @@
 #include <bilberrytrail/base/log.h>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace bilberrytrail {
 
@@ -103,9 +105,12 @@
   for (const auto& row : rows) {
     ReadServerRow(row, *view);
   }
+  std::set<std::string_view> there;
+  for (const auto& row : rows) {
+    there.insert(row.mKey);
+  }
   std::erase_if(mServers, [&](const auto& aEntry) {
-    return std::ranges::none_of(
-      rows, [&](const SiteRow& aRow) { return aRow.mKey == aEntry.first; });
+    return !there.contains(aEntry.first);
   });
   return view;
 }
--- a/standins/src/fleet/fleet_rows.cpp
+++ b/standins/src/fleet/fleet_rows.cpp
@@ -43,6 +43,31 @@
   return config.dump();
 }
 
+HttpRequest
+SmallSiteRequest(const std::string& aId,
+                 const std::string& aTarget,
+                 const std::string& aKey,
+                 Duration aPatience)
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = aTarget;
+  request.mBody = "body of " + aId;
+  const auto millis = static_cast<std::int64_t>(ToMillis(aPatience));
+  request.mHeaders = { { "Host", "h.example" },
+                       { "Bilberrytrail-Request-Id", aId },
+                       { "Bilberrytrail-Credential", aKey },
+                       { "Bilberrytrail-Tenant", "forged" },
+                       { "Bilberrytrail-Deadline-Ms",
+                         std::to_string(millis) } };
+  if (aTarget.starts_with("/stream/")) {
+    request.mHeaders.push_back({ "Bilberrytrail-Model", "m" });
+    request.mHeaders.push_back({ "Bilberrytrail-Token-Usage", "20,5" });
+    request.mHeaders.push_back({ "Bilberrytrail-Prompt-Prefix", "a:10,b:10" });
+  }
+  return request;
+}
+
 std::string
 ServerRow(const FleetServer& aServer,
           const Endpoint& aEndpoint,
--- a/standins/src/fleet/fleet_rows.h
+++ b/standins/src/fleet/fleet_rows.h
@@ -16,6 +16,13 @@
 [[nodiscard]] std::string
 SmallSiteConfig(std::uint64_t aVersion, const std::vector<std::string>& aKeys);
 
+// Returns a caller's request to that site; a prompt for "/stream/".
+[[nodiscard]] HttpRequest
+SmallSiteRequest(const std::string& aId,
+                 const std::string& aTarget,
+                 const std::string& aKey,
+                 Duration aPatience);
+
 // Returns the row of a server.
 [[nodiscard]] std::string
 ServerRow(const FleetServer& aServer,
--- a/standins/tests/fleet_daemon_test.cpp
+++ b/standins/tests/fleet_daemon_test.cpp
@@ -200,21 +200,8 @@
                 const std::string& aTarget,
                 const std::string& aKey)
 {
-  HttpRequest request;
-  request.mMethod = "POST";
-  request.mTarget = aTarget;
-  request.mBody = "body of " + aId;
-  request.mHeaders = { { "Host", "h.example" },
-                       { "Bilberrytrail-Request-Id", aId },
-                       { "Bilberrytrail-Credential", aKey },
-                       { "Bilberrytrail-Tenant", "forged" },
-                       { "Bilberrytrail-Deadline-Ms", "4000" } };
-  if (aTarget.starts_with("/stream/")) {
-    request.mHeaders.push_back({ "Bilberrytrail-Model", "m" });
-    request.mHeaders.push_back({ "Bilberrytrail-Token-Usage", "20,5" });
-    request.mHeaders.push_back({ "Bilberrytrail-Prompt-Prefix", "a:10,b:10" });
-  }
-  return mClient->Call(mSettings[aDaemon].mCallers, request, 6s);
+  return mClient->Call(
+    mSettings[aDaemon].mCallers, SmallSiteRequest(aId, aTarget, aKey, 4s), 6s);
 }
 
 unsigned
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kRowPeriod = 50ms;
 // Longest time between SIGTERM and the end, as the settings below say.
 constexpr Duration kStopTime = 5s;
+// Deadline of the requests, and the time after which a call is given up.
+constexpr Duration kPatience = 3s;
 constexpr Duration kCallTime = 6s;
 
 std::string
@@ -149,19 +151,8 @@
                const std::string& aTarget,
                const std::string& aKey)
 {
-  HttpRequest request;
-  request.mMethod = "POST";
-  request.mTarget = aTarget;
-  request.mBody = "body of " + aId;
-  request.mHeaders = { { "Host", "h.example" },
-                       { "Bilberrytrail-Request-Id", aId },
-                       { "Bilberrytrail-Credential", aKey },
-                       { "Bilberrytrail-Deadline-Ms", "3000" } };
-  if (aTarget.starts_with("/stream/")) {
-    request.mHeaders.push_back({ "Bilberrytrail-Model", "m" });
-    request.mHeaders.push_back({ "Bilberrytrail-Token-Usage", "20,5" });
-    request.mHeaders.push_back({ "Bilberrytrail-Prompt-Prefix", "a:10,b:10" });
-  }
+  const auto request =
+    standins::SmallSiteRequest(aId, aTarget, aKey, kPatience);
   auto response = mClient.Call(mDaemons[aDaemon]->mCallers, request, kCallTime);
   return response ? std::optional(std::move(response).value()) : std::nullopt;
 }
