Forget parts that never reach a store; keep own news when others begin to ask

A part that was to be kept and never showed stayed in memory for good: a full store drops every one. And a daemon that another one began to ask, while its own question was under way, mixed the relay's news of the stores with its own. Both were seen by reading. The first has a test, which was not seen red; the second has none.

--- a/packages/entry/include/bilberrytrail/entry/cache_directory.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_directory.h
@@ -29,6 +29,9 @@
   // Share of a store's link that parts on their way to it may take. Less of it
   // costs more reading of prompts later than it frees of the link.
   static constexpr double kKeepShare = 1.0;
+  // Parts on their way to a store that are remembered before those that did
+  // not show in time are forgotten; many times those of kKeepTime.
+  static constexpr std::size_t kMostUnderWay = 4096;
   // Time for which unused room on the link is saved up.
   static constexpr Duration kKeepBurst = 1s;
   // Time to read a part from a store, as a share of the time to compute it: the
@@ -54,6 +57,8 @@
   // Returns a time on the servers' clock; nothing before any store told it.
   [[nodiscard]] std::optional<std::uint64_t> ServersClockMs(
     Instant aTime) const noexcept;
+  // Returns the number of parts that are thought to be on their way.
+  [[nodiscard]] std::size_t PartsUnderWay() const noexcept;
   // Returns the number of parts that a store is known to keep.
   [[nodiscard]] std::size_t PartsAt(const StoreId& aStore) const noexcept;
 
--- a/packages/entry/src/cache_directory.cpp
+++ b/packages/entry/src/cache_directory.cpp
@@ -16,6 +16,16 @@
     std::max<std::int64_t>(WholeMillis(aTime) + *mClockOffsetMs, 0));
 }
 
+std::size_t
+CacheDirectory::PartsUnderWay() const noexcept
+{
+  std::size_t parts = 0;
+  for (const auto& [id, store] : mStores) {
+    parts += store.mKeeping.size();
+  }
+  return parts;
+}
+
 std::size_t
 CacheDirectory::PartsAt(const StoreId& aStore) const noexcept
 {
@@ -159,6 +169,10 @@
       isUsed = true;
       continue;
     }
+    if (store->mKeeping.size() >= kMostUnderWay) {
+      std::erase_if(store->mKeeping,
+                    [&](const auto& aEntry) { return aEntry.second <= aNow; });
+    }
     auto& until = store->mKeeping[part];
     const auto bytes =
       static_cast<double>(aPrompt.mParts[n].mTokens * aTokenBytes);
--- a/packages/entry/src/news_follower.cpp
+++ b/packages/entry/src/news_follower.cpp
@@ -174,6 +174,10 @@
     mRelay = aRelay.mName;
   }
   mSite.TakeReply(aRelay, aReply.mImage);
+  if (IsServing(MonotonicNow())) {
+    // Another daemon has asked meanwhile: the stores are followed from here.
+    return;
+  }
   mCursor = aReply.mCache.mCursor;
   mSink.OnPage(aReply.mCache);
   mNotice.Take(aReply.mLoading);
--- a/packages/entry/tests/cache_directory_test.cpp
+++ b/packages/entry/tests/cache_directory_test.cpp
@@ -199,3 +199,17 @@
   directory.OnEvents(kStore, events, At(0s));
   CHECK(directory.mDirectory.ServersClockMs(At(250ms)) == 50250);
 }
+
+// Parts that a full store drops never show.
+TEST_CASE("parts that were to be kept and never show are forgotten")
+{
+  auto directory = OneStore();
+  for (int n = 0; n < 20'000; ++n) {
+    const auto now = 10ms * n;
+    directory.OnEvents(kStore, Events(7, 1, {}), At(now));
+    Prompt prompt;
+    prompt.mParts = { { "p" + std::to_string(n), 500 }, { "own", 10 } };
+    (void)directory.mDirectory.Plan(prompt, "w1", kTokenBytes, At(now));
+  }
+  CHECK(directory.mDirectory.PartsUnderWay() <= CacheDirectory::kMostUnderWay);
+}
