Wait long enough in the test of a daemon that the table service turns away

Cause: the test read 401 and 404 where it expects 503, 4.5 s after the fault. A wait for changes that began before the fault is answered 2.5 s later, which confirms the copy, and a copy counts as new for 3.2 s: 5.7 s at most. Until now the long wait had begun with the daemon, 1.3 s before the fault; since daemons wait 0.7 s at a time until they know the others, it begins later. Ruled out: daemons confirming each other's old copies; the age travels with the answer and is counted. Change: the test waits 6 s. What it expects is as before.

--- a/standins/tests/fleet_daemon_test.cpp
+++ b/standins/tests/fleet_daemon_test.cpp
@@ -334,8 +334,10 @@
       CHECK(site.Status(0, "a1", "/read/1") == 200);
       CHECK(site.Status(1, "a2", "/read/1") == 200);
       CHECK(site.Readiness(0) == 200);
-      // Old enough to be unsure of what it does not know.
-      (void)site.mLoop.Sleep(4500ms);
+      // Old enough to be unsure of what it does not know: a wait for changes
+      // that began just before the fault is answered still, 2.5 s later, and
+      // the copy counts as new for 3.2 s behind it.
+      (void)site.mLoop.Sleep(6s);
       CHECK(site.Status(0, "a3", "/read/1", "unknown") == 503);
       CHECK(site.Status(0, "a4", "/nowhere/1") == 503);
       CHECK(site.Status(0, "a5", "/read/1") == 200);
