--- a/packages/entry/src/relay_choice.cpp
+++ b/packages/entry/src/relay_choice.cpp
@@ -22,8 +22,11 @@
     widest = std::max(widest, order.back()->mLinkMbps);
   }
   const double least = RelayChoice::kLinkShare * widest;
-  std::ranges::stable_partition(
-    order, [&](const PeerAddress* aPeer) { return aPeer->mLinkMbps >= least; });
+  // The linter's compiler cannot read std::ranges::stable_partition.
+  std::stable_partition(
+    order.begin(), order.end(), [&](const PeerAddress* aPeer) {
+      return aPeer->mLinkMbps >= least;
+    });
   return order;
 }
 
