--- a/standins/src/fleet/row_table.cpp
+++ b/standins/src/fleet/row_table.cpp
@@ -2,6 +2,8 @@
 
 #include <bilberrytrail/base/base64.h>
 
+#include <algorithm>
+
 namespace bilberrytrail::standins {
 
 namespace {
@@ -163,11 +165,11 @@
 }
 
 HttpResponse
-RowTable::Page(Json aRows) const
+RowTable::Page(Json aRows, bool aHasMore) const
 {
   return JsonResponse(200,
                       { { "rows", std::move(aRows) },
-                        { "has_more", false },
+                        { "has_more", aHasMore },
                         { "ver", mVersion },
                         { "now_ms", 0 } });
 }
@@ -175,7 +177,14 @@
 HttpResponse
 RowTable::Get(const Query& aQuery) const
 {
-  return Page(Rows(aQuery, 0));
+  auto rows = Rows(aQuery, 0);
+  const auto limit = FindNumber(aQuery, "limit");
+  const auto most = limit == 0 ? mPageRows : std::min(limit, mPageRows);
+  const bool hasMore = rows.size() > most;
+  if (hasMore) {
+    rows.erase(rows.begin() + static_cast<std::ptrdiff_t>(most), rows.end());
+  }
+  return Page(std::move(rows), hasMore);
 }
 
 HttpResponse
@@ -185,7 +194,7 @@
   if (after < mOldest) {
     return { 410, {}, {} };
   }
-  return Page(Rows(aQuery, after));
+  return Page(Rows(aQuery, after), false);
 }
 
 HttpResponse
--- a/standins/src/fleet/row_table.h
+++ b/standins/src/fleet/row_table.h
@@ -62,6 +62,8 @@
   // Answers requests for older changes with 410 from now on.
   void DropHistory() noexcept { mOldest = mVersion; }
   void SetFault(RowTableFault aFault) noexcept { mFault = aFault; }
+  // Returns so many rows at most in one answer, as for rows that are large.
+  void SetPageRows(std::size_t aRows) noexcept { mPageRows = aRows; }
 
   void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
 
@@ -79,12 +81,13 @@
   [[nodiscard]] HttpResponse Feed(const Query& aQuery) const;
   [[nodiscard]] HttpResponse Commit(const Json& aBody);
   [[nodiscard]] Json Rows(const Query& aQuery, std::uint64_t aAfter) const;
-  [[nodiscard]] HttpResponse Page(Json aRows) const;
+  [[nodiscard]] HttpResponse Page(Json aRows, bool aHasMore) const;
 
   Loop& mLoop;
   std::map<std::pair<std::string, std::string>, Row> mRows;
   std::uint64_t mVersion = 0;
   std::uint64_t mOldest = 0;
+  std::size_t mPageRows = 500;
   RowTableFault mFault = RowTableFault::None;
 };
 
