Read texts of lists by one function; ask daemons of a zone by one rule

The order of a zone's daemons looked each name up in the list of all. Change: ReadText in json_read.h; the least number is the constant; names are looked up in a map. The test of the other zone has 20 daemons there in place of 2, its expectations are as before.

--- a/packages/entry/src/cache_page_codec.cpp
+++ b/packages/entry/src/cache_page_codec.cpp
@@ -32,15 +32,6 @@
   Json mNames = Json::array();
 };
 
-Result<std::string>
-ReadText(const Json& aJson)
-{
-  if (!aJson.is_string()) {
-    return Fail(ErrorCode::Corrupt, "not a text");
-  }
-  return aJson.get<std::string>();
-}
-
 Result<CacheNews>
 ReadNews(const Json& aJson, const std::vector<std::string>& aStores)
 {
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -152,7 +152,7 @@
   , mStores(mControl, *mCacheEvents, mViews, *this, MakeLogId(mSelf))
   , mNotice(mControl,
             mPeers,
-            mSelf,
+            mSelf.mName,
             [this](const auto& aServers) { TakeLoading(aServers); })
   , mNews(mControl,
           mPeers,
--- a/packages/entry/src/relay_choice.cpp
+++ b/packages/entry/src/relay_choice.cpp
@@ -10,26 +10,6 @@
 
 constexpr std::string_view kDuty = "relay";
 
-// Returns the candidates by rendezvous, those with wide links first.
-std::vector<const PeerAddress*>
-InOrder(std::span<const PeerAddress> aPeers,
-        std::span<const HomeCandidate> aCandidates)
-{
-  std::vector<const PeerAddress*> order;
-  double widest = 0;
-  for (const auto& name : HomesOf(kDuty, aCandidates, aCandidates.size())) {
-    order.push_back(&*std::ranges::find(aPeers, name, &PeerAddress::mName));
-    widest = std::max(widest, order.back()->mLinkMbps);
-  }
-  const double least = RelayChoice::kLinkShare * widest;
-  // The linter's compiler cannot read std::ranges::stable_partition.
-  std::stable_partition(
-    order.begin(), order.end(), [&](const PeerAddress* aPeer) {
-      return aPeer->mLinkMbps >= least;
-    });
-  return order;
-}
-
 } // namespace
 
 bool
@@ -39,33 +19,47 @@
   return it != mRests.end() && aNow < it->second.mUntil;
 }
 
+// By rendezvous, those with wide links first.
 std::vector<const PeerAddress*>
 RelayChoice::Order(std::span<const PeerAddress> aPeers) const
 {
+  std::map<DaemonId, const PeerAddress*> daemons;
   std::vector<HomeCandidate> candidates;
+  double widest = 0;
   for (const auto& it : aPeers) {
     if (it.mZone == mZone) {
+      daemons.emplace(it.mName, &it);
       candidates.push_back({ it.mName, it.mZone, 1.0 });
+      widest = std::max(widest, it.mLinkMbps);
     }
   }
-  if (candidates.size() <= mDirectDaemons) {
-    return {};
+  std::vector<const PeerAddress*> order;
+  if (candidates.size() <= kDirectDaemons) {
+    return order;
+  }
+  for (const auto& name : HomesOf(kDuty, candidates, candidates.size())) {
+    order.push_back(daemons.at(name));
   }
-  return InOrder(aPeers, candidates);
+  // The linter's compiler cannot read std::ranges::stable_partition.
+  std::stable_partition(
+    order.begin(), order.end(), [&](const PeerAddress* aPeer) {
+      return aPeer->mLinkMbps >= kLinkShare * widest;
+    });
+  return order;
 }
 
 bool
 RelayChoice::IsFirst(std::span<const PeerAddress> aPeers) const
 {
   const auto order = Order(aPeers);
-  return !order.empty() && order.front()->mName == mSelf.mName;
+  return !order.empty() && order.front()->mName == mSelf;
 }
 
 std::optional<PeerAddress>
 RelayChoice::Pick(std::span<const PeerAddress> aPeers, Instant aNow) const
 {
   for (const auto* peer : Order(aPeers)) {
-    if (peer->mName == mSelf.mName) {
+    if (peer->mName == mSelf) {
       return std::nullopt;
     }
     if (!IsResting(peer->mName, aNow)) {
--- a/packages/entry/src/relay_choice.h
+++ b/packages/entry/src/relay_choice.h
@@ -35,16 +35,14 @@
   static constexpr Duration kFirstRest = 2s;
   static constexpr Duration kMaxRest = 60s;
 
-  // Asks daemons of aZone, if there are more than aDirectDaemons.
-  RelayChoice(PeerAddress aSelf, ZoneId aZone, std::size_t aDirectDaemons)
+  // aZone is the zone whose daemons are asked.
+  RelayChoice(DaemonId aSelf, ZoneId aZone)
     : mSelf(std::move(aSelf))
     , mZone(std::move(aZone))
-    , mDirectDaemons(aDirectDaemons)
   {
   }
-  // Asks daemons of the own zone, if there are enough to spare calls.
   explicit RelayChoice(const PeerAddress& aSelf)
-    : RelayChoice(aSelf, aSelf.mZone, kDirectDaemons)
+    : RelayChoice(aSelf.mName, aSelf.mZone)
   {
   }
 
@@ -74,9 +72,8 @@
     std::span<const PeerAddress> aPeers) const;
   [[nodiscard]] bool IsResting(const DaemonId& aPeer, Instant aNow) const;
 
-  const PeerAddress mSelf;
+  const DaemonId mSelf;
   const ZoneId mZone;
-  const std::size_t mDirectDaemons;
   std::map<DaemonId, Rest> mRests;
 };
 
--- a/packages/entry/src/roll_notice.cpp
+++ b/packages/entry/src/roll_notice.cpp
@@ -14,15 +14,6 @@
 // A call crosses a zone's border at most.
 constexpr Duration kCallTime = 250ms;
 
-Result<ServerId>
-ReadServerId(const Json& aJson)
-{
-  if (!aJson.is_string()) {
-    return Fail(ErrorCode::Corrupt, "not a server's name");
-  }
-  return ServerId(aJson.get<std::string>());
-}
-
 } // namespace
 
 Json
@@ -35,13 +26,16 @@
 std::set<ServerId>
 ReadServerIds(JsonFields& aFields, std::string_view aField)
 {
-  const auto servers = ReadListPart(aFields, aField, ReadServerId);
-  return { servers.begin(), servers.end() };
+  std::set<ServerId> servers;
+  for (auto& it : ReadListPart(aFields, aField, ReadText)) {
+    servers.emplace(std::move(it));
+  }
+  return servers;
 }
 
 RollNotice::RollNotice(Loop& aLoop,
                        PeerDirectory& aPeers,
-                       PeerAddress aSelf,
+                       DaemonId aSelf,
                        Sink aSink)
   : mLoop(aLoop)
   , mPeers(aPeers)
@@ -60,8 +54,7 @@
 RelayChoice&
 RollNotice::RelayOf(const ZoneId& aZone)
 {
-  return mRelays.try_emplace(aZone, mSelf, aZone, RelayChoice::kDirectDaemons)
-    .first->second;
+  return mRelays.try_emplace(aZone, mSelf, aZone).first->second;
 }
 
 std::vector<PeerAddress>
@@ -80,9 +73,8 @@
       receivers.insert(receivers.end(), daemons.begin(), daemons.end());
     }
   }
-  std::erase_if(receivers, [&](const PeerAddress& aPeer) {
-    return aPeer.mName == mSelf.mName;
-  });
+  std::erase_if(receivers,
+                [&](const PeerAddress& aPeer) { return aPeer.mName == mSelf; });
   return receivers;
 }
 
--- a/packages/entry/src/roll_notice.h
+++ b/packages/entry/src/roll_notice.h
@@ -29,7 +29,7 @@
   // Several times the time between two notices.
   static constexpr Duration kLifetime = 1500ms;
 
-  RollNotice(Loop& aLoop, PeerDirectory& aPeers, PeerAddress aSelf, Sink aSink);
+  RollNotice(Loop& aLoop, PeerDirectory& aPeers, DaemonId aSelf, Sink aSink);
 
   // Returns the servers that load, as far as is known.
   [[nodiscard]] std::set<ServerId> Loading(Instant aNow) const;
@@ -48,7 +48,7 @@
 
   Loop& mLoop;
   PeerDirectory& mPeers;
-  const PeerAddress mSelf;
+  const DaemonId mSelf;
   const Sink mSink;
   HttpClient mClient;
   std::map<ZoneId, RelayChoice> mRelays;
--- a/packages/entry/tests/relay_choice_test.cpp
+++ b/packages/entry/tests/relay_choice_test.cpp
@@ -161,10 +161,10 @@
   }
 }
 
-TEST_CASE("daemons of another zone are picked without a least number")
+TEST_CASE("daemons of another zone are picked for it")
 {
-  const auto others = Daemons(2, ZoneId("b"));
-  RelayChoice choice(Daemons(1).front(), ZoneId("b"), 0);
+  const auto others = Daemons(20, ZoneId("b"));
+  const RelayChoice choice(DaemonId("a0"), ZoneId("b"));
   CHECK(choice.Pick(others, At(0s)));
-  CHECK_FALSE(choice.Pick(Daemons(3), At(0s)));
+  CHECK_FALSE(choice.Pick(Daemons(20), At(0s)));
 }
--- a/packages/platform/include/bilberrytrail/platform/json_read.h
+++ b/packages/platform/include/bilberrytrail/platform/json_read.h
@@ -3,6 +3,7 @@
 #include <bilberrytrail/base/enum_names.h>
 #include <bilberrytrail/platform/json_fields.h>
 
+#include <string>
 #include <string_view>
 #include <type_traits>
 #include <utility>
@@ -28,6 +29,16 @@
   return aValue;
 }
 
+// Reads an element of a list that is a text; fails with Corrupt.
+[[nodiscard]] inline Result<std::string>
+ReadText(const Json& aJson)
+{
+  if (!aJson.is_string()) {
+    return Fail(ErrorCode::Corrupt, "not a text");
+  }
+  return aJson.get<std::string>();
+}
+
 // Reads a field that holds the name of an enumerator.
 template<class Enum>
 [[nodiscard]] Enum
