Wake the followers of the tables when it is their turn

Cause: a daemon that asks another one looked 40 times a second whether it is to follow the tables itself, and worked out three times in each step whether others rely on it, which orders all daemons of its zone.

--- a/packages/entry/src/news_follower.cpp
+++ b/packages/entry/src/news_follower.cpp
@@ -91,11 +91,11 @@
 }
 
 void
-NewsFollower::SetDirect(Instant aNow)
+NewsFollower::SetDirect(bool aIsServing, Instant aNow)
 {
-  const bool isServing = IsServing(aNow);
-  const bool isAlone = isServing || !mHasRelay;
-  mSite.SetDirect(isAlone || IsWithin(mFailedAt, kDirectTime, aNow), isServing);
+  const bool isAlone = aIsServing || !mHasRelay;
+  mSite.SetDirect(isAlone || IsWithin(mFailedAt, kDirectTime, aNow),
+                  aIsServing);
   mStores.SetDirect(isAlone);
   if (isAlone) {
     // The next daemon's news begin anew.
@@ -121,14 +121,15 @@
     const auto relay = mChoice.Pick(mPeers.All(), now);
     const bool isServing = IsServing(now);
     mHasRelay = relay && !isServing;
-    SetDirect(now);
+    SetDirect(isServing, now);
     if (!mHasRelay) {
       LeaveRelay(isServing);
       continue;
     }
     while (Ask(*relay)) {
     }
-    SetDirect(MonotonicNow());
+    const auto then = MonotonicNow();
+    SetDirect(IsServing(then), then);
   }
 }
 
@@ -191,7 +192,7 @@
     return query.error();
   }
   mAskedAt = MonotonicNow();
-  SetDirect(*mAskedAt);
+  SetDirect(true, *mAskedAt);
   return ToJson(NewsReply{ mSite.AnswerQuery(query.value().mImage),
                            mStores.PageAt(query.value().mCache),
                            mNotice.Loading(*mAskedAt) });
--- a/packages/entry/src/news_follower.h
+++ b/packages/entry/src/news_follower.h
@@ -62,7 +62,7 @@
   bool Ask(const PeerAddress& aRelay);
   Result<NewsReply> Call(const PeerAddress& aRelay);
   void Take(const PeerAddress& aRelay, const NewsReply& aReply);
-  void SetDirect(Instant aNow);
+  void SetDirect(bool aIsServing, Instant aNow);
   // Returns whether others rely on this daemon, or will as soon as they have
   // started too.
   [[nodiscard]] bool IsServing(Instant aNow) const;
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -21,8 +21,8 @@
 // most such pauses between two calls.
 constexpr Duration kRetryPause = 250ms;
 constexpr unsigned kMostPauses = 4;
-// Longest wait until this daemon follows by itself again.
-constexpr Duration kIndirectPause = 50ms;
+// Longest wait of a fiber that is not woken.
+constexpr Duration kIndirectPause = 1s;
 constexpr Duration kPeerTime = 400ms;
 // An outage in which the lease of a roll can have lapsed.
 constexpr Duration kLongOutage = 1500ms;
@@ -49,6 +49,7 @@
   , mViews(aViews)
   , mClient(aLoop)
   , mAssembler(aReader)
+  , mTurns{ Event(aLoop), Event(aLoop) }
 {
 }
 
@@ -61,6 +62,19 @@
   mLoop.Spawn([this] { WatchExpiry(); });
 }
 
+void
+SiteFollower::SetDirect(bool aIsDirect, bool aIsServing)
+{
+  const bool isTurn = aIsDirect && !mIsDirect;
+  mIsDirect = aIsDirect;
+  mIsServing = aIsServing;
+  if (isTurn) {
+    for (auto& it : mTurns) {
+      it.Notify();
+    }
+  }
+}
+
 void
 SiteFollower::Follow(SiteTable aTable)
 {
@@ -68,7 +82,7 @@
   unsigned pauses = 1;
   while (!mLoop.IsStopping()) {
     if (!mIsDirect) {
-      (void)mLoop.Sleep(kIndirectPause);
+      (void)mTurns[static_cast<std::size_t>(aTable)].Wait(kIndirectPause);
       continue;
     }
     if (ReadOnce(aTable, mustReadAll)) {
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -9,6 +9,7 @@
 #include <bilberrytrail/runtime/rpc.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -70,11 +71,7 @@
   void Start();
   // Sets whether this daemon follows the tables itself, and whether others rely
   // on it.
-  void SetDirect(bool aIsDirect, bool aIsServing) noexcept
-  {
-    mIsDirect = aIsDirect;
-    mIsServing = aIsServing;
-  }
+  void SetDirect(bool aIsDirect, bool aIsServing);
   // Returns the versions of the copies.
   [[nodiscard]] ImageQuery Versions() const noexcept;
   // Returns what another daemon lacks.
@@ -106,6 +103,8 @@
   Instant mOutSince;
   bool mIsAsking = false;
   bool mIsDirect = true;
+  // Wake the fibers of the tables when this daemon follows them itself.
+  std::array<Event, EnumCount<SiteTable>()> mTurns;
   // Others may rely on this daemon as soon as it has started.
   bool mIsServing = true;
 };
