Build the stores to choose from once for each list of stores

Cause: each prompt built them twice, with a copy of each store's name. Change: they are built when the list of stores changes.

--- a/packages/entry/include/bilberrytrail/entry/cache_directory.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_directory.h
@@ -3,6 +3,7 @@
 #include <bilberrytrail/base/time.h>
 #include <bilberrytrail/entry/backend_call.h>
 #include <bilberrytrail/entry/cache_news.h>
+#include <bilberrytrail/membership/rendezvous.h>
 
 #include <algorithm>
 #include <map>
@@ -91,6 +92,8 @@
   [[nodiscard]] bool TakeRoom(Store& aStore, double aBytes, Instant aNow) const;
 
   std::map<StoreId, Store> mStores;
+  // The listed stores that may be used, as rendezvous hashing takes them.
+  std::vector<HomeCandidate> mCandidates;
   std::size_t mDaemons = 1;
   // The servers' clock at the start of this process's monotonic clock.
   std::optional<std::int64_t> mClockOffsetMs;
--- a/packages/entry/src/cache_directory.cpp
+++ b/packages/entry/src/cache_directory.cpp
@@ -1,7 +1,5 @@
 #include <bilberrytrail/entry/cache_directory.h>
 
-#include <bilberrytrail/membership/rendezvous.h>
-
 #include <algorithm>
 
 namespace bilberrytrail {
@@ -43,8 +41,14 @@
               aStore.mEndpoint == aEntry.second.mInfo->mEndpoint);
     });
   });
+  mCandidates.clear();
   for (const auto& it : aStores) {
     mStores[it.mName].mInfo = it;
+    if (it.mIsManaged) {
+      mCandidates.push_back({ DaemonId(it.mName.Text()),
+                              it.mZone,
+                              static_cast<double>(it.mCapacityTokens) });
+    }
   }
 }
 
@@ -90,16 +94,7 @@
 CacheDirectory::Store*
 CacheDirectory::StoreFor(const PromptPart& aPart, Instant aNow)
 {
-  std::vector<HomeCandidate> candidates;
-  for (const auto& [id, store] : mStores) {
-    if (store.mInfo && store.mInfo->mIsManaged) {
-      candidates.push_back(
-        { DaemonId(id.Text()),
-          store.mInfo->mZone,
-          static_cast<double>(store.mInfo->mCapacityTokens) });
-    }
-  }
-  const auto home = HomeOf(aPart.mId, candidates);
+  const auto home = HomeOf(aPart.mId, mCandidates);
   const auto it = mStores.find(StoreId(home.Text()));
   if (it == mStores.end() || !it->second.mHeardAt ||
       aNow > *it->second.mHeardAt + kFreshTime) {
