Play the soak's seeds that were red once in each run

Cause: the seeds of each run cut no stream of an engine, so that streams that end short as complete stayed green; and a seed that failed once is to be kept. Change: seeds 5 and 126 follow 1 to 3, each with its cause.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -7,9 +7,11 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <filesystem>
 #include <map>
+#include <numeric>
 
 using namespace bilberrytrail;
 using namespace bilberrytrail::soak;
@@ -269,22 +271,41 @@
   return !mHasFailed;
 }
 
+// Seeds of each run of all tests. Behind the first three stand those that were
+// red once:
+//
+// - 5, with streams that end short as complete, an edit: it cuts streams
+// - 126: a daemon did not start while its program was being linked anew
+constexpr std::array<std::uint64_t, 5> kSeeds{ 1, 2, 3, 5, 126 };
+
 std::uint64_t
-FromEnvironment(const char* aName, std::uint64_t aDefault)
+FromEnvironment(const char* aName)
 {
   const char* text = std::getenv(aName);
-  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
+  return text == nullptr ? 0 : std::strtoull(text, nullptr, 10);
+}
+
+// Returns the seeds that the environment names, or those of each run.
+std::vector<std::uint64_t>
+SeedsToPlay()
+{
+  const auto first = FromEnvironment("BILBERRYTRAIL_SOAK_FIRST");
+  const auto count = FromEnvironment("BILBERRYTRAIL_SOAK_SEEDS");
+  if (count == 0) {
+    return { kSeeds.begin(), kSeeds.end() };
+  }
+  std::vector<std::uint64_t> seeds(count);
+  std::iota(seeds.begin(), seeds.end(), first);
+  return seeds;
 }
 
 } // namespace
 
-// BILBERRYTRAIL_SOAK_FIRST and _SEEDS play other seeds; logs stay in the folder
-// of a seed that failed.
+// BILBERRYTRAIL_SOAK_SEEDS plays so many seeds from BILBERRYTRAIL_SOAK_FIRST
+// on; logs stay in the folder of a seed that failed.
 TEST_CASE("the promises hold while processes, links and the table service fail")
 {
-  const auto first = FromEnvironment("BILBERRYTRAIL_SOAK_FIRST", 1);
-  const auto count = FromEnvironment("BILBERRYTRAIL_SOAK_SEEDS", 3);
-  for (auto seed = first; seed < first + count; ++seed) {
+  for (const auto seed : SeedsToPlay()) {
     CAPTURE(seed);
     const auto folder = std::filesystem::temp_directory_path() /
                         ("bilberrytrail-soak-" + std::to_string(::getpid()) +
