--- a/packages/entry/src/event_splitter.cpp
+++ b/packages/entry/src/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include <bilberrytrail/entry/event_splitter.h>
 
+#include <bilberrytrail/base/text.h>
+
 #include <algorithm>
 
 namespace bilberrytrail {
@@ -23,18 +25,6 @@
   return end;
 }
 
-std::string_view
-Trim(std::string_view aText)
-{
-  while (!aText.empty() && aText.front() == ' ') {
-    aText.remove_prefix(1);
-  }
-  while (!aText.empty() && (aText.back() == '\r' || aText.back() == ' ')) {
-    aText.remove_suffix(1);
-  }
-  return aText;
-}
-
 } // namespace
 
 void
@@ -44,7 +34,7 @@
     const auto end = aEvents.find('\n');
     const auto line = aEvents.substr(0, end);
     if (line.starts_with(kIdField)) {
-      mLastId = Trim(line.substr(kIdField.size()));
+      mLastId = Trim(line.substr(kIdField.size()), " \r");
     }
     aEvents.remove_prefix(end == std::string_view::npos ? aEvents.size()
                                                         : end + 1);
--- a/packages/release/src/note_values.cpp
+++ b/packages/release/src/note_values.cpp
@@ -1,5 +1,7 @@
 #include "note_values.h"
 
+#include <bilberrytrail/base/text.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -11,16 +13,6 @@
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::size_t kSha256Digits = 64;
 
-std::string_view
-Trim(std::string_view aText)
-{
-  const auto first = aText.find_first_not_of(" \t");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
-}
-
 template<class T>
 std::optional<T>
 ReadWhole(std::string_view aText)
@@ -56,7 +48,7 @@
   std::vector<std::string> items;
   while (true) {
     const auto comma = aText.find(',');
-    const std::string_view item = Trim(aText.substr(0, comma));
+    const std::string_view item = Trim(aText.substr(0, comma), " \t");
     if (item.empty()) {
       return std::nullopt;
     }
--- a/packages/settings/src/ini_document.cpp
+++ b/packages/settings/src/ini_document.cpp
@@ -1,5 +1,7 @@
 #include <bilberrytrail/settings/ini_document.h>
 
+#include <bilberrytrail/base/text.h>
+
 #include <ini.h>
 
 #include <algorithm>
@@ -36,16 +38,7 @@
   });
 }
 
-std::string_view
-Trim(std::string_view aText)
-{
-  constexpr std::string_view kBlank = " \t\r";
-  const auto begin = aText.find_first_not_of(kBlank);
-  if (begin == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(begin, aText.find_last_not_of(kBlank) - begin + 1);
-}
+constexpr std::string_view kBlanks = " \t\r";
 
 bool
 IsControl(char aChar)
@@ -63,7 +56,7 @@
     return "expected [section] and nothing after it";
   }
   const auto name = aLine.substr(1, end - 1);
-  if (Trim(name).empty() || Trim(name).size() != name.size()) {
+  if (name.empty() || Trim(name, kBlanks).size() != name.size()) {
     return "expected a section name without spaces around it";
   }
   if (name.size() > kMaxNameBytes) {
@@ -81,7 +74,7 @@
   if (sign == std::string_view::npos || aLine[sign] == ':') {
     return "expected [section], key = value or a comment";
   }
-  const auto key = Trim(aLine.substr(0, sign));
+  const auto key = Trim(aLine.substr(0, sign), kBlanks);
   if (key.empty()) {
     return "expected a key before '='";
   }
@@ -101,7 +94,7 @@
     return "expected a line of at most " + std::to_string(kMaxLineBytes) +
            " bytes";
   }
-  const auto line = Trim(aLine);
+  const auto line = Trim(aLine, kBlanks);
   if (std::ranges::any_of(line, IsControl)) {
     return "expected no control characters";
   }
