Take out two functions that nothing calls

Cause: InFlight of the pool was never used, PartsAt of the directory not since the stores are followed on the control thread. Change: both are gone.

--- a/packages/entry/include/bilberrytrail/entry/cache_directory.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_directory.h
@@ -60,8 +60,6 @@
     Instant aTime) const noexcept;
   // Returns the number of parts that are thought to be on their way.
   [[nodiscard]] std::size_t PartsUnderWay() const noexcept;
-  // Returns the number of parts that a store is known to keep.
-  [[nodiscard]] std::size_t PartsAt(const StoreId& aStore) const noexcept;
 
   // Sets the number of daemons that share the links of the stores.
   void SetDaemons(std::size_t aDaemons) noexcept
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -175,7 +175,6 @@
   // Returns the server for a request, or nothing when there is none to try.
   [[nodiscard]] std::optional<ChosenServer> Choose(const ServerQuery& aQuery,
                                                    Instant aNow);
-  [[nodiscard]] std::size_t InFlight(const ServerId& aServer) const noexcept;
 
   // Takes in the list of servers. Returns the addresses of those that went.
   std::vector<Endpoint> Update(std::span<const ServerRecord> aServers,
--- a/packages/entry/src/cache_directory.cpp
+++ b/packages/entry/src/cache_directory.cpp
@@ -24,13 +24,6 @@
   return parts;
 }
 
-std::size_t
-CacheDirectory::PartsAt(const StoreId& aStore) const noexcept
-{
-  const auto it = mStores.find(aStore);
-  return it == mStores.end() ? 0 : it->second.mParts.size();
-}
-
 void
 CacheDirectory::SetStores(std::span<const CacheStore> aStores)
 {
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -67,15 +67,6 @@
 
 ServerPool::~ServerPool() = default;
 
-std::size_t
-ServerPool::InFlight(const ServerId& aServer) const noexcept
-{
-  const auto it = mServers.find(aServer);
-  return it == mServers.end()
-           ? 0
-           : it->second->mWaiting.size() + it->second->mRunning;
-}
-
 std::vector<Endpoint>
 ServerPool::Update(std::span<const ServerRecord> aServers, Instant /*aNow*/)
 {
