Take fractions in settings; give defaults for what cannot be read

Cause: the platform's bounds are whole numbers, fractions or truth values. The small twin of the large site has a fraction as retries.slack; the daemon ended with exit code 3. Ruled out: a template of its own for the twin. Change: times and the slack may be fractions.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -102,6 +102,7 @@
   RelayLeft,
   RelayFailed,
   NoticeNotTaken,
+  SettingDefaulted,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -480,6 +480,13 @@
                 "A daemon was not told which servers load weights; it may "
                 "send them prompts that they refuse.",
                 "Nothing, if it was stopped; else check that VM." },
+  LogEventInfo{ SettingDefaulted,
+                2017,
+                Warning,
+                "setting_defaulted",
+                "The value of an optional setting cannot be read; the setting "
+                "has its default. `reason` names it.",
+                "Correct the value; try the file with `--check`." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/daemon/main/bilberryd.cpp
+++ b/packages/daemon/main/bilberryd.cpp
@@ -142,17 +142,26 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
+void
+LogDefaulted(const EntrySettings& aSettings)
+{
+  for (const auto& it : aSettings.mDefaulted) {
+    LogLine(LogEvent::SettingDefaulted, { { "reason", it } });
+  }
+}
+
 // Takes the log level over; the other settings hold until the next start.
 void
 ReloadEntry(const std::string& aPath)
 {
-  const auto settings = LoadEntrySettings(aPath);
+  const auto settings = LoadEntrySettings(aPath, BadOptional::UseDefault);
   if (!settings) {
     LogLine(LogEvent::SettingsRejected,
             { { "reason", settings.error().mMessage } });
     return;
   }
   const auto opened = OpenLog({ settings.value().mLogLevel, "" });
+  LogDefaulted(settings.value());
   LogLine(LogEvent::SettingsReloaded,
           { { "log_level", settings.value().mLogLevel },
             { "log_opened", opened.has_value() } });
@@ -164,7 +173,8 @@
   const char* path = std::getenv("BILBERRYTRAIL_CONFIG");
   const std::string file =
     aOptions.mSettings.empty() && path != nullptr ? path : aOptions.mSettings;
-  const auto settings = LoadEntrySettings(file);
+  const auto settings = LoadEntrySettings(
+    file, aOptions.mCheck ? BadOptional::Reject : BadOptional::UseDefault);
   if (!settings) {
     std::cerr << settings.error().mMessage << "\n";
     return kExitSettings;
@@ -177,6 +187,7 @@
     std::cerr << "bilberryd: " << ok.error().mMessage << "\n";
     return kExitSettings;
   }
+  LogDefaulted(settings.value());
   const auto platform = MakeFleetPlatform();
   EntryDaemon daemon(settings.value(), *platform);
   return Serve(daemon, [file] { ReloadEntry(file); });
--- a/packages/entry/include/bilberrytrail/entry/entry_settings.h
+++ b/packages/entry/include/bilberrytrail/entry/entry_settings.h
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bilberrytrail {
 
@@ -32,13 +33,26 @@
   Duration mStopTime = 8s;
   // Repeated sends allowed to all daemons together.
   double mRetryRatio = 0.2;
-  std::uint64_t mRetrySlack = 50;
+  double mRetrySlack = 50;
   Duration mRetryWindow = 10s;
   // Least time between orders of two holders to one server.
   Duration mOrderGap = 3s;
   // Time from the naming of new weights to the last request that begins on
   // older ones.
   Duration mWeightsWithin = 15s;
+  // Optional settings whose value could not be read and that have their
+  // defaults instead, a line each.
+  std::vector<std::string> mDefaulted;
+};
+
+// What becomes of an optional setting whose value cannot be read.
+enum class BadOptional : unsigned char
+{
+  // It is a fault, as where an operator tries a file.
+  Reject,
+  // It gets its default: a file that the platform filled in with an absent or
+  // unexpected value must not keep a daemon from serving.
+  UseDefault
 };
 
 // Returns the table of these settings.
@@ -51,10 +65,12 @@
 
 // Reads INI text. Fails with InvalidInput and all faults, a line each.
 [[nodiscard]] Result<EntrySettings>
-ParseEntrySettings(std::string_view aText, std::string_view aName);
+ParseEntrySettings(std::string_view aText,
+                   std::string_view aName,
+                   BadOptional aBadOptional = BadOptional::Reject);
 
 // Reads a file; fails with NotFound too.
 [[nodiscard]] Result<EntrySettings>
-LoadEntrySettings(const std::string& aPath);
+LoadEntrySettings(const std::string& aPath, BadOptional aBadOptional);
 
 } // namespace bilberrytrail
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -173,10 +173,9 @@
       [this](const HttpRequest& aRequest) { return ServeMetrics(aRequest); })
   , mBackend(aPlatform.MakeBackend(mTraffic))
   , mPool(mSettings.mZone, ServerPoolSettings())
-  , mRetries({ mSettings.mRetryRatio,
-               static_cast<double>(mSettings.mRetrySlack),
-               mSettings.mRetryWindow },
-             MonotonicNow())
+  , mRetries(
+      { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow },
+      MonotonicNow())
   , mTimes(kMaxSeries)
   , mCounts(kMaxSeries)
   , mFlow(MakeFlowParts())
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -114,7 +114,7 @@
                "Repeated sends allowed for each request, over all daemons." },
   SettingInfo{ "retries",
                "slack",
-               Count,
+               Number,
                0,
                kMostRepeats,
                "50",
@@ -190,7 +190,7 @@
       aTo.mRetryRatio = std::get<double>(aValue);
     },
     [](auto& aTo, const auto& aValue) {
-      aTo.mRetrySlack = std::get<std::uint64_t>(aValue);
+      aTo.mRetrySlack = std::get<double>(aValue);
     },
     [](auto& aTo, const auto& aValue) {
       aTo.mRetryWindow = std::get<Duration>(aValue);
@@ -209,8 +209,9 @@
 class Reader
 {
 public:
-  explicit Reader(std::string_view aName)
+  Reader(std::string_view aName, BadOptional aBadOptional)
     : mName(aName)
+    , mBadOptional(aBadOptional)
   {
   }
 
@@ -221,6 +222,7 @@
   void AddFault(std::string aText);
 
   std::string_view mName;
+  BadOptional mBadOptional;
   EntrySettings mSettings;
   std::set<std::size_t> mSeen;
   std::string mFaults;
@@ -250,6 +252,10 @@
     return;
   }
   const auto value = ParseSetting(*it, aEntry.mValue);
+  if (!value && !it->mRequired && mBadOptional == BadOptional::UseDefault) {
+    mSettings.mDefaulted.push_back(name + ": " + value.error().mMessage);
+    return;
+  }
   if (!value) {
     AddFault(name + ": " + value.error().mMessage);
     return;
@@ -296,13 +302,15 @@
 }
 
 Result<EntrySettings>
-ParseEntrySettings(std::string_view aText, std::string_view aName)
+ParseEntrySettings(std::string_view aText,
+                   std::string_view aName,
+                   BadOptional aBadOptional)
 {
   const auto entries = ParseIni(aText, aName);
   if (!entries) {
     return entries.error();
   }
-  Reader reader(aName);
+  Reader reader(aName, aBadOptional);
   for (const auto& it : entries.value()) {
     reader.Read(it);
   }
@@ -310,7 +318,7 @@
 }
 
 Result<EntrySettings>
-LoadEntrySettings(const std::string& aPath)
+LoadEntrySettings(const std::string& aPath, BadOptional aBadOptional)
 {
   std::ifstream file(aPath);
   if (!file) {
@@ -318,7 +326,7 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  return ParseEntrySettings(text.str(), aPath);
+  return ParseEntrySettings(text.str(), aPath, aBadOptional);
 }
 
 } // namespace bilberrytrail
--- a/packages/settings/src/setting_table.cpp
+++ b/packages/settings/src/setting_table.cpp
@@ -66,13 +66,20 @@
   return IsDigit(aChar) || (aChar >= 'a' && aChar <= 'f');
 }
 
-// Reads the digits that begin the text; a fraction only for shares.
 bool
-MayHaveFraction(SettingType aType)
+IsReal(SettingType aType)
 {
   return aType == SettingType::Share || aType == SettingType::Number;
 }
 
+// Times may be fractions of their unit: platforms write "0.5s".
+bool
+MayHaveFraction(SettingType aType)
+{
+  return IsReal(aType) || aType == SettingType::Time;
+}
+
+// Reads the digits that begin the text.
 std::optional<double>
 TakeNumber(SettingType aType, std::string_view& aText)
 {
@@ -186,7 +193,7 @@
 std::string
 RenderBound(SettingType aType, double aValue)
 {
-  if (MayHaveFraction(aType)) {
+  if (IsReal(aType)) {
     std::array<char, 32> buf{};
     const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), aValue);
     return { buf.data(), end.ptr };
@@ -211,7 +218,7 @@
 IsNumeric(SettingType aType)
 {
   return aType == SettingType::Time || aType == SettingType::Size ||
-         aType == SettingType::Count || MayHaveFraction(aType);
+         aType == SettingType::Count || IsReal(aType);
 }
 
 std::string
