Look whether a caller has left before each send

Ruled out: a slow connect (the request reached the server at once when it was taken up). Change: CallerSink::HasCallerLeft looks at the socket before each send. Measured: the new case of request_flow_test sent the request before, and does not now.

--- a/packages/entry/include/bilberrytrail/entry/caller_request.h
+++ b/packages/entry/include/bilberrytrail/entry/caller_request.h
@@ -68,6 +68,9 @@
 
   // Calls the function at most once when the caller leaves.
   virtual void OnCallerGone(const std::function<void()>& aGone) = 0;
+  // Looks whether the caller has left. On a VM that is short of processor time
+  // the news of OnCallerGone may wait behind much else.
+  [[nodiscard]] virtual bool HasCallerLeft() = 0;
   // Refuses the request.
   virtual void Refuse(const Refusal& aRefusal) = 0;
   // Sends a whole answer.
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -379,7 +379,7 @@
 {
   Next next = Next::Send;
   while (next == Next::Send) {
-    if (mCancel.IsCancelled()) {
+    if (mCancel.IsCancelled() || mSink.HasCallerLeft()) {
       NoteCallerLeft();
       return;
     }
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -55,6 +55,7 @@
   {
     mGone = aGone;
   }
+  [[nodiscard]] bool HasCallerLeft() override { return mHasLeft; }
   void Refuse(const Refusal& aRefusal) override
   {
     mRefusal = aRefusal;
@@ -89,6 +90,8 @@
   }
 
   std::function<void()> mGone;
+  // The connection is closed, which mGone did not tell yet.
+  bool mHasLeft = false;
   std::optional<Refusal> mRefusal;
   unsigned mStatus = 0;
   std::string mBody;
--- a/packages/entry/tests/request_flow_test.cpp
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -292,6 +292,20 @@
   CHECK(fixture.mSink.mFinals == 0);
 }
 
+// Pattern: a daemon short of processor time takes up requests seconds late; the
+// end of the connection has come meanwhile and is not told yet.
+TEST_CASE("a request is not sent when its caller has left before its turn")
+{
+  for (const bool hasLeft : { false, true }) {
+    FlowFixture fixture;
+    fixture.mSink.mHasLeft = hasLeft;
+    fixture.mBackend.mScript = { Answering(200, "ok") };
+    fixture.Run();
+    CHECK(fixture.mBackend.mCalls.size() == (hasLeft ? 0 : 1));
+    CHECK(fixture.mSink.mFinals == (hasLeft ? 0 : 1));
+  }
+}
+
 TEST_CASE("kept KV cache is shared by version and never with isolated accounts")
 {
   struct Row
