Estimate the wait of a request by requests of its rank or more urgent ones

Change: the pool keeps waiting work and delays for each rank and counts those of the same or more urgent ranks, as servers begin requests in that order.

--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -12,6 +12,9 @@
 
 namespace bilberrytrail {
 
+// Number of ranks by which servers order requests.
+inline constexpr std::size_t kRanks = 10;
+
 // What a request asks of the choice of its server.
 struct ServerQuery
 {
@@ -33,6 +36,8 @@
   double mMissWork = 0;
   // Time to the first event that callers expect.
   Duration mObjective = 1s;
+  // 0 is the most urgent of kRanks; servers begin urgent requests first.
+  unsigned mRank = 0;
   // Servers that were tried for this request.
   std::vector<ServerId> mTried;
 };
@@ -161,7 +166,7 @@
 // daemon has at each, and how its sends to them ended. Not thread-safe.
 //
 //   auto choice = pool.Choose(query, now);
-//   auto ticket = pool.Begin(choice->mServer, query.mWork, now);
+//   auto ticket = pool.Begin(choice->mServer, query, now);
 //   ...
 //   pool.End(ticket, SendEnd::Answered, now);
 class ServerPool
@@ -181,7 +186,7 @@
                                Instant aNow);
   // Notes that a request is about to be sent.
   [[nodiscard]] SendTicket Begin(const ServerId& aServer,
-                                 double aWork,
+                                 const ServerQuery& aQuery,
                                  Instant aNow);
   // Notes that bytes of an answer have come.
   void OnProgress(SendTicket aTicket, Instant aNow);
@@ -216,20 +221,25 @@
   [[nodiscard]] bool IsSilent(const Server& aServer,
                               Duration aObjective,
                               Instant aNow) const;
-  [[nodiscard]] double WorkOf(const Server& aServer) const noexcept;
-  // The delay that requests to a server meet, by those of late and those that
-  // still wait.
-  [[nodiscard]] Duration DelayOf(const Server& aServer, Instant aNow) const;
-  // The estimated time to the first event at a server; aRank is its place by
+  // Work that a server does before it begins a request of a rank.
+  [[nodiscard]] double WorkOf(const Server& aServer,
+                              unsigned aRank) const noexcept;
+  // The delay that requests of a rank meet at a server, by those of late and
+  // those that still wait. Less urgent requests wait for others that they meet,
+  // so that their delays say nothing here.
+  [[nodiscard]] Duration DelayOf(const Server& aServer,
+                                 unsigned aRank,
+                                 Instant aNow) const;
+  // The estimated time to the first event at a server; aPlace is its place by
   // affinity.
   [[nodiscard]] Duration TimeAt(const ServerQuery& aQuery,
                                 const Server& aServer,
-                                std::size_t aRank,
+                                std::size_t aPlace,
                                 Instant aNow) const;
   // The estimated time, and what older weights are worth.
   [[nodiscard]] Duration CostAt(const ServerQuery& aQuery,
                                 const Server& aServer,
-                                std::size_t aRank,
+                                std::size_t aPlace,
                                 Instant aNow) const;
   // Sorts by affinity, or takes turns without.
   void Order(const ServerQuery& aQuery, Candidates& aCandidates);
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -40,7 +40,6 @@
 constexpr Duration kUnknownSiteReturn = 300ms;
 // Work of a token that is written, in tokens that are read.
 constexpr double kOutputTokenWork = 4;
-constexpr unsigned kLowestRank = 9;
 constexpr unsigned kFirstNotSuccess = 300;
 constexpr unsigned kFirstServerError = 500;
 
@@ -115,6 +114,8 @@
   // Returns the newest weights of the prompt's model; 0 when none are named.
   [[nodiscard]] std::uint64_t NewestWeights() const;
   [[nodiscard]] double Work() const noexcept;
+  // Returns how urgent the request is; 0 is the most urgent.
+  [[nodiscard]] unsigned Rank() const noexcept;
   [[nodiscard]] bool MayRepeat() const noexcept;
   [[nodiscard]] bool TryRepeat();
   [[nodiscard]] Duration TimeLeft() const noexcept;
@@ -142,6 +143,7 @@
   ServiceId mService;
   AttemptLedger mLedger;
   HttpCancel mCancel;
+  ServerQuery mQuery;
   ChosenServer mChoice;
   SendTicket mTicket;
   std::vector<ServerId> mTried;
@@ -242,6 +244,15 @@
            std::sqrt(static_cast<double>(prompt.mMaxOutputTokens));
 }
 
+unsigned
+RequestRun::Rank() const noexcept
+{
+  const auto rank = mAccount != nullptr && mAccount->mPriority
+                      ? *mAccount->mPriority
+                      : mRoute->mPriority;
+  return std::min<unsigned>(rank, kRanks - 1);
+}
+
 std::uint64_t
 RequestRun::NewestWeights() const
 {
@@ -257,6 +268,7 @@
   ServerQuery query;
   query.mService = mService;
   query.mObjective = mRoute->mObjective;
+  query.mRank = Rank();
   query.mTried = mTried;
   query.mWork = Work();
   if (mRequest.mPrompt) {
@@ -277,8 +289,8 @@
 bool
 RequestRun::ChooseServer()
 {
-  const auto query = MakeQuery();
-  const auto choice = mParts.mPool.Choose(query, MonotonicNow());
+  mQuery = MakeQuery();
+  const auto choice = mParts.mPool.Choose(mQuery, MonotonicNow());
   if (!choice) {
     Refuse(mTried.empty() ? RefusalReason::NoServer : RefusalReason::QueueFull,
            mTried.empty() ? "The service has no server."
@@ -325,10 +337,7 @@
   if (mRequest.mPrompt) {
     call.mWeightVersion = mChoice.mWeightVersion;
     call.mCacheSalt = CacheSalt(mChoice.mWeightVersion);
-    const auto rank = mAccount != nullptr && mAccount->mPriority
-                        ? *mAccount->mPriority
-                        : mRoute->mPriority;
-    call.mPriority = std::min(rank, kLowestRank);
+    call.mPriority = Rank();
     const auto* service = mView->FindService(mService);
     const auto now = MonotonicNow();
     call.mCache =
@@ -403,7 +412,7 @@
     return Next::Done;
   }
   auto call = MakeCall();
-  mTicket = mParts.mPool.Begin(mChoice.mServer, Work(), MonotonicNow());
+  mTicket = mParts.mPool.Begin(mChoice.mServer, mQuery, MonotonicNow());
   const auto headTime = HeadTime();
   auto answer = mParts.mBackend.Send(call, mRequest, headTime, mCancel);
   if (!answer) {
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -4,11 +4,22 @@
 #include <bilberrytrail/base/random.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <set>
 
 namespace bilberrytrail {
 
+// What requests of one rank met at a server.
+struct RankLoad
+{
+  // Work of the sends that have no byte of an answer yet.
+  double mWaitingWork = 0;
+  // Delay of late, as of mDelayAt.
+  Duration mDelay{};
+  Instant mDelayAt;
+};
+
 // A server of the list with what this daemon has seen of it.
 struct ServerPool::Server
 {
@@ -19,12 +30,8 @@
   // Sends without a byte of an answer yet, oldest first.
   std::set<SendTicket> mWaiting;
   std::size_t mRunning = 0;
-  // Work of the sends that have no byte of an answer yet.
-  double mWaitingWork = 0;
+  std::array<RankLoad, kRanks> mRanks;
   std::optional<Instant> mHeardAt;
-  // Delay of late, as of mDelayAt.
-  Duration mDelay{};
-  Instant mDelayAt;
   unsigned mFailures = 0;
   Duration mEjection{};
   std::optional<Instant> mEjectedUntil;
@@ -44,6 +51,7 @@
 {
   ServerId mServer;
   double mWork = 0;
+  unsigned mRank = 0;
   Instant mSentAt;
   bool mHasBegun = false;
 };
@@ -99,10 +107,14 @@
 }
 
 double
-ServerPool::WorkOf(const Server& aServer) const noexcept
+ServerPool::WorkOf(const Server& aServer, unsigned aRank) const noexcept
 {
-  return aServer.mWaitingWork +
-         mSettings.mRunningTokens * static_cast<double>(aServer.mRunning);
+  double work =
+    mSettings.mRunningTokens * static_cast<double>(aServer.mRunning);
+  for (std::size_t n = 0; n <= aRank; ++n) {
+    work += aServer.mRanks[n].mWaitingWork;
+  }
+  return work;
 }
 
 // A request that waits there, and nothing from the server since.
@@ -162,15 +174,21 @@
 }
 
 Duration
-ServerPool::DelayOf(const Server& aServer, Instant aNow) const
+ServerPool::DelayOf(const Server& aServer, unsigned aRank, Instant aNow) const
 {
-  const double age = ToMillis(aNow - aServer.mDelayAt);
-  const double left = std::exp(-age / ToMillis(mSettings.mDelayLifetime));
-  Duration delay = FromMillis(ToMillis(aServer.mDelay) * left);
+  Duration delay{};
+  for (std::size_t n = 0; n <= aRank; ++n) {
+    const auto& load = aServer.mRanks[n];
+    const double age = ToMillis(aNow - load.mDelayAt);
+    const double left = std::exp(-age / ToMillis(mSettings.mDelayLifetime));
+    delay = std::max(delay, FromMillis(ToMillis(load.mDelay) * left));
+  }
   for (const auto& ticket : aServer.mWaiting) {
     const auto& send = mSends.at(ticket);
-    const auto own = FromMillis(send.mWork / mSettings.mTokensPerMs);
-    delay = std::max(delay, aNow - send.mSentAt - own);
+    if (send.mRank <= aRank) {
+      const auto own = FromMillis(send.mWork / mSettings.mTokensPerMs);
+      delay = std::max(delay, aNow - send.mSentAt - own);
+    }
   }
   return delay;
 }
@@ -178,10 +196,10 @@
 Duration
 ServerPool::TimeAt(const ServerQuery& aQuery,
                    const Server& aServer,
-                   std::size_t aRank,
+                   std::size_t aPlace,
                    Instant aNow) const
 {
-  const auto delay = DelayOf(aServer, aNow);
+  const auto delay = DelayOf(aServer, aQuery.mRank, aNow);
   if (!aQuery.mModel) {
     const auto inFlight =
       static_cast<std::int64_t>(aServer.mWaiting.size() + aServer.mRunning);
@@ -189,8 +207,8 @@
     return std::max(delay, mSettings.mPlainTime) * (1 + inFlight) +
            (isFar ? mSettings.mZoneTime : Duration(0));
   }
-  double tokens = WorkOf(aServer);
-  if (aRank > 0) {
+  double tokens = WorkOf(aServer, aQuery.mRank);
+  if (aPlace > 0) {
     tokens += mSettings.mMissFactor * aQuery.mMissWork;
   }
   return delay + FromMillis(tokens / mSettings.mTokensPerMs);
@@ -199,10 +217,10 @@
 Duration
 ServerPool::CostAt(const ServerQuery& aQuery,
                    const Server& aServer,
-                   std::size_t aRank,
+                   std::size_t aPlace,
                    Instant aNow) const
 {
-  const auto time = TimeAt(aQuery, aServer, aRank, aNow);
+  const auto time = TimeAt(aQuery, aServer, aPlace, aNow);
   const bool isOld =
     aQuery.mModel && aServer.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
   return isOld ? time + FromMillis(ToMillis(aQuery.mObjective) *
@@ -276,14 +294,17 @@
 }
 
 SendTicket
-ServerPool::Begin(const ServerId& aServer, double aWork, Instant aNow)
+ServerPool::Begin(const ServerId& aServer,
+                  const ServerQuery& aQuery,
+                  Instant aNow)
 {
   const SendTicket ticket(++mLastTicket);
-  mSends[ticket] = { aServer, aWork, aNow, false };
+  const auto rank = std::min<unsigned>(aQuery.mRank, kRanks - 1);
+  mSends[ticket] = { aServer, aQuery.mWork, rank, aNow, false };
   const auto it = mServers.find(aServer);
   if (it != mServers.end()) {
     it->second->mWaiting.insert(ticket);
-    it->second->mWaitingWork += aWork;
+    it->second->mRanks[rank].mWaitingWork += aQuery.mWork;
   }
   return ticket;
 }
@@ -306,13 +327,13 @@
     const auto own = FromMillis(send->second.mWork / mSettings.mTokensPerMs);
     const auto seen = std::max(aNow - send->second.mSentAt - own, Duration(0));
     server.mWaiting.erase(aTicket);
-    const auto before = DelayOf(server, aNow);
-    server.mDelay =
+    auto& load = server.mRanks[send->second.mRank];
+    const auto before = DelayOf(server, send->second.mRank, aNow);
+    load.mDelay =
       FromMillis(ToMillis(before) +
                  mSettings.mDelayWeight * (ToMillis(seen) - ToMillis(before)));
-    server.mDelayAt = aNow;
-    server.mWaitingWork =
-      std::max(0.0, server.mWaitingWork - send->second.mWork);
+    load.mDelayAt = aNow;
+    load.mWaitingWork = std::max(0.0, load.mWaitingWork - send->second.mWork);
     ++server.mRunning;
   }
 }
@@ -351,7 +372,8 @@
   if (ended.mHasBegun) {
     server.mRunning -= std::min<std::size_t>(server.mRunning, 1);
   } else {
-    server.mWaitingWork = std::max(0.0, server.mWaitingWork - ended.mWork);
+    auto& work = server.mRanks[ended.mRank].mWaitingWork;
+    work = std::max(0.0, work - ended.mWork);
   }
   switch (aEnd) {
     case SendEnd::Answered: {
--- a/packages/entry/tests/admission_test.cpp
+++ b/packages/entry/tests/admission_test.cpp
@@ -76,7 +76,7 @@
     }
     auto& server = servers[choice->mServer];
     server.mFreeAt = std::max(server.mFreeAt, now) + kReadTime;
-    running.emplace(server.mFreeAt, pool.Begin(choice->mServer, kTokens, now));
+    running.emplace(server.mFreeAt, pool.Begin(choice->mServer, query, now));
     ++(server.mFreeAt - now <= kObjective ? result.mInTime : result.mLate);
   }
   return result;
--- a/packages/entry/tests/server_pool_test.cpp
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -56,6 +56,15 @@
   return query;
 }
 
+// A request with an amount of work.
+ServerQuery
+WorkOf(double aWork)
+{
+  ServerQuery query;
+  query.mWork = aWork;
+  return query;
+}
+
 ServerQuery
 PlainQuery()
 {
@@ -103,7 +112,7 @@
     (void)pool.Update(Servers(9, kEngines), At(0s));
     const auto query = PromptQuery(42);
     const auto home = pool.Choose(query, At(0s))->mServer;
-    (void)pool.Begin(home, 0, At(0s));
+    (void)pool.Begin(home, WorkOf(0), At(0s));
     CHECK((pool.Choose(query, At(it.mBehind))->mServer == home) == it.mStays);
   }
 }
@@ -114,7 +123,7 @@
   (void)pool.Update(Servers(9, kEngines), At(0s));
   const auto query = PromptQuery(42);
   const auto home = pool.Choose(query, At(0s))->mServer;
-  const auto ticket = pool.Begin(home, 0, At(0s));
+  const auto ticket = pool.Begin(home, WorkOf(0), At(0s));
   pool.OnProgress(ticket, At(900ms));
   (void)pool.End(ticket, SendEnd::Answered, At(900ms));
   CHECK(pool.Choose(query, At(910ms))->mServer != home);
@@ -127,10 +136,10 @@
   (void)pool.Update(Servers(3, kShop), At(0s));
   const auto near = pool.Choose(PlainQuery(), At(0s));
   CHECK(near->mZone == kOwnZone);
-  (void)pool.Begin(near->mServer, 1, At(0s));
+  (void)pool.Begin(near->mServer, WorkOf(1), At(0s));
   const auto next = pool.Choose(PlainQuery(), At(0s));
   CHECK(next->mServer != near->mServer);
-  (void)pool.Begin(next->mServer, 1, At(0s));
+  (void)pool.Begin(next->mServer, WorkOf(1), At(0s));
   const auto last = pool.Choose(PlainQuery(), At(0s));
   CHECK(last->mServer != near->mServer);
   CHECK(last->mServer != next->mServer);
@@ -159,7 +168,7 @@
     (void)pool.Update(Servers(3, kShop), At(0s));
     const auto server = pool.Choose(PlainQuery(), At(0s))->mServer;
     for (int n = 0; n < it.mTimes; ++n) {
-      (void)pool.End(pool.Begin(server, 1, At(0s)), it.mEnd, At(0s));
+      (void)pool.End(pool.Begin(server, WorkOf(1), At(0s)), it.mEnd, At(0s));
     }
     const auto isUsed = [&](Duration aTime) {
       auto query = PlainQuery();
@@ -187,7 +196,7 @@
   for (const auto& [server, at] :
        { std::pair{ first, 0ms }, std::pair{ second, 100ms } }) {
     (void)pool.End(
-      pool.Begin(server, 1, At(at)), SendEnd::NoConnection, At(at));
+      pool.Begin(server, WorkOf(1), At(at)), SendEnd::NoConnection, At(at));
   }
   const auto choice = pool.Choose(PlainQuery(), At(200ms));
   REQUIRE(choice);
@@ -200,7 +209,7 @@
   ServerPool pool(kOwnZone, ServerPoolSettings());
   (void)pool.Update(Servers(2, kShop), At(0s));
   const auto silent = pool.Choose(PlainQuery(), At(0s))->mServer;
-  const auto ticket = pool.Begin(silent, 1, At(0s));
+  const auto ticket = pool.Begin(silent, WorkOf(1), At(0s));
   auto query = PlainQuery();
   query.mTried = { silent == ServerId("s0") ? ServerId("s1") : ServerId("s0") };
   CHECK(pool.Choose(query, At(299ms))->mReason != ChoiceReason::LastResort);
@@ -219,7 +228,7 @@
   query.mMissWork = 0;
   query.mNewestVersion = 2;
   CHECK(pool.Choose(query, At(0s))->mWeightVersion == 2);
-  (void)pool.Begin(servers[0].mId, 60000, At(0s));
+  (void)pool.Begin(servers[0].mId, WorkOf(60000), At(0s));
   CHECK(pool.Choose(query, At(0s))->mWeightVersion == 1);
   // Older weights are out of the question once their time is over.
   query.mLeastVersion = 2;
@@ -255,7 +264,7 @@
   (void)pool.Update(Servers(2, kEngines, 1), At(0s));
   auto query = PromptQuery(0);
   const auto loading = pool.Choose(query, At(0s))->mServer;
-  (void)pool.End(pool.Begin(loading, 1, At(0s)), SendEnd::Full, At(0s));
+  (void)pool.End(pool.Begin(loading, WorkOf(1), At(0s)), SendEnd::Full, At(0s));
   pool.ExpectLoading(loading, At(0s));
   for (int n = 0; n < 4; ++n) {
     CHECK(pool.Choose(query, At(1s))->mServer != loading);
@@ -310,3 +319,37 @@
   pool.SetLoading({ servers[0].mId, servers[1].mId, servers[2].mId }, At(20s));
   CHECK(pool.Choose(PromptQuery(7919), At(20s)));
 }
+
+// Long prompts wait behind each other while a server begins short ones of a
+// more urgent rank at once: a crest of the long ones must not turn the short
+// ones away.
+TEST_CASE("delays of less urgent requests do not count for urgent ones")
+{
+  struct Case
+  {
+    unsigned mWaiting;
+    unsigned mAsking;
+    bool mIsLate;
+  };
+  for (const auto& it : { Case{ 2, 0, false },
+                          Case{ 2, 1, false },
+                          Case{ 2, 2, true },
+                          Case{ 0, 2, true },
+                          Case{ 1, 0, false } }) {
+    CAPTURE(it.mWaiting);
+    CAPTURE(it.mAsking);
+    ServerPool pool(kOwnZone, ServerPoolSettings());
+    (void)pool.Update(Servers(1, kEngines), At(0s));
+    auto begun = PromptQuery(1);
+    begun.mRank = it.mWaiting;
+    const auto ticket = pool.Begin(ServerId("s0"), begun, At(0s));
+    pool.OnProgress(ticket, At(800ms));
+    // Another one waits still.
+    (void)pool.Begin(ServerId("s0"), begun, At(500ms));
+    auto query = PromptQuery(1);
+    query.mRank = it.mAsking;
+    const auto choice = pool.Choose(query, At(810ms));
+    REQUIRE(choice);
+    CHECK((choice->mTime > 200ms) == it.mIsLate);
+  }
+}
