Bound bytes without end; answer what came just before a stop; take no unnamed late answer

On a kept connection a response without a request's id was taken for the answer. At a stop, closing the acceptor reset connections that were not accepted yet, and kept connections whose request had just come were shut. Ruled out: heads without end (bounded in size and time by the library and the wait).

--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -40,6 +40,10 @@
 constexpr Duration kUnknownSiteReturn = 300ms;
 // Work of a token that is written, in tokens that are read.
 constexpr double kOutputTokenWork = 4;
+// Largest answer that is not a stream, and largest event, in bytes; servers in
+// trouble send bytes without end.
+constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 constexpr unsigned kFirstNotSuccess = 300;
 constexpr unsigned kFirstServerError = 500;
 
@@ -538,6 +542,9 @@
       break;
     }
     body += *piece.value();
+    if (body.size() > kMaxAnswerBytes) {
+      return OnFailure({ SendFault::Garbled, false, "too long an answer" });
+    }
   }
   const auto status = aAnswer.Head().mStatus;
   const bool isError = status >= kFirstServerError;
@@ -577,6 +584,9 @@
       return EndStream(mEvents.Rest());
     }
     const auto whole = mEvents.Add(*piece.value());
+    if (mEvents.Rest().size() > kMaxEventBytes) {
+      return OnStreamBroken(Fail(ErrorCode::Corrupt, "too long an event"));
+    }
     if (whole.empty()) {
       continue;
     }
--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -75,7 +75,8 @@
   Duration mAckTimeout{ 0 };
   // Header in which the peer repeats the request's value of it. A response
   // with another value belongs to an earlier request: it is dropped, and the
-  // next one on the connection is read. Empty for no check.
+  // next one on the connection is read. So is one without the header on a
+  // connection that was in use before. Empty for no check.
   std::string mEchoHeader;
   HttpCancel* mCancel = nullptr;
 };
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -49,6 +49,8 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
+  // Another exchange came before the one that is under way.
+  bool mIsReused = false;
   // When the peer may close the idle connection.
   Instant mUsableUntil = Instant::max();
 };
@@ -167,6 +169,7 @@
     const int handle = connection->mStream.socket().native_handle();
     if (MonotonicNow() < connection->mUsableUntil &&
         PeekSocket(handle) == SocketState::Quiet) {
+      connection->mIsReused = true;
       return connection;
     }
   }
@@ -486,6 +489,7 @@
     return std::move(acquired).error();
   }
   auto connection = std::move(acquired).value();
+  const bool isReused = connection->mIsReused;
   const auto text = TextOf(ToMessage(aEndpoint, aRequest));
   const auto unsent = WriteAll(connection->mStream, text, aOptions.mTimeout);
   auto stream = std::make_unique<HttpStream::Impl>(
@@ -502,7 +506,9 @@
       return MakeError(SendState::MaybeSent, unsent ? unsent : code);
     }
     const auto value = FindHeader(stream->Headers(), aOptions.mEchoHeader);
-    if (aOptions.mEchoHeader.empty() || value.empty() || value == echo) {
+    // Without a name only the first response of a connection is this one's.
+    const bool isOwn = value.empty() ? !isReused && n == 0 : value == echo;
+    if (aOptions.mEchoHeader.empty() || isOwn) {
       stream->ReleaseWhenDone();
       return HttpStream(std::move(stream));
     }
--- a/packages/runtime/src/http_server.cpp
+++ b/packages/runtime/src/http_server.cpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <atomic>
+#include <optional>
 #include <tuple>
 #include <unordered_set>
 
@@ -31,6 +32,25 @@
 // Longest time that a refused sender's remaining bytes are read and dropped,
 // so that it gets to see the refusal.
 constexpr Duration kLingerTime = 1s;
+// Time for the request of a connection that was taken up at the stop.
+constexpr Duration kLastRequestTime = 500ms;
+
+// Counts a request as active while it lives.
+class ActiveCount
+{
+public:
+  explicit ActiveCount(std::atomic<std::size_t>& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+  ~ActiveCount() { --mCount; }
+  ActiveCount(const ActiveCount&) = delete;
+  ActiveCount& operator=(const ActiveCount&) = delete;
+
+private:
+  std::atomic<std::size_t>& mCount;
+};
 
 // The status that answers a request which could not be read; 0 for none.
 unsigned
@@ -85,16 +105,21 @@
   Result<std::uint16_t> Listen(const Endpoint& aEndpoint, bool aShared);
   void Start(HttpHandler& aHandler)
   {
-    mLoop.Spawn(
-      [self = shared_from_this(), &aHandler] { self->Accept(aHandler); });
+    mHandler = &aHandler;
+    mLoop.Spawn([self = shared_from_this()] { self->Accept(); });
   }
   void SetLimits(const HttpLimits& aLimits) { mLimits = aLimits; }
   void CloseAfterAnswers() { mClosing = true; }
   void StopAccepting();
 
 private:
-  void Accept(HttpHandler& aHandler);
-  void Session(tcp::socket aSocket, HttpHandler& aHandler);
+  void Accept();
+  void SpawnSession(tcp::socket aSocket);
+  void Session(tcp::socket aSocket);
+  // Reads and answers one request; false when the connection is to be closed.
+  bool ServeRequest(beast::tcp_stream& aStream,
+                    beast::flat_buffer& aBuffer,
+                    const HttpLimits& aLimits);
   // Reads one request; false when the connection is to be closed.
   bool ReadRequest(beast::tcp_stream& aStream,
                    beast::flat_buffer& aBuffer,
@@ -105,13 +130,12 @@
                     Duration aIdleTime);
   void RefuseRequest(beast::tcp_stream& aStream,
                      const beast::error_code& aCode);
-  bool HandleRequest(beast::tcp_stream& aStream,
-                     RequestParser& aParser,
-                     HttpHandler& aHandler);
+  bool HandleRequest(beast::tcp_stream& aStream, RequestParser& aParser);
 
   Loop& mLoop;
   HttpLimits mLimits;
   tcp::acceptor mAcceptor;
+  HttpHandler* mHandler = nullptr;
   std::unordered_set<beast::tcp_stream*> mIdle;
   std::atomic<std::size_t> mActive = 0;
   bool mClosing = false;
@@ -149,7 +173,7 @@
 }
 
 void
-HttpServer::Impl::Accept(HttpHandler& aHandler)
+HttpServer::Impl::Accept()
 {
   while (!mStopped && !mLoop.IsStopping()) {
     tcp::socket socket(mLoop.Internals().Context());
@@ -162,44 +186,77 @@
       (void)mLoop.Sleep(kAcceptPause);
       continue;
     }
-    auto shared = std::make_shared<tcp::socket>(std::move(socket));
-    mLoop.Spawn([self = shared_from_this(), shared, &aHandler] {
-      self->Session(std::move(*shared), aHandler);
-    });
+    SpawnSession(std::move(socket));
   }
 }
 
+void
+HttpServer::Impl::SpawnSession(tcp::socket aSocket)
+{
+  auto shared = std::make_shared<tcp::socket>(std::move(aSocket));
+  mLoop.Spawn(
+    [self = shared_from_this(), shared] { self->Session(std::move(*shared)); });
+}
+
+// Connections that wait to be accepted are taken up first: closing the acceptor
+// would reset them, with the requests that they have sent.
 void
 HttpServer::Impl::StopAccepting()
 {
   mStopped = true;
   beast::error_code ec;
+  mAcceptor.non_blocking(true, ec);
+  while (!ec && mHandler != nullptr) {
+    tcp::socket socket(mLoop.Internals().Context());
+    mAcceptor.accept(socket, ec);
+    if (!ec) {
+      SpawnSession(std::move(socket));
+    }
+  }
   mAcceptor.close(ec);
   for (auto* stream : mIdle) {
-    stream->socket().shutdown(tcp::socket::shutdown_both, ec);
+    auto& socket = stream->socket();
+    if (PeekSocket(socket.native_handle()) != SocketState::HasData) {
+      socket.shutdown(tcp::socket::shutdown_both, ec);
+    }
   }
 }
 
 void
-HttpServer::Impl::Session(tcp::socket aSocket, HttpHandler& aHandler)
+HttpServer::Impl::Session(tcp::socket aSocket)
 {
+  std::optional<ActiveCount> last;
+  if (mStopped) {
+    last.emplace(mActive);
+  }
   beast::error_code ec;
   aSocket.set_option(tcp::no_delay(true), ec);
   beast::tcp_stream stream(std::move(aSocket));
   beast::flat_buffer buf;
   const HttpLimits limits = mLimits;
-  bool open = true;
-  while (open && !(mStopped && buf.size() == 0)) {
-    RequestParser parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
-    parser.body_limit(limits.mBodyBytes);
-    open = AwaitRequest(stream, buf, limits.mIdleTime) &&
-           ReadRequest(stream, buf, limits, parser) &&
-           HandleRequest(stream, parser, aHandler);
+  const auto firstWait = mStopped ? kLastRequestTime : limits.mIdleTime;
+  bool open = AwaitRequest(stream, buf, firstWait);
+  while (open) {
+    open = ServeRequest(stream, buf, limits) &&
+           !(mStopped && buf.size() == 0) &&
+           AwaitRequest(stream, buf, limits.mIdleTime);
   }
   stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
+bool
+HttpServer::Impl::ServeRequest(beast::tcp_stream& aStream,
+                               beast::flat_buffer& aBuffer,
+                               const HttpLimits& aLimits)
+{
+  const ActiveCount active(mActive);
+  RequestParser parser;
+  parser.header_limit(static_cast<std::uint32_t>(aLimits.mHeaderBytes));
+  parser.body_limit(aLimits.mBodyBytes);
+  return ReadRequest(aStream, aBuffer, aLimits, parser) &&
+         HandleRequest(aStream, parser);
+}
+
 bool
 HttpServer::Impl::AwaitRequest(beast::tcp_stream& aStream,
                                const beast::flat_buffer& aBuffer,
@@ -275,17 +332,14 @@
 
 bool
 HttpServer::Impl::HandleRequest(beast::tcp_stream& aStream,
-                                RequestParser& aParser,
-                                HttpHandler& aHandler)
+                                RequestParser& aParser)
 {
   const bool keepAlive = aParser.get().keep_alive() && !mStopped && !mClosing;
   const HttpRequest request = TakeRequest(aParser);
   HttpResponderImpl responder(aStream, mLimits, keepAlive);
   aStream.expires_never();
-  ++mActive;
-  aHandler.Handle(request, responder);
+  mHandler->Handle(request, responder);
   responder.StopWatching();
-  --mActive;
   if (!responder.IsComplete()) {
     responder.Abort();
   }
--- a/packages/runtime/tests/http_exchange_test.cpp
+++ b/packages/runtime/tests/http_exchange_test.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <atomic>
 #include <thread>
 
@@ -162,6 +163,80 @@
   CHECK(Exchange(peer.At(), { "1" }) == std::vector<std::string>{ "-" });
 }
 
+// Pattern: a second copy of an answer comes late on a connection that is in use
+// again, from a server that does not name the request.
+TEST_CASE("on a kept connection only a response that names its request counts")
+{
+  const std::string unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+  ScriptedPeer kept({ Response("1", "one"), unnamed });
+  CHECK(Exchange(kept.At(), { "1", "2" }) ==
+        std::vector<std::string>{ "one", "-" });
+  // On a new connection nothing else can have come before.
+  ScriptedPeer fresh({ unnamed });
+  CHECK(Exchange(fresh.At(), { "1" }) == std::vector<std::string>{ "old" });
+}
+
+// Pattern: a planned stop under load. Callers have just connected and sent
+// their requests; the daemon has not taken them up yet.
+TEST_CASE("requests that came just before a stop are answered")
+{
+  class Answering final : public HttpHandler
+  {
+  public:
+    void Handle(const HttpRequest& /*aRequest*/,
+                HttpResponder& aResponder) override
+    {
+      (void)aResponder.Send({ 200, {}, "answered" });
+    }
+  };
+  Loop loop;
+  Answering handler;
+  HttpServer server(loop, HttpLimits());
+  const auto port = server.Listen({ "127.0.0.1", 0 });
+  REQUIRE(port.has_value());
+  server.Serve(handler);
+  constexpr int kCallers = 20;
+  boost::asio::io_context context;
+  std::vector<tcp::socket> callers;
+  for (int n = 0; n < kCallers; ++n) {
+    callers.emplace_back(context).connect(
+      { boost::asio::ip::address_v4::loopback(), port.value() });
+  }
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  loop.Spawn([&] {
+    // Half of the callers are waited for by sessions, the others are not
+    // accepted yet when the stop comes.
+    for (int n = 0; n < kCallers / 2; ++n) {
+      boost::asio::write(callers[static_cast<std::size_t>(n)],
+                         boost::asio::buffer(request));
+    }
+    (void)loop.Sleep(20ms);
+    for (auto& it : callers) {
+      boost::asio::write(it, boost::asio::buffer(request));
+    }
+    server.StopAccepting();
+    (void)loop.Sleep(300ms);
+    loop.Stop();
+  });
+  loop.Run();
+  int answers = 0;
+  for (std::size_t n = 0; n < callers.size(); ++n) {
+    boost::system::error_code ec;
+    callers[n].non_blocking(true, ec);
+    std::string text;
+    std::array<char, 4096> buf{};
+    while (!ec) {
+      const auto read = callers[n].read_some(boost::asio::buffer(buf), ec);
+      text.append(buf.data(), read);
+    }
+    for (auto at = text.find("answered"); at != std::string::npos;
+         at = text.find("answered", at + 1)) {
+      ++answers;
+    }
+  }
+  CHECK(answers == kCallers + kCallers / 2);
+}
+
 TEST_CASE("a connection is not kept beyond the idle time that the peer names")
 {
   ScriptedPeer peer({ Response("1", "one", "Keep-Alive: timeout=0\r\n"),
