Place work by homes that see all of it; estimate by queues, memory and kept parts

Cause: a daemon sees its share of a server's work only, a sixth on Litoral's site and a 295th on the large one, so that its estimate is a guess: hot parts crowd on some servers, and crests are not seen. Change: groups of about 16 servers have a home among the daemons with wide links; entries ask it by a datagram and tell begins and ends; a silent home rests, and the entry decides by itself. The estimate has known work by rank that drains, memory of the prompts that are there, shared parts that a server read of late, the usual time of a kind of request, and delays beyond all that. A home refuses beyond 0.8 of the objective.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -103,6 +103,8 @@
   RelayFailed,
   NoticeNotTaken,
   SettingDefaulted,
+  HomeSilent,
+  PlacementUnreadable,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -487,6 +487,22 @@
                 "The value of an optional setting cannot be read; the setting "
                 "has its default. `reason` names it.",
                 "Correct the value; try the file with `--check`." },
+  LogEventInfo{ HomeSilent,
+                2018,
+                Info,
+                "home_silent",
+                "The daemon that places work on a group of backend servers "
+                "did not answer in time; it is not asked for `rest`, and the "
+                "next one of the group is, or this daemon places by itself.",
+                "Nothing, if it was stopped; else check that VM." },
+  LogEventInfo{ PlacementUnreadable,
+                2019,
+                Warning,
+                "placement_unreadable",
+                "A datagram about the placement of work cannot be read and "
+                "was dropped.",
+                "Look for who sends; daemons of two versions do so during a "
+                "replacement." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/admission.h
+++ b/packages/entry/include/bilberrytrail/entry/admission.h
@@ -18,6 +18,15 @@
   Duration mMaxReturn = 2s;
 };
 
+// Bounds where all work at the servers is known, so that estimates are good.
+[[nodiscard]] constexpr AdmissionSettings
+HomeAdmission() noexcept
+{
+  AdmissionSettings settings;
+  settings.mMaxObjectives = 0.8;
+  return settings;
+}
+
 // Returns nothing when a prompt is admitted, else when its caller may return.
 // aTime is the estimated time to the first event at the soonest server.
 [[nodiscard]] std::optional<Duration>
--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -5,6 +5,7 @@
 #include <bilberrytrail/entry/backend_call.h>
 #include <bilberrytrail/entry/cache_directory.h>
 #include <bilberrytrail/entry/event_splitter.h>
+#include <bilberrytrail/entry/placement.h>
 #include <bilberrytrail/entry/retry_meter.h>
 #include <bilberrytrail/entry/server_pool.h>
 #include <bilberrytrail/entry/site_view.h>
@@ -32,6 +33,8 @@
   // Whether the view was confirmed so lately that a route or key that it lacks
   // does not exist.
   std::function<bool()> mIsViewFresh;
+  // Who places requests; null when this daemon does so by itself.
+  Placer* mPlacer = nullptr;
 };
 
 // Answers requests of callers straight from the backend servers: finds route
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <bilberrytrail/entry/backend_call.h>
+#include <bilberrytrail/entry/server_load.h>
 
 #include <cstddef>
 #include <map>
@@ -12,9 +13,6 @@
 
 namespace bilberrytrail {
 
-// Number of ranks by which servers order requests.
-inline constexpr std::size_t kRanks = 10;
-
 // What a request asks of the choice of its server.
 struct ServerQuery
 {
@@ -34,6 +32,14 @@
   double mWork = 1;
   // Tokens to read besides at a server that keeps none of the shared parts.
   double mMissWork = 0;
+  // Tokens of the shared parts.
+  double mSharedTokens = 0;
+  // Tokens of memory that the request takes while it runs, and that a server
+  // has; 0 when they are not known.
+  double mMemory = 0;
+  double mServerMemory = 0;
+  // Requests of one kind take about the same time.
+  std::uint64_t mKind = 0;
   // Time to the first event that callers expect.
   Duration mObjective = 1s;
   // 0 is the most urgent of kRanks; servers begin urgent requests first.
@@ -152,6 +158,15 @@
   double mMissFactor = 1.5;
   // Estimated time that older weights are worth, as a share of the objective.
   double mOldWeightsObjectives = 0.5;
+  // The usual time of a kind counts up to this share of its objective, so that
+  // it alone never keeps all of them away.
+  double mUsualObjectives = 0.25;
+  // All prompts of the servers go through this pool, so that it knows which
+  // shared parts they read of late. Else the first server by affinity is taken
+  // to keep them.
+  bool mSeesAllPrompts = false;
+  // Weight of the newest time for which a prompt held memory.
+  double mHoldWeight = 0.05;
   // Typical time of a request without a prompt, before one was seen.
   Duration mPlainTime = 15ms;
   // Time by which a server in another zone must be sooner, for requests
@@ -221,12 +236,26 @@
   [[nodiscard]] bool IsSilent(const Server& aServer,
                               Duration aObjective,
                               Instant aNow) const;
-  // Work that a server does before it begins a request of a rank.
-  [[nodiscard]] double WorkOf(const Server& aServer,
-                              unsigned aRank) const noexcept;
-  // The delay that requests of a rank meet at a server, by those of late and
-  // those that still wait. Less urgent requests wait for others that they meet,
-  // so that their delays say nothing here.
+  // Work that a server does before it begins a request of a rank, as far as
+  // this daemon gave it the work.
+  [[nodiscard]] double WorkBefore(const Server& aServer,
+                                  unsigned aRank,
+                                  Instant aNow) const noexcept;
+  [[nodiscard]] Duration TimeOf(double aTokens) const noexcept;
+  // The usual time of a kind of prompts beyond the known work.
+  [[nodiscard]] Duration UsualTimeOf(const ServerQuery& aQuery) const;
+  // Tokens to read besides at a server, by whether it keeps the shared parts.
+  [[nodiscard]] double MissAt(const ServerQuery& aQuery,
+                              const Server& aServer,
+                              std::size_t aPlace) const;
+  // The time until requests that run at a server, of the same or more urgent
+  // ranks, have left memory for one more.
+  [[nodiscard]] Duration MemoryTime(const ServerQuery& aQuery,
+                                    const Server& aServer) const;
+  // The delay that requests of a rank meet at a server beyond their usual time
+  // and the known work, by those of late and those that still wait. Less
+  // urgent requests wait for others that they meet, so that their delays say
+  // nothing here.
   [[nodiscard]] Duration DelayOf(const Server& aServer,
                                  unsigned aRank,
                                  Instant aNow) const;
@@ -247,12 +276,18 @@
                                       const Server& aServer,
                                       ChoiceReason aReason,
                                       std::size_t aCandidates) const;
+  // Learns from the time to the first bytes of an answer.
+  void NoteBegin(Server& aServer, const Send& aSend, Instant aNow);
   std::optional<HealthChange> Fail(Server& aServer, SendEnd aEnd, Instant aNow);
 
   const ZoneId mOwnZone;
   const ServerPoolSettings mSettings;
   std::map<ServerId, std::unique_ptr<Server>> mServers;
   std::map<SendTicket, Send> mSends;
+  // By kind of request.
+  std::map<std::uint64_t, UsualTime> mUsual;
+  // Time for which prompts hold memory, on average of late.
+  Duration mHoldTime{};
   std::uint64_t mLastTicket = 0;
   std::uint64_t mTurn = 0;
 };
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "news_follower.h"
 #include "peer_directory.h"
+#include "placement_service.h"
 #include "roll_runner.h"
 #include "site_follower.h"
 
@@ -8,6 +9,7 @@
 #include <bilberrytrail/base/metrics_text.h>
 #include <bilberrytrail/entry/entry_daemon.h>
 
+#include <algorithm>
 #include <thread>
 
 namespace bilberrytrail {
@@ -58,7 +60,7 @@
 };
 
 // Returns a number that no other daemon, and no earlier process of this one,
-// has for its news.
+// has.
 std::uint64_t
 MakeLogId(const PeerAddress& aSelf)
 {
@@ -89,6 +91,7 @@
   void OnPage(CachePage aPage) override;
   void DrainOnControl();
   void SpreadSettings();
+  void SpreadPlacement();
   HttpResponse ServeReadiness(const HttpRequest& aRequest) const;
   HttpResponse ServeMetrics(const HttpRequest& aRequest) const;
   HttpResponse ServePeer(const HttpRequest& aRequest);
@@ -118,12 +121,16 @@
   FunctionHandler mPeerHandler;
   FunctionHandler mMetricsHandler;
   std::atomic<bool> mIsDraining = false;
+  // What the groups of servers were made from.
+  std::size_t mGroupedPeers = 0;
+  std::vector<ServerRecord> mGroupedServers;
   // Traffic.
   Loop mTraffic;
   std::unique_ptr<BackendPort> mBackend;
   ServerPool mPool;
   RetryMeter mRetries;
   CacheDirectory mCache;
+  PlacementService mPlacement;
   HistogramRegistry mTimes;
   CounterRegistry mCounts;
   std::shared_ptr<const SiteView> mSeenView;
@@ -176,6 +183,7 @@
   , mRetries(
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow },
       MonotonicNow())
+  , mPlacement(mTraffic, mSettings.mZone, mSelf.mName, MakeLogId(mSelf))
   , mTimes(kMaxSeries)
   , mCounts(kMaxSeries)
   , mFlow(MakeFlowParts())
@@ -201,6 +209,7 @@
     mSettings.mWeightsWithin - kWeightsReserve,
     [this] { return TakeView(); },
     [this] { return mViews.IsFresh(MonotonicNow()); },
+    &mPlacement,
   };
 }
 
@@ -214,6 +223,7 @@
     for (const auto& it : mPool.Update(view->mServers, MonotonicNow())) {
       mBackend->Forget(it);
     }
+    mPlacement.Book().SetServers(view->mServers, MonotonicNow());
     if (mDaemons > 0) {
       mRetries.SetDaemons(mDaemons);
       mCache.SetDaemons(mDaemons);
@@ -234,6 +244,9 @@
       return std::move(port).error();
     }
   }
+  if (auto ok = mPlacement.Start(mSettings.mPeers); !ok) {
+    return ok;
+  }
   mReadinessServer.Serve(mReadinessHandler);
   mPeerServer.Serve(mPeerHandler);
   mMetricsServer.Serve(mMetricsHandler);
@@ -269,6 +282,7 @@
   std::shared_ptr<const SiteConfig> config;
   while (mControl.Sleep(kSpreadPeriod)) {
     mDaemons = mPeers.IsComplete() ? mPeers.All().size() : 0;
+    SpreadPlacement();
     if (IsReady() != wasReady) {
       wasReady = !wasReady;
       LogLine(wasReady ? LogEvent::DaemonReady : LogEvent::DaemonNotReady,
@@ -289,11 +303,40 @@
   }
 }
 
+// Groups the servers anew when servers or daemons have come or gone.
+void
+EntryDaemon::Impl::SpreadPlacement()
+{
+  const auto view = mViews.Load();
+  if (view == nullptr || !mPeers.IsComplete()) {
+    return;
+  }
+  const bool isSame = mGroupedPeers == mPeers.All().size() &&
+                      std::ranges::equal(mGroupedServers,
+                                         view->mServers,
+                                         {},
+                                         &ServerRecord::mId,
+                                         &ServerRecord::mId);
+  if (isSame) {
+    return;
+  }
+  mGroupedPeers = mPeers.All().size();
+  mGroupedServers = view->mServers;
+  std::vector<PlacementCandidate> daemons;
+  for (const auto& it : mPeers.All()) {
+    daemons.push_back({ it.mName, it.mEndpoint, it.mLinkMbps });
+  }
+  auto map = std::make_shared<const PlacementMap>(mGroupedServers, daemons);
+  mTraffic.Post([this, map = std::move(map)] { mPlacement.SetMap(map); });
+}
+
 void
 EntryDaemon::Impl::TakeLoading(const std::set<ServerId>& aServers)
 {
-  mTraffic.Post(
-    [this, aServers] { mPool.SetLoading(aServers, MonotonicNow()); });
+  mTraffic.Post([this, aServers] {
+    mPool.SetLoading(aServers, MonotonicNow());
+    mPlacement.Book().SetLoading(aServers, MonotonicNow());
+  });
 }
 
 void
--- /dev/null
+++ b/packages/entry/src/placement_book.cpp
@@ -0,0 +1,202 @@
+#include <bilberrytrail/entry/placement_book.h>
+
+#include <bilberrytrail/entry/placement_map.h>
+
+#include <algorithm>
+
+namespace bilberrytrail {
+
+namespace {
+
+// A grant whose answer has not begun after this multiple of the objective, and
+// kTellTime, counts no more: its asker may have died.
+constexpr double kBeginObjectives = 3.0;
+// Time by which news of an end may be late.
+constexpr Duration kTellTime = 1s;
+
+} // namespace
+
+struct PlacementBook::Grant
+{
+  ServerPool* mPool = nullptr;
+  ServerId mServer;
+  std::optional<ModelId> mModel;
+  std::uint64_t mWeightVersion = 0;
+  std::uint64_t mNewestVersion = 0;
+  SendTicket mTicket;
+  // When the caller's time is over.
+  Instant mDeadline;
+  // When the grant is dropped.
+  Instant mUntil;
+};
+
+PlacementBook::PlacementBook(ZoneId aOwnZone,
+                             const AdmissionSettings& aSettings)
+  : mOwnZone(std::move(aOwnZone))
+  , mSettings(aSettings)
+{
+}
+
+PlacementBook::~PlacementBook() = default;
+
+void
+PlacementBook::SetServers(std::span<const ServerRecord> aServers, Instant aNow)
+{
+  mServers.assign(aServers.begin(), aServers.end());
+  for (const auto& [group, pool] : mPools) {
+    std::vector<ServerRecord> own;
+    for (const auto& it : mServers) {
+      if (it.mService == group.mService &&
+          PlacementMap::GroupOf(it.mId, group.mCount) == group.mNumber) {
+        own.push_back(it);
+      }
+    }
+    (void)pool->Update(own, aNow);
+  }
+}
+
+void
+PlacementBook::SetLoading(const std::set<ServerId>& aServers, Instant aNow)
+{
+  for (auto& [group, pool] : mPools) {
+    pool->SetLoading(aServers, aNow);
+  }
+}
+
+ServerPool&
+PlacementBook::PoolOf(const PlacementGroup& aGroup, Instant aNow)
+{
+  auto& pool = mPools[aGroup];
+  if (pool == nullptr) {
+    ServerPoolSettings settings;
+    settings.mSeesAllPrompts = true;
+    pool = std::make_unique<ServerPool>(mOwnZone, settings);
+    const auto servers = std::move(mServers);
+    SetServers(servers, aNow);
+  }
+  return *pool;
+}
+
+void
+PlacementBook::DropEarlier(const PlacementClientId& aClient, Instant aNow)
+{
+  auto& incarnation = mIncarnations[aClient.mDaemon];
+  if (aClient.mIncarnation == incarnation) {
+    return;
+  }
+  incarnation = aClient.mIncarnation;
+  auto it = mGrants.lower_bound({ aClient.mDaemon, 0 });
+  while (it != mGrants.end() && it->first.first == aClient.mDaemon) {
+    const auto id = (it++)->first;
+    End(id, SendEnd::Abandoned, aNow);
+  }
+}
+
+void
+PlacementBook::Expire(Instant aNow)
+{
+  while (!mExpiries.empty() && mExpiries.begin()->first <= aNow) {
+    const auto id = mExpiries.begin()->second;
+    End(id, SendEnd::Abandoned, aNow);
+  }
+}
+
+PlacementReply
+PlacementBook::Ask(const PlacementClientId& aClient,
+                   const PlacementAsk& aAsk,
+                   Instant aNow)
+{
+  Expire(aNow);
+  PlacementReply reply;
+  reply.mTicket = aAsk.mTicket;
+  DropEarlier(aClient, aNow);
+  auto& pool = PoolOf(aAsk.mGroup, aNow);
+  const auto& query = aAsk.mQuery;
+  const auto choice = pool.Choose(query, aNow);
+  if (!choice) {
+    return reply;
+  }
+  reply.mServer = choice->mServer;
+  reply.mWeightVersion = choice->mWeightVersion;
+  reply.mReason = choice->mReason;
+  reply.mTime = choice->mTime;
+  reply.mCandidates = choice->mCandidates;
+  if (query.mModel && !aAsk.mMustPlace &&
+      RefusePrompt(choice->mTime, query.mObjective, mSettings)) {
+    reply.mOutcome = PlacementOutcome::Busy;
+    return reply;
+  }
+  reply.mOutcome = PlacementOutcome::Granted;
+  const GrantId id(aClient.mDaemon, aAsk.mTicket);
+  End(id, SendEnd::Abandoned, aNow);
+  const auto deadline = aNow + aAsk.mTimeLeft + kTellTime;
+  const auto begin = aNow +
+                     FromMillis(ToMillis(query.mObjective) * kBeginObjectives) +
+                     kTellTime;
+  const Grant grant{ &pool,
+                     choice->mServer,
+                     query.mModel,
+                     choice->mWeightVersion,
+                     query.mNewestVersion,
+                     pool.Begin(choice->mServer, query, aNow),
+                     deadline,
+                     std::min(begin, deadline) };
+  mExpiries.emplace(grant.mUntil, id);
+  mGrants.emplace(id, grant);
+  return reply;
+}
+
+void
+PlacementBook::Tell(const PlacementClientId& aClient,
+                    const PlacementTell& aTell,
+                    Instant aNow)
+{
+  Expire(aNow);
+  DropEarlier(aClient, aNow);
+  const GrantId id(aClient.mDaemon, aTell.mTicket);
+  const auto it = mGrants.find(id);
+  if (it == mGrants.end()) {
+    return;
+  }
+  if (aTell.mEnd) {
+    NoteDenied(it->second, *aTell.mEnd, aNow);
+    End(id, *aTell.mEnd, aNow);
+    return;
+  }
+  auto& grant = it->second;
+  grant.mPool->OnProgress(grant.mTicket, aNow);
+  mExpiries.erase({ grant.mUntil, id });
+  grant.mUntil = grant.mDeadline;
+  mExpiries.emplace(grant.mUntil, id);
+}
+
+void
+PlacementBook::NoteDenied(const Grant& aGrant, SendEnd aEnd, Instant aNow)
+{
+  if (!aGrant.mModel) {
+    return;
+  }
+  if (aEnd == SendEnd::WrongVersion) {
+    aGrant.mPool->DenyVersion(aGrant.mServer,
+                              *aGrant.mModel,
+                              aGrant.mWeightVersion,
+                              aGrant.mNewestVersion);
+  } else if (aEnd == SendEnd::Full &&
+             aGrant.mWeightVersion < aGrant.mNewestVersion) {
+    aGrant.mPool->ExpectLoading(aGrant.mServer, aNow);
+  }
+}
+
+void
+PlacementBook::End(const GrantId& aId, SendEnd aEnd, Instant aNow)
+{
+  const auto it = mGrants.find(aId);
+  if (it == mGrants.end()) {
+    return;
+  }
+  (void)it->second.mPool->End(it->second.mTicket, aEnd, aNow);
+  mExpiries.erase({ it->second.mUntil, aId });
+  mGrants.erase(it);
+}
+
+} // namespace bilberrytrail
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -112,6 +112,11 @@
   Next OnStreamBroken(const Error& aError);
   Next EndStream(const std::string& aRest);
   bool ChooseServer();
+  // Takes the server that a home places the request at. Returns nothing when
+  // this daemon must choose by itself, else whether there is a server.
+  std::optional<bool> ChooseByHome();
+  // Refuses a prompt whose answer would be late.
+  void RefuseLate(Duration aReturnIn);
   [[nodiscard]] ServerQuery MakeQuery() const;
   [[nodiscard]] BackendCall MakeCall();
   [[nodiscard]] std::string CacheSalt(std::uint64_t aWeightVersion) const;
@@ -125,6 +130,8 @@
   [[nodiscard]] Duration TimeLeft() const noexcept;
   [[nodiscard]] Duration HeadTime() const noexcept;
   void EndSend(SendEnd aEnd);
+  // Tells the home how its grant ended.
+  void EndGrant(SendEnd aEnd);
   void CutStream(RefusalReason aReason);
   // Refuses the request, or cuts its stream when that has begun.
   void Refuse(RefusalReason aReason,
@@ -150,6 +157,8 @@
   ServerQuery mQuery;
   ChosenServer mChoice;
   SendTicket mTicket;
+  // The home's grant of the send that is under way.
+  std::optional<std::uint64_t> mGrant;
   std::vector<ServerId> mTried;
   std::size_t mSends = 0;
   // Sends that may have run.
@@ -278,11 +287,17 @@
   if (mRequest.mPrompt) {
     const auto& prompt = *mRequest.mPrompt;
     query.mModel = prompt.mModel;
+    query.mKind = StableHash64(mRoute->mName);
+    query.mMemory = static_cast<double>(prompt.mInputTokens);
+    if (const auto* service = mView->FindService(mService)) {
+      query.mServerMemory = static_cast<double>(service->mCacheTokens);
+    }
     query.mNewestVersion = NewestWeights();
     query.mLeastVersion = mView->mWeights.LeastAllowed(
       prompt.mModel, mParts.mWeightsWithin, MonotonicNow());
     if (const auto* part = prompt.LastSharedPart()) {
       query.mAffinity = StableHash64(part->mId);
+      query.mSharedTokens = static_cast<double>(prompt.SharedTokens());
       query.mMissWork = mParts.mCache.MissWork(
         prompt, CacheSalt(query.mNewestVersion), MonotonicNow());
     }
@@ -294,6 +309,9 @@
 RequestRun::ChooseServer()
 {
   mQuery = MakeQuery();
+  if (const auto hasServer = ChooseByHome()) {
+    return *hasServer;
+  }
   const auto choice = mParts.mPool.Choose(mQuery, MonotonicNow());
   if (!choice) {
     Refuse(mTried.empty() ? RefusalReason::NoServer : RefusalReason::QueueFull,
@@ -308,14 +326,70 @@
   }
   if (const auto wait =
         RefusePrompt(mChoice.mTime, mRoute->mObjective, AdmissionSettings())) {
-    Refuse(RefusalReason::QueueFull,
-           "All servers of the service are behind.",
-           *wait);
+    RefuseLate(*wait);
+    return false;
+  }
+  return true;
+}
+
+std::optional<bool>
+RequestRun::ChooseByHome()
+{
+  mGrant.reset();
+  if (mParts.mPlacer == nullptr) {
+    return std::nullopt;
+  }
+  const auto reply = mParts.mPlacer->Place(
+    mQuery, StableHash64(mRequest.mId.Text()), TimeLeft(), mSends > 0);
+  if (!reply) {
+    return std::nullopt;
+  }
+  if (reply->mOutcome == PlacementOutcome::Busy) {
+    mChoice = ChosenServer();
+    mChoice.mTime = reply->mTime;
+    mChoice.mCandidates = reply->mCandidates;
+    const AdmissionSettings bounds;
+    RefuseLate(std::clamp(reply->mTime, bounds.mMinReturn, bounds.mMaxReturn));
     return false;
   }
+  if (reply->mOutcome != PlacementOutcome::Granted) {
+    return std::nullopt;
+  }
+  mGrant = reply->mTicket;
+  // What the rules ask for does not rest on the home's view of the site.
+  const auto it =
+    std::ranges::find(mView->mServers, reply->mServer, &ServerRecord::mId);
+  const bool isUsable = it != mView->mServers.end() &&
+                        it->mService == mService && !it->mIsLeaving &&
+                        reply->mWeightVersion >= mQuery.mLeastVersion &&
+                        std::ranges::find(mTried, it->mId) == mTried.end();
+  if (!isUsable) {
+    EndGrant(SendEnd::Abandoned);
+    return std::nullopt;
+  }
+  mChoice = { it->mId,           it->mEndpoint,
+              it->mZone,         reply->mWeightVersion,
+              reply->mReason,    reply->mTime,
+              reply->mCandidates };
   return true;
 }
 
+void
+RequestRun::RefuseLate(Duration aReturnIn)
+{
+  Refuse(RefusalReason::QueueFull,
+         "All servers of the service are behind.",
+         aReturnIn);
+}
+
+void
+RequestRun::EndGrant(SendEnd aEnd)
+{
+  if (mGrant) {
+    mParts.mPlacer->OnEnd(*std::exchange(mGrant, std::nullopt), aEnd);
+  }
+}
+
 std::string
 RequestRun::CacheSalt(std::uint64_t aWeightVersion) const
 {
@@ -431,6 +505,9 @@
   ++mRuns;
   (void)mLedger.MarkAccepted(attempt);
   mParts.mPool.OnProgress(mTicket, MonotonicNow());
+  if (mGrant) {
+    mParts.mPlacer->OnBegun(*mGrant);
+  }
   const auto next = OnAnswer(*answer.value());
   if (next == Next::Done) {
     (void)mLedger.MarkFinished(attempt);
@@ -441,6 +518,7 @@
 void
 RequestRun::EndSend(SendEnd aEnd)
 {
+  EndGrant(aEnd);
   const auto change = mParts.mPool.End(mTicket, aEnd, MonotonicNow());
   if (change) {
     LogLine(change->mEjected ? LogEvent::ServerEjected
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -1,4 +1,4 @@
-#include <bilberrytrail/entry/server_pool.h>
+#include "server_pool_state.h"
 
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/random.h>
@@ -6,56 +6,11 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 #include <set>
 
 namespace bilberrytrail {
 
-// What requests of one rank met at a server.
-struct RankLoad
-{
-  // Work of the sends that have no byte of an answer yet.
-  double mWaitingWork = 0;
-  // Delay of late, as of mDelayAt.
-  Duration mDelay{};
-  Instant mDelayAt;
-};
-
-// A server of the list with what this daemon has seen of it.
-struct ServerPool::Server
-{
-  ServerRecord mRecord;
-  // Versions that answers named, which are newer than the list.
-  std::map<ModelId, std::uint64_t> mObserved;
-  std::uint64_t mHash = 0;
-  // Sends without a byte of an answer yet, oldest first.
-  std::set<SendTicket> mWaiting;
-  std::size_t mRunning = 0;
-  std::array<RankLoad, kRanks> mRanks;
-  std::optional<Instant> mHeardAt;
-  unsigned mFailures = 0;
-  Duration mEjection{};
-  std::optional<Instant> mEjectedUntil;
-  Duration mFullTime{};
-  std::optional<Instant> mFullUntil;
-  std::optional<Instant> mLoadingUntil;
-
-  [[nodiscard]] std::uint64_t VersionOf(const ModelId& aModel) const
-  {
-    const auto it = mObserved.find(aModel);
-    const auto listed = mRecord.VersionOf(aModel);
-    return it == mObserved.end() ? listed : std::max(it->second, listed);
-  }
-};
-
-struct ServerPool::Send
-{
-  ServerId mServer;
-  double mWork = 0;
-  unsigned mRank = 0;
-  Instant mSentAt;
-  bool mHasBegun = false;
-};
-
 namespace {
 
 bool
@@ -95,7 +50,7 @@
   for (const auto& it : aServers) {
     auto& server = mServers[it.mId];
     if (server == nullptr) {
-      server = std::make_unique<Server>();
+      server = std::make_unique<Server>(mSettings);
       server->mHash = StableHash64(it.mId.Text());
     }
     if (server->mRecord.mModels != it.mModels) {
@@ -106,17 +61,6 @@
   return gone;
 }
 
-double
-ServerPool::WorkOf(const Server& aServer, unsigned aRank) const noexcept
-{
-  double work =
-    mSettings.mRunningTokens * static_cast<double>(aServer.mRunning);
-  for (std::size_t n = 0; n <= aRank; ++n) {
-    work += aServer.mRanks[n].mWaitingWork;
-  }
-  return work;
-}
-
 // A request that waits there, and nothing from the server since.
 bool
 ServerPool::IsSilent(const Server& aServer,
@@ -173,61 +117,6 @@
   return usable;
 }
 
-Duration
-ServerPool::DelayOf(const Server& aServer, unsigned aRank, Instant aNow) const
-{
-  Duration delay{};
-  for (std::size_t n = 0; n <= aRank; ++n) {
-    const auto& load = aServer.mRanks[n];
-    const double age = ToMillis(aNow - load.mDelayAt);
-    const double left = std::exp(-age / ToMillis(mSettings.mDelayLifetime));
-    delay = std::max(delay, FromMillis(ToMillis(load.mDelay) * left));
-  }
-  for (const auto& ticket : aServer.mWaiting) {
-    const auto& send = mSends.at(ticket);
-    if (send.mRank <= aRank) {
-      const auto own = FromMillis(send.mWork / mSettings.mTokensPerMs);
-      delay = std::max(delay, aNow - send.mSentAt - own);
-    }
-  }
-  return delay;
-}
-
-Duration
-ServerPool::TimeAt(const ServerQuery& aQuery,
-                   const Server& aServer,
-                   std::size_t aPlace,
-                   Instant aNow) const
-{
-  const auto delay = DelayOf(aServer, aQuery.mRank, aNow);
-  if (!aQuery.mModel) {
-    const auto inFlight =
-      static_cast<std::int64_t>(aServer.mWaiting.size() + aServer.mRunning);
-    const bool isFar = aServer.mRecord.mZone != mOwnZone;
-    return std::max(delay, mSettings.mPlainTime) * (1 + inFlight) +
-           (isFar ? mSettings.mZoneTime : Duration(0));
-  }
-  double tokens = WorkOf(aServer, aQuery.mRank);
-  if (aPlace > 0) {
-    tokens += mSettings.mMissFactor * aQuery.mMissWork;
-  }
-  return delay + FromMillis(tokens / mSettings.mTokensPerMs);
-}
-
-Duration
-ServerPool::CostAt(const ServerQuery& aQuery,
-                   const Server& aServer,
-                   std::size_t aPlace,
-                   Instant aNow) const
-{
-  const auto time = TimeAt(aQuery, aServer, aPlace, aNow);
-  const bool isOld =
-    aQuery.mModel && aServer.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
-  return isOld ? time + FromMillis(ToMillis(aQuery.mObjective) *
-                                   mSettings.mOldWeightsObjectives)
-               : time;
-}
-
 void
 ServerPool::Order(const ServerQuery& aQuery, Candidates& aCandidates)
 {
@@ -300,11 +189,33 @@
 {
   const SendTicket ticket(++mLastTicket);
   const auto rank = std::min<unsigned>(aQuery.mRank, kRanks - 1);
-  mSends[ticket] = { aServer, aQuery.mWork, rank, aNow, false };
+  auto& send = mSends[ticket];
+  send.mServer = aServer;
+  send.mWork = aQuery.mWork;
+  send.mRank = rank;
+  send.mSentAt = aNow;
   const auto it = mServers.find(aServer);
   if (it != mServers.end()) {
-    it->second->mWaiting.insert(ticket);
-    it->second->mRanks[rank].mWaitingWork += aQuery.mWork;
+    auto& server = *it->second;
+    if (aQuery.mModel) {
+      if (mSettings.mSeesAllPrompts && aQuery.mAffinity != 0) {
+        send.mWork += MissAt(aQuery, server, 0);
+        server.mParts.Use(
+          server.PartOf(aQuery),
+          aQuery.mSharedTokens,
+          aQuery.mServerMemory -
+            std::accumulate(server.mMemory.begin(), server.mMemory.end(), 0.0));
+      }
+      send.mWorkTime = TimeOf(WorkBefore(server, rank, aNow) + send.mWork);
+      send.mWorkTime += MemoryTime(aQuery, server);
+      send.mUsualTime = UsualTimeOf(aQuery);
+      send.mKind = aQuery.mKind;
+      send.mMemory = aQuery.mMemory;
+      send.mIsPrompt = true;
+      server.mMemory[rank] += send.mMemory;
+      server.mLoad.Add(rank, send.mWork, aNow);
+    }
+    server.mWaiting.insert(ticket);
   }
   return ticket;
 }
@@ -324,20 +235,29 @@
   server.mHeardAt = aNow;
   if (!send->second.mHasBegun) {
     send->second.mHasBegun = true;
-    const auto own = FromMillis(send->second.mWork / mSettings.mTokensPerMs);
-    const auto seen = std::max(aNow - send->second.mSentAt - own, Duration(0));
     server.mWaiting.erase(aTicket);
-    auto& load = server.mRanks[send->second.mRank];
-    const auto before = DelayOf(server, send->second.mRank, aNow);
-    load.mDelay =
-      FromMillis(ToMillis(before) +
-                 mSettings.mDelayWeight * (ToMillis(seen) - ToMillis(before)));
-    load.mDelayAt = aNow;
-    load.mWaitingWork = std::max(0.0, load.mWaitingWork - send->second.mWork);
+    NoteBegin(server, send->second, aNow);
     ++server.mRunning;
   }
 }
 
+void
+ServerPool::NoteBegin(Server& aServer, const Send& aSend, Instant aNow)
+{
+  const auto beyond = aNow - aSend.mSentAt - aSend.mWorkTime;
+  const auto seen = std::max(beyond - aSend.mUsualTime, Duration(0));
+  if (aSend.mIsPrompt) {
+    mUsual[aSend.mKind].Note(beyond);
+  }
+  const auto before = DelayOf(aServer, aSend.mRank, aNow);
+  auto& late = aServer.mDelays[aSend.mRank];
+  late.mDelay =
+    FromMillis(ToMillis(before) +
+               mSettings.mDelayWeight * (ToMillis(seen) - ToMillis(before)));
+  late.mAt = aNow;
+  late.mBegunSentAt = std::max(late.mBegunSentAt, aSend.mSentAt);
+}
+
 std::optional<HealthChange>
 ServerPool::Fail(Server& aServer, SendEnd aEnd, Instant aNow)
 {
@@ -369,11 +289,16 @@
   }
   auto& server = *it->second;
   server.mWaiting.erase(aTicket);
+  if (ended.mIsPrompt) {
+    auto& memory = server.mMemory[ended.mRank];
+    memory = std::max(0.0, memory - ended.mMemory);
+    mHoldTime += FromMillis(mSettings.mHoldWeight *
+                            ToMillis(aNow - ended.mSentAt - mHoldTime));
+  }
   if (ended.mHasBegun) {
     server.mRunning -= std::min<std::size_t>(server.mRunning, 1);
   } else {
-    auto& work = server.mRanks[ended.mRank].mWaitingWork;
-    work = std::max(0.0, work - ended.mWork);
+    server.mLoad.Remove(ended.mRank, ended.mWork, aNow);
   }
   switch (aEnd) {
     case SendEnd::Answered: {
--- /dev/null
+++ b/packages/entry/tests/placement_service_test.cpp
@@ -0,0 +1,165 @@
+#include "../src/placement_service.h"
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+
+namespace {
+
+const ServiceId kEngines("engines");
+const ModelId kModel("m");
+
+std::vector<ServerRecord>
+Servers()
+{
+  std::vector<ServerRecord> servers(4);
+  for (std::size_t n = 0; n < servers.size(); ++n) {
+    servers[n].mId = ServerId("s" + std::to_string(n));
+    servers[n].mService = kEngines;
+    servers[n].mModels = { { kModel, 1 } };
+  }
+  return servers;
+}
+
+ServerQuery
+Query()
+{
+  ServerQuery query;
+  query.mService = kEngines;
+  query.mModel = kModel;
+  query.mWork = 1000;
+  query.mObjective = 500ms;
+  return query;
+}
+
+// Daemons of one site; some of them are known to the others but silent.
+class Site
+{
+public:
+  explicit Site(std::size_t aDaemons)
+  {
+    for (std::size_t n = 0; n < aDaemons; ++n) {
+      const auto name = DaemonId("d" + std::to_string(n));
+      DatagramSocket probe(mLoop);
+      const auto port = probe.Bind({ "127.0.0.1", 0 });
+      REQUIRE(port.has_value());
+      mCandidates.push_back({ name, { "127.0.0.1", port.value() }, 0 });
+      mServices.push_back(
+        std::make_unique<PlacementService>(mLoop, ZoneId("z"), name, n + 1));
+    }
+    const auto servers = Servers();
+    mMap = std::make_shared<const PlacementMap>(servers, mCandidates);
+  }
+
+  // Starts a daemon; those that are not started are silent.
+  void Start(std::size_t aDaemon)
+  {
+    REQUIRE(
+      mServices[aDaemon]->Start(mCandidates[aDaemon].mEndpoint).has_value());
+    mServices[aDaemon]->SetMap(mMap);
+    mServices[aDaemon]->Book().SetServers(Servers(), MonotonicNow());
+  }
+  // Returns the number of the first or second home of the only group.
+  std::size_t Home(std::size_t aPlace)
+  {
+    const auto homes = mMap->HomesOf({ kEngines, 0, 1 });
+    for (std::size_t n = 0; n < mCandidates.size(); ++n) {
+      if (mCandidates[n].mDaemon == homes[aPlace].mDaemon) {
+        return n;
+      }
+    }
+    return mCandidates.size();
+  }
+  // Returns a daemon that is neither.
+  std::size_t Entry()
+  {
+    std::size_t n = 0;
+    while (n == Home(0) || n == Home(1) || n == Home(2)) {
+      ++n;
+    }
+    return n;
+  }
+  template<class Function>
+  void Run(Function aFunction)
+  {
+    mLoop.Spawn([this, aFunction] {
+      aFunction();
+      mLoop.Stop();
+    });
+    mLoop.Run();
+  }
+
+  Loop mLoop;
+  std::vector<PlacementCandidate> mCandidates;
+  std::vector<std::unique_ptr<PlacementService>> mServices;
+  std::shared_ptr<const PlacementMap> mMap;
+};
+
+} // namespace
+
+TEST_CASE("an entry gets a server from the home and tells it what became of it")
+{
+  Site site(5);
+  const auto entry = site.Entry();
+  const auto home = site.Home(0);
+  site.Start(entry);
+  site.Start(home);
+  site.Run([&] {
+    auto& service = *site.mServices[entry];
+    const auto reply = service.Place(Query(), 1, 4s, false);
+    REQUIRE(reply);
+    CHECK(reply->mOutcome == PlacementOutcome::Granted);
+    auto& book = site.mServices[home]->Book();
+    CHECK(book.Grants() == 1);
+    service.OnBegun(reply->mTicket);
+    service.OnEnd(reply->mTicket, SendEnd::Answered);
+    (void)site.mLoop.Sleep(60ms);
+    CHECK(book.Grants() == 0);
+  });
+}
+
+TEST_CASE("a home asks itself without a datagram")
+{
+  Site site(3);
+  const auto home = site.Home(0);
+  site.Start(home);
+  site.Run([&] {
+    auto& service = *site.mServices[home];
+    const auto reply = service.Place(Query(), 1, 4s, false);
+    REQUIRE(reply);
+    service.OnEnd(reply->mTicket, SendEnd::Answered);
+    CHECK(service.Book().Grants() == 0);
+  });
+}
+
+// The home is killed, frozen, or cut off.
+TEST_CASE("an entry leaves a silent home alone and asks the next one")
+{
+  for (const bool hasSecond : { true, false }) {
+    CAPTURE(hasSecond);
+    Site site(6);
+    const auto entry = site.Entry();
+    site.Start(entry);
+    if (hasSecond) {
+      site.Start(site.Home(1));
+    }
+    site.Run([&] {
+      auto& service = *site.mServices[entry];
+      const auto start = MonotonicNow();
+      CHECK(service.Place(Query(), 1, 4s, false).has_value() == hasSecond);
+      CHECK(MonotonicNow() - start < 400ms);
+      // Not asked again: this one is answered at once, or not at all.
+      const auto second = MonotonicNow();
+      CHECK(service.Place(Query(), 2, 4s, false).has_value() == hasSecond);
+      CHECK(MonotonicNow() - second < 100ms);
+    });
+  }
+}
+
+TEST_CASE("a daemon that knows no map places by itself")
+{
+  Site site(2);
+  site.Run([&] {
+    CHECK_FALSE(site.mServices[0]->Place(Query(), 1, 4s, false).has_value());
+  });
+}
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// An endless answer that is read beyond this fills a small VM's memory.
+constexpr std::size_t kMostEndlessBytes = 64 * 1024 * 1024;
+
 class FakeAnswer final : public BackendAnswer
 {
 public:
@@ -36,6 +39,12 @@
     if (mNext < mSend.mPieces.size()) {
       return std::optional(mSend.mPieces[mNext++]);
     }
+    if (mSend.mIsEndless) {
+      mBytes += mSend.mPieces.back().size();
+      // Who reads so far takes the answer for a whole one, which tests notice.
+      return mBytes < kMostEndlessBytes ? std::optional(mSend.mPieces.back())
+                                        : std::optional<std::string>();
+    }
     if (mSend.mIsCut) {
       return Fail(ErrorCode::Unavailable, "cut");
     }
@@ -48,6 +57,7 @@
   HttpCancel& mCancel;
   AnswerHead mHead;
   std::size_t mNext = 0;
+  std::size_t mBytes = 0;
 };
 
 } // namespace
@@ -127,7 +137,8 @@
                      [&]() -> std::shared_ptr<const SiteView> {
                        return mHasView ? view : nullptr;
                      },
-                     [&] { return mIsFresh; } });
+                     [&] { return mIsFresh; },
+                     &mPlacer });
   mRetries.SetDaemons(1);
   (void)mPool.Update(mServers, MonotonicNow());
   if (aLeavesAfter) {
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -18,6 +18,8 @@
   std::vector<std::string> mPieces;
   // The answer breaks off behind its pieces.
   bool mIsCut = false;
+  // The last piece comes again and again.
+  bool mIsEndless = false;
   // Time to the head of the answer, and before each piece.
   Duration mHeadTime = 10ms;
   Duration mPieceTime = 10ms;
@@ -100,6 +102,28 @@
   int mFinals = 0;
 };
 
+// Places requests by a script and keeps what it is told.
+class FakePlacer final : public Placer
+{
+public:
+  std::optional<PlacementReply> Place(const ServerQuery& /*aQuery*/,
+                                      std::uint64_t /*aSpread*/,
+                                      Duration /*aTimeLeft*/,
+                                      bool /*aMustPlace*/) override
+  {
+    return mReply;
+  }
+  void OnBegun(std::uint64_t /*aTicket*/) override { ++mBegun; }
+  void OnEnd(std::uint64_t /*aTicket*/, SendEnd aEnd) override
+  {
+    mEnds.push_back(aEnd);
+  }
+
+  std::optional<PlacementReply> mReply;
+  int mBegun = 0;
+  std::vector<SendEnd> mEnds;
+};
+
 // One request on its way through the flow, in virtual time.
 class FlowFixture
 {
@@ -124,6 +148,7 @@
   bool mIsFresh = true;
   CallerRequest mRequest;
   FakeSink mSink;
+  FakePlacer mPlacer;
   Duration mTook{};
 };
 
--- a/packages/entry/tests/request_flow_test.cpp
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -292,6 +292,68 @@
   CHECK(fixture.mSink.mFinals == 0);
 }
 
+// A home can be behind in all it knows: no rule rests on what it says.
+TEST_CASE("a home's choice is taken only where this daemon's view allows it")
+{
+  struct Row
+  {
+    const char* mName;
+    std::optional<PlacementOutcome> mOutcome;
+    const char* mServer;
+    std::uint64_t mVersion;
+    // Whether the request goes to the home's server, or is refused.
+    bool mIsTaken;
+    bool mIsRefused;
+  };
+  for (const Row& row :
+       { Row{ "silent", std::nullopt, "", 0, false, false },
+         Row{ "granted", PlacementOutcome::Granted, "s2", 3, true, false },
+         Row{ "gone", PlacementOutcome::Granted, "s77", 3, false, false },
+         Row{ "leaving", PlacementOutcome::Granted, "s1", 3, false, false },
+         Row{ "old weights", PlacementOutcome::Granted, "s2", 2, false, false },
+         Row{ "no server", PlacementOutcome::NoServer, "", 0, false, false },
+         Row{ "busy", PlacementOutcome::Busy, "", 0, false, true } }) {
+    CAPTURE(row.mName);
+    FlowFixture fixture;
+    for (auto& it : fixture.mServers) {
+      it.mModels = { { ModelId("m"), 3 } };
+      it.mIsLeaving = it.mId == ServerId("s1");
+    }
+    (void)fixture.mWeights.Note(ModelId("m"), 3, MonotonicNow() - 60s);
+    fixture.mRequest.mPrompt = Prompt{ ModelId("m"), { { "a", 10 } }, 10, 5 };
+    fixture.mBackend.mScript = { Answering(200, "ok") };
+    if (row.mOutcome) {
+      PlacementReply reply;
+      reply.mTicket = 9;
+      reply.mOutcome = *row.mOutcome;
+      reply.mServer = ServerId(row.mServer);
+      reply.mWeightVersion = row.mVersion;
+      reply.mTime = 400ms;
+      fixture.mPlacer.mReply = reply;
+    }
+    fixture.Run();
+    const auto& calls = fixture.mBackend.mCalls;
+    CHECK(calls.size() == (row.mIsRefused ? 0 : 1));
+    CHECK(fixture.mSink.mFinals == 1);
+    const auto& ends = fixture.mPlacer.mEnds;
+    if (row.mIsTaken) {
+      CHECK(calls.front().mServer == ServerId(row.mServer));
+      CHECK(fixture.mPlacer.mBegun == 1);
+      CHECK(ends == std::vector{ SendEnd::Answered });
+    } else if (!row.mIsRefused) {
+      CHECK(calls.front().mServer != ServerId("s1"));
+      CHECK(calls.front().mWeightVersion == 3);
+      const bool wasGranted = row.mOutcome == PlacementOutcome::Granted;
+      CHECK(ends == (wasGranted ? std::vector{ SendEnd::Abandoned }
+                                : std::vector<SendEnd>()));
+    } else {
+      REQUIRE(fixture.mSink.mRefusal);
+      CHECK(fixture.mSink.mRefusal->GetDisposition() == Disposition::NotRun);
+      CHECK(fixture.mSink.mRefusal->RetryAfter() == 400ms);
+    }
+  }
+}
+
 // Pattern: a daemon short of processor time takes up requests seconds late; the
 // end of the connection has come meanwhile and is not told yet.
 TEST_CASE("a request is not sent when its caller has left before its turn")
@@ -306,6 +368,39 @@
   }
 }
 
+// Pattern: a server in trouble sends bytes without end that are no answer. The
+// daemon must give it up long before its memory is full.
+TEST_CASE("bytes without end are given up and never end as a whole answer")
+{
+  struct Row
+  {
+    RequestKind mKind;
+    // Sent before the bytes without end.
+    std::vector<std::string> mPieces;
+  };
+  for (const Row& row : { Row{ RequestKind::Idempotent, {} },
+                          Row{ RequestKind::NonIdempotent, {} },
+                          Row{ RequestKind::Streaming, {} },
+                          Row{ RequestKind::Streaming, { EventText(1) } } }) {
+    FlowFixture fixture;
+    auto& route = fixture.mConfig.mRoutes.front();
+    route.mKind = row.mKind;
+    route.mMaxAttempts = 1;
+    FakeSend send = Answering(200, "");
+    send.mPieces = row.mPieces;
+    send.mPieces.emplace_back(64 * 1024, 'x');
+    send.mIsEndless = true;
+    send.mPieceTime = 100us;
+    fixture.mBackend.mScript = { send };
+    fixture.Run();
+    CHECK(fixture.mSink.mFinals == 1);
+    const bool hasBegun = !row.mPieces.empty();
+    CHECK(fixture.mSink.mIsCut == hasBegun);
+    CHECK(fixture.mSink.mRefusal.has_value() != hasBegun);
+    CHECK(fixture.mSink.mBody == (hasBegun ? EventText(1) : ""));
+  }
+}
+
 TEST_CASE("kept KV cache is shared by version and never with isolated accounts")
 {
   struct Row
--- a/packages/entry/tests/server_pool_test.cpp
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -228,7 +228,9 @@
   query.mMissWork = 0;
   query.mNewestVersion = 2;
   CHECK(pool.Choose(query, At(0s))->mWeightVersion == 2);
-  (void)pool.Begin(servers[0].mId, WorkOf(60000), At(0s));
+  auto longPrompt = query;
+  longPrompt.mWork = 60000;
+  (void)pool.Begin(servers[0].mId, longPrompt, At(0s));
   CHECK(pool.Choose(query, At(0s))->mWeightVersion == 1);
   // Older weights are out of the question once their time is over.
   query.mLeastVersion = 2;
@@ -353,3 +355,58 @@
     CHECK((choice->mTime > 200ms) == it.mIsLate);
   }
 }
+
+// Pattern: long prompts fill a server's memory while it still has places: one
+// more waits until others have ended, or makes the server drop some.
+TEST_CASE("a server whose memory is taken counts as later")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  (void)pool.Update(Servers(2, kEngines), At(0s));
+  auto query = PromptQuery(5);
+  query.mMissWork = 2000;
+  query.mWork = 100;
+  query.mMemory = 9000;
+  query.mServerMemory = 20000;
+  const auto home = pool.Choose(query, At(0s))->mServer;
+  // Prompts hold memory for two seconds on average.
+  for (int n = 0; n < 100; ++n) {
+    (void)pool.End(pool.Begin(home, query, At(0s)), SendEnd::Answered, At(2s));
+  }
+  const auto first = pool.Begin(home, query, At(10s));
+  pool.OnProgress(first, At(10s));
+  CHECK(pool.Choose(query, At(10s))->mServer == home);
+  const auto second = pool.Begin(home, query, At(10s));
+  pool.OnProgress(second, At(10s));
+  CHECK(pool.Choose(query, At(10s))->mServer != home);
+  auto urgent = query;
+  urgent.mRank = 0;
+  query.mRank = 1;
+  (void)pool.End(first, SendEnd::Answered, At(11s));
+  CHECK(pool.Choose(urgent, At(13s))->mServer == home);
+}
+
+// Pattern: a cold start, or new weights: no server keeps the shared parts, and
+// the first by affinity is not better than one with less work.
+TEST_CASE("a pool that sees all prompts knows who keeps the shared parts")
+{
+  ServerPoolSettings settings;
+  settings.mSeesAllPrompts = true;
+  ServerPool pool(kOwnZone, settings);
+  (void)pool.Update(Servers(2, kEngines), At(0s));
+  auto query = PromptQuery(5);
+  query.mSharedTokens = 9000;
+  query.mServerMemory = 50000;
+  const auto home = pool.Choose(query, At(0s))->mServer;
+  CHECK(pool.Choose(query, At(0s))->mTime >= 120ms);
+  (void)pool.End(pool.Begin(home, query, At(0s)), SendEnd::Answered, At(1s));
+  const auto again = pool.Choose(query, At(1s));
+  CHECK(again->mServer == home);
+  CHECK(again->mReason == ChoiceReason::Affinity);
+  // Other parts take the room; the first ones are forgotten.
+  for (std::uint64_t part = 100; part < 120; ++part) {
+    auto other = query;
+    other.mAffinity = part;
+    (void)pool.End(pool.Begin(home, other, At(2s)), SendEnd::Answered, At(2s));
+  }
+  CHECK(pool.Choose(query, At(9s))->mTime >= 120ms);
+}
