--- a/packages/entry/tests/placement_map_test.cpp
+++ b/packages/entry/tests/placement_map_test.cpp
@@ -26,6 +26,7 @@
 Daemons(int aCount, int aWide = 0)
 {
   std::vector<PlacementCandidate> daemons;
+  daemons.reserve(static_cast<std::size_t>(aCount));
   for (int n = 0; n < aCount; ++n) {
     daemons.push_back({ DaemonId("d" + std::to_string(n)),
                         { "10.0.0.1", static_cast<std::uint16_t>(n + 1) },
