Let the stand-in's refusals name their request

Cause: the test of a full server was red in a run of all tests: the stand-in's refusal named no request, on a kept connection, where such a response is dropped since it can be an earlier request's; the daemon waited for another one to its deadline. Change: the stand-in names the request in its 421 and 503.

--- a/standins/src/fleet/fleet_server.cpp
+++ b/standins/src/fleet/fleet_server.cpp
@@ -30,15 +30,19 @@
   }
   const auto& headers = aRequest.mHeaders;
   const auto weights = FindHeader(headers, "Bilberrytrail-Expected-Version");
+  // Refusals name their request too, as the platform's page says.
+  const HttpHeader request{ "Bilberrytrail-Request-Id",
+                            std::string(FindHeader(
+                              headers, "Bilberrytrail-Request-Id")) };
   if (FindHeader(headers, "Bilberrytrail-Target-Instance") != mId ||
       (!weights.empty() && weights != std::to_string(mWeights))) {
     (void)aResponder.Send(
-      { 421, { { "Bilberrytrail-Instance-Id", mId } }, {} });
+      { 421, { request, { "Bilberrytrail-Instance-Id", mId } }, {} });
     return;
   }
   if (mIsFull) {
     (void)aResponder.Send(
-      { 503, { { "Bilberrytrail-Not-Executed", "1" } }, {} });
+      { 503, { request, { "Bilberrytrail-Not-Executed", "1" } }, {} });
     return;
   }
   Run(aRequest, aResponder);
