--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -292,8 +292,11 @@
   if (ended.mIsPrompt) {
     auto& memory = server.mMemory[ended.mRank];
     memory = std::max(0.0, memory - ended.mMemory);
-    mHoldTime += FromMillis(mSettings.mHoldWeight *
-                            ToMillis(aNow - ended.mSentAt - mHoldTime));
+    // Others ended by their time, or by the death of who sent them.
+    if (aEnd == SendEnd::Answered) {
+      mHoldTime += FromMillis(mSettings.mHoldWeight *
+                              ToMillis(aNow - ended.mSentAt - mHoldTime));
+    }
   }
   if (ended.mHasBegun) {
     server.mRunning -= std::min<std::size_t>(server.mRunning, 1);
--- a/packages/entry/tests/server_pool_test.cpp
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -410,3 +410,27 @@
   }
   CHECK(pool.Choose(query, At(9s))->mTime >= 120ms);
 }
+
+// Pattern: a daemon dies with prompts under way; its home drops them much later
+// than they ended.
+TEST_CASE("prompts that were dropped do not count for the time memory is held")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  (void)pool.Update(Servers(1, kEngines), At(0s));
+  auto query = PromptQuery(5);
+  query.mWork = 100;
+  query.mMemory = 9000;
+  query.mServerMemory = 10000;
+  const ServerId server("s0");
+  for (int n = 0; n < 200; ++n) {
+    (void)pool.End(
+      pool.Begin(server, query, At(0s)), SendEnd::Answered, At(100ms));
+  }
+  for (int n = 0; n < 50; ++n) {
+    (void)pool.End(
+      pool.Begin(server, query, At(0s)), SendEnd::Abandoned, At(13s));
+  }
+  const auto running = pool.Begin(server, query, At(20s));
+  pool.OnProgress(running, At(20s));
+  CHECK(pool.Choose(query, At(20s))->mTime < 300ms);
+}
