Log the size of prompts where requests end

Cause: no log line or counter bore a prompt's size, so that refusals of large prompts could not be told from failures. Change: tokens in request_done, request_refused, caller_left and stream_incomplete, estimate in request_done, work and miss_work in request_refused, counters prompt_tokens and refused_tokens. No decision changes.

--- a/packages/base/include/bilberrytrail/base/series.h
+++ b/packages/base/include/bilberrytrail/base/series.h
@@ -80,16 +80,18 @@
   PromptTokens,
   RecomputedTokens,
   ImportedBytes,
-  ExportedBytes
+  ExportedBytes,
+  RefusedTokens
 };
 
 template<>
 struct EnumNames<Counter>
 {
-  static constexpr std::array<std::string_view, 12> kNames{
+  static constexpr std::array<std::string_view, 13> kNames{
     "requests",      "answered",          "refused_not_run", "refused_unknown",
     "incomplete",    "retries",           "hedges",          "resumes",
-    "prompt_tokens", "recomputed_tokens", "imported_bytes",  "exported_bytes"
+    "prompt_tokens", "recomputed_tokens", "imported_bytes",  "exported_bytes",
+    "refused_tokens"
   };
 };
 
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -146,6 +146,8 @@
   void NoteDone(unsigned aStatus);
   void NoteCallerLeft();
   [[nodiscard]] SeriesLabels Labels() const;
+  // Returns the tokens of the prompt; 0 for a request without one.
+  [[nodiscard]] std::uint64_t PromptTokens() const noexcept;
 
   FlowContext& mContext;
   const CallerRequest& mRequest;
@@ -739,6 +741,7 @@
             { "server", mChoice.mServer },
             { "reason", aReason },
             { "sends", mSends },
+            { "tokens", PromptTokens() },
             { "age", MonotonicNow() - mArrivedAt } });
   mSink.Cut();
 }
@@ -758,6 +761,7 @@
                        refusal.GetDisposition() == Disposition::NotRun
                          ? Counter::RefusedNotRun
                          : Counter::RefusedUnknown);
+  mContext.mCounts.Add(Labels(), Counter::RefusedTokens, PromptTokens());
   LogLine(LogEvent::RequestRefused,
           { { "request", mRequest.mId },
             { "reason", aReason },
@@ -774,6 +778,9 @@
             { "server", mChoice.mServer },
             { "candidates", mChoice.mCandidates },
             { "estimate", mChoice.mTime },
+            { "tokens", PromptTokens() },
+            { "work", static_cast<std::uint64_t>(mQuery.mWork) },
+            { "miss_work", static_cast<std::uint64_t>(mQuery.mMissWork) },
             { "return_in", aRetryAfter.value_or(Duration(0)) } });
   mSink.Refuse(refusal);
 }
@@ -794,12 +801,19 @@
            mRoute == nullptr ? std::string() : mRoute->mName };
 }
 
+std::uint64_t
+RequestRun::PromptTokens() const noexcept
+{
+  return mRequest.mPrompt ? mRequest.mPrompt->mInputTokens : 0;
+}
+
 void
 RequestRun::NoteDone(unsigned aStatus)
 {
   const auto now = MonotonicNow();
   const auto first = mFirstAt.value_or(now) - mArrivedAt;
   mContext.mCounts.Add(Labels(), Counter::Answered);
+  mContext.mCounts.Add(Labels(), Counter::PromptTokens, PromptTokens());
   mContext.mTimes.Record(Labels(), Measure::FirstToken, first);
   mContext.mTimes.Record(Labels(), Measure::Total, now - mArrivedAt);
   LogLine(LogEvent::RequestDone,
@@ -810,6 +824,8 @@
             { "weights", mChoice.mWeightVersion },
             { "choice", mChoice.mReason },
             { "sends", mSends },
+            { "tokens", PromptTokens() },
+            { "estimate", mChoice.mTime },
             { "first", first },
             { "total", now - mArrivedAt } });
 }
@@ -820,6 +836,7 @@
   LogLine(LogEvent::CallerLeft,
           { { "request", mRequest.mId },
             { "sends", mSends },
+            { "tokens", PromptTokens() },
             { "age", MonotonicNow() - mArrivedAt } });
 }
 
