Admit prompts by the estimate of one of average size

Cause: admission compared the whole time to the first event, the prompt's own reading included, with a fixed bound. Under overload the queues stand at that bound, so that only prompts with little work of their own still fit; one whose own work exceeds it is refused at an idle service too. Class of fault: an admission test that includes the cost of the request itself is biased against large requests. Change: the pool keeps the average size of each kind of prompt among all that ask, and admission, at homes and at daemons that choose alone, uses the estimate for a prompt of that size. The choice of a server still uses the prompt's own size. Looked for elsewhere: the queues of packages/traffic admit by the wait ahead of an entry, without its own work; plain services have no admission; Retry-After of a refusal is the same estimate now and no longer grows with the size.

--- a/packages/entry/include/bilberrytrail/entry/server_load.h
+++ b/packages/entry/include/bilberrytrail/entry/server_load.h
@@ -66,6 +66,18 @@
   bool mHasAny = false;
 };
 
+// The moving average of the tokens of the prompts of one kind.
+class AverageTokens
+{
+public:
+  // Returns the average; 0 before the first prompt.
+  [[nodiscard]] double Average() const noexcept { return mAverage; }
+  void Note(double aTokens) noexcept;
+
+private:
+  double mAverage = 0;
+};
+
 // The shared parts of prompts that a server probably keeps: those it read last,
 // as far as they fit into its memory.
 class RecentParts
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -84,6 +84,9 @@
   ChoiceReason mReason = ChoiceReason::Soonest;
   // Estimated time to the first event.
   Duration mTime{};
+  // Estimated time to the first event of a prompt of the average size of its
+  // kind; equal to mTime for other requests.
+  Duration mAdmissionTime{};
   // Number of servers that could have been chosen.
   std::size_t mCandidates = 0;
 };
@@ -275,6 +278,10 @@
                                 const Server& aServer,
                                 std::size_t aPlace,
                                 Instant aNow) const;
+  // Returns the query with its work and memory scaled to the average size of
+  // its kind. Admission uses it, so that prompts of all sizes are refused
+  // equally often.
+  [[nodiscard]] ServerQuery ScaledToAverage(const ServerQuery& aQuery) const;
   // Returns the estimated time, plus the penalty for older weights.
   [[nodiscard]] Duration CostAt(const ServerQuery& aQuery,
                                 const Server& aServer,
@@ -298,6 +305,9 @@
   const ServerPoolSettings mSettings;
   std::map<ServerId, std::unique_ptr<Server>> mServers;
   std::map<SendTicket, Send> mSends;
+  // Sizes of the prompts that asked for a server, admitted or not, by kind of
+  // request.
+  std::map<std::uint64_t, AverageTokens> mSizes;
   // Baselines by kind of request.
   std::map<std::uint64_t, BaselineTime> mBaseline;
   // Moving average of the time for which prompts hold memory.
--- a/packages/entry/src/placement_ledger.cpp
+++ b/packages/entry/src/placement_ledger.cpp
@@ -124,8 +124,9 @@
   reply.mTime = choice->mTime;
   reply.mCandidates = choice->mCandidates;
   if (query.mModel && !aRequest.mMustPlace &&
-      RefusePrompt(choice->mTime, query.mObjective, mSettings)) {
+      RefusePrompt(choice->mAdmissionTime, query.mObjective, mSettings)) {
     reply.mOutcome = PlacementOutcome::Busy;
+    reply.mTime = choice->mAdmissionTime;
     return reply;
   }
   reply.mOutcome = PlacementOutcome::Granted;
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -330,8 +330,8 @@
   if (!mRequest.mPrompt || mSends > 0) {
     return true;
   }
-  if (const auto wait =
-        RefusePrompt(mChoice.mTime, mRoute->mObjective, AdmissionSettings())) {
+  if (const auto wait = RefusePrompt(
+        mChoice.mAdmissionTime, mRoute->mObjective, AdmissionSettings())) {
     RefuseLate(*wait);
     return false;
   }
@@ -375,10 +375,10 @@
     EndGrant(SendOutcome::Abandoned);
     return std::nullopt;
   }
-  mChoice = { it->mId,           it->mEndpoint,
-              it->mZone,         reply->mWeightVersion,
-              reply->mReason,    reply->mTime,
-              reply->mCandidates };
+  mChoice = { it->mId,        it->mEndpoint,
+              it->mZone,      reply->mWeightVersion,
+              reply->mReason, reply->mTime,
+              reply->mTime,   reply->mCandidates };
   return true;
 }
 
--- a/packages/entry/src/server_estimate.cpp
+++ b/packages/entry/src/server_estimate.cpp
@@ -102,6 +102,22 @@
          MemoryTime(aQuery, aServer);
 }
 
+ServerQuery
+ServerPool::ScaledToAverage(const ServerQuery& aQuery) const
+{
+  const auto it = mSizes.find(aQuery.mKind);
+  if (!aQuery.mModel || aQuery.mMemory <= 0 || it == mSizes.end()) {
+    return aQuery;
+  }
+  const double factor = it->second.Average() / aQuery.mMemory;
+  ServerQuery scaled = aQuery;
+  scaled.mWork *= factor;
+  scaled.mMissWork *= factor;
+  scaled.mSharedTokens *= factor;
+  scaled.mMemory *= factor;
+  return scaled;
+}
+
 Duration
 ServerPool::CostAt(const ServerQuery& aQuery,
                    const Server& aServer,
--- a/packages/entry/src/server_load.cpp
+++ b/packages/entry/src/server_load.cpp
@@ -9,6 +9,8 @@
 // Weights of a sample above and below the baseline.
 constexpr double kLongerWeight = 0.02;
 constexpr double kShorterWeight = 0.1;
+// Weight of a new prompt in the average size of its kind.
+constexpr double kSizeWeight = 0.02;
 
 } // namespace
 
@@ -66,6 +68,13 @@
   mBaseline += FromMillis(weight * ToMillis(beyond - mBaseline));
 }
 
+void
+AverageTokens::Note(double aTokens) noexcept
+{
+  mAverage =
+    mAverage == 0 ? aTokens : mAverage + kSizeWeight * (aTokens - mAverage);
+}
+
 void
 RecentParts::Use(std::uint64_t aPart, double aTokens, double aCapacity)
 {
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -154,6 +154,9 @@
 std::optional<ChosenServer>
 ServerPool::Choose(const ServerQuery& aQuery, Instant aNow)
 {
+  if (aQuery.mModel && aQuery.mMemory > 0) {
+    mSizes[aQuery.mKind].Note(aQuery.mMemory);
+  }
   Candidates excluded;
   auto usable = Usable(aQuery, aNow, excluded);
   if (usable.empty()) {
@@ -182,6 +185,8 @@
                                             : ChoiceReason::Spilled;
   auto choice = ToChoice(aQuery, *usable[best], reason, usable.size());
   choice.mTime = TimeAt(aQuery, *usable[best], best, aNow);
+  choice.mAdmissionTime =
+    TimeAt(ScaledToAverage(aQuery), *usable[best], best, aNow);
   return choice;
 }
 
--- a/packages/entry/tests/server_pool_test.cpp
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -439,3 +439,45 @@
   pool.OnProgress(running, At(20s));
   CHECK(pool.Choose(query, At(20s))->mTime < 300ms);
 }
+
+// Guards against refusing large prompts because of their own work: a daemon
+// that places a prompt itself admits it by the same estimate as a home does.
+TEST_CASE("the admission estimate does not depend on the size of a prompt")
+{
+  struct Row
+  {
+    double mTokens;
+    // Tokens of the prompts that were seen before.
+    std::vector<double> mBefore;
+  };
+  const Row rows[] = { { 1000, { 12'000 } },
+                       { 12'000, { 12'000 } },
+                       { 34'000, { 12'000 } },
+                       { 34'000, { 6'000, 18'000, 12'000 } } };
+  for (const auto& row : rows) {
+    ServerPool pool(kOwnZone, ServerPoolSettings());
+    (void)pool.Update(Servers(2, kEngines), At(0s));
+    ServerQuery query;
+    query.mService = kEngines;
+    query.mModel = kModel;
+    query.mServerMemory = 200'000;
+    const auto choose = [&](double aTokens) {
+      query.mMemory = aTokens;
+      query.mWork = aTokens / 4;
+      query.mMissWork = aTokens / 2;
+      const auto choice = pool.Choose(query, At(0s));
+      REQUIRE(choice);
+      return *choice;
+    };
+    for (int n = 0; n < 50; ++n) {
+      for (const auto it : row.mBefore) {
+        (void)choose(it);
+      }
+    }
+    const auto choice = choose(row.mTokens);
+    CAPTURE(row.mTokens);
+    CHECK(ToMillis(choice.mTime) == doctest::Approx(row.mTokens / 4 / 100));
+    CHECK(ToMillis(choice.mAdmissionTime) ==
+          doctest::Approx(12'000 / 4 / 100).epsilon(0.05));
+  }
+}
