--- a/standins/src/fleet/fleet_server.cpp
+++ b/standins/src/fleet/fleet_server.cpp
@@ -28,6 +28,7 @@
     TakeOrder(aRequest, aResponder);
     return;
   }
+  mArrivals.push_back(MonotonicNow());
   const auto& headers = aRequest.mHeaders;
   const auto weights = FindHeader(headers, "Bilberrytrail-Expected-Version");
   // Refusals name their request too, as the platform's page says.
@@ -37,17 +38,30 @@
   if (FindHeader(headers, "Bilberrytrail-Target-Instance") != mId ||
       (!weights.empty() && weights != std::to_string(mWeights))) {
     (void)aResponder.Send(
-      { 421, { request, { "Bilberrytrail-Instance-Id", mId } }, {} });
+      { 421,
+        WithLimit({ request, { "Bilberrytrail-Instance-Id", mId } }),
+        {} });
     return;
   }
   if (mIsFull) {
     (void)aResponder.Send(
-      { 503, { request, { "Bilberrytrail-Not-Executed", "1" } }, {} });
+      { 503,
+        WithLimit({ request, { "Bilberrytrail-Not-Executed", "1" } }),
+        {} });
     return;
   }
   Run(aRequest, aResponder);
 }
 
+HttpHeaders
+FleetServer::WithLimit(HttpHeaders aHeaders) const
+{
+  if (!mLimit.empty()) {
+    aHeaders.push_back({ "Server-Limit", mLimit });
+  }
+  return aHeaders;
+}
+
 void
 FleetServer::Run(const HttpRequest& aRequest, HttpResponder& aResponder)
 {
@@ -55,8 +69,9 @@
     FindHeader(aRequest.mHeaders, "Bilberrytrail-Request-Id"));
   ++mRuns[id];
   mLastHeaders = aRequest.mHeaders;
-  HttpHeaders headers{ { "Bilberrytrail-Request-Id", id },
-                       { "Bilberrytrail-Response-Signature", "sig-" + id } };
+  auto headers =
+    WithLimit({ { "Bilberrytrail-Request-Id", id },
+                { "Bilberrytrail-Response-Signature", "sig-" + id } });
   if (aRequest.mTarget.find("/stream/") == std::string::npos) {
     (void)aResponder.Send({ 200, std::move(headers), aRequest.mBody });
     return;
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -40,6 +40,14 @@
     return mFences;
   }
 
+  // Arrival times of all requests, refused ones included.
+  [[nodiscard]] const std::vector<Instant>& Arrivals() const noexcept
+  {
+    return mArrivals;
+  }
+
+  // Names a limit, in requests per second, in every answer; empty for none.
+  void SetLimit(std::string aLimit) { mLimit = std::move(aLimit); }
   // Refuses requests as not run while set.
   void SetFull(bool aIsFull) noexcept { mIsFull = aIsFull; }
   // Breaks streams off behind so many events; 0 for never.
@@ -49,6 +57,8 @@
   void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
 
 private:
+  // Adds the named limit to the headers of an answer.
+  [[nodiscard]] HttpHeaders WithLimit(HttpHeaders aHeaders) const;
   void Run(const HttpRequest& aRequest, HttpResponder& aResponder);
   void Stream(const HttpRequest& aRequest, HttpResponder& aResponder);
   void TakeOrder(const HttpRequest& aRequest, HttpResponder& aResponder);
@@ -63,6 +73,8 @@
   std::map<std::string, int> mRuns;
   HttpHeaders mLastHeaders;
   std::vector<std::uint64_t> mFences;
+  std::vector<Instant> mArrivals;
+  std::string mLimit;
 };
 
 } // namespace bilberrytrail::standins
--- /dev/null
+++ b/standins/tests/fleet_site.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "fleet/fleet_rows.h"
+#include "fleet/fleet_server.h"
+#include "fleet/row_table.h"
+
+#include <bilberrytrail/entry/entry_daemon.h>
+#include <bilberrytrail/fleet/fleet_platform.h>
+#include <bilberrytrail/runtime/http_client.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bilberrytrail::standins {
+
+// A site of the fleet on loopback: the table service, two engines, two servers
+// of a plain service and some daemons, all in this process.
+class FleetSite
+{
+public:
+  FleetSite();
+
+  // Runs the body on a fiber beside the site, with so many daemons.
+  void Run(int aDaemons, const std::function<void()>& aBody);
+
+  void PutConfig(std::uint64_t aVersion, const std::string& aKey);
+  void PutServer(const FleetServer& aServer,
+                 const Endpoint& aEndpoint,
+                 const std::string& aService,
+                 const std::string& aState = "ready");
+  // Puts the row of a server of the site.
+  void PutServer(std::size_t aNumber, const std::string& aState = "ready");
+  [[nodiscard]] Result<HttpResponse, HttpError> Send(
+    std::size_t aDaemon,
+    const std::string& aId,
+    const std::string& aTarget,
+    const std::string& aKey = "key");
+  [[nodiscard]] unsigned Status(std::size_t aDaemon,
+                                const std::string& aId,
+                                const std::string& aTarget,
+                                const std::string& aKey = "key");
+  [[nodiscard]] unsigned Readiness(std::size_t aDaemon);
+  // Waits up to 15 s, which bounds a hung test only.
+  [[nodiscard]] bool Await(const std::function<bool()>& aHolds);
+  [[nodiscard]] std::string Runs() const;
+
+  Loop mLoop;
+  RowTable mTable{ mLoop };
+  std::vector<std::unique_ptr<FleetServer>> mServers;
+  std::vector<Endpoint> mEndpoints;
+  std::unique_ptr<EntryPlatform> mPlatform = MakeFleetPlatform();
+  std::vector<std::unique_ptr<EntryDaemon>> mDaemons;
+  std::vector<EntrySettings> mSettings;
+
+private:
+  Endpoint Listen(HttpHandler& aHandler);
+  EntrySettings MakeSettings(int aNumber);
+
+  std::vector<std::unique_ptr<HttpServer>> mHttpServers;
+  std::unique_ptr<HttpClient> mClient;
+  Endpoint mTableEndpoint;
+};
+
+} // namespace bilberrytrail::standins
