Show that the limit a server names is ignored

The test sends through four daemons to servers that name limits; on this code 8 of 156 checks fail: 196 to 265 requests in 4 s where 11 to 20 are allowed, and nothing is refused where all servers are limited.

--- /dev/null
+++ b/standins/tests/fleet_limit_test.cpp
@@ -0,0 +1,160 @@
+#include "fleet_site.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+using namespace bilberrytrail;
+using namespace bilberrytrail::standins;
+
+namespace {
+
+constexpr int kDaemons = 4;
+// The limit counts from this time after a server first named it, in windows of
+// kWindow, with half as much again and kSlack requests allowed.
+constexpr Duration kStableTime = 3s;
+constexpr Duration kWindow = 4s;
+constexpr double kTolerance = 1.5;
+constexpr double kSlack = 5;
+constexpr Duration kTrafficTime = kStableTime + kWindow + 2s;
+constexpr Duration kRequestGap = 40ms;
+// A refusal that takes longer was held back.
+constexpr Duration kMaxRefusalTime = 500ms;
+
+// Returns the most arrivals in any window that begins at or after aFrom.
+std::size_t
+MostInWindow(const std::vector<Instant>& aArrivals, Instant aFrom)
+{
+  std::size_t most = 0;
+  for (auto it = aArrivals.begin(); it != aArrivals.end(); ++it) {
+    if (*it >= aFrom) {
+      const auto end = std::ranges::lower_bound(aArrivals, *it + kWindow);
+      most = std::max(most, static_cast<std::size_t>(end - it));
+    }
+  }
+  return most;
+}
+
+// Requests that all daemons of a site get at the same time.
+class Traffic
+{
+public:
+  Traffic(FleetSite& aSite, std::string aTarget)
+    : mSite(aSite)
+    , mTarget(std::move(aTarget))
+  {
+  }
+
+  // Sends until aTime has passed, and waits for all answers.
+  void Run(Duration aTime);
+
+  int mServed = 0;
+  int mRefused = 0;
+  int mLateRefusals = 0;
+  int mRefusalsWithoutDelay = 0;
+
+private:
+  void SendOne(std::size_t aDaemon);
+
+  FleetSite& mSite;
+  const std::string mTarget;
+  int mSent = 0;
+  int mRunning = 0;
+};
+
+void
+Traffic::Run(Duration aTime)
+{
+  const auto end = MonotonicNow() + aTime;
+  while (MonotonicNow() < end) {
+    for (std::size_t n = 0; n < mSite.mDaemons.size(); ++n) {
+      ++mRunning;
+      mSite.mLoop.Spawn([this, n] { SendOne(n); });
+    }
+    (void)mSite.mLoop.Sleep(kRequestGap);
+  }
+  CHECK(mSite.Await([this] { return mRunning == 0; }));
+}
+
+void
+Traffic::SendOne(std::size_t aDaemon)
+{
+  const auto id = "a" + std::to_string(++mSent);
+  // Prompts of many sessions, so that their shared parts differ.
+  const auto target = mTarget + std::to_string(mSent);
+  const auto start = MonotonicNow();
+  const auto response = mSite.Send(aDaemon, id, target);
+  --mRunning;
+  if (response && response.value().mStatus == 200) {
+    ++mServed;
+    return;
+  }
+  ++mRefused;
+  mLateRefusals += MonotonicNow() - start > kMaxRefusalTime ? 1 : 0;
+  const auto delay =
+    response ? FindHeader(response.value().mHeaders, "Retry-After") : "";
+  mRefusalsWithoutDelay +=
+    std::strtod(std::string(delay).c_str(), nullptr) > 0 ? 0 : 1;
+}
+
+struct LimitRow
+{
+  const char* mName;
+  const char* mTarget;
+  // Servers of the site that name a limit.
+  std::vector<std::size_t> mLimited;
+  const char* mLimit;
+  // Every server of the service names it, so that some requests are refused.
+  bool mIsAll;
+};
+
+} // namespace
+
+// Guards against sending a server more than the rate that it names: the rate
+// holds for all daemons together, and for all services.
+TEST_CASE("all daemons together keep to the limit that a server names")
+{
+  const LimitRow rows[] = {
+    { "one of two engines", "/stream/", { 0 }, "1", false },
+    { "both engines", "/stream/", { 0, 1 }, "2.5", true },
+    { "one of two plain servers", "/read/", { 3 }, "1.5", false },
+    { "both plain servers, calls that run once",
+      "/order/",
+      { 2, 3 },
+      "1",
+      true }
+  };
+  for (const auto& row : rows) {
+    CAPTURE(std::string(row.mName));
+    FleetSite site;
+    site.Run(kDaemons, [&] {
+      Traffic traffic(site, row.mTarget);
+      traffic.Run(500ms);
+      for (const auto n : row.mLimited) {
+        site.mServers[n]->SetLimit(row.mLimit);
+      }
+      const auto named = MonotonicNow();
+      traffic.Run(kTrafficTime);
+      CAPTURE(traffic.mServed);
+      CAPTURE(traffic.mRefused);
+      const double limit = std::strtod(row.mLimit, nullptr);
+      const double allowed =
+        kTolerance * limit * ToMillis(kWindow) / 1000 + kSlack;
+      for (const auto n : row.mLimited) {
+        const auto& arrivals = site.mServers[n]->Arrivals();
+        const auto most = MostInWindow(arrivals, named + kStableTime);
+        CHECK(static_cast<double>(most) <= allowed);
+        // A limited server stays in use.
+        CHECK(most >= 1);
+      }
+      CHECK(traffic.mServed > 0);
+      CHECK((traffic.mRefused > 0) == row.mIsAll);
+      CHECK(traffic.mLateRefusals == 0);
+      CHECK(traffic.mRefusalsWithoutDelay == 0);
+      for (const auto n : row.mLimited) {
+        site.mServers[n]->SetLimit("");
+      }
+    });
+  }
+}
