Keep to the request rates that servers name, for all daemons together

Cause: nothing read Server-Limit. The adapter handed on status, body and weight version, and no choice of a server knew a rate. Class of fault: a shared limit that each sender is blind to, and that no part which sees all sends enforces. Change: answers and refusals carry the named limit; ServerLimits keeps the newest observation of each server, exchanged with placement messages; RateGate paces each sender by its share: the settled first home all of the limit, other homes a quarter, all daemons without a home an eighth. A paced server is no candidate for first sends, retries, resumed streams and plain calls alike, nor as a last resort; what finds none is refused at once with the time at which a request is due. Looked for elsewhere: completions of packages/daemon speak the project's own interface, which names no limit. Logs tell limits (server_limit_changed) and whether a home placed a request (by_home).

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -105,6 +105,7 @@
   SettingDefaulted,
   HomeSilent,
   PlacementUnreadable,
+  ServerLimitChanged,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -514,6 +514,14 @@
                 "and was dropped.",
                 "Find the sender; expected while two versions of the daemon "
                 "run during an upgrade." },
+  LogEventInfo{ ServerLimitChanged,
+                2020,
+                Info,
+                "server_limit_changed",
+                "A backend server names another request rate limit, "
+                "`per_second`, that holds for all daemons together; 0 when "
+                "it names none any more.",
+                "Find out why the server is short of capacity." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/backend_call.h
+++ b/packages/entry/include/bilberrytrail/entry/backend_call.h
@@ -81,6 +81,9 @@
   // The server provably did not run the request.
   bool mNotRun = false;
   std::string mDetail;
+  // Requests per second that the server takes from all daemons together, if its
+  // refusal named a limit.
+  std::optional<double> mRequestLimit = std::nullopt;
 };
 
 // The answer to one attempt, read piece by piece. Destroying it before its end
@@ -95,6 +98,9 @@
   // named it.
   [[nodiscard]] virtual std::optional<std::uint64_t> WeightVersion()
     const noexcept = 0;
+  // Returns the requests per second that the server takes from all daemons
+  // together, if the answer named a limit.
+  [[nodiscard]] virtual std::optional<double> RequestLimit() const noexcept = 0;
   // Waits for the next bytes; returns nothing at the regular end of the answer.
   [[nodiscard]] virtual Result<std::optional<std::string>> Read(
     Duration aTimeout) = 0;
--- a/packages/entry/include/bilberrytrail/entry/placement.h
+++ b/packages/entry/include/bilberrytrail/entry/placement.h
@@ -42,15 +42,19 @@
   // mTime is the lowest estimate.
   Busy,
   // The home knows no usable server.
-  NoServer
+  NoServer,
+  // The servers of the group have reached the rate limits that they name; mTime
+  // is the time after which the caller may retry.
+  Limited
 };
 
 template<>
 struct EnumNames<PlacementOutcome>
 {
-  static constexpr std::array<std::string_view, 3> kNames{ "granted",
+  static constexpr std::array<std::string_view, 4> kNames{ "granted",
                                                            "busy",
-                                                           "no_server" };
+                                                           "no_server",
+                                                           "limited" };
 };
 
 struct PlacementReply
--- a/packages/entry/include/bilberrytrail/entry/placement_ledger.h
+++ b/packages/entry/include/bilberrytrail/entry/placement_ledger.h
@@ -23,7 +23,10 @@
 class PlacementLedger
 {
 public:
-  PlacementLedger(ZoneId aOwnZone, const AdmissionSettings& aSettings);
+  // aLimits holds the rate limits of the servers, and must outlive the ledger.
+  PlacementLedger(ZoneId aOwnZone,
+                  const AdmissionSettings& aSettings,
+                  const ServerLimits& aLimits);
   ~PlacementLedger();
   PlacementLedger(const PlacementLedger&) = delete;
   PlacementLedger& operator=(const PlacementLedger&) = delete;
@@ -36,11 +39,13 @@
   // Sets which servers are loading weights.
   void SetLoading(const std::set<ServerId>& aServers, Instant aNow);
   // Grants a server to the request, or returns Busy when no server of its group
-  // would answer in time, or NoServer. A repeated request with the same ticket
-  // replaces the earlier grant.
+  // would answer in time, Limited, or NoServer. A repeated request with the
+  // same ticket replaces the earlier grant. aLimitShare is the share of the
+  // servers' rate limits that this home may use for the group, from 0 to 1.
   [[nodiscard]] PlacementReply HandleRequest(const PlacementClientId& aClient,
                                              const PlacementRequest& aRequest,
-                                             Instant aNow);
+                                             Instant aNow,
+                                             double aLimitShare = 1);
   // Applies a report on a grant; reports on unknown grants are ignored.
   void Report(const PlacementClientId& aClient,
               const PlacementReport& aReport,
@@ -61,6 +66,9 @@
 
   const ZoneId mOwnZone;
   const AdmissionSettings mSettings;
+  // Shared by all pools: while the number of groups changes, a server is in the
+  // pools of two groups.
+  RateGate mGate;
   std::vector<ServerRecord> mServers;
   std::map<PlacementGroup, std::unique_ptr<ServerPool>> mPools;
   std::map<GrantId, Grant> mGrants;
--- a/packages/entry/include/bilberrytrail/entry/placement_map.h
+++ b/packages/entry/include/bilberrytrail/entry/placement_map.h
@@ -45,6 +45,10 @@
   [[nodiscard]] std::span<const PlacementCandidate> HomesOf(
     const PlacementGroup& aGroup) const;
 
+  // Returns the groups whose first home is this daemon.
+  [[nodiscard]] std::vector<PlacementGroup> GroupsOf(
+    const DaemonId& aDaemon) const;
+
   // Returns the number of the group, among aCount groups, that a server belongs
   // to.
   [[nodiscard]] static std::uint32_t GroupOf(const ServerId& aServer,
--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -33,6 +33,10 @@
   // Returns whether the view was confirmed recently enough that a route or key
   // that it lacks can be taken not to exist.
   std::function<bool()> mIsViewFresh;
+  // Rate limits that the servers name, and the pace of the requests that this
+  // daemon sends to such servers without a home.
+  ServerLimits& mLimits;
+  RateGate& mGate;
   // Places requests through homes; null when this daemon chooses servers
   // itself.
   Placer* mPlacer = nullptr;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <bilberrytrail/entry/backend_call.h>
+#include <bilberrytrail/entry/rate_gate.h>
 #include <bilberrytrail/entry/server_load.h>
 
 #include <cstddef>
@@ -194,7 +195,11 @@
 class ServerPool
 {
 public:
-  ServerPool(ZoneId aOwnZone, const ServerPoolSettings& aSettings);
+  // aGate paces the requests to servers that name a rate limit, and may be
+  // null; the owner records in it what is sent.
+  ServerPool(ZoneId aOwnZone,
+             const ServerPoolSettings& aSettings,
+             RateGate* aGate = nullptr);
   ~ServerPool();
   ServerPool(const ServerPool&) = delete;
   ServerPool& operator=(const ServerPool&) = delete;
@@ -204,6 +209,11 @@
   [[nodiscard]] std::optional<ChosenServer> Choose(const ServerQuery& aQuery,
                                                    Instant aNow);
 
+  // Returns the Retry-After for a request for which Choose found no server
+  // because of rate limits; nothing when limits are not the reason.
+  [[nodiscard]] std::optional<Duration> LimitDelay(const ServerQuery& aQuery,
+                                                   Instant aNow);
+
   // Replaces the list of servers. Returns the endpoints of the servers that
   // were removed or restarted.
   std::vector<Endpoint> Update(std::span<const ServerRecord> aServers,
@@ -241,6 +251,10 @@
   using Candidates = std::vector<Server*>;
 
   [[nodiscard]] std::uint64_t LeastVersion(const ServerQuery& aQuery) const;
+  // Returns whether a server can run the query at all, whatever its state.
+  [[nodiscard]] static bool IsEligible(const ServerQuery& aQuery,
+                                       const Server& aServer,
+                                       std::uint64_t aLeastVersion);
   [[nodiscard]] Candidates Usable(const ServerQuery& aQuery,
                                   Instant aNow,
                                   Candidates& aExcluded);
@@ -303,6 +317,7 @@
 
   const ZoneId mOwnZone;
   const ServerPoolSettings mSettings;
+  RateGate* const mGate;
   std::map<ServerId, std::unique_ptr<Server>> mServers;
   std::map<SendTicket, Send> mSends;
   // Sizes of the prompts that asked for a server, admitted or not, by kind of
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -28,6 +28,9 @@
 // Reserve of the time limit for new weights: a request may wait at a server
 // before it begins.
 constexpr Duration kWeightsReserve = 1500ms;
+// Share of a server's rate limit that all daemons together use for requests
+// that they place without a home.
+constexpr double kDirectLimitShare = 0.125;
 constexpr const char* kMetricsPath = "/metrics";
 
 // Limits of requests between daemons; a replica of the tables is the largest
@@ -128,6 +131,9 @@
   // Used on the traffic thread.
   Loop mTraffic;
   std::unique_ptr<BackendPort> mBackend;
+  ServerLimits mLimits;
+  // Paces requests that this daemon places itself.
+  RateGate mGate;
   ServerPool mPool;
   RetryMeter mRetries;
   CacheDirectory mCache;
@@ -186,17 +192,24 @@
   , mMetricsHandler(
       [this](const HttpRequest& aRequest) { return ServeMetrics(aRequest); })
   , mBackend(aPlatform.MakeBackend(mTraffic))
-  , mPool(mSettings.mZone, ServerPoolSettings())
+  , mGate(mLimits)
+  , mPool(mSettings.mZone, ServerPoolSettings(), &mGate)
   , mRetries(
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow },
       MonotonicNow())
-  , mPlacement(mTraffic, mSettings.mZone, mSelf.mName, MakeLogId(mSelf))
+  , mPlacement(mTraffic,
+               mSettings.mZone,
+               mSelf.mName,
+               MakeLogId(mSelf),
+               mLimits)
   , mHistograms(kMaxSeries)
   , mCounters(kMaxSeries)
   , mFlow(MakeFlowContext())
   , mCallerHandler(aPlatform.MakeCallerHandler(mFlow))
   , mCallerServer(mTraffic, HttpLimits())
 {
+  mGate.SetShare(0);
+  mGate.SetMinRequests(1);
   mSiteFollower.AddMethods(mMethods);
   mRelayFollower.AddMethods(mMethods);
   mNotifier.AddMethods(mMethods);
@@ -216,6 +229,8 @@
     mSettings.mWeightsWithin - kWeightsReserve,
     [this] { return UpdateView(); },
     [this] { return mViews.IsFresh(MonotonicNow()); },
+    mLimits,
+    mGate,
     &mPlacement,
   };
 }
@@ -232,7 +247,9 @@
       mBackend->Forget(it);
     }
     mPlacement.Ledger().SetServers(view->mServers, MonotonicNow());
+    mLimits.Retain(view->mServers, MonotonicNow());
     if (mDaemons > 0) {
+      mGate.SetShare(kDirectLimitShare / static_cast<double>(mDaemons.load()));
       mRetries.SetDaemons(mDaemons);
       mCache.SetDaemons(mDaemons);
     }
--- a/packages/entry/src/placement_codec.cpp
+++ b/packages/entry/src/placement_codec.cpp
@@ -2,6 +2,10 @@
 
 #include <bilberrytrail/platform/json_read.h>
 
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
 namespace bilberrytrail {
 
 namespace {
@@ -9,6 +13,8 @@
 // First byte of a datagram; CBOR follows.
 constexpr char kMessage = 'M';
 constexpr char kReply = 'R';
+// An older observation of a rate limit is not sent, and rejected when read.
+constexpr Duration kMaxLimitAge = 3600s;
 
 std::string
 Pack(char aKind, const Json& aJson)
@@ -146,6 +152,56 @@
   return Checked(fields, report);
 }
 
+Json
+ToJson(const LimitReport& aReport)
+{
+  return { { "server", aReport.mServer.Text() },
+           { "per_second", aReport.mPerSecond },
+           { "age_ms", ToMillis(aReport.mAge) } };
+}
+
+Result<LimitReport>
+ReadLimitReport(const Json& aJson)
+{
+  JsonFields fields(aJson);
+  LimitReport report;
+  report.mServer = ServerId(fields.Text("server"));
+  report.mPerSecond = fields.Real("per_second");
+  if (!std::isfinite(report.mPerSecond) || report.mPerSecond < 0) {
+    fields.Reject("per_second");
+  }
+  const double age = fields.Real("age_ms");
+  if (age >= 0 && age <= ToMillis(kMaxLimitAge)) {
+    report.mAge = FromMillis(age);
+  } else {
+    fields.Reject("age_ms");
+  }
+  return Checked(fields, std::move(report));
+}
+
+// Most messages carry no limits; builds that know none omit the field.
+void
+AddLimits(Json& aJson, const std::vector<LimitReport>& aLimits)
+{
+  std::vector<LimitReport> limits;
+  std::ranges::copy_if(
+    aLimits, std::back_inserter(limits), [](const LimitReport& aReport) {
+      return aReport.mAge <= kMaxLimitAge;
+    });
+  if (!limits.empty()) {
+    aJson["limits"] = ToJsonList(
+      limits, [](const LimitReport& aReport) { return ToJson(aReport); });
+  }
+}
+
+std::vector<LimitReport>
+ReadLimits(JsonFields& aFields)
+{
+  return aFields.Has("limits")
+           ? ReadListField(aFields, "limits", ReadLimitReport)
+           : std::vector<LimitReport>();
+}
+
 } // namespace
 
 std::string
@@ -161,20 +217,23 @@
   if (aMessage.mRequest) {
     json["ask"] = ToJson(*aMessage.mRequest);
   }
+  AddLimits(json, aMessage.mLimits);
   return Pack(kMessage, json);
 }
 
 std::string
-Encode(const PlacementReply& aReply)
+Encode(const PlacementAnswer& aAnswer)
 {
-  return Pack(kReply,
-              { { "ticket", aReply.mTicket },
-                { "outcome", std::string(ToName(aReply.mOutcome)) },
-                { "server", aReply.mServer.Text() },
-                { "weights", aReply.mWeightVersion },
-                { "reason", std::string(ToName(aReply.mReason)) },
-                { "time_ms", ToMillis(aReply.mTime) },
-                { "candidates", aReply.mCandidates } });
+  const auto& reply = aAnswer.mReply;
+  Json json{ { "ticket", reply.mTicket },
+             { "outcome", std::string(ToName(reply.mOutcome)) },
+             { "server", reply.mServer.Text() },
+             { "weights", reply.mWeightVersion },
+             { "reason", std::string(ToName(reply.mReason)) },
+             { "time_ms", ToMillis(reply.mTime) },
+             { "candidates", reply.mCandidates } };
+  AddLimits(json, aAnswer.mLimits);
+  return Pack(kReply, json);
 }
 
 Result<PlacementMessage>
@@ -192,18 +251,20 @@
   if (fields.Has("ask")) {
     message.mRequest = ReadObjectField(fields, "ask", ReadRequest);
   }
+  message.mLimits = ReadLimits(fields);
   return Checked(fields, std::move(message));
 }
 
-Result<PlacementReply>
-DecodePlacementReply(std::string_view aBytes)
+Result<PlacementAnswer>
+DecodePlacementAnswer(std::string_view aBytes)
 {
   const auto json = Unpack(kReply, aBytes);
   if (!json) {
     return json.error();
   }
   JsonFields fields(json.value());
-  PlacementReply reply;
+  PlacementAnswer answer;
+  auto& reply = answer.mReply;
   reply.mTicket = fields.Unsigned("ticket");
   reply.mOutcome = ReadEnumField<PlacementOutcome>(fields, "outcome");
   reply.mServer = ServerId(fields.Text("server"));
@@ -211,7 +272,8 @@
   reply.mReason = ReadEnumField<ChoiceReason>(fields, "reason");
   reply.mTime = FromMillis(fields.Real("time_ms"));
   reply.mCandidates = fields.Unsigned("candidates");
-  return Checked(fields, std::move(reply));
+  answer.mLimits = ReadLimits(fields);
+  return Checked(fields, std::move(answer));
 }
 
 bool
--- a/packages/entry/src/placement_ledger.cpp
+++ b/packages/entry/src/placement_ledger.cpp
@@ -31,9 +31,11 @@
 };
 
 PlacementLedger::PlacementLedger(ZoneId aOwnZone,
-                                 const AdmissionSettings& aSettings)
+                                 const AdmissionSettings& aSettings,
+                                 const ServerLimits& aLimits)
   : mOwnZone(std::move(aOwnZone))
   , mSettings(aSettings)
+  , mGate(aLimits)
 {
 }
 
@@ -71,7 +73,7 @@
   if (pool == nullptr) {
     ServerPoolSettings settings;
     settings.mSeesAllPrompts = true;
-    pool = std::make_unique<ServerPool>(mOwnZone, settings);
+    pool = std::make_unique<ServerPool>(mOwnZone, settings, &mGate);
     const auto servers = std::move(mServers);
     SetServers(servers, aNow);
   }
@@ -106,9 +108,11 @@
 PlacementReply
 PlacementLedger::HandleRequest(const PlacementClientId& aClient,
                                const PlacementRequest& aRequest,
-                               Instant aNow)
+                               Instant aNow,
+                               double aLimitShare)
 {
   Expire(aNow);
+  mGate.SetShare(aLimitShare);
   PlacementReply reply;
   reply.mTicket = aRequest.mTicket;
   DropOtherIncarnations(aClient, aNow);
@@ -116,6 +120,10 @@
   const auto& query = aRequest.mQuery;
   const auto choice = pool.Choose(query, aNow);
   if (!choice) {
+    if (const auto delay = pool.LimitDelay(query, aNow)) {
+      reply.mOutcome = PlacementOutcome::Limited;
+      reply.mTime = *delay;
+    }
     return reply;
   }
   reply.mServer = choice->mServer;
@@ -130,6 +138,7 @@
     return reply;
   }
   reply.mOutcome = PlacementOutcome::Granted;
+  mGate.Take(choice->mServer, aNow);
   const GrantId id(aClient.mDaemon, aRequest.mTicket);
   End(id, SendOutcome::Abandoned, aNow);
   const auto deadline = aNow + aRequest.mTimeLeft + kReportDelayAllowance;
--- a/packages/entry/src/placement_map.cpp
+++ b/packages/entry/src/placement_map.cpp
@@ -160,4 +160,20 @@
   return it->second[aGroup.mNumber].mHomes;
 }
 
+std::vector<PlacementGroup>
+PlacementMap::GroupsOf(const DaemonId& aDaemon) const
+{
+  std::vector<PlacementGroup> own;
+  for (const auto& [service, groups] : mServices) {
+    const auto count = static_cast<std::uint32_t>(groups.size());
+    for (std::uint32_t n = 0; n < count; ++n) {
+      const auto& homes = groups[n].mHomes;
+      if (!homes.empty() && homes.front().mDaemon == aDaemon) {
+        own.push_back({ service, n, count });
+      }
+    }
+  }
+  return own;
+}
+
 } // namespace bilberrytrail
--- a/packages/entry/src/placement_service.cpp
+++ b/packages/entry/src/placement_service.cpp
@@ -23,17 +23,25 @@
 constexpr Duration kMaxBackOff = 8s;
 // Time for which reports are collected before they are sent.
 constexpr Duration kReportDelay = 15ms;
+// Share of the servers' rate limits that a daemon uses for a group that others
+// may place requests for at the same time: it is not the group's first home, or
+// has not been for kHomeSettlingTime, in which others read the rows of the
+// daemons again.
+constexpr double kStandInLimitShare = 0.25;
+constexpr Duration kHomeSettlingTime = 15s;
 
 } // namespace
 
 PlacementService::PlacementService(Loop& aLoop,
                                    ZoneId aOwnZone,
                                    DaemonId aSelf,
-                                   std::uint64_t aIncarnation)
+                                   std::uint64_t aIncarnation,
+                                   ServerLimits& aLimits)
   : mLoop(aLoop)
   , mSelf{ std::move(aSelf), aIncarnation }
   , mSocket(aLoop)
-  , mLedger(std::move(aOwnZone), HomeAdmissionSettings())
+  , mLimits(aLimits)
+  , mLedger(std::move(aOwnZone), HomeAdmissionSettings(), aLimits)
 {
 }
 
@@ -51,6 +59,55 @@
 PlacementService::SetMap(std::shared_ptr<const PlacementMap> aMap)
 {
   mMap = std::move(aMap);
+  std::map<PlacementGroup, Instant> since;
+  for (const auto& group : mMap->GroupsOf(mSelf.mDaemon)) {
+    const auto known = mFirstHomeSince.find(group);
+    since.emplace(
+      group, known == mFirstHomeSince.end() ? MonotonicNow() : known->second);
+  }
+  mFirstHomeSince = std::move(since);
+}
+
+double
+PlacementService::LimitShareFor(const PlacementGroup& aGroup,
+                                Instant aNow) const
+{
+  const auto it = mFirstHomeSince.find(aGroup);
+  const bool isSettled =
+    it != mFirstHomeSince.end() && aNow - it->second >= kHomeSettlingTime;
+  return isSettled ? 1 : kStandInLimitShare;
+}
+
+PlacementReply
+PlacementService::HandleRequest(const PlacementClientId& aClient,
+                                const PlacementRequest& aRequest)
+{
+  const auto now = MonotonicNow();
+  return mLedger.HandleRequest(
+    aClient, aRequest, now, LimitShareFor(aRequest.mGroup, now));
+}
+
+std::vector<LimitReport>
+PlacementService::LimitReports() const
+{
+  const auto now = MonotonicNow();
+  std::vector<LimitReport> reports;
+  for (const auto& it : mLimits.Recent(now)) {
+    reports.push_back({ it.mServer, it.mPerSecond, now - it.mAt });
+  }
+  return reports;
+}
+
+void
+PlacementService::MergeLimits(const std::vector<LimitReport>& aReports)
+{
+  const auto now = MonotonicNow();
+  std::vector<LimitObservation> observations;
+  observations.reserve(aReports.size());
+  for (const auto& it : aReports) {
+    observations.push_back({ it.mServer, it.mPerSecond, now - it.mAge });
+  }
+  mLimits.Merge(observations, now);
 }
 
 bool
@@ -86,7 +143,7 @@
     return std::nullopt;
   }
   const auto affinity = aQuery.mAffinity != 0 ? aQuery.mAffinity : aSpread;
-  std::optional<PlacementReply> busy;
+  std::optional<PlacementReply> refused;
   for (const auto& group :
        map->GroupsFor(aQuery.mService, affinity, kMaxGroups)) {
     PlacementRequest request;
@@ -98,12 +155,14 @@
     if (reply && reply->mOutcome == PlacementOutcome::Granted) {
       return reply;
     }
-    if (reply && reply->mOutcome == PlacementOutcome::Busy &&
-        (!busy || reply->mTime < busy->mTime)) {
-      busy = reply;
+    const bool isRefused =
+      reply && (reply->mOutcome == PlacementOutcome::Busy ||
+                reply->mOutcome == PlacementOutcome::Limited);
+    if (isRefused && (!refused || reply->mTime < refused->mTime)) {
+      refused = reply;
     }
   }
-  return busy;
+  return refused;
 }
 
 std::optional<PlacementReply>
@@ -134,13 +193,14 @@
                                   const PlacementRequest& aRequest)
 {
   if (aHome.mDaemon == mSelf.mDaemon) {
-    return mLedger.HandleRequest(mSelf, aRequest, MonotonicNow());
+    return HandleRequest(mSelf, aRequest);
   }
   Event arrived(mLoop);
   mPending[aRequest.mTicket].mArrived = &arrived;
   mSocket.Send(
     aHome.mEndpoint,
-    Encode(PlacementMessage{ mSelf, aRequest, TakeReports(aHome.mDaemon) }));
+    Encode(PlacementMessage{
+      mSelf, aRequest, TakeReports(aHome.mDaemon), LimitReports() }));
   const auto timeout = std::clamp(
     FromMillis(ToMillis(aRequest.mQuery.mObjective) * kReplyTimeoutObjectives),
     kMinReplyTimeout,
@@ -215,7 +275,8 @@
   for (auto& [home, entry] : std::exchange(mReports, {})) {
     mSocket.Send(
       entry.first,
-      Encode(PlacementMessage{ mSelf, std::nullopt, std::move(entry.second) }));
+      Encode(PlacementMessage{
+        mSelf, std::nullopt, std::move(entry.second), LimitReports() }));
   }
 }
 
@@ -245,30 +306,33 @@
               { "reason", message.error().mMessage } });
     return;
   }
-  const auto& [client, request, reports] = message.value();
+  const auto& [client, request, reports, limits] = message.value();
   const auto now = MonotonicNow();
+  MergeLimits(limits);
   for (const auto& it : reports) {
     mLedger.Report(client, it, now);
   }
   if (request) {
     mSocket.Send(aDatagram.mFrom,
-                 Encode(mLedger.HandleRequest(client, *request, now)));
+                 Encode(PlacementAnswer{ HandleRequest(client, *request),
+                                         LimitReports() }));
   }
 }
 
 void
 PlacementService::OnReply(const Datagram& aDatagram)
 {
-  auto reply = DecodePlacementReply(aDatagram.mBody);
-  if (!reply) {
+  auto answer = DecodePlacementAnswer(aDatagram.mBody);
+  if (!answer) {
     LogLine(LogEvent::PlacementUnreadable,
             { { "from", ToText(aDatagram.mFrom) },
-              { "reason", reply.error().mMessage } });
+              { "reason", answer.error().mMessage } });
     return;
   }
-  const auto it = mPending.find(reply.value().mTicket);
+  MergeLimits(answer.value().mLimits);
+  const auto it = mPending.find(answer.value().mReply.mTicket);
   if (it != mPending.end()) {
-    it->second.mReply = std::move(reply).value();
+    it->second.mReply = std::move(answer).value().mReply;
     it->second.mArrived->Notify();
   }
 }
--- a/packages/entry/src/placement_service.h
+++ b/packages/entry/src/placement_service.h
@@ -24,7 +24,8 @@
   PlacementService(Loop& aLoop,
                    ZoneId aOwnZone,
                    DaemonId aSelf,
-                   std::uint64_t aIncarnation);
+                   std::uint64_t aIncarnation,
+                   ServerLimits& aLimits);
 
   // Binds the socket and starts to receive.
   Result<void> Start(const Endpoint& aEndpoint);
@@ -60,6 +61,15 @@
   [[nodiscard]] std::optional<PlacementReply> RequestFromHome(
     const PlacementCandidate& aHome,
     const PlacementRequest& aRequest);
+  // Returns the share of the servers' rate limits that this daemon may use as a
+  // home of the group.
+  [[nodiscard]] double LimitShareFor(const PlacementGroup& aGroup,
+                                     Instant aNow) const;
+  [[nodiscard]] PlacementReply HandleRequest(const PlacementClientId& aClient,
+                                             const PlacementRequest& aRequest);
+  // Returns the observations of rate limits to send to other daemons.
+  [[nodiscard]] std::vector<LimitReport> LimitReports() const;
+  void MergeLimits(const std::vector<LimitReport>& aReports);
   [[nodiscard]] std::vector<PlacementReport> TakeReports(const DaemonId& aHome);
   [[nodiscard]] bool IsBackedOff(const DaemonId& aHome) const;
   void OnReplyTimeout(const DaemonId& aHome);
@@ -72,8 +82,11 @@
   Loop& mLoop;
   const PlacementClientId mSelf;
   DatagramSocket mSocket;
+  ServerLimits& mLimits;
   PlacementLedger mLedger;
   std::shared_ptr<const PlacementMap> mMap;
+  // Since when this daemon has been the first home of each group.
+  std::map<PlacementGroup, Instant> mFirstHomeSince;
   std::map<std::uint64_t, Pending> mPending;
   // Home of each grant whose end was not reported yet, by ticket.
   std::map<std::uint64_t, PlacementCandidate> mGrants;
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -120,6 +120,10 @@
   std::optional<bool> ChooseByHome();
   // Refuses a prompt that could not be answered in time.
   void RefuseLate(Duration aRetryDelay);
+  // Refuses a request since the servers have reached their rate limits.
+  void RefuseLimited(Duration aRetryDelay);
+  // Records whether the server's answer to the current send names a rate limit.
+  void ObserveLimit(std::optional<double> aLimit);
   [[nodiscard]] ServerQuery MakeQuery() const;
   [[nodiscard]] BackendCall MakeCall();
   [[nodiscard]] std::string CacheSalt(std::uint64_t aWeightVersion) const;
@@ -163,8 +167,12 @@
   ServerQuery mQuery;
   ChosenServer mChoice;
   SendTicket mTicket;
+  // When the current send began.
+  Instant mSentAt;
   // Ticket of the home's grant for the current send.
   std::optional<std::uint64_t> mGrant;
+  // Whether a home chose the server of the current send.
+  bool mIsByHome = false;
   std::vector<ServerId> mTried;
   std::size_t mSends = 0;
   // Sends that the servers may have run.
@@ -315,11 +323,16 @@
 RequestRun::ChooseServer()
 {
   mQuery = MakeQuery();
+  mIsByHome = false;
   if (const auto hasServer = ChooseByHome()) {
     return *hasServer;
   }
   const auto choice = mContext.mPool.Choose(mQuery, MonotonicNow());
   if (!choice) {
+    if (const auto delay = mContext.mPool.LimitDelay(mQuery, MonotonicNow())) {
+      RefuseLimited(*delay);
+      return false;
+    }
     Refuse(mTried.empty() ? RefusalReason::NoServer : RefusalReason::QueueFull,
            mTried.empty() ? "The service has no server."
                           : "No server of the service can take the request.",
@@ -327,14 +340,16 @@
     return false;
   }
   mChoice = *choice;
-  if (!mRequest.mPrompt || mSends > 0) {
-    return true;
-  }
-  if (const auto wait = RefusePrompt(
-        mChoice.mAdmissionTime, mRoute->mObjective, AdmissionSettings())) {
-    RefuseLate(*wait);
-    return false;
+  const bool isAdmitting = mRequest.mPrompt && mSends == 0;
+  if (isAdmitting) {
+    const auto wait = RefusePrompt(
+      mChoice.mAdmissionTime, mRoute->mObjective, AdmissionSettings());
+    if (wait) {
+      RefuseLate(*wait);
+      return false;
+    }
   }
+  mContext.mGate.Take(mChoice.mServer, MonotonicNow());
   return true;
 }
 
@@ -359,10 +374,15 @@
       std::clamp(reply->mTime, bounds.mMinRetryAfter, bounds.mMaxRetryAfter));
     return false;
   }
+  if (reply->mOutcome == PlacementOutcome::Limited) {
+    RefuseLimited(reply->mTime);
+    return false;
+  }
   if (reply->mOutcome != PlacementOutcome::Granted) {
     return std::nullopt;
   }
   mGrant = reply->mTicket;
+  mIsByHome = true;
   // The home's view of the site may be outdated: check the server against this
   // daemon's own view.
   const auto it =
@@ -373,6 +393,7 @@
                         std::ranges::find(mTried, it->mId) == mTried.end();
   if (!isUsable) {
     EndGrant(SendOutcome::Abandoned);
+    mIsByHome = false;
     return std::nullopt;
   }
   mChoice = { it->mId,        it->mEndpoint,
@@ -390,6 +411,20 @@
          aRetryDelay);
 }
 
+void
+RequestRun::RefuseLimited(Duration aRetryDelay)
+{
+  Refuse(RefusalReason::QueueFull,
+         "The servers of the service have reached their rate limits.",
+         aRetryDelay);
+}
+
+void
+RequestRun::ObserveLimit(std::optional<double> aLimit)
+{
+  mContext.mLimits.Observe(mChoice.mServer, aLimit, mSentAt, MonotonicNow());
+}
+
 void
 RequestRun::EndGrant(SendOutcome aOutcome)
 {
@@ -500,11 +535,15 @@
     return Next::Done;
   }
   auto call = MakeCall();
-  mTicket = mContext.mPool.Begin(mChoice.mServer, mQuery, MonotonicNow());
+  mSentAt = MonotonicNow();
+  mTicket = mContext.mPool.Begin(mChoice.mServer, mQuery, mSentAt);
   const auto headTimeout = HeadTimeout();
   auto answer = mContext.mBackend.Send(call, mRequest, headTimeout, mCancel);
   if (!answer) {
     const auto& failure = answer.error();
+    if (failure.mRequestLimit) {
+      ObserveLimit(failure.mRequestLimit);
+    }
     if (failure.mNotRun) {
       (void)mLedger.MarkRejected(attempt);
     } else {
@@ -514,6 +553,7 @@
   }
   ++mRuns;
   (void)mLedger.MarkAccepted(attempt);
+  ObserveLimit(answer.value()->RequestLimit());
   mContext.mPool.OnProgress(mTicket, MonotonicNow());
   if (mGrant) {
     mContext.mPlacer->OnBegun(*mGrant);
@@ -823,6 +863,7 @@
             { "status", aStatus },
             { "weights", mChoice.mWeightVersion },
             { "choice", mChoice.mReason },
+            { "by_home", mIsByHome },
             { "sends", mSends },
             { "tokens", PromptTokens() },
             { "estimate", mChoice.mTime },
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -22,9 +22,12 @@
 
 } // namespace
 
-ServerPool::ServerPool(ZoneId aOwnZone, const ServerPoolSettings& aSettings)
+ServerPool::ServerPool(ZoneId aOwnZone,
+                       const ServerPoolSettings& aSettings,
+                       RateGate* aGate)
   : mOwnZone(std::move(aOwnZone))
   , mSettings(aSettings)
+  , mGate(aGate)
 {
 }
 
@@ -93,6 +96,42 @@
   return isListed ? aQuery.mLeastVersion : 0;
 }
 
+bool
+ServerPool::IsEligible(const ServerQuery& aQuery,
+                       const Server& aServer,
+                       std::uint64_t aLeastVersion)
+{
+  const auto& record = aServer.mRecord;
+  return record.mService == aQuery.mService && !record.mIsLeaving &&
+         std::ranges::find(aQuery.mTried, record.mId) == aQuery.mTried.end() &&
+         (!aQuery.mModel || aServer.VersionOf(*aQuery.mModel) >= aLeastVersion);
+}
+
+std::optional<Duration>
+ServerPool::LimitDelay(const ServerQuery& aQuery, Instant aNow)
+{
+  if (mGate == nullptr) {
+    return std::nullopt;
+  }
+  const auto least = std::max<std::uint64_t>(LeastVersion(aQuery), 1);
+  const Server* soonest = nullptr;
+  Duration wait = Duration::max();
+  for (const auto& [id, server] : mServers) {
+    if (!IsEligible(aQuery, *server, least) || mGate->IsOpen(id, aNow)) {
+      continue;
+    }
+    const auto own = mGate->WaitFor(id, aNow).value_or(Duration::max());
+    if (soonest == nullptr || own < wait) {
+      soonest = server.get();
+      wait = own;
+    }
+  }
+  if (soonest == nullptr) {
+    return std::nullopt;
+  }
+  return mGate->PromiseReturn(soonest->mRecord.mId, aNow);
+}
+
 ServerPool::Candidates
 ServerPool::Usable(const ServerQuery& aQuery,
                    Instant aNow,
@@ -101,10 +140,8 @@
   Candidates usable;
   const auto least = std::max<std::uint64_t>(LeastVersion(aQuery), 1);
   for (const auto& [id, server] : mServers) {
-    const auto& record = server->mRecord;
-    if (record.mService != aQuery.mService || record.mIsLeaving ||
-        std::ranges::find(aQuery.mTried, id) != aQuery.mTried.end() ||
-        (aQuery.mModel && server->VersionOf(*aQuery.mModel) < least)) {
+    if (!IsEligible(aQuery, *server, least) ||
+        (mGate != nullptr && !mGate->IsOpen(id, aNow))) {
       continue;
     }
     const bool isLoading =
--- a/packages/entry/tests/admission_by_size_test.cpp
+++ b/packages/entry/tests/admission_by_size_test.cpp
@@ -137,7 +137,8 @@
   Random mRandom;
   const Instant mStart = Instant() + 1000s;
   Instant mNow = mStart;
-  PlacementLedger mLedger{ ZoneId("z"), HomeAdmissionSettings() };
+  ServerLimits mLimits;
+  PlacementLedger mLedger{ ZoneId("z"), HomeAdmissionSettings(), mLimits };
   std::map<ServerId, Instant> mFreeAt;
   std::array<double, 700> mSessions{};
   std::vector<Draft> mDrafts;
--- a/packages/entry/tests/placement_codec_test.cpp
+++ b/packages/entry/tests/placement_codec_test.cpp
@@ -26,6 +26,8 @@
   request.mQuery.mAffinity = ~std::uint64_t{ 0 };
   request.mQuery.mTried = { ServerId("s1") };
   message.mRequest = request;
+  message.mLimits = { { ServerId("s1"), 1.5, 250ms },
+                      { ServerId("s2"), 0, 0ms } };
   return message;
 }
 
@@ -48,16 +50,25 @@
   CHECK(message.mRequest->mQuery.mAffinity == ~std::uint64_t{ 0 });
   CHECK(message.mRequest->mQuery.mRank == 2);
   CHECK(message.mRequest->mQuery.mTried == Message().mRequest->mQuery.mTried);
-  PlacementReply reply;
+  PlacementAnswer answer;
+  auto& reply = answer.mReply;
   reply.mTicket = 6;
   reply.mOutcome = PlacementOutcome::Busy;
   reply.mTime = 250ms;
-  const auto again = DecodePlacementReply(Encode(reply));
+  answer.mLimits = Message().mLimits;
+  const auto again = DecodePlacementAnswer(Encode(answer));
   REQUIRE(again.has_value());
-  CHECK(again.value().mTicket == 6);
-  CHECK(again.value().mOutcome == PlacementOutcome::Busy);
-  CHECK(again.value().mTime == 250ms);
-  CHECK(IsPlacementReply(Encode(reply)));
+  CHECK(again.value().mReply.mTicket == 6);
+  CHECK(again.value().mReply.mOutcome == PlacementOutcome::Busy);
+  CHECK(again.value().mReply.mTime == 250ms);
+  for (const auto& limits : { message.mLimits, again.value().mLimits }) {
+    REQUIRE(limits.size() == 2);
+    CHECK(limits[0].mServer == ServerId("s1"));
+    CHECK(limits[0].mPerSecond == 1.5);
+    CHECK(limits[0].mAge == 250ms);
+    CHECK(limits[1].mPerSecond == 0);
+  }
+  CHECK(IsPlacementReply(Encode(answer)));
   CHECK_FALSE(IsPlacementReply(Encode(Message())));
 }
 
@@ -67,7 +78,7 @@
   const auto good = Encode(Message());
   for (std::size_t n = 0; n < good.size(); ++n) {
     CHECK_FALSE(DecodePlacementMessage(good.substr(0, n)).has_value());
-    CHECK_FALSE(DecodePlacementReply(good.substr(0, n)).has_value());
+    CHECK_FALSE(DecodePlacementAnswer(good.substr(0, n)).has_value());
   }
   Random random(1);
   for (int n = 0; n < 20'000; ++n) {
--- a/packages/entry/tests/placement_ledger_test.cpp
+++ b/packages/entry/tests/placement_ledger_test.cpp
@@ -56,7 +56,8 @@
     mLedger.SetServers(Servers(aServers), At(0s));
   }
 
-  PlacementLedger mLedger{ ZoneId("z"), HomeAdmissionSettings() };
+  ServerLimits mLimits;
+  PlacementLedger mLedger{ ZoneId("z"), HomeAdmissionSettings(), mLimits };
 };
 
 } // namespace
@@ -314,7 +315,8 @@
   const bool mHasHome;
   const std::vector<ServerRecord> mRecords;
   std::vector<std::unique_ptr<ServerPool>> mPools;
-  PlacementLedger mLedger{ ZoneId("z"), HomeAdmissionSettings() };
+  ServerLimits mLimits;
+  PlacementLedger mLedger{ ZoneId("z"), HomeAdmissionSettings(), mLimits };
   std::map<ServerId, Server> mServers;
   std::multimap<Instant, Running> mRunning;
   std::uint64_t mTicket = 0;
--- a/packages/entry/tests/placement_service_test.cpp
+++ b/packages/entry/tests/placement_service_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <deque>
+
 using namespace bilberrytrail;
 
 namespace {
@@ -44,8 +46,8 @@
       const auto port = probe.Bind({ "127.0.0.1", 0 });
       REQUIRE(port.has_value());
       mCandidates.push_back({ name, { "127.0.0.1", port.value() }, 0 });
-      mServices.push_back(
-        std::make_unique<PlacementService>(mLoop, ZoneId("z"), name, n + 1));
+      mServices.push_back(std::make_unique<PlacementService>(
+        mLoop, ZoneId("z"), name, n + 1, mLimits.emplace_back()));
     }
     const auto servers = Servers();
     mMap = std::make_shared<const PlacementMap>(servers, mCandidates);
@@ -91,6 +93,8 @@
   }
 
   Loop mLoop;
+  // What each daemon knows of the servers' rate limits.
+  std::deque<ServerLimits> mLimits;
   std::vector<PlacementCandidate> mCandidates;
   std::vector<std::unique_ptr<PlacementService>> mServices;
   std::shared_ptr<const PlacementMap> mMap;
@@ -166,3 +170,85 @@
     CHECK_FALSE(site.mServices[0]->Place(Query(), 1, 4s, false).has_value());
   });
 }
+
+namespace {
+
+// Returns the grants among as many requests as fit into aTime.
+int
+CountGrants(Site& aSite, PlacementService& aService, Duration aTime)
+{
+  int granted = 0;
+  const auto end = MonotonicNow() + aTime;
+  while (MonotonicNow() < end) {
+    const auto reply = aService.Place(Query(), 1, 4s, true);
+    if (reply && reply->mOutcome == PlacementOutcome::Granted) {
+      ++granted;
+      aService.OnEnd(reply->mTicket, SendOutcome::Answered);
+    } else if (reply) {
+      CHECK(reply->mOutcome == PlacementOutcome::Limited);
+      CHECK(reply->mTime > 0ms);
+    }
+    (void)aSite.mLoop.Sleep(5ms);
+  }
+  return granted;
+}
+
+} // namespace
+
+// Guards against a new home that sends at the full rate while the daemons that
+// still take another one for the home do so too. Only the entry has seen the
+// limit, so the home has to learn it from the request.
+TEST_CASE("a home that is new or stands in uses a share of a server's limit")
+{
+  constexpr double kLimit = 16;
+  constexpr Duration kTime = 2s;
+  // A quarter of the limit over kTime, and a burst of each server.
+  constexpr double kMostGrants = kLimit / 4 * 2 + 2;
+  for (const std::size_t place : { 0U, 1U }) {
+    CAPTURE(place);
+    Site site(6);
+    const auto entry = site.Entry();
+    site.Start(entry);
+    site.Start(site.Home(place));
+    const auto servers = Servers();
+    for (const auto& it : servers) {
+      site.mLimits[entry].Observe(
+        it.mId, kLimit, MonotonicNow(), MonotonicNow());
+    }
+    site.Run([&] {
+      const auto granted = CountGrants(site, *site.mServices[entry], kTime);
+      const auto most = kMostGrants * static_cast<double>(servers.size());
+      CHECK(granted <= most);
+      // A limited server stays in use.
+      CHECK(granted >= most / 4);
+      CHECK(site.mLimits[site.Home(place)].Find(servers[0].mId) != nullptr);
+    });
+  }
+}
+
+TEST_CASE("the end of a limit reaches the home and the other daemons")
+{
+  Site site(6);
+  const auto entry = site.Entry();
+  const auto home = site.Home(0);
+  site.Start(entry);
+  site.Start(home);
+  const auto servers = Servers();
+  for (const auto& it : servers) {
+    site.mLimits[entry].Observe(it.mId, 1, MonotonicNow(), MonotonicNow());
+  }
+  site.Run([&] {
+    auto& service = *site.mServices[entry];
+    (void)service.Place(Query(), 1, 4s, true);
+    CHECK(site.mLimits[home].Find(servers[0].mId) != nullptr);
+    (void)site.mLoop.Sleep(20ms);
+    for (const auto& it : servers) {
+      site.mLimits[home].Observe(
+        it.mId, std::nullopt, MonotonicNow(), MonotonicNow());
+    }
+    const auto reply = service.Place(Query(), 1, 4s, true);
+    REQUIRE(reply);
+    CHECK(reply->mOutcome == PlacementOutcome::Granted);
+    CHECK(site.mLimits[entry].Find(servers[0].mId) == nullptr);
+  });
+}
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -28,6 +28,10 @@
   {
     return std::nullopt;
   }
+  [[nodiscard]] std::optional<double> RequestLimit() const noexcept override
+  {
+    return mSend.mRequestLimit;
+  }
   Result<std::optional<std::string>> Read(Duration aTimeout) override
   {
     (void)mLoop.Sleep(std::min(mSend.mPieceTime, aTimeout));
@@ -142,6 +146,8 @@
                        return mHasView ? view : nullptr;
                      },
                      [&] { return mIsFresh; },
+                     mLimits,
+                     mGate,
                      &mPlacer });
   mRetries.SetDaemons(1);
   (void)mPool.Update(mServers, MonotonicNow());
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -20,6 +20,8 @@
   bool mIsCut = false;
   // The last piece is repeated endlessly.
   bool mIsEndless = false;
+  // The rate limit that the answer names.
+  std::optional<double> mRequestLimit;
   // Time to the head of the answer, and before each piece.
   Duration mHeadTime = 10ms;
   Duration mPieceTime = 10ms;
@@ -137,7 +139,9 @@
 
   Loop mLoop{ LoopTime::Virtual };
   FakeBackend mBackend{ mLoop };
-  ServerPool mPool{ ZoneId("z"), ServerPoolSettings() };
+  ServerLimits mLimits;
+  RateGate mGate{ mLimits };
+  ServerPool mPool{ ZoneId("z"), ServerPoolSettings(), &mGate };
   RetryMeter mRetries{ { 0.2, 1000, 10s, 0.8 }, MonotonicNow() - 20s };
   CacheDirectory mCache;
   HistogramRegistry mTimes{ 16 };
--- a/packages/entry/tests/request_flow_test.cpp
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -316,7 +316,8 @@
          Row{ "leaving", PlacementOutcome::Granted, "s1", 3, false, false },
          Row{ "old weights", PlacementOutcome::Granted, "s2", 2, false, false },
          Row{ "no server", PlacementOutcome::NoServer, "", 0, false, false },
-         Row{ "busy", PlacementOutcome::Busy, "", 0, false, true } }) {
+         Row{ "busy", PlacementOutcome::Busy, "", 0, false, true },
+         Row{ "limited", PlacementOutcome::Limited, "", 0, false, true } }) {
     CAPTURE(row.mName);
     FlowFixture fixture;
     for (auto& it : fixture.mServers) {
