Spread what daemons send without a home to a limited server

Cause: a daemon's part of an eighth of a limit, split evenly, was counted as none below a request in 4 s, so that a small limit left its server unused while no home answered. Saved up, such parts would add up to a burst of all daemons. Change: each daemon sends in slots of 1 s, one for each request of its part, at a random phase; unused slots are lost.

--- a/packages/entry/include/bilberrytrail/entry/rate_gate.h
+++ b/packages/entry/include/bilberrytrail/entry/rate_gate.h
@@ -8,8 +8,13 @@
 namespace bilberrytrail {
 
 // Paces the requests of one sender to servers that name a rate limit: at most
-// the sender's share of the limit, evenly spaced except for short bursts. Not
-// thread-safe.
+// the sender's share of the limit, evenly spaced except for short bursts.
+//
+// Senders that split a share evenly and don't see each other's requests could
+// all send at the same moment after a pause. Each of them therefore sends in
+// short slots only, once per request that its part allows, and slots that pass
+// unused are lost. The slots of the senders are spread by their random phases.
+// Not thread-safe.
 //
 //   RateGate gate(limits);
 //   gate.SetShare(0.25);
@@ -19,9 +24,8 @@
 class RateGate
 {
 public:
-  // Time over which a share smaller than one request counts as none, for
-  // senders whose share depends on the number of senders.
-  static constexpr Duration kWindow = 4s;
+  // Length of a slot of a sender that uses a part of a share.
+  static constexpr Duration kSlotTime = 1s;
 
   explicit RateGate(const ServerLimits& aLimits)
     : mLimits(aLimits)
@@ -29,17 +33,24 @@
   }
 
   // Returns the time until the server takes a request from this sender; 0 for a
-  // server without a limit, and nothing when the sender's share is too small.
+  // server without a limit, and nothing when the sender has no share.
   [[nodiscard]] std::optional<Duration> WaitFor(const ServerId& aServer,
                                                 Instant aNow) const;
   // Returns whether the server takes a request now.
   [[nodiscard]] bool IsOpen(const ServerId& aServer, Instant aNow) const;
 
-  // Sets the share of a limit that this sender may use, from 0 to 1.
-  void SetShare(double aShare) noexcept { mShare = aShare; }
-  // Sets the fewest requests in kWindow for which a share is used at all, so
-  // that many senders with small shares do not add up to a burst.
-  void SetMinRequests(double aRequests) noexcept { mMinRequests = aRequests; }
+  // Sets the share of a limit that this sender may use alone, from 0 to 1.
+  void SetShare(double aShare) noexcept
+  {
+    mShare = aShare;
+    mPhase.reset();
+  }
+  // Sets the share of a limit that aSenders use together, each an even part.
+  // aPhase, from 0 to 1, places the slots of this sender; 0 senders have no
+  // share.
+  void SetSplitShare(double aShare,
+                     std::size_t aSenders,
+                     double aPhase) noexcept;
   // Records that a request is sent to the server.
   void Take(const ServerId& aServer, Instant aNow);
   // Returns the Retry-After for a caller whose request the server does not take
@@ -60,10 +71,13 @@
   [[nodiscard]] double RateOf(const ServerLimit& aLimit) const noexcept;
   [[nodiscard]] Instant NextAt(const ServerId& aServer,
                                const ServerLimit& aLimit) const;
+  // Returns the first time from aFrom on that is in a slot of this sender.
+  [[nodiscard]] Instant InSlot(Instant aFrom, Duration aInterval) const;
 
   const ServerLimits& mLimits;
   double mShare = 1;
-  double mMinRequests = 0;
+  // Set when the sender uses a part of a share.
+  std::optional<double> mPhase;
   std::map<ServerId, Schedule> mSchedules;
 };
 
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -7,6 +7,7 @@
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/log.h>
 #include <bilberrytrail/base/metrics_text.h>
+#include <bilberrytrail/base/random.h>
 #include <bilberrytrail/entry/entry_daemon.h>
 
 #include <algorithm>
@@ -134,6 +135,7 @@
   ServerLimits mLimits;
   // Paces requests that this daemon places itself.
   RateGate mGate;
+  const double mGatePhase;
   ServerPool mPool;
   RetryMeter mRetries;
   CacheDirectory mCache;
@@ -193,6 +195,7 @@
       [this](const HttpRequest& aRequest) { return ServeMetrics(aRequest); })
   , mBackend(aPlatform.MakeBackend(mTraffic))
   , mGate(mLimits)
+  , mGatePhase(Random(MakeLogId(mSelf)).Unit())
   , mPool(mSettings.mZone, ServerPoolSettings(), &mGate)
   , mRetries(
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow },
@@ -209,7 +212,6 @@
   , mCallerServer(mTraffic, HttpLimits())
 {
   mGate.SetShare(0);
-  mGate.SetMinRequests(1);
   mSiteFollower.AddMethods(mMethods);
   mRelayFollower.AddMethods(mMethods);
   mNotifier.AddMethods(mMethods);
@@ -249,7 +251,7 @@
     mPlacement.Ledger().SetServers(view->mServers, MonotonicNow());
     mLimits.Retain(view->mServers, MonotonicNow());
     if (mDaemons > 0) {
-      mGate.SetShare(kDirectLimitShare / static_cast<double>(mDaemons.load()));
+      mGate.SetSplitShare(kDirectLimitShare, mDaemons, mGatePhase);
       mRetries.SetDaemons(mDaemons);
       mCache.SetDaemons(mDaemons);
     }
--- a/packages/entry/src/rate_gate.cpp
+++ b/packages/entry/src/rate_gate.cpp
@@ -20,12 +20,31 @@
 
 } // namespace
 
+void
+RateGate::SetSplitShare(double aShare,
+                        std::size_t aSenders,
+                        double aPhase) noexcept
+{
+  mShare = aSenders == 0 ? 0 : aShare / static_cast<double>(aSenders);
+  mPhase = aPhase;
+}
+
 double
 RateGate::RateOf(const ServerLimit& aLimit) const noexcept
 {
-  constexpr double kMsPerSecond = 1000;
-  const double rate = aLimit.mPerSecond * mShare;
-  return rate * ToMillis(kWindow) / kMsPerSecond < mMinRequests ? 0 : rate;
+  return aLimit.mPerSecond * mShare;
+}
+
+Instant
+RateGate::InSlot(Instant aFrom, Duration aInterval) const
+{
+  if (!mPhase || aInterval <= kSlotTime) {
+    return aFrom;
+  }
+  const auto shifted = aFrom.time_since_epoch() + aInterval * *mPhase;
+  const auto sinceSlot =
+    std::chrono::duration_cast<Duration>(shifted) % aInterval;
+  return sinceSlot < kSlotTime ? aFrom : aFrom + (aInterval - sinceSlot);
 }
 
 Instant
@@ -46,8 +65,8 @@
   if (RateOf(*limit) <= 0) {
     return std::nullopt;
   }
-  const auto wait = NextAt(aServer, *limit) - aNow;
-  return wait <= kBurstTime ? Duration(0) : wait - kBurstTime;
+  const auto due = std::max(NextAt(aServer, *limit) - kBurstTime, aNow);
+  return InSlot(due, IntervalOf(RateOf(*limit))) - aNow;
 }
 
 bool
@@ -78,12 +97,13 @@
   if (limit == nullptr) {
     return Duration(0);
   }
-  // A sender without a share names the server's own rate: another daemon
-  // places the request by then.
-  const double rate = RateOf(*limit) > 0 ? RateOf(*limit) : limit->mPerSecond;
-  const auto interval = IntervalOf(rate);
+  // A sender with no share of its own, or a part of one, names the server's own
+  // rate: a home places the request by then.
+  const bool isHome = !mPhase && RateOf(*limit) > 0;
+  const auto interval = IntervalOf(isHome ? RateOf(*limit) : limit->mPerSecond);
   auto& schedule = mSchedules[aServer];
-  const auto free = aNow + WaitFor(aServer, aNow).value_or(interval);
+  const auto free =
+    aNow + (isHome ? WaitFor(aServer, aNow).value_or(interval) : interval);
   const auto promised = std::max(
     free, std::min(schedule.mPromisedAt + interval, aNow + kMaxPromise));
   schedule.mPromisedAt = promised;
