Bound the limit reports of a message, and keep limits over error answers

Cause: a message carried every limit known, so that it would have outgrown a datagram with hundreds of limited servers; and an error answer that names no limit ended one, though the error may come from a part that knows none. Change: the 32 newest observations travel; only answers below 500 end a limit. Evidence: server_limits_test and request_limits_test; found by reading, not seen in a run.

--- a/packages/entry/include/bilberrytrail/entry/server_limits.h
+++ b/packages/entry/include/bilberrytrail/entry/server_limits.h
@@ -36,10 +36,14 @@
 class ServerLimits
 {
 public:
+  // Bounds the size of the messages that carry observations. What is left out
+  // is older, and is observed again with the server's next answer.
+  static constexpr std::size_t kMaxRecent = 32;
+
   // Returns the limit of a server; null while it names none.
   [[nodiscard]] const ServerLimit* Find(const ServerId& aServer) const;
-  // Returns the observations that other daemons need: limits in force, and
-  // limits that ended recently.
+  // Returns the observations that other daemons need, newest first and at most
+  // kMaxRecent: limits in force, and limits that ended recently.
   [[nodiscard]] std::vector<LimitObservation> Recent(Instant aNow) const;
 
   // Records an answer to a request sent at aSentAt. An answer that names no
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -553,7 +553,11 @@
   }
   ++mRuns;
   (void)mLedger.MarkAccepted(attempt);
-  ObserveLimit(answer.value()->RequestLimit());
+  const auto limit = answer.value()->RequestLimit();
+  // An error may come from a part of the server that knows no limits.
+  if (limit || answer.value()->Head().mStatus < kFirstServerErrorStatus) {
+    ObserveLimit(limit);
+  }
   mContext.mPool.OnProgress(mTicket, MonotonicNow());
   if (mGrant) {
     mContext.mPlacer->OnBegun(*mGrant);
--- a/packages/entry/src/server_limits.cpp
+++ b/packages/entry/src/server_limits.cpp
@@ -37,6 +37,8 @@
       recent.push_back(last);
     }
   }
+  std::ranges::sort(recent, std::ranges::greater(), &LimitObservation::mAt);
+  recent.resize(std::min(recent.size(), kMaxRecent));
   return recent;
 }
 
--- a/packages/entry/tests/request_limits_test.cpp
+++ b/packages/entry/tests/request_limits_test.cpp
@@ -7,11 +7,11 @@
 namespace {
 
 void
-LimitServers(FlowFixture& aFixture, std::size_t aCount)
+LimitServers(FlowFixture& aFixture, std::size_t aCount, Duration aAge = 0s)
 {
   for (std::size_t n = 0; n < aCount; ++n) {
-    const auto now = MonotonicNow();
-    aFixture.mLimits.Observe(aFixture.mServers[n].mId, 1, now, now);
+    const auto at = MonotonicNow() - aAge;
+    aFixture.mLimits.Observe(aFixture.mServers[n].mId, 1, at, at);
   }
 }
 
@@ -82,6 +82,25 @@
   }
 }
 
+TEST_CASE("an answer without a limit ends it, an error does not")
+{
+  for (const unsigned status : { 200U, 404U, 500U, 503U }) {
+    CAPTURE(status);
+    FlowFixture fixture;
+    fixture.mConfig.mRoutes.front().mMaxAttempts = 1;
+    // So old that a request is due at each server.
+    LimitServers(fixture, fixture.mServers.size(), 2s);
+    FakeSend answer;
+    answer.mStatus = status;
+    answer.mPieces = { "x" };
+    fixture.mBackend.mScript = { answer };
+    fixture.Run();
+    REQUIRE_FALSE(fixture.mBackend.mCalls.empty());
+    const auto& server = fixture.mBackend.mCalls.front().mServer;
+    CHECK((fixture.mLimits.Find(server) == nullptr) == (status < 500));
+  }
+}
+
 // Retries and resumed streams count as requests of a server, too.
 TEST_CASE("retries and resumed streams do not go to a limited server")
 {
--- a/packages/entry/tests/server_limits_test.cpp
+++ b/packages/entry/tests/server_limits_test.cpp
@@ -108,6 +108,21 @@
   CHECK(limits.Recent(At(60s)).empty());
 }
 
+// Guards against datagrams that grow with the number of limited servers.
+TEST_CASE("only the newest observations are passed on")
+{
+  ServerLimits limits;
+  constexpr int kServers = 100;
+  for (int n = 0; n < kServers; ++n) {
+    const auto now = At(n * 10ms);
+    limits.Observe(ServerId("s" + std::to_string(n)), 2, now, now);
+  }
+  const auto recent = limits.Recent(At(2s));
+  REQUIRE(recent.size() == ServerLimits::kMaxRecent);
+  CHECK(recent.front().mServer == ServerId("s99"));
+  CHECK(recent.back().mServer == ServerId("s68"));
+}
+
 // Guards against forgetting a limit while the table of servers is incomplete.
 TEST_CASE("a limit outlasts a gap in the list but no restart")
 {
