--- a/packages/entry/tests/server_pool_test.cpp
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -478,6 +478,6 @@
     CAPTURE(row.mTokens);
     CHECK(ToMillis(choice.mTime) == doctest::Approx(row.mTokens / 4 / 100));
     CHECK(ToMillis(choice.mAdmissionTime) ==
-          doctest::Approx(12'000 / 4 / 100).epsilon(0.05));
+          doctest::Approx(12'000.0 / 4 / 100).epsilon(0.05));
   }
 }
