Drop the schedules of servers that name no limit any more

Cause: a gate kept the schedule of each server that had ever named a limit, also of servers that are gone, and each send without a home searched for one to drop. Change: a new schedule drops those of servers without a limit; sends to servers without a limit touch nothing. Evidence: found by reading; rate_gate_test passes as before.

--- a/packages/entry/include/bilberrytrail/entry/rate_gate.h
+++ b/packages/entry/include/bilberrytrail/entry/rate_gate.h
@@ -67,6 +67,9 @@
     Instant mPromisedAt;
   };
 
+  // Returns the schedule of a server that names a limit. When it is a new one,
+  // drops those of servers that name none any more.
+  [[nodiscard]] Schedule& ScheduleOf(const ServerId& aServer);
   // Returns the requests per second of this sender; 0 for none.
   [[nodiscard]] double RateOf(const ServerLimit& aLimit) const noexcept;
   [[nodiscard]] Instant NextAt(const ServerId& aServer,
--- a/packages/entry/src/rate_gate.cpp
+++ b/packages/entry/src/rate_gate.cpp
@@ -29,6 +29,17 @@
   mPhase = aPhase;
 }
 
+RateGate::Schedule&
+RateGate::ScheduleOf(const ServerId& aServer)
+{
+  if (!mSchedules.contains(aServer)) {
+    std::erase_if(mSchedules, [this](const auto& aEntry) {
+      return mLimits.Find(aEntry.first) == nullptr;
+    });
+  }
+  return mSchedules[aServer];
+}
+
 double
 RateGate::RateOf(const ServerLimit& aLimit) const noexcept
 {
@@ -79,14 +90,9 @@
 RateGate::Take(const ServerId& aServer, Instant aNow)
 {
   const auto* limit = mLimits.Find(aServer);
-  if (limit == nullptr) {
-    mSchedules.erase(aServer);
-    return;
-  }
-  const double rate = RateOf(*limit);
-  if (rate > 0) {
+  if (limit != nullptr && RateOf(*limit) > 0) {
     const auto next = std::max(NextAt(aServer, *limit), aNow);
-    mSchedules[aServer].mNextAt = next + IntervalOf(rate);
+    ScheduleOf(aServer).mNextAt = next + IntervalOf(RateOf(*limit));
   }
 }
 
@@ -101,7 +107,7 @@
   // rate: a home places the request by then.
   const bool isHome = !mPhase && RateOf(*limit) > 0;
   const auto interval = IntervalOf(isHome ? RateOf(*limit) : limit->mPerSecond);
-  auto& schedule = mSchedules[aServer];
+  auto& schedule = ScheduleOf(aServer);
   const auto free =
     aNow + (isHome ? WaitFor(aServer, aNow).value_or(interval) : interval);
   const auto promised = std::max(
