Leave a prompt out of the average that it is admitted by

Cause: a prompt was added to the average of its kind before its own admission. Under overload the least estimate lies within a millisecond of the bound, and a prompt of three times the average moved it by as much. Change: it is added afterwards. The play has rows for either kind alone and for little memory, and counts both kinds. Why it works: the estimate depends on earlier prompts only.

--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -191,9 +191,6 @@
 std::optional<ChosenServer>
 ServerPool::Choose(const ServerQuery& aQuery, Instant aNow)
 {
-  if (aQuery.mModel && aQuery.mMemory > 0) {
-    mSizes[aQuery.mKind].Note(aQuery.mMemory);
-  }
   Candidates excluded;
   auto usable = Usable(aQuery, aNow, excluded);
   if (usable.empty()) {
@@ -224,6 +221,9 @@
   choice.mTime = TimeAt(aQuery, *usable[best], best, aNow);
   choice.mAdmissionTime =
     TimeAt(ScaledToAverage(aQuery), *usable[best], best, aNow);
+  if (aQuery.mModel && aQuery.mMemory > 0) {
+    mSizes[aQuery.mKind].Note(aQuery.mMemory);
+  }
   return choice;
 }
 
--- a/packages/entry/tests/admission_by_size_test.cpp
+++ b/packages/entry/tests/admission_by_size_test.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cmath>
 #include <map>
+#include <numbers>
 #include <queue>
 #include <span>
 #include <string>
@@ -22,7 +23,6 @@
 const PlacementGroup kGroup{ kEngines, 0, 1 };
 const PlacementClientId kEntry{ DaemonId("d1"), 1 };
 constexpr std::size_t kServers = 15;
-constexpr double kServerMemory = 190'000;
 constexpr double kTokensPerMs = 150;
 // Requests with which the servers are just busy.
 constexpr double kDraftsPerSecond = 150;
@@ -31,7 +31,6 @@
 constexpr Duration kTrafficTime = 12s;
 // Requests that arrive earlier meet idle servers and are not counted.
 constexpr Duration kRampUp = 2s;
-constexpr double kPi = 3.14159265358979;
 
 // Size of a prompt of a kind: mean, spread and maximum of a log-normal
 // distribution.
@@ -46,14 +45,14 @@
 DrawSize(Random& aRandom, const SizeRange& aRange)
 {
   const double normal = std::sqrt(-2 * std::log(1 - aRandom.Unit())) *
-                        std::cos(2 * kPi * aRandom.Unit());
+                        std::cos(2 * std::numbers::pi * aRandom.Unit());
   const double spread = aRange.mSpread;
   return std::min(aRange.mMax,
                   aRange.mMean *
                     std::exp(spread * normal - spread * spread / 2));
 }
 
-struct Draft
+struct SizedPrompt
 {
   double mTokens = 0;
   bool mIsServed = false;
@@ -70,29 +69,40 @@
 };
 
 double
-ServedShare(std::span<const Draft> aDrafts)
+ServedShare(std::span<const SizedPrompt> aPrompts)
 {
-  const auto served = std::ranges::count(aDrafts, true, &Draft::mIsServed);
-  return static_cast<double>(served) / static_cast<double>(aDrafts.size());
+  const auto served =
+    std::ranges::count(aPrompts, true, &SizedPrompt::mIsServed);
+  return static_cast<double>(served) / static_cast<double>(aPrompts.size());
 }
 
 ServedShares
-ServedBySize(std::vector<Draft> aDrafts)
+ServedBySize(std::vector<SizedPrompt> aPrompts)
 {
-  std::ranges::sort(aDrafts, std::ranges::greater(), &Draft::mTokens);
-  const std::span all(aDrafts);
+  std::ranges::sort(aPrompts, std::ranges::greater(), &SizedPrompt::mTokens);
+  const std::span all(aPrompts);
   const auto tenth = all.size() / 10;
   return { ServedShare(all),
            ServedShare(all.first(tenth)),
            ServedShare(all.subspan(tenth, 2 * tenth)) };
 }
 
+// Requests of both kinds as a multiple of what the servers can read, and the
+// memory of a server in tokens.
+struct LoadRow
+{
+  const char* mName;
+  double mDrafts = 1;
+  double mTags = 1;
+  double mServerMemory = 190'000;
+};
+
 // One home with its group of servers, which read prompts one after the other,
 // and callers that return once after a refusal.
 class OverloadedHome
 {
 public:
-  OverloadedHome(double aLoad, std::uint64_t aSeed)
+  OverloadedHome(const LoadRow& aLoad, std::uint64_t aSeed)
     : mLoad(aLoad)
     , mRandom(aSeed)
   {
@@ -109,7 +119,8 @@
     }
   }
 
-  std::vector<Draft> Run();
+  // Returns the drafts and the tags.
+  std::array<std::vector<SizedPrompt>, 2> Run();
 
 private:
   enum class Step : unsigned char
@@ -122,18 +133,18 @@
   {
     Instant mAt;
     Step mStep = Step::Arrive;
-    std::size_t mDraft = 0;
+    std::size_t mPrompt = 0;
     std::uint64_t mTicket = 0;
 
     bool operator>(const Event& aOther) const { return mAt > aOther.mAt; }
   };
 
   void AddArrivals(double aPerSecond, bool aIsDraft);
-  Draft MakeDraft();
-  Draft MakeTag();
-  void Arrive(std::size_t aDraft);
+  SizedPrompt MakeDraft();
+  SizedPrompt MakeTag();
+  void Arrive(std::size_t aPrompt);
 
-  const double mLoad;
+  const LoadRow mLoad;
   Random mRandom;
   const Instant mStart = Instant() + 1000s;
   Instant mNow = mStart;
@@ -141,17 +152,17 @@
   PlacementLedger mLedger{ ZoneId("z"), HomeAdmissionSettings(), mLimits };
   std::map<ServerId, Instant> mFreeAt;
   std::array<double, 700> mSessions{};
-  std::vector<Draft> mDrafts;
+  std::vector<SizedPrompt> mPrompts;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> mEvents;
   std::uint64_t mLastTicket = 0;
 };
 
-Draft
+SizedPrompt
 OverloadedHome::MakeDraft()
 {
   const auto session = mRandom.Next() % mSessions.size();
   const double own = DrawSize(mRandom, { 2870, 0.7, 11'500 });
-  Draft draft;
+  SizedPrompt draft;
   draft.mTokens = own + mSessions[session];
   auto& query = draft.mRequest.mQuery;
   query.mAffinity = session + 1;
@@ -165,13 +176,14 @@
   return draft;
 }
 
-Draft
+SizedPrompt
 OverloadedHome::MakeTag()
 {
-  Draft tag;
+  SizedPrompt tag;
   auto& query = tag.mRequest.mQuery;
   query.mWork = DrawSize(mRandom, { 2300, 0.5, 6'000 });
   query.mMemory = query.mWork;
+  tag.mTokens = query.mWork;
   query.mKind = 2;
   query.mObjective = 300ms;
   return tag;
@@ -191,16 +203,16 @@
     draft.mRequest.mTimeLeft = 12s;
     draft.mRequest.mQuery.mService = kEngines;
     draft.mRequest.mQuery.mModel = kModel;
-    draft.mRequest.mQuery.mServerMemory = kServerMemory;
-    mEvents.push({ at, Step::Arrive, mDrafts.size(), 0 });
-    mDrafts.push_back(std::move(draft));
+    draft.mRequest.mQuery.mServerMemory = mLoad.mServerMemory;
+    mEvents.push({ at, Step::Arrive, mPrompts.size(), 0 });
+    mPrompts.push_back(std::move(draft));
   }
 }
 
 void
-OverloadedHome::Arrive(std::size_t aDraft)
+OverloadedHome::Arrive(std::size_t aPrompt)
 {
-  auto& draft = mDrafts[aDraft];
+  auto& draft = mPrompts[aPrompt];
   auto& request = draft.mRequest;
   request.mTicket = ++mLastTicket;
   const auto reply = mLedger.HandleRequest(kEntry, request, mNow);
@@ -208,7 +220,7 @@
     if (std::exchange(draft.mMayReturn, false)) {
       mEvents.push({ mNow + std::clamp<Duration>(reply.mTime, 100ms, 2s),
                      Step::Arrive,
-                     aDraft,
+                     aPrompt,
                      0 });
     }
     return;
@@ -220,27 +232,25 @@
     (reply.mReason == ChoiceReason::Affinity ? 0 : query.mMissWork);
   auto& freeAt = mFreeAt.at(reply.mServer);
   freeAt = std::max(freeAt, mNow) + FromMillis(tokens / kTokensPerMs);
-  mEvents.push({ freeAt, Step::Begin, aDraft, request.mTicket });
-  mEvents.push({ freeAt + kAnswerTime, Step::End, aDraft, request.mTicket });
+  mEvents.push({ freeAt, Step::Begin, aPrompt, request.mTicket });
+  mEvents.push({ freeAt + kAnswerTime, Step::End, aPrompt, request.mTicket });
 }
 
-std::vector<Draft>
+std::array<std::vector<SizedPrompt>, 2>
 OverloadedHome::Run()
 {
-  AddArrivals(mLoad * kDraftsPerSecond, true);
-  const auto drafts = mDrafts.size();
-  AddArrivals(mLoad * kTagsPerSecond, false);
-  std::vector<bool> isCounted(drafts);
+  AddArrivals(mLoad.mDrafts * kDraftsPerSecond, true);
+  const auto drafts = mPrompts.size();
+  AddArrivals(mLoad.mTags * kTagsPerSecond, false);
+  std::vector<bool> isCounted(mPrompts.size());
   while (!mEvents.empty()) {
     const auto event = mEvents.top();
     mEvents.pop();
     mNow = event.mAt;
     switch (event.mStep) {
       case Step::Arrive:
-        if (event.mDraft < drafts && mNow > mStart + kRampUp) {
-          isCounted[event.mDraft] = true;
-        }
-        Arrive(event.mDraft);
+        isCounted[event.mPrompt] = mNow > mStart + kRampUp;
+        Arrive(event.mPrompt);
         break;
       case Step::Begin:
         mLedger.Report(kEntry, { event.mTicket, std::nullopt }, mNow);
@@ -250,28 +260,26 @@
         break;
     }
   }
-  std::vector<Draft> counted;
-  for (std::size_t n = 0; n < drafts; ++n) {
+  std::array<std::vector<SizedPrompt>, 2> counted;
+  for (std::size_t n = 0; n < mPrompts.size(); ++n) {
     if (isCounted[n]) {
-      counted.push_back(mDrafts[n]);
+      counted.at(n < drafts ? 0 : 1).push_back(mPrompts[n]);
     }
   }
   return counted;
 }
 
-struct LoadRow
-{
-  const char* mName;
-  // Requests, as a multiple of what the servers can read.
-  double mLoad;
-};
-
-constexpr LoadRow kLoads[] = { { "below capacity", 0.6 },
-                               { "at capacity", 1.0 },
-                               { "a fifth above capacity", 1.2 },
-                               { "two fifths above capacity", 1.4 },
-                               { "three fifths above capacity", 1.6 } };
+constexpr LoadRow kLoads[] = { { "below capacity", 0.6, 0.6 },
+                               { "at capacity", 1.0, 1.0 },
+                               { "a fifth above capacity", 1.2, 1.2 },
+                               { "two fifths above capacity", 1.4, 1.4 },
+                               { "three fifths above capacity", 1.6, 1.6 },
+                               { "tags alone overload", 0.1, 4 },
+                               { "drafts alone overload", 3, 0.1 },
+                               { "little memory", 0.6, 0.6, 60'000 } };
 constexpr std::uint64_t kSeeds = 5;
+// Fewest prompts of a kind whose size classes say anything.
+constexpr std::size_t kMinPrompts = 500;
 
 } // namespace
 
@@ -284,12 +292,17 @@
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       CAPTURE(std::string(row.mName));
       CAPTURE(seed);
-      const auto shares = ServedBySize(OverloadedHome(row.mLoad, seed).Run());
-      CAPTURE(shares.mAll);
-      CAPTURE(shares.mLargestTenth);
-      CAPTURE(shares.mFifthBelow);
-      CHECK(shares.mLargestTenth >= shares.mAll / 2);
-      CHECK(shares.mFifthBelow >= shares.mAll / 2);
+      for (const auto& prompts : OverloadedHome(row, seed).Run()) {
+        if (prompts.size() < kMinPrompts) {
+          continue;
+        }
+        const auto shares = ServedBySize(prompts);
+        CAPTURE(shares.mAll);
+        CAPTURE(shares.mLargestTenth);
+        CAPTURE(shares.mFifthBelow);
+        CHECK(shares.mLargestTenth >= shares.mAll / 2);
+        CHECK(shares.mFifthBelow >= shares.mAll / 2);
+      }
     }
   }
 }
--- a/packages/entry/tests/server_pool_test.cpp
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -481,3 +481,27 @@
           doctest::Approx(12'000.0 / 4 / 100).epsilon(0.05));
   }
 }
+
+// Guards against an average that the prompt itself has moved: under overload
+// the estimates lie so close to the bound that this alone refuses large ones.
+TEST_CASE("a prompt does not count towards the average that it is admitted by")
+{
+  std::set<Duration> times;
+  for (const double tokens : { 1000.0, 12'000.0, 34'000.0 }) {
+    ServerPool pool(kOwnZone, ServerPoolSettings());
+    (void)pool.Update(Servers(1, kEngines), At(0s));
+    ServerQuery query;
+    query.mService = kEngines;
+    query.mModel = kModel;
+    for (const double it : { 9000.0, 14'000.0, tokens }) {
+      query.mMemory = it;
+      query.mWork = it;
+      const auto choice = pool.Choose(query, At(0s));
+      REQUIRE(choice);
+      if (it == tokens) {
+        times.insert(choice->mAdmissionTime);
+      }
+    }
+  }
+  CHECK(times.size() == 1);
+}
