Check the limits of servers while daemons start

A daemon that has just started knows no limit, and its start moves homes. The test starts three daemons under load, one after the other, at servers that named a limit before. The check of a window stands once now; bounds are the same.

--- a/standins/tests/fleet_limit_test.cpp
+++ b/standins/tests/fleet_limit_test.cpp
@@ -36,6 +36,23 @@
   return most;
 }
 
+// Returns how many requests a server with this limit may get in a window.
+double
+AllowedInWindow(double aLimit)
+{
+  return kTolerance * aLimit * ToMillis(kWindow) / 1000 + kSlack;
+}
+
+// Checks that no server of the site got more than its limit allows.
+void
+CheckLimits(const FleetSite& aSite, Instant aNamedAt, double aLimit)
+{
+  for (const auto& it : aSite.mServers) {
+    const auto most = MostInWindow(it->Arrivals(), aNamedAt + kStableTime);
+    CHECK(static_cast<double>(most) <= AllowedInWindow(aLimit));
+  }
+}
+
 // Requests that some daemons of a site get at the same time.
 class Traffic
 {
@@ -145,12 +162,10 @@
       CAPTURE(traffic.mServed);
       CAPTURE(traffic.mRefused);
       const double limit = std::strtod(row.mLimit, nullptr);
-      const double allowed =
-        kTolerance * limit * ToMillis(kWindow) / 1000 + kSlack;
       for (const auto n : row.mLimited) {
         const auto& arrivals = site.mServers[n]->Arrivals();
         const auto most = MostInWindow(arrivals, named + kStableTime);
-        CHECK(static_cast<double>(most) <= allowed);
+        CHECK(static_cast<double>(most) <= AllowedInWindow(limit));
         // A limited server stays in use.
         CHECK(most >= 1);
       }
@@ -188,11 +203,37 @@
       CHECK(traffic.mServed > 0);
       CHECK(traffic.mLateRefusals == 0);
       CHECK(traffic.mRefusalsWithoutDelay == 0);
+      CheckLimits(site, named, kLimit);
+    });
+  }
+}
+
+// Guards against daemons that don't know the limit yet, and against homes that
+// change because daemons start: they send to servers that named a limit before.
+TEST_CASE("the limit that a server names holds while daemons start")
+{
+  constexpr double kLimit = 2;
+  for (const char* target : { "/stream/", "/order/" }) {
+    CAPTURE(std::string(target));
+    FleetSite site;
+    site.Run(1, [&] {
       for (const auto& it : site.mServers) {
-        const auto most = MostInWindow(it->Arrivals(), named + kStableTime);
-        CHECK(static_cast<double>(most) <=
-              kTolerance * kLimit * ToMillis(kWindow) / 1000 + kSlack);
+        it->SetLimit("2");
+      }
+      const auto named = MonotonicNow();
+      Traffic traffic(site, target);
+      traffic.Run(1s);
+      while (site.mDaemons.size() < kDaemons) {
+        site.StartDaemon();
+        const auto newest = site.mDaemons.size() - 1;
+        CHECK(site.Await([&] { return site.Readiness(newest) == 200; }));
+        traffic.Run(1s);
       }
+      traffic.Run(kTrafficTime);
+      CHECK(traffic.mServed > 0);
+      CHECK(traffic.mLateRefusals == 0);
+      CHECK(traffic.mRefusalsWithoutDelay == 0);
+      CheckLimits(site, named, kLimit);
     });
   }
 }
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -94,14 +94,20 @@
             aState);
 }
 
+void
+FleetSite::StartDaemon()
+{
+  mSettings.push_back(MakeSettings(static_cast<int>(mDaemons.size())));
+  mDaemons.push_back(
+    std::make_unique<EntryDaemon>(mSettings.back(), *mPlatform));
+  REQUIRE(mDaemons.back()->Start().has_value());
+}
+
 void
 FleetSite::Run(int aDaemons, const std::function<void()>& aBody)
 {
   for (int n = 0; n < aDaemons; ++n) {
-    mSettings.push_back(MakeSettings(n));
-    mDaemons.push_back(
-      std::make_unique<EntryDaemon>(mSettings.back(), *mPlatform));
-    REQUIRE(mDaemons.back()->Start().has_value());
+    StartDaemon();
   }
   mLoop.Spawn([&] {
     for (std::size_t n = 0; n < mDaemons.size(); ++n) {
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -22,6 +22,8 @@
 public:
   FleetSite();
 
+  // Starts another daemon; it is ready some time later.
+  void StartDaemon();
   // Runs the body on a fiber beside the site, with so many daemons.
   void Run(int aDaemons, const std::function<void()>& aBody);
 
