Keep ports of a tested daemon open until all of them are found

Cause: the tests' site looked for four free ports one after the other and closed each before the next, so that two could be the same; the daemon then failed to start. Change: all four stay open until the last one is found. No check changes.

--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -46,7 +46,8 @@
   return { "127.0.0.1", port.value() };
 }
 
-// Free ports are found by listening on them for a moment.
+// Free ports are found by listening on all of them for a moment: a port that is
+// closed before the next one is sought may be found twice.
 EntrySettings
 FleetSite::MakeSettings(int aNumber)
 {
@@ -57,12 +58,13 @@
   // A daemon may repeat some sends soon after its start.
   settings.mRetryWindow = 100ms;
   settings.mRetrySlack = 1000;
+  std::vector<std::unique_ptr<HttpServer>> probes;
   for (auto* it : { &settings.mCallers,
                     &settings.mReadiness,
                     &settings.mPeers,
                     &settings.mMetrics }) {
-    HttpServer probe(mLoop, HttpLimits());
-    const auto port = probe.Listen({ OwnAddress(), 0 });
+    probes.push_back(std::make_unique<HttpServer>(mLoop, HttpLimits()));
+    const auto port = probes.back()->Listen({ OwnAddress(), 0 });
     REQUIRE(port.has_value());
     *it = { OwnAddress(), port.value() };
   }
