Report readiness only once the list of servers has been read

Callers of a daemon that has just started were refused with "The service has no server". Cause: readiness asked for a configuration only. The configuration and the list of servers are read side by side, so that a daemon got callers while its list was still empty. Class of fault: state that has not been read is taken for empty. Change: a view says whether the servers' rows have been read, also when there are none, and readiness waits for it. The stand-in of the table service can fail on one table. The new test of a daemon with a fault of the servers' table failed before (503) and passes; test_entry passes. Looked for elsewhere: refusals of unknown routes and keys already ask whether the configuration is known and fresh.

--- a/packages/entry/include/bilberrytrail/entry/site_replica.h
+++ b/packages/entry/include/bilberrytrail/entry/site_replica.h
@@ -38,9 +38,9 @@
   [[nodiscard]] std::optional<Instant> NextExpiry() const noexcept;
 
   // Replaces a table by a full read. Returns true when the rows in force
-  // changed.
+  // changed, or the table was read for the first time.
   bool Replace(SiteTable aTable, const SiteRows& aRows, Instant aNow);
-  // Applies changes. Returns true when the rows in force changed.
+  // Applies changes. Returns true in the same cases as Replace.
   bool Merge(SiteTable aTable, const SiteRows& aChanges, Instant aNow);
   // Records that the table service answered this daemon or one that it asked.
   void OnContact(Instant aNow) noexcept;
--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -17,6 +17,9 @@
   std::shared_ptr<const RouteTable> mRoutes;
   std::shared_ptr<const AccountKeys> mAccounts;
   std::vector<ServerRecord> mServers;
+  // Whether the servers' rows have been read; an empty list says nothing
+  // before.
+  bool mHasReadServers = false;
   WeightHistory mWeights;
 
   // Returns null when the configuration has no such service.
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -298,7 +298,8 @@
 EntryDaemon::Impl::IsReady() const
 {
   const auto view = mViews.Load();
-  return !mIsDraining && view != nullptr && view->mConfig != nullptr;
+  return !mIsDraining && view != nullptr && view->mConfig != nullptr &&
+         view->mHasReadServers;
 }
 
 // Forwards the number of daemons, the placement map and the limits to the
--- a/packages/entry/src/site_replica.cpp
+++ b/packages/entry/src/site_replica.cpp
@@ -143,7 +143,7 @@
 SiteReplica::Merge(SiteTable aTable, const SiteRows& aChanges, Instant aNow)
 {
   auto& table = TableOf(aTable);
-  bool changed = false;
+  bool changed = table.mVersion == 0 && aChanges.mVersion > 0;
   for (const auto& row : aChanges.mRows) {
     const auto it = table.mRows.find(row.mKey);
     if (it != table.mRows.end() && it->second.mVersion >= row.mVersion) {
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -101,6 +101,7 @@
     }
   }
   auto view = std::make_shared<SiteView>(mOperator);
+  view->mHasReadServers = aReplica.Version(SiteTable::Servers) > 0;
   const auto rows = aReplica.Rows(SiteTable::Servers);
   for (const auto& row : rows) {
     ReadServerRow(row, *view);
--- a/packages/entry/tests/site_view_test.cpp
+++ b/packages/entry/tests/site_view_test.cpp
@@ -76,6 +76,20 @@
   CHECK(view->mServers.front().mId == ServerId("s2"));
 }
 
+TEST_CASE("a list of servers that was not read differs from an empty one")
+{
+  FakeReader reader;
+  SiteAssembler assembler(reader);
+  SiteReplica replica;
+  Put(replica, SiteTable::Operator, "config", "config 4", 1);
+  CHECK_FALSE(assembler.Assemble(replica, At(0s))->mHasReadServers);
+  CHECK(replica.Replace(SiteTable::Servers, { {}, 1 }, At(0s)));
+  CHECK_FALSE(replica.Replace(SiteTable::Servers, { {}, 2 }, At(0s)));
+  const auto view = assembler.Assemble(replica, At(0s));
+  CHECK(view->mHasReadServers);
+  CHECK(view->mServers.empty());
+}
+
 TEST_CASE("a configuration with a lower number is not put in force")
 {
   FakeReader reader;
--- a/standins/src/fleet/row_table.cpp
+++ b/standins/src/fleet/row_table.cpp
@@ -93,10 +93,19 @@
   mRows[{ aTable, aKey }] = { {}, ++mVersion, true };
 }
 
+RowTableFault
+RowTable::FaultOf(const HttpRequest& aRequest) const
+{
+  const bool isAffected =
+    mFaultTable.empty() ||
+    Find(ReadQuery(aRequest.mTarget), "table") == mFaultTable;
+  return isAffected ? mFault : RowTableFault::None;
+}
+
 void
 RowTable::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
 {
-  switch (mFault) {
+  switch (FaultOf(aRequest)) {
     case RowTableFault::Busy:
       (void)aResponder.Send({ 503, {}, {} });
       return;
--- a/standins/src/fleet/row_table.h
+++ b/standins/src/fleet/row_table.h
@@ -61,7 +61,12 @@
   void Remove(const std::string& aTable, const std::string& aKey);
   // Answers requests for older changes with 410 from now on.
   void DropHistory() noexcept { mOldest = mVersion; }
-  void SetFault(RowTableFault aFault) noexcept { mFault = aFault; }
+  // Sets the fault of calls on one table, or of all calls when aTable is empty.
+  void SetFault(RowTableFault aFault, std::string aTable = {})
+  {
+    mFault = aFault;
+    mFaultTable = std::move(aTable);
+  }
   // Returns so many rows at most in one answer, as for rows that are large.
   void SetPageRows(std::size_t aRows) noexcept { mPageRows = aRows; }
 
@@ -76,6 +81,8 @@
   };
   using Query = std::map<std::string, std::string>;
 
+  // Returns the fault that applies to a request.
+  [[nodiscard]] RowTableFault FaultOf(const HttpRequest& aRequest) const;
   [[nodiscard]] HttpResponse Serve(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Get(const Query& aQuery) const;
   [[nodiscard]] HttpResponse Feed(const Query& aQuery) const;
@@ -89,6 +96,7 @@
   std::uint64_t mOldest = 0;
   std::size_t mPageRows = 500;
   RowTableFault mFault = RowTableFault::None;
+  std::string mFaultTable;
 };
 
 } // namespace bilberrytrail::standins
--- a/standins/tests/fleet_daemon_test.cpp
+++ b/standins/tests/fleet_daemon_test.cpp
@@ -121,6 +121,28 @@
   }
 }
 
+// Guards against a daemon that gets callers before it knows any server, and
+// refuses them: the table service fails on the servers' rows only.
+TEST_CASE("a daemon is ready only when it has read the list of servers")
+{
+  FleetSite site;
+  site.Run(1, [&] {
+    site.mTable.SetFault(RowTableFault::Busy, "servers");
+    site.StartDaemon();
+    CHECK(site.Await([&] { return site.Readiness(1) == 200; }));
+    CHECK(site.Status(1, "a1", "/read/1") == 200);
+  });
+}
+
+TEST_CASE("a daemon is ready at a site without servers")
+{
+  FleetSite site;
+  for (const auto& it : site.mServers) {
+    site.mTable.Remove("servers", it->Id());
+  }
+  site.Run(1, [&] { CHECK(site.Status(0, "a1", "/read/1") == 503); });
+}
+
 TEST_CASE("one daemon brings all servers to the newest weights")
 {
   FleetSite site;
