Show that two homes both use the limit that a server names

Servers that name 5 requests a second get 40 and 41 in 4 s, 35 allowed, when the earlier home of their group cannot read that a new daemon has started.

--- a/standins/tests/fleet_limit_test.cpp
+++ b/standins/tests/fleet_limit_test.cpp
@@ -100,7 +100,7 @@
 void
 Traffic::SendOne(std::size_t aDaemon)
 {
-  const auto id = "a" + std::to_string(++mSent);
+  const auto id = mTarget + std::to_string(++mSent);
   // Prompts of many sessions, so that their shared parts differ.
   const auto target = mTarget + std::to_string(mSent);
   const auto start = MonotonicNow();
@@ -237,3 +237,41 @@
     });
   }
 }
+
+// Guards against two homes that both use the whole limit: a daemon that started
+// is the home of a group in its own list, while the one before cannot read the
+// list of daemons and stays the home in its own.
+TEST_CASE("the limit that a server names holds while lists of daemons differ")
+{
+  constexpr double kLimit = 5;
+  // A daemon that starts has read the list of daemons after this time.
+  constexpr Duration kReadTime = 1200ms;
+  constexpr Duration kSettledTime = 16s;
+  FleetSite site;
+  site.Run(1, [&] {
+    for (const auto& it : site.mServers) {
+      it->SetLimit("5");
+    }
+    const auto named = MonotonicNow();
+    (void)site.mLoop.Sleep(kReadTime);
+    site.StartDaemon();
+    (void)site.mLoop.Sleep(kReadTime);
+    CHECK(site.Readiness(1) == 200);
+    site.mTable.SetFault(RowTableFault::Busy, "bilberrytrail");
+    Traffic streams(site, "/stream/");
+    Traffic reads(site, "/read/");
+    bool hasEnded = false;
+    site.mLoop.Spawn([&] {
+      reads.Run(kSettledTime + kWindow);
+      hasEnded = true;
+    });
+    streams.Run(kSettledTime + kWindow);
+    CHECK(site.Await([&] { return hasEnded; }));
+    for (const auto* it : { &streams, &reads }) {
+      CHECK(it->mServed > 0);
+      CHECK(it->mLateRefusals == 0);
+      CHECK(it->mRefusalsWithoutDelay == 0);
+    }
+    CheckLimits(site, named, kLimit);
+  });
+}
