Let a home use a whole limit only by a list of daemons that is current

Servers that name 5 requests a second got 40 and 41 in 4 s, 35 allowed. Cause: a home that could not read the list of daemons again kept the whole limit of its servers, while a daemon that had started took itself for their home and used it too after 15 s. Class of fault: authority without an expiry. Change: a home uses the whole limit only by a list read in the last 12 s, else a quarter. A new home waits for 15 s, which is longer: by then each other daemon has read its row, or no longer relies on its own list. Rows of daemons are only added, so that of two lists the older one names the newer one's first home, or a daemon that has not been first for 15 s. Evidence: the test failed before (40 and 41 of 35 allowed) and passes. Looked for elsewhere: leases of rollouts expire.

--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -97,6 +97,7 @@
   void DrainOnControl();
   void ForwardSettings();
   void ForwardPlacement();
+  void ForwardMap();
   HttpResponse ServeReadiness(const HttpRequest& aRequest) const;
   HttpResponse ServeMetrics(const HttpRequest& aRequest) const;
   HttpResponse ServePeer(const HttpRequest& aRequest);
@@ -129,6 +130,8 @@
   // Input of the current placement map.
   std::size_t mGroupedPeers = 0;
   std::vector<ServerRecord> mGroupedServers;
+  // When the list of daemons that the traffic thread knows was read.
+  std::optional<Instant> mListReadAt;
   // Used on the traffic thread.
   Loop mTraffic;
   std::unique_ptr<BackendPort> mBackend;
@@ -333,7 +336,7 @@
 }
 
 // Builds and forwards a new placement map when the set of servers or daemons
-// has changed.
+// has changed, and then when the list of daemons was read.
 void
 EntryDaemon::Impl::ForwardPlacement()
 {
@@ -347,11 +350,21 @@
                                          {},
                                          &ServerRecord::mId,
                                          &ServerRecord::mId);
-  if (isSame) {
-    return;
+  if (!isSame) {
+    mGroupedPeers = mPeers.All().size();
+    mGroupedServers = view->mServers;
+    ForwardMap();
+  }
+  if (mListReadAt != mPeers.ReadAt()) {
+    mListReadAt = mPeers.ReadAt();
+    mTraffic.Post(
+      [this, readAt = *mListReadAt] { mPlacement.SetListReadAt(readAt); });
   }
-  mGroupedPeers = mPeers.All().size();
-  mGroupedServers = view->mServers;
+}
+
+void
+EntryDaemon::Impl::ForwardMap()
+{
   std::vector<PlacementCandidate> daemons;
   for (const auto& it : mPeers.All()) {
     daemons.push_back({ it.mName, it.mEndpoint, it.mLinkMbps });
--- a/packages/entry/src/peer_directory.cpp
+++ b/packages/entry/src/peer_directory.cpp
@@ -99,6 +99,7 @@
 bool
 PeerDirectory::ReadPeers()
 {
+  const auto start = MonotonicNow();
   const auto rows =
     mTable.Scan(std::string(kRowPrefix), kMaxDaemons, kCallTimeout);
   if (!rows) {
@@ -122,7 +123,7 @@
     peers.push_back(std::move(peer).value());
   }
   mPeers = std::move(peers);
-  mIsComplete = true;
+  mReadAt = start;
   return true;
 }
 
--- a/packages/entry/src/peer_directory.h
+++ b/packages/entry/src/peer_directory.h
@@ -6,6 +6,7 @@
 #include <bilberrytrail/platform/table_service.h>
 #include <bilberrytrail/runtime/loop.h>
 
+#include <optional>
 #include <vector>
 
 namespace bilberrytrail {
@@ -45,7 +46,12 @@
     return mPeers;
   }
   // Returns whether the rows have been read at least once.
-  [[nodiscard]] bool IsComplete() const noexcept { return mIsComplete; }
+  [[nodiscard]] bool IsComplete() const noexcept { return mReadAt.has_value(); }
+  // Returns when the last successful read of the rows began.
+  [[nodiscard]] std::optional<Instant> ReadAt() const noexcept
+  {
+    return mReadAt;
+  }
   // Returns this daemon's rank among all daemons for a key by rendezvous
   // hashing; 0 is the first.
   [[nodiscard]] std::size_t RankFor(std::string_view aKey) const;
@@ -64,7 +70,7 @@
   const PeerAddress mSelf;
   Random mRandom;
   std::vector<PeerAddress> mPeers;
-  bool mIsComplete = false;
+  std::optional<Instant> mReadAt;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/placement_service.cpp
+++ b/packages/entry/src/placement_service.cpp
@@ -24,11 +24,16 @@
 // Time for which reports are collected before they are sent.
 constexpr Duration kReportDelay = 15ms;
 // Share of the servers' rate limits that a daemon uses for a group that others
-// may place requests for at the same time: it is not the group's first home, or
-// has not been for kHomeSettlingTime, in which others read the rows of the
-// daemons again.
+// may place requests for at the same time: it is not the group's first home,
+// has not been for kHomeSettlingTime, or has not read the list of daemons for
+// kListValidTime.
 constexpr double kStandInLimitShare = 0.25;
+// Longer than the period in which daemons read the list.
+constexpr Duration kListValidTime = 12s;
+// Longer than kListValidTime: when a new home uses the whole limit, each other
+// daemon has read its row, or no longer relies on an older list.
 constexpr Duration kHomeSettlingTime = 15s;
+static_assert(kHomeSettlingTime > kListValidTime);
 
 } // namespace
 
@@ -75,7 +80,8 @@
   const auto it = mFirstHomeSince.find(aGroup);
   const bool isSettled =
     it != mFirstHomeSince.end() && aNow - it->second >= kHomeSettlingTime;
-  return isSettled ? 1 : kStandInLimitShare;
+  const bool isCurrent = aNow - mListReadAt <= kListValidTime;
+  return isSettled && isCurrent ? 1 : kStandInLimitShare;
 }
 
 PlacementReply
--- a/packages/entry/src/placement_service.h
+++ b/packages/entry/src/placement_service.h
@@ -31,6 +31,8 @@
   Result<void> Start(const Endpoint& aEndpoint);
   // Replaces the map of groups and homes.
   void SetMap(std::shared_ptr<const PlacementMap> aMap);
+  // Records when the list of daemons in the map was last read.
+  void SetListReadAt(Instant aTime) noexcept { mListReadAt = aTime; }
   // Returns the ledger of this daemon's grants as a home; the owner feeds it
   // the lists of servers.
   [[nodiscard]] PlacementLedger& Ledger() noexcept { return mLedger; }
@@ -85,6 +87,7 @@
   ServerLimits& mLimits;
   PlacementLedger mLedger;
   std::shared_ptr<const PlacementMap> mMap;
+  Instant mListReadAt;
   // Since when this daemon has been the first home of each group.
   std::map<PlacementGroup, Instant> mFirstHomeSince;
   std::map<std::uint64_t, Pending> mPending;
