Check the limits of servers with homes that use all of them

Cause: the rows of the test sent for 9 s after the start, in which homes use a quarter of a limit. The row of daemons that have known each other for 16 s passes at once; it is the state in which daemons spend most of their time.

--- a/standins/tests/fleet_limit_test.cpp
+++ b/standins/tests/fleet_limit_test.cpp
@@ -145,7 +145,14 @@
       "/order/",
       { 2, 3 },
       "1",
-      true }
+      true },
+    // Homes that use the whole limit.
+    { "both engines, daemons that run for long",
+      "/stream/",
+      { 0, 1 },
+      "2.5",
+      true,
+      16s }
   };
   for (const auto& row : rows) {
     CAPTURE(std::string(row.mName));
