--- a/standins/tests/fleet_limit_test.cpp
+++ b/standins/tests/fleet_limit_test.cpp
@@ -118,6 +118,26 @@
     std::strtod(std::string(delay).c_str(), nullptr) > 0 ? 0 : 1;
 }
 
+// Checks that some requests were served, and that all others were refused at
+// once and were told when to return.
+void
+CheckAnswers(const Traffic& aTraffic)
+{
+  CHECK(aTraffic.mServed > 0);
+  CHECK(aTraffic.mLateRefusals == 0);
+  CHECK(aTraffic.mRefusalsWithoutDelay == 0);
+}
+
+// Makes all servers of a site name a limit. Returns the time.
+Instant
+NameLimits(FleetSite& aSite, double aLimit)
+{
+  for (const auto& it : aSite.mServers) {
+    it->SetLimit(std::to_string(aLimit));
+  }
+  return MonotonicNow();
+}
+
 struct LimitRow
 {
   const char* mName;
@@ -176,10 +196,8 @@
         // A limited server stays in use.
         CHECK(most >= 1);
       }
-      CHECK(traffic.mServed > 0);
+      CheckAnswers(traffic);
       CHECK((traffic.mRefused > 0) == row.mIsAll);
-      CHECK(traffic.mLateRefusals == 0);
-      CHECK(traffic.mRefusalsWithoutDelay == 0);
       for (const auto n : row.mLimited) {
         site.mServers[n]->SetLimit("");
       }
@@ -197,19 +215,14 @@
     CAPTURE(std::string(target));
     FleetSite site;
     site.Run(kDaemons, [&] {
-      for (const auto& it : site.mServers) {
-        it->SetLimit("2");
-      }
-      const auto named = MonotonicNow();
+      const auto named = NameLimits(site, kLimit);
       Traffic traffic(site, target, kDaemons - 1);
       for (std::size_t n = 0; n + 1 < kDaemons; ++n) {
         traffic.Run(1s);
         site.mDaemons[n]->Drain();
       }
       traffic.Run(kTrafficTime);
-      CHECK(traffic.mServed > 0);
-      CHECK(traffic.mLateRefusals == 0);
-      CHECK(traffic.mRefusalsWithoutDelay == 0);
+      CheckAnswers(traffic);
       CheckLimits(site, named, kLimit);
     });
   }
@@ -224,10 +237,7 @@
     CAPTURE(std::string(target));
     FleetSite site;
     site.Run(1, [&] {
-      for (const auto& it : site.mServers) {
-        it->SetLimit("2");
-      }
-      const auto named = MonotonicNow();
+      const auto named = NameLimits(site, kLimit);
       Traffic traffic(site, target);
       traffic.Run(1s);
       while (site.mDaemons.size() < kDaemons) {
@@ -237,9 +247,7 @@
         traffic.Run(1s);
       }
       traffic.Run(kTrafficTime);
-      CHECK(traffic.mServed > 0);
-      CHECK(traffic.mLateRefusals == 0);
-      CHECK(traffic.mRefusalsWithoutDelay == 0);
+      CheckAnswers(traffic);
       CheckLimits(site, named, kLimit);
     });
   }
@@ -256,10 +264,7 @@
   constexpr Duration kSettledTime = 16s;
   FleetSite site;
   site.Run(1, [&] {
-    for (const auto& it : site.mServers) {
-      it->SetLimit("5");
-    }
-    const auto named = MonotonicNow();
+    const auto named = NameLimits(site, kLimit);
     (void)site.mLoop.Sleep(kReadTime);
     site.StartDaemon();
     (void)site.mLoop.Sleep(kReadTime);
@@ -274,11 +279,8 @@
     });
     streams.Run(kSettledTime + kWindow);
     CHECK(site.Await([&] { return hasEnded; }));
-    for (const auto* it : { &streams, &reads }) {
-      CHECK(it->mServed > 0);
-      CHECK(it->mLateRefusals == 0);
-      CHECK(it->mRefusalsWithoutDelay == 0);
-    }
+    CheckAnswers(streams);
+    CheckAnswers(reads);
     CheckLimits(site, named, kLimit);
   });
 }
