Show that requests begin on older weights after the bound

Callers are served by older weights up to 2.6 s after the bound when servers hold their requests, and without any bound while no server has the newest version.

--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -75,6 +75,9 @@
                   HttpCancel& aCancel)
 {
   mCalls.push_back(aCall);
+  if (mOnSend) {
+    mOnSend();
+  }
   FakeSend send;
   send.mPieces = { "extra" };
   if (!mScript.empty()) {
@@ -133,7 +136,6 @@
   view->mRoutes = std::make_shared<const RouteTable>(mConfig.mRoutes);
   view->mAccounts = std::make_shared<const AccountKeys>(mConfig.mAccounts);
   view->mServers = mServers;
-  view->mWeights = mWeights;
   RequestFlow flow({ mLoop,
                      mBackend,
                      mPool,
@@ -143,7 +145,9 @@
                      mCounts,
                      10s,
                      [&]() -> std::shared_ptr<const SiteView> {
-                       return mHasView ? view : nullptr;
+                       auto current = std::make_shared<SiteView>(*view);
+                       current->mWeights = mWeights;
+                       return mHasView ? current : nullptr;
                      },
                      [&] { return mIsFresh; },
                      mLimits,
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -46,6 +46,8 @@
 
   std::deque<FakeSend> mScript;
   std::vector<BackendCall> mCalls;
+  // Called at each send; may be empty.
+  std::function<void()> mOnSend;
 
 private:
   Loop& mLoop;
--- a/standins/src/fleet/fleet_server.cpp
+++ b/standins/src/fleet/fleet_server.cpp
@@ -2,6 +2,9 @@
 
 #include <bilberrytrail/platform/json_fields.h>
 
+#include <algorithm>
+#include <cstdlib>
+
 namespace bilberrytrail::standins {
 
 namespace {
@@ -43,7 +46,7 @@
         {} });
     return;
   }
-  if (mIsFull) {
+  if (mIsFull || !Queue(aRequest)) {
     (void)aResponder.Send(
       { 503,
         WithLimit({ request, { "Bilberrytrail-Not-Executed", "1" } }),
@@ -62,12 +65,27 @@
   return aHeaders;
 }
 
+bool
+FleetServer::Queue(const HttpRequest& aRequest)
+{
+  const auto limit = FindHeader(aRequest.mHeaders, "Bilberrytrail-Deadline-Ms");
+  const auto deadline =
+    limit.empty() ? Duration::max()
+                  : Duration(std::chrono::milliseconds(
+                      std::strtoll(std::string(limit).c_str(), nullptr, 10)));
+  if (mQueueTime > Duration(0)) {
+    (void)mLoop.Sleep(std::min(mQueueTime, deadline));
+  }
+  return mQueueTime < deadline;
+}
+
 void
 FleetServer::Run(const HttpRequest& aRequest, HttpResponder& aResponder)
 {
   const std::string id(
     FindHeader(aRequest.mHeaders, "Bilberrytrail-Request-Id"));
   ++mRuns[id];
+  mBegun.push_back({ MonotonicNow(), mWeights });
   mLastHeaders = aRequest.mHeaders;
   auto headers =
     WithLimit({ { "Bilberrytrail-Request-Id", id },
@@ -119,7 +137,7 @@
     (void)aResponder.Send({ 400, {}, {} });
     return;
   }
-  if (expected != mOrders) {
+  if (mRefusesOrders || expected != mOrders) {
     (void)aResponder.Send({ 409, {}, {} });
     return;
   }
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -10,6 +10,14 @@
 
 namespace bilberrytrail::standins {
 
+// A run of a request, as it began at a server.
+struct FleetRun
+{
+  Instant mAt;
+  // Version of the weights loaded then.
+  std::uint64_t mWeights = 0;
+};
+
 // Stands in for a backend server of the fleet: a plain service, or an engine
 // that streams events for paths with "/stream/" and takes orders to load
 // weights. Counts how often each request ran.
@@ -46,6 +54,12 @@
     return mArrivals;
   }
 
+  // Runs in the order in which they began.
+  [[nodiscard]] const std::vector<FleetRun>& Begun() const noexcept
+  {
+    return mBegun;
+  }
+
   // Names a limit, in requests per second, in every answer; empty for none.
   void SetLimit(std::string aLimit) { mLimit = std::move(aLimit); }
   // Refuses requests as not run while set.
@@ -53,12 +67,23 @@
   // Breaks streams off behind so many events; 0 for never.
   void SetCutAfter(int aEvents) noexcept { mCutAfter = aEvents; }
   void SetEventTime(Duration aTime) noexcept { mEventTime = aTime; }
+  // Holds each request in a queue for so long before it begins, even when its
+  // connection has closed meanwhile. A request whose deadline passes in the
+  // queue is refused as not run.
+  void SetQueueTime(Duration aTime) noexcept { mQueueTime = aTime; }
+  // Refuses orders while set, as a server that carries out another one.
+  void SetRefusesOrders(bool aRefuses) noexcept { mRefusesOrders = aRefuses; }
+  // Loads a version of the weights at once.
+  void SetWeights(std::uint64_t aVersion) noexcept { mWeights = aVersion; }
 
   void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
 
 private:
   // Adds the named limit to the headers of an answer.
   [[nodiscard]] HttpHeaders WithLimit(HttpHeaders aHeaders) const;
+  // Waits in the queue. Returns whether the request may begin before its
+  // deadline.
+  [[nodiscard]] bool Queue(const HttpRequest& aRequest);
   void Run(const HttpRequest& aRequest, HttpResponder& aResponder);
   void Stream(const HttpRequest& aRequest, HttpResponder& aResponder);
   void TakeOrder(const HttpRequest& aRequest, HttpResponder& aResponder);
@@ -70,10 +95,13 @@
   bool mIsFull = false;
   int mCutAfter = 0;
   Duration mEventTime = 5ms;
+  Duration mQueueTime{};
+  bool mRefusesOrders = false;
   std::map<std::string, int> mRuns;
   HttpHeaders mLastHeaders;
   std::vector<std::uint64_t> mFences;
   std::vector<Instant> mArrivals;
+  std::vector<FleetRun> mBegun;
   std::string mLimit;
 };
 
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -55,6 +55,7 @@
   settings.mName = DaemonId("d" + std::to_string(aNumber));
   settings.mZone = ZoneId("z");
   settings.mStore = mTableEndpoint;
+  settings.mWeightsWithin = mWeightsWithin;
   // A daemon may repeat some sends soon after its start.
   settings.mRetryWindow = 100ms;
   settings.mRetrySlack = 1000;
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -48,6 +48,8 @@
   [[nodiscard]] bool Await(const std::function<bool()>& aHolds);
   [[nodiscard]] std::string Runs() const;
 
+  // The setting weights.within of the daemons that start from now on.
+  Duration mWeightsWithin = EntrySettings().mWeightsWithin;
   Loop mLoop;
   RowTable mTable{ mLoop };
   std::vector<std::unique_ptr<FleetServer>> mServers;
