Count the bound for older weights through outages of the table service

Cause: a daemon restarted the time limit of all announced weights after an outage of 1.5 s or more, as if nobody had known of them before. An outage may be seen by one daemon alone, and it knew the weights from the others. Class of fault: a deadline that is counted anew when its observer recovers. Change: the limit counts from the announcement, whatever happens meanwhile; RestartClock and its checks are removed (they checked the fault).

--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -42,11 +42,6 @@
   [[nodiscard]] std::shared_ptr<const SiteView> Assemble(
     const SiteReplica& aReplica,
     Instant aNow);
-  // Restarts the time limits of announced weights, as after an outage.
-  void RestartWeightClock(Instant aNow) noexcept
-  {
-    mOperator.mWeights.RestartClock(aNow);
-  }
 
 private:
   void ReadOperatorRow(const SiteRow& aRow, Instant aNow);
--- a/packages/entry/include/bilberrytrail/entry/weight_history.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_history.h
@@ -37,9 +37,6 @@
 
   // Adds a version of a model. Returns true when it is newer than all before.
   bool AddVersion(const ModelId& aModel, std::uint64_t aVersion, Instant aNow);
-  // Restarts all time limits, after an outage in which no orders could be sent
-  // to servers.
-  void RestartClock(Instant aNow) noexcept;
 
 private:
   struct Announcement
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -24,8 +24,6 @@
 // Time after which a fiber checks again without a wake-up.
 constexpr Duration kIndirectPause = 1s;
 constexpr Duration kPeerTimeout = 400ms;
-// An outage of this length can expire the lease of a rollout.
-constexpr Duration kLongOutage = 1500ms;
 // Daemons queried in one round.
 constexpr std::size_t kPeersPerQuery = 2;
 constexpr Duration kExpiryPeriod = 200ms;
@@ -137,9 +135,6 @@
   }
   if (mIsOutage) {
     mIsOutage = false;
-    if (now - mOutageSince >= kLongOutage) {
-      mAssembler.RestartWeightClock(now);
-    }
     LogLine(LogEvent::TableUp, { { "table", aTable } });
   }
 }
@@ -150,7 +145,6 @@
   mReplica.OnOutage();
   if (!mIsOutage) {
     mIsOutage = true;
-    mOutageSince = MonotonicNow();
     LogLine(LogEvent::TableDown,
             { { "table", aTable },
               { "code", aError.mError.mCode },
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -100,7 +100,6 @@
   SiteReplica mReplica;
   SiteAssembler mAssembler;
   bool mIsOutage = false;
-  Instant mOutageSince;
   bool mIsQueryingPeers = false;
   bool mIsDirect = true;
   // Wake the fibers of the tables when this daemon begins to follow directly.
--- a/packages/entry/src/weight_history.cpp
+++ b/packages/entry/src/weight_history.cpp
@@ -57,14 +57,4 @@
   return true;
 }
 
-void
-WeightHistory::RestartClock(Instant aNow) noexcept
-{
-  for (auto& [model, announced] : mAnnouncements) {
-    for (auto& it : announced) {
-      it.mAt = aNow;
-    }
-  }
-}
-
 } // namespace bilberrytrail
--- a/packages/entry/tests/site_view_test.cpp
+++ b/packages/entry/tests/site_view_test.cpp
@@ -130,8 +130,5 @@
   CHECK(history.LeastAllowed(model, 10s, At(9s)) == 0);
   CHECK(history.LeastAllowed(model, 10s, At(10s)) == 1);
   CHECK(history.LeastAllowed(model, 10s, At(14s)) == 2);
-  history.RestartClock(At(13s));
-  CHECK(history.LeastAllowed(model, 10s, At(22s)) == 0);
-  CHECK(history.LeastAllowed(model, 10s, At(23s)) == 2);
   CHECK(history.LeastAllowed(ModelId("other"), 10s, At(99s)) == 0);
 }
