Refuse prompts at once while no server has the newest weights

Cause: the pool lifted the least version when no listed server had it. Class of fault: a rule that yields when it cannot be kept. Change: servers with older weights than the least version are never eligible, by homes, by a daemon's own choice and as the last resort; such prompts are refused as not run, with a Retry-After of 1 s, since loading takes seconds. A check that older weights are used when no server has newer ones is replaced by a table that checks the opposite, also for newer servers that leave, were tried or are ejected.

--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -22,8 +22,8 @@
   std::optional<ModelId> mModel;
   // Version of the model's weights to prefer; 0 for none.
   std::uint64_t mNewestVersion = 0;
-  // Servers with older weights are not used while a server with at least this
-  // version is listed; 0 for no limit.
+  // Servers with older weights are not used, even when no server has this
+  // version; 0 for no limit.
   std::uint64_t mLeastVersion = 0;
   // Requests with the same value other than 0 go to the same server while it
   // can take them, so that they reuse each other's KV cache.
@@ -250,11 +250,9 @@
   struct Send;
   using Candidates = std::vector<Server*>;
 
-  [[nodiscard]] std::uint64_t LeastVersion(const ServerQuery& aQuery) const;
   // Returns whether a server can run the query at all, whatever its state.
   [[nodiscard]] static bool IsEligible(const ServerQuery& aQuery,
-                                       const Server& aServer,
-                                       std::uint64_t aLeastVersion);
+                                       const Server& aServer);
   [[nodiscard]] Candidates Usable(const ServerQuery& aQuery,
                                   Instant aNow,
                                   Candidates& aExcluded);
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -59,6 +59,8 @@
   // choose the server itself, else whether a server was chosen; if not, the
   // request has been refused.
   std::optional<bool> ChooseByHome();
+  // Refuses a request for which no server is left.
+  void RefuseUnserved();
   // Refuses a prompt that could not be answered in time.
   void RefuseLate(Duration aRetryDelay);
   // Refuses a request since the servers have reached their rate limits.
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -21,6 +21,9 @@
 // When kept KV cache cannot be read within this share of the objective, the
 // server gives up the read and processes the prompt itself.
 constexpr double kCacheReadShare = 0.6;
+// Retry-After while no server has weights that are new enough: loading them
+// takes seconds.
+constexpr Duration kWeightsRetryAfter = 1s;
 // Work of writing one token, in tokens read.
 constexpr double kOutputTokenWork = 4;
 
@@ -103,10 +106,7 @@
       RefuseLimited(*delay);
       return false;
     }
-    Refuse(mTried.empty() ? RefusalReason::NoServer : RefusalReason::QueueFull,
-           mTried.empty() ? "The service has no server."
-                          : "No server of the service can take the request.",
-           RetryDelay());
+    RefuseUnserved();
     return false;
   }
   mChoice = *choice;
@@ -173,6 +173,26 @@
   return true;
 }
 
+void
+RequestRun::RefuseUnserved()
+{
+  const bool isWaitingForWeights =
+    mTried.empty() && mQuery.mLeastVersion > 0 &&
+    std::ranges::any_of(mView->mServers, [&](const ServerRecord& aServer) {
+      return aServer.mService == mService && !aServer.mIsLeaving;
+    });
+  if (isWaitingForWeights) {
+    Refuse(RefusalReason::NoServer,
+           "No server of the service has weights that are new enough.",
+           kWeightsRetryAfter);
+    return;
+  }
+  Refuse(mTried.empty() ? RefusalReason::NoServer : RefusalReason::QueueFull,
+         mTried.empty() ? "The service has no server."
+                        : "No server of the service can take the request.",
+         RetryDelay());
+}
+
 void
 RequestRun::RefuseLate(Duration aRetryDelay)
 {
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -83,28 +83,15 @@
   return aNow - std::max(oldest, lastReceived) > limit;
 }
 
-// Returns the least version that the query allows, or 0 while no listed server
-// has it.
-std::uint64_t
-ServerPool::LeastVersion(const ServerQuery& aQuery) const
-{
-  const bool isListed =
-    aQuery.mModel && std::ranges::any_of(mServers, [&](const auto& aEntry) {
-      return aEntry.second->mRecord.mService == aQuery.mService &&
-             aEntry.second->VersionOf(*aQuery.mModel) >= aQuery.mLeastVersion;
-    });
-  return isListed ? aQuery.mLeastVersion : 0;
-}
-
 bool
-ServerPool::IsEligible(const ServerQuery& aQuery,
-                       const Server& aServer,
-                       std::uint64_t aLeastVersion)
+ServerPool::IsEligible(const ServerQuery& aQuery, const Server& aServer)
 {
   const auto& record = aServer.mRecord;
+  // A server without the model has version 0 of it.
+  const auto least = std::max<std::uint64_t>(aQuery.mLeastVersion, 1);
   return record.mService == aQuery.mService && !record.mIsLeaving &&
          std::ranges::find(aQuery.mTried, record.mId) == aQuery.mTried.end() &&
-         (!aQuery.mModel || aServer.VersionOf(*aQuery.mModel) >= aLeastVersion);
+         (!aQuery.mModel || aServer.VersionOf(*aQuery.mModel) >= least);
 }
 
 std::optional<Duration>
@@ -113,11 +100,10 @@
   if (mGate == nullptr) {
     return std::nullopt;
   }
-  const auto least = std::max<std::uint64_t>(LeastVersion(aQuery), 1);
   const Server* soonest = nullptr;
   Duration wait = Duration::max();
   for (const auto& [id, server] : mServers) {
-    if (!IsEligible(aQuery, *server, least) || mGate->IsOpen(id, aNow)) {
+    if (!IsEligible(aQuery, *server) || mGate->IsOpen(id, aNow)) {
       continue;
     }
     const auto own = mGate->WaitFor(id, aNow).value_or(Duration::max());
@@ -138,9 +124,8 @@
                    Candidates& aExcluded)
 {
   Candidates usable;
-  const auto least = std::max<std::uint64_t>(LeastVersion(aQuery), 1);
   for (const auto& [id, server] : mServers) {
-    if (!IsEligible(aQuery, *server, least) ||
+    if (!IsEligible(aQuery, *server) ||
         (mGate != nullptr && !mGate->IsOpen(id, aNow))) {
       continue;
     }
--- a/packages/entry/tests/server_pool_test.cpp
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -236,9 +236,53 @@
   // Older weights are no longer used once a newer least version is required.
   query.mLeastVersion = 2;
   CHECK(pool.Choose(query, At(0s))->mWeightVersion == 2);
-  // They are still used when no server has newer ones.
-  query.mLeastVersion = 3;
-  CHECK(pool.Choose(query, At(0s)).has_value());
+}
+
+// Guards against servers with older weights that are chosen after the bound
+// because no server, or only one that cannot be used, has newer ones.
+TEST_CASE("older weights than the least version are never chosen")
+{
+  struct Row
+  {
+    const char* mName;
+    // Version that the first server has; the second has version 1.
+    std::uint64_t mNewest;
+    bool mIsLeaving;
+    bool mIsTried;
+    bool mIsEjected;
+    // Whether a server is chosen, the first one.
+    bool mIsChosen;
+  };
+  for (const Row& row : { Row{ "newest", 2, false, false, false, true },
+                          Row{ "none", 1, false, false, false, false },
+                          Row{ "leaving", 2, true, false, false, false },
+                          Row{ "tried", 2, false, true, false, false },
+                          Row{ "ejected", 2, false, false, true, true } }) {
+    CAPTURE(row.mName);
+    ServerPool pool(kOwnZone, ServerPoolSettings());
+    auto servers = Servers(2, kEngines, 1);
+    servers[0].mModels = { { kModel, row.mNewest } };
+    servers[0].mIsLeaving = row.mIsLeaving;
+    (void)pool.Update(servers, At(0s));
+    auto query = PromptQuery(0);
+    query.mNewestVersion = 2;
+    query.mLeastVersion = 2;
+    if (row.mIsTried) {
+      query.mTried = { servers[0].mId };
+    }
+    if (row.mIsEjected) {
+      (void)pool.End(pool.Begin(servers[0].mId, query, At(0s)),
+                     SendOutcome::NoConnection,
+                     At(0s));
+    }
+    const auto choice = pool.Choose(query, At(0s));
+    REQUIRE(choice.has_value() == row.mIsChosen);
+    if (choice) {
+      CHECK(choice->mServer == servers[0].mId);
+    }
+    // Rate limits are not the reason.
+    CHECK_FALSE(pool.LimitDelay(query, At(0s)));
+  }
 }
 
 TEST_CASE("versions named in answers override the list")
