Count the age of weights from when they were certainly absent

A daemon that read an announcement late let requests begin on older weights as much later. Cause: weights counted as announced when this daemon saw the row: after a dead connection, a freeze, an outage, or the way through a relay. Class of fault: an event is dated by its observation, and a limit counted from it is too long. Change: they count as announced at the last time at which the operator's table certainly had no change that the daemon lacked: the end of the wait of an answer without changes, or the sending of any other call. Replies to other daemons tell for how long their rows may have lacked changes, and the receiver counts from when it asked. Evidence: tests of the reply's field, its bounds included.

--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -38,13 +38,15 @@
   {
   }
 
-  // Returns the view of the rows in force.
+  // Returns the view of the rows in force. Weights that were not in the rows
+  // before count as announced at aAbsentAt, the last time at which they were
+  // certainly not announced yet.
   [[nodiscard]] std::shared_ptr<const SiteView> Assemble(
     const SiteReplica& aReplica,
-    Instant aNow);
+    Instant aAbsentAt);
 
 private:
-  void ReadOperatorRow(const SiteRow& aRow, Instant aNow);
+  void ReadOperatorRow(const SiteRow& aRow, Instant aAbsentAt);
   void ReadServerRow(const SiteRow& aRow, SiteView& aView);
   void ApplyConfig(SiteConfig aConfig);
   void ReportUnreadable(SiteTable aTable,
--- a/packages/entry/include/bilberrytrail/entry/weight_history.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_history.h
@@ -10,9 +10,10 @@
 
 namespace bilberrytrail {
 
-// When each version of the models' weights was announced, as seen by this
-// daemon. A version announced before the daemon started counts as announced
-// long ago.
+// When each version of the models' weights was announced, at the earliest: the
+// times are never later than the announcements, so that limits which count from
+// them are kept. A version announced before the daemon started counts as
+// announced long ago.
 class WeightHistory
 {
 public:
@@ -35,8 +36,9 @@
     return mNewest;
   }
 
-  // Adds a version of a model. Returns true when it is newer than all before.
-  bool AddVersion(const ModelId& aModel, std::uint64_t aVersion, Instant aNow);
+  // Adds a version of a model that was announced at aAt or later. Returns true
+  // when it is newer than all before.
+  bool AddVersion(const ModelId& aModel, std::uint64_t aVersion, Instant aAt);
 
 private:
   struct Announcement
--- a/packages/entry/src/peer_replicas.cpp
+++ b/packages/entry/src/peer_replicas.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// A longer lag is not sent, and rejected when read.
+constexpr Duration kMaxLag = 3600s;
+
 Json
 ToJson(const SiteRow& aRow)
 {
@@ -70,6 +73,18 @@
   return ReadObjectField(aFields, aName, ReadRows);
 }
 
+// Reads a lag. One that cannot be added to a time is rejected.
+Duration
+ReadLag(JsonFields& aFields)
+{
+  const double lag = aFields.Real("lag_ms");
+  if (lag >= 0 && lag <= ToMillis(kMaxLag)) {
+    return FromMillis(lag);
+  }
+  aFields.Reject("lag_ms");
+  return Duration(0);
+}
+
 // Returns the rows of a table that the requester lacks.
 std::optional<ReplicaRows>
 RowsSince(SiteTable aTable, std::uint64_t aVersion, const SiteReplica& aReplica)
@@ -107,6 +122,9 @@
 {
   Json json{ { "in_reach", aReply.mIsTableReachable },
              { "age_ms", ToMillis(aReply.mAge) } };
+  if (aReply.mLag && *aReply.mLag <= kMaxLag) {
+    json["lag_ms"] = ToMillis(*aReply.mLag);
+  }
   if (aReply.mOperator) {
     json["operator"] = ToJson(*aReply.mOperator);
   }
@@ -123,6 +141,10 @@
   ReplicaReply reply;
   reply.mIsTableReachable = fields.Flag("in_reach");
   reply.mAge = FromMillis(fields.Real("age_ms"));
+  // Builds that do not know the lag omit the field.
+  if (fields.Has("lag_ms")) {
+    reply.mLag = ReadLag(fields);
+  }
   reply.mOperator = ReadOptionalRows(fields, "operator");
   reply.mServers = ReadOptionalRows(fields, "servers");
   return Checked(fields, std::move(reply));
@@ -132,10 +154,12 @@
 AnswerReplicaQuery(const ReplicaQuery& aQuery,
                    const SiteReplica& aReplica,
                    bool aIsTableReachable,
-                   Duration aAge)
+                   Duration aAge,
+                   std::optional<Duration> aLag)
 {
   return { aIsTableReachable,
            aAge,
+           aLag,
            RowsSince(SiteTable::Operator, aQuery.mOperatorVersion, aReplica),
            RowsSince(SiteTable::Servers, aQuery.mServersVersion, aReplica) };
 }
--- a/packages/entry/src/peer_replicas.h
+++ b/packages/entry/src/peer_replicas.h
@@ -37,6 +37,9 @@
   bool mIsTableReachable = false;
   // Time since that daemon's replica was confirmed.
   Duration mAge{};
+  // Time for which that daemon's rows of the operator's table may have lacked
+  // changes; nothing when it is unknown.
+  std::optional<Duration> mLag;
   std::optional<ReplicaRows> mOperator;
   std::optional<ReplicaRows> mServers;
 };
@@ -56,6 +59,7 @@
 AnswerReplicaQuery(const ReplicaQuery& aQuery,
                    const SiteReplica& aReplica,
                    bool aIsTableReachable,
-                   Duration aAge);
+                   Duration aAge,
+                   std::optional<Duration> aLag = std::nullopt);
 
 } // namespace bilberrytrail
--- a/packages/entry/src/relay_follower.cpp
+++ b/packages/entry/src/relay_follower.cpp
@@ -136,6 +136,7 @@
 bool
 RelayFollower::QueryRelay(const PeerAddress& aRelay)
 {
+  const auto sentAt = MonotonicNow();
   const auto reply = Call(aRelay);
   const auto now = MonotonicNow();
   const bool isUsable = reply && reply.value().mReplica.mIsTableReachable &&
@@ -153,7 +154,7 @@
     return false;
   }
   mChoice.OnAnswer(aRelay.mName);
-  ApplyReply(aRelay, reply.value());
+  ApplyReply(aRelay, reply.value(), sentAt);
   return reply.value().mCache.mHasMore && !mLoop.IsStopping();
 }
 
@@ -170,13 +171,15 @@
 }
 
 void
-RelayFollower::ApplyReply(const PeerAddress& aRelay, const RelayReply& aReply)
+RelayFollower::ApplyReply(const PeerAddress& aRelay,
+                          const RelayReply& aReply,
+                          Instant aSentAt)
 {
   if (mRelay != aRelay.mName) {
     LogLine(LogEvent::RelayFollowed, { { "daemon", aRelay.mName } });
     mRelay = aRelay.mName;
   }
-  mSite.ApplyReplica(aRelay, aReply.mReplica);
+  mSite.ApplyReplica(aRelay, aReply.mReplica, aSentAt);
   if (IsServing(MonotonicNow())) {
     // Another daemon has queried this one meanwhile, so this one follows the
     // stores directly.
--- a/packages/entry/src/relay_follower.h
+++ b/packages/entry/src/relay_follower.h
@@ -61,7 +61,9 @@
   // Returns whether the relay has more changes.
   bool QueryRelay(const PeerAddress& aRelay);
   Result<RelayReply> Call(const PeerAddress& aRelay);
-  void ApplyReply(const PeerAddress& aRelay, const RelayReply& aReply);
+  void ApplyReply(const PeerAddress& aRelay,
+                  const RelayReply& aReply,
+                  Instant aSentAt);
   void SetDirect(bool aIsServing, Instant aNow);
   // Returns whether others rely on this daemon, or will once they have started.
   [[nodiscard]] bool IsServing(Instant aNow) const;
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -100,6 +100,7 @@
 {
   const auto wait = mIsServing ? kServingWait : kChangeWait;
   const auto margin = mIsServing ? kServingCallMargin : kCallMargin;
+  const auto sentAt = MonotonicNow();
   const auto rows =
     aMustReadAll ? mFeed.ReadAll(aTable, kReadTimeout)
                  : mFeed.ReadChanges(
@@ -117,9 +118,17 @@
   const bool changed = aMustReadAll
                          ? mReplica.Replace(aTable, rows.value(), now)
                          : mReplica.Merge(aTable, rows.value(), now);
+  // An answer without changes comes at the end of the wait; it may be read much
+  // later, as after the process was frozen.
+  const bool hasWaited = !aMustReadAll && rows.value().mRows.empty();
   aMustReadAll = false;
   if (changed) {
     Publish();
+  }
+  if (aTable == SiteTable::Operator) {
+    SetComplete(hasWaited ? std::min(sentAt + wait, now) : sentAt);
+  }
+  if (changed) {
     (void)mLoop.Sleep(kChangePause);
   }
   return true;
@@ -162,8 +171,9 @@
   }
   mIsQueryingPeers = true;
   for (const auto& peer : mPeers.PickOthers(kPeersPerQuery)) {
+    const auto sentAt = MonotonicNow();
     if (const auto reply = QueryPeer(peer)) {
-      ApplyReplica(peer, reply.value());
+      ApplyReplica(peer, reply.value(), sentAt);
     }
   }
   mIsQueryingPeers = false;
@@ -181,7 +191,9 @@
 }
 
 void
-SiteFollower::ApplyReplica(const PeerAddress& aPeer, const ReplicaReply& aReply)
+SiteFollower::ApplyReplica(const PeerAddress& aPeer,
+                           const ReplicaReply& aReply,
+                           Instant aSentAt)
 {
   const auto now = MonotonicNow();
   if (aReply.mIsTableReachable) {
@@ -195,17 +207,19 @@
   if (aReply.mServers) {
     changed = ApplyRows(SiteTable::Servers, *aReply.mServers, now) || changed;
   }
-  if (!changed) {
-    return;
-  }
-  if (mIsDirect) {
+  if (changed && mIsDirect) {
     LogLine(LogEvent::PeerImageTaken,
             { { "daemon", aPeer.mName },
               { "in_reach", aReply.mIsTableReachable },
               { "operator_version", mReplica.Version(SiteTable::Operator) },
               { "servers_version", mReplica.Version(SiteTable::Servers) } });
   }
-  Publish();
+  if (changed) {
+    Publish();
+  }
+  if (aReply.mLag) {
+    SetComplete(aSentAt - *aReply.mLag);
+  }
 }
 
 bool
@@ -227,8 +241,9 @@
 ReplicaReply
 SiteFollower::AnswerQuery(const ReplicaQuery& aQuery) const
 {
+  const auto now = MonotonicNow();
   return AnswerReplicaQuery(
-    aQuery, mReplica, !mIsOutage, mViews.Age(MonotonicNow()));
+    aQuery, mReplica, !mIsOutage, mViews.Age(now), now - mCompleteAt);
 }
 
 void
@@ -246,7 +261,7 @@
 SiteFollower::Publish()
 {
   const auto before = mViews.Load();
-  auto view = mAssembler.Assemble(mReplica, MonotonicNow());
+  auto view = mAssembler.Assemble(mReplica, mCompleteAt);
   if (before == nullptr || before->mServers.size() != view->mServers.size()) {
     LogLine(LogEvent::SiteServersChanged,
             { { "cause", "list" },
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -76,8 +76,10 @@
   [[nodiscard]] ReplicaQuery Versions() const noexcept;
   // Returns the rows that another daemon lacks.
   [[nodiscard]] ReplicaReply AnswerQuery(const ReplicaQuery& aQuery) const;
-  // Applies another daemon's reply.
-  void ApplyReplica(const PeerAddress& aPeer, const ReplicaReply& aReply);
+  // Applies another daemon's reply to a query sent at aSentAt.
+  void ApplyReplica(const PeerAddress& aPeer,
+                    const ReplicaReply& aReply,
+                    Instant aSentAt);
   // Adds the RPC method for the replicas.
   void AddMethods(RpcMethods& aMethods);
 
@@ -89,6 +91,11 @@
   void OnOutage(SiteTable aTable, const CallError& aError);
   void QueryPeers();
   Result<ReplicaReply> QueryPeer(const PeerAddress& aPeer);
+  // Records that the operator's rows lack no change made before a time.
+  void SetComplete(Instant aAt) noexcept
+  {
+    mCompleteAt = std::max(mCompleteAt, aAt);
+  }
   bool ApplyRows(SiteTable aTable, const ReplicaRows& aRows, Instant aNow);
   void Publish();
 
@@ -99,6 +106,8 @@
   HttpClient mClient;
   SiteReplica mReplica;
   SiteAssembler mAssembler;
+  // The operator's rows lack no change made before this time.
+  Instant mCompleteAt;
   bool mIsOutage = false;
   bool mIsQueryingPeers = false;
   bool mIsDirect = true;
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -54,13 +54,14 @@
 }
 
 void
-SiteAssembler::ReadOperatorRow(const SiteRow& aRow, Instant aNow)
+SiteAssembler::ReadOperatorRow(const SiteRow& aRow, Instant aAbsentAt)
 {
   auto parsed = mReader.Read(SiteTable::Operator, aRow);
   if (auto* config = std::get_if<SiteConfig>(&parsed)) {
     ApplyConfig(std::move(*config));
   } else if (const auto* target = std::get_if<WeightTarget>(&parsed)) {
-    if (mOperator.mWeights.AddVersion(target->mModel, target->mVersion, aNow)) {
+    if (mOperator.mWeights.AddVersion(
+          target->mModel, target->mVersion, aAbsentAt)) {
       LogLine(LogEvent::WeightsNamed,
               { { "model", target->mModel }, { "weights", target->mVersion } });
     }
@@ -89,12 +90,12 @@
 }
 
 std::shared_ptr<const SiteView>
-SiteAssembler::Assemble(const SiteReplica& aReplica, Instant aNow)
+SiteAssembler::Assemble(const SiteReplica& aReplica, Instant aAbsentAt)
 {
   if (mOperatorVersion != aReplica.Version(SiteTable::Operator)) {
     mOperatorVersion = aReplica.Version(SiteTable::Operator);
     // Weights found at the start may have been announced at any time before.
-    const Instant at = mHasReadOperator ? aNow : Instant();
+    const Instant at = mHasReadOperator ? aAbsentAt : Instant();
     mHasReadOperator = true;
     for (const auto& row : aReplica.Rows(SiteTable::Operator)) {
       ReadOperatorRow(row, at);
--- a/packages/entry/src/weight_history.cpp
+++ b/packages/entry/src/weight_history.cpp
@@ -46,14 +46,14 @@
 bool
 WeightHistory::AddVersion(const ModelId& aModel,
                           std::uint64_t aVersion,
-                          Instant aNow)
+                          Instant aAt)
 {
   auto& newest = mNewest[aModel];
   if (aVersion <= newest) {
     return false;
   }
   newest = aVersion;
-  mAnnouncements[aModel].push_back({ aVersion, aNow });
+  mAnnouncements[aModel].push_back({ aVersion, aAt });
   return true;
 }
 
--- a/packages/entry/tests/peer_replicas_test.cpp
+++ b/packages/entry/tests/peer_replicas_test.cpp
@@ -40,6 +40,28 @@
   }
 }
 
+// Guards against a daemon that counts the age of weights from the time at which
+// another daemon told it of them.
+TEST_CASE("a reply tells for how long the rows may have lacked changes")
+{
+  const SiteReplica replica;
+  struct Row
+  {
+    std::optional<Duration> mLag;
+    std::optional<Duration> mRead;
+  };
+  for (const Row& row : { Row{ std::nullopt, std::nullopt },
+                          Row{ 0ms, 0ms },
+                          Row{ 1750ms, 1750ms },
+                          // A daemon that never read the table.
+                          Row{ std::chrono::hours(9000), std::nullopt } }) {
+    const auto reply = ReadReplicaReply(
+      ToJson(AnswerReplicaQuery({}, replica, true, 0ms, row.mLag)));
+    REQUIRE(reply.has_value());
+    CHECK(reply.value().mLag == row.mRead);
+  }
+}
+
 TEST_CASE("malformed replica replies are rejected")
 {
   for (const char* text :
@@ -47,6 +69,9 @@
          R"({"in_reach":1,"age_ms":0})",
          R"({"in_reach":true})",
          R"({"in_reach":true,"age_ms":"x"})",
+         R"({"in_reach":true,"age_ms":0,"lag_ms":"x"})",
+         R"({"in_reach":true,"age_ms":0,"lag_ms":-1})",
+         R"({"in_reach":true,"age_ms":0,"lag_ms":1e300})",
          R"({"in_reach":true,"age_ms":0,"operator":{"version":1,"rows":[]}})",
          R"({"in_reach":true,"age_ms":0,"operator":{"whole":true,
             "version":1}})",
