Take back requests that wait at older weights when the bound comes

Requests that servers held in their queues began on older weights 690 to 2616 ms after the bound. Cause: the bound was checked when a request was sent; nothing limited what the server did before it began. Class of fault: a condition that is checked before a wait and relied on after it. Change: a request to older weights gets a deadline at the server that ends before the bound, so that the server itself refuses it even if it does not see that the connection was closed; the daemon stops waiting for the first event at the bound, and sends elsewhere where the route allows that. The check is repeated after the choice of a server, which may take long. A request to the newest weights waits less than the bound too, since newer ones may be announced meanwhile. The events old_weights_cut_off and old_weights_begun show how near the bound requests are taken back and begin.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -106,6 +106,8 @@
   HomeSilent,
   PlacementUnreadable,
   ServerLimitChanged,
+  OldWeightsCutOff,
+  OldWeightsBegun,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -522,6 +522,22 @@
                 "`per_second`, that holds for all daemons together; 0 when "
                 "it names none any more.",
                 "Find out why the server is short of capacity." },
+  LogEventInfo{ OldWeightsCutOff,
+                2021,
+                Info,
+                "old_weights_cut_off",
+                "A request that a backend server had not begun in time was "
+                "taken back: it could have begun on older weights after the "
+                "bound. It goes to another server if its route allows that.",
+                "Find out why the server keeps requests waiting." },
+  LogEventInfo{ OldWeightsBegun,
+                2022,
+                Info,
+                "old_weights_begun",
+                "A request has begun on older weights, `left` before the "
+                "bound for them; `left_when_sent` is the same for the time "
+                "at which it was sent.",
+                "Nothing while `left` is positive; otherwise report it." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -26,7 +26,7 @@
   HistogramRegistry& mTimes;
   CounterRegistry& mCounts;
   // Time after the announcement of new weights within which requests may still
-  // start on older ones.
+  // begin at a server on older ones.
   Duration mWeightsWithin;
   // Returns the current view; null before the first one.
   std::function<std::shared_ptr<const SiteView>()> mView;
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -26,9 +26,6 @@
 constexpr Duration kStopReserve = 400ms;
 constexpr Duration kDrainCheckPeriod = 20ms;
 constexpr Duration kForwardPeriod = 500ms;
-// Reserve of the time limit for new weights: a request may wait at a server
-// before it begins.
-constexpr Duration kWeightsReserve = 1500ms;
 // Share of a server's rate limit that all daemons together use for requests
 // that they place without a home.
 constexpr double kDirectLimitShare = 0.125;
@@ -231,7 +228,7 @@
     mCache,
     mHistograms,
     mCounters,
-    mSettings.mWeightsWithin - kWeightsReserve,
+    mSettings.mWeightsWithin,
     [this] { return UpdateView(); },
     [this] { return mViews.IsFresh(MonotonicNow()); },
     mLimits,
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -92,6 +92,11 @@
     if (!ChooseServer()) {
       return;
     }
+    if (IsPastWeightsBound()) {
+      // The choice took long.
+      EndGrant(SendOutcome::Abandoned);
+      continue;
+    }
     next = SendOnce();
   }
 }
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -80,6 +80,19 @@
   [[nodiscard]] bool TryRetry();
   [[nodiscard]] Duration TimeLeft() const noexcept;
   [[nodiscard]] Duration HeadTimeout() const noexcept;
+  // Returns the bound for requests that begin on the chosen server's weights;
+  // nothing when no newer ones are announced.
+  [[nodiscard]] std::optional<Instant> WeightsBound() const;
+  // Returns whether the bound is so near that the chosen server must not get
+  // the request.
+  [[nodiscard]] bool IsPastWeightsBound() const;
+  // Limits a call, and the wait for the server's first answer, so that the
+  // server does not begin the request after the bound.
+  void LimitToWeights(BackendCall& aCall);
+  // Returns the time left to wait for the server to begin the request.
+  [[nodiscard]] Duration BeginTimeLeft() const noexcept;
+  // Logs that the request has begun on older weights than the newest.
+  void NoteOldWeights();
   void EndSend(SendOutcome aOutcome);
   // Reports the end of the grant to its home.
   void EndGrant(SendOutcome aOutcome);
@@ -112,6 +125,8 @@
   SendTicket mTicket;
   // When the current send began.
   Instant mSentAt;
+  // Until when the server may begin the current send.
+  Instant mBeginBy;
   // Ticket of the home's grant for the current send.
   std::optional<std::uint64_t> mGrant;
   // Whether a home chose the server of the current send.
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -69,12 +69,19 @@
          mContext.mRetries.TryRetry(mService, MonotonicNow());
 }
 
+Duration
+RequestRun::BeginTimeLeft() const noexcept
+{
+  return std::max(std::min(TimeLeft(), mBeginBy - MonotonicNow()),
+                  kMinTimeLeft);
+}
+
 // Returns the timeout for the head of the answer. A request that can be retried
 // elsewhere does not wait for a silent server until its deadline.
 Duration
 RequestRun::HeadTimeout() const noexcept
 {
-  const auto left = std::max(TimeLeft(), kMinTimeLeft);
+  const auto left = BeginTimeLeft();
   const bool isLast = mRuns + 1 >= mRoute->mMaxAttempts;
   if (!MayRetry() || isLast) {
     return left;
@@ -147,6 +154,16 @@
 RequestRun::OnFailure(const SendFailure& aFailure)
 {
   EndSend(OutcomeOf(aFailure));
+  if (aFailure.mFault == SendFault::TimedOut && mRequest.mPrompt &&
+      MonotonicNow() >= mBeginBy && TimeLeft() > kMinTimeLeft) {
+    LogLine(LogEvent::OldWeightsCutOff,
+            { { "request", mRequest.mId },
+              { "server", mChoice.mServer },
+              { "weights", mChoice.mWeightVersion },
+              { "newest", NewestWeights() },
+              { "waited", MonotonicNow() - mSentAt },
+              { "by_home", mIsByHome } });
+  }
   if (aFailure.mFault == SendFault::Cancelled || mCancel.IsCancelled()) {
     NoteCallerLeft();
     return Next::Done;
@@ -225,6 +242,7 @@
 RequestRun::Next
 RequestRun::RelayWhole(BackendAnswer& aAnswer)
 {
+  NoteOldWeights();
   std::string body;
   while (true) {
     auto piece = aAnswer.Read(std::max(TimeLeft(), kMinTimeLeft));
@@ -273,11 +291,16 @@
     NoteCallerLeft();
     return Next::Done;
   }
+  bool hasBegun = false;
   while (true) {
-    auto piece = aAnswer.Read(std::max(TimeLeft(), kMinTimeLeft));
+    auto piece = aAnswer.Read(hasBegun ? std::max(TimeLeft(), kMinTimeLeft)
+                                       : BeginTimeLeft());
     if (!piece) {
       return OnStreamBroken(piece.error());
     }
+    if (!std::exchange(hasBegun, true)) {
+      NoteOldWeights();
+    }
     mContext.mPool.OnProgress(mTicket, MonotonicNow());
     if (!piece.value()) {
       EndSend(SendOutcome::Answered);
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -21,6 +21,13 @@
 // When kept KV cache cannot be read within this share of the objective, the
 // server gives up the read and processes the prompt itself.
 constexpr double kCacheReadShare = 0.6;
+// Servers with older weights get no requests for this long before the bound:
+// requests wait so long at a server before they begin, and rarely longer.
+constexpr Duration kOldWeightsReserve = 1500ms;
+// Allowance for the way of a request to its server.
+constexpr Duration kTransitAllowance = 200ms;
+// A server on which a request could not begin within this time gets none.
+constexpr Duration kMinBeginTime = 100ms;
 // Retry-After while no server has weights that are new enough: loading them
 // takes seconds.
 constexpr Duration kWeightsRetryAfter = 1s;
@@ -80,8 +87,10 @@
       query.mServerMemory = static_cast<double>(service->mCacheTokens);
     }
     query.mNewestVersion = NewestWeights();
-    query.mLeastVersion = mView->mWeights.LeastAllowed(
-      prompt.mModel, mContext.mWeightsWithin, MonotonicNow());
+    query.mLeastVersion =
+      mView->mWeights.LeastAllowed(prompt.mModel,
+                                   mContext.mWeightsWithin - kOldWeightsReserve,
+                                   MonotonicNow());
     if (const auto* part = prompt.LastSharedPart()) {
       query.mAffinity = StableHash64(part->mId);
       query.mSharedTokens = static_cast<double>(prompt.SharedTokens());
@@ -227,6 +236,46 @@
   return salt;
 }
 
+std::optional<Instant>
+RequestRun::WeightsBound() const
+{
+  if (!mRequest.mPrompt) {
+    return std::nullopt;
+  }
+  return mView->mWeights.Due(
+    mRequest.mPrompt->mModel, mChoice.mWeightVersion, mContext.mWeightsWithin);
+}
+
+bool
+RequestRun::IsPastWeightsBound() const
+{
+  const auto bound = WeightsBound();
+  return bound && *bound - MonotonicNow() <
+                    kMaxConnectTime + kTransitAllowance + kMinBeginTime;
+}
+
+// The server itself refuses a request whose deadline passes in its queue, even
+// if it does not see that the connection was closed. The deadline counts from
+// the arrival at the server.
+void
+RequestRun::LimitToWeights(BackendCall& aCall)
+{
+  const auto now = MonotonicNow();
+  mBeginBy = mDeadline;
+  if (!mRequest.mPrompt) {
+    return;
+  }
+  if (const auto bound = WeightsBound()) {
+    mBeginBy = std::min(mBeginBy, *bound);
+    aCall.mTimeLeft = std::min(
+      aCall.mTimeLeft, *bound - now - aCall.mConnectTime - kTransitAllowance);
+  } else {
+    // Newer weights may be announced while the request waits.
+    mBeginBy =
+      std::min(mBeginBy, now + mContext.mWeightsWithin - kOldWeightsReserve);
+  }
+}
+
 BackendCall
 RequestRun::MakeCall()
 {
@@ -253,6 +302,7 @@
     call.mCacheReadDeadlineMs = mContext.mCache.ServersClockMs(
       now + FromMillis(ToMillis(mRoute->mObjective) * kCacheReadShare));
   }
+  LimitToWeights(call);
   call.mResumeAfter =
     mEvents.LastId().empty() ? mRequest.mResumeAfter : mEvents.LastId();
   return call;
--- a/packages/entry/src/request_run_end.cpp
+++ b/packages/entry/src/request_run_end.cpp
@@ -125,6 +125,27 @@
             { "total", now - mArrivedAt } });
 }
 
+void
+RequestRun::NoteOldWeights()
+{
+  const auto bound = WeightsBound();
+  if (!bound) {
+    return;
+  }
+  const auto now = MonotonicNow();
+  LogLine(LogEvent::OldWeightsBegun,
+          { { "request", mRequest.mId },
+            { "server", mChoice.mServer },
+            { "weights", mChoice.mWeightVersion },
+            { "newest", NewestWeights() },
+            { "since", now - (*bound - mContext.mWeightsWithin) },
+            { "left_when_sent", *bound - mSentAt },
+            { "left", *bound - now },
+            { "choice", mChoice.mReason },
+            { "by_home", mIsByHome },
+            { "sends", mSends } });
+}
+
 void
 RequestRun::NoteCallerLeft()
 {
