Choose the server of a repeated send by the view in force

A retry or a resumed stream was sent to weights whose bound had passed: version 1 instead of 2 in the test. Cause: a request kept the view of its arrival for all its sends. Change: each send is placed by the view in force; route and account stay those of the arrival. Evidence: the test failed before and passes.

--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -114,7 +114,11 @@
   CallerSink& mSink;
   const Instant mArrivedAt;
   Instant mDeadline;
+  // The view in force when the request arrived; its route and account hold
+  // until the request has ended.
   std::shared_ptr<const SiteView> mView;
+  // The view in force when the server of the current send was chosen.
+  std::shared_ptr<const SiteView> mSendView;
   const Route* mRoute = nullptr;
   const ClientAccount* mAccount = nullptr;
   ServiceId mService;
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -66,7 +66,7 @@
   if (!mRequest.mPrompt) {
     return 0;
   }
-  return mView->mWeights.Newest(mRequest.mPrompt->mModel);
+  return mSendView->mWeights.Newest(mRequest.mPrompt->mModel);
 }
 
 ServerQuery
@@ -87,10 +87,10 @@
       query.mServerMemory = static_cast<double>(service->mCacheTokens);
     }
     query.mNewestVersion = NewestWeights();
-    query.mLeastVersion =
-      mView->mWeights.LeastAllowed(prompt.mModel,
-                                   mContext.mWeightsWithin - kOldWeightsReserve,
-                                   MonotonicNow());
+    query.mLeastVersion = mSendView->mWeights.LeastAllowed(
+      prompt.mModel,
+      mContext.mWeightsWithin - kOldWeightsReserve,
+      MonotonicNow());
     if (const auto* part = prompt.LastSharedPart()) {
       query.mAffinity = StableHash64(part->mId);
       query.mSharedTokens = static_cast<double>(prompt.SharedTokens());
@@ -104,6 +104,7 @@
 bool
 RequestRun::ChooseServer()
 {
+  mSendView = mContext.mView();
   mQuery = MakeQuery();
   mIsByHome = false;
   if (const auto hasServer = ChooseByHome()) {
@@ -165,8 +166,8 @@
   // The home's view of the site may be outdated: check the server against this
   // daemon's own view.
   const auto it =
-    std::ranges::find(mView->mServers, reply->mServer, &ServerRecord::mId);
-  const bool isUsable = it != mView->mServers.end() &&
+    std::ranges::find(mSendView->mServers, reply->mServer, &ServerRecord::mId);
+  const bool isUsable = it != mSendView->mServers.end() &&
                         it->mService == mService && !it->mIsLeaving &&
                         reply->mWeightVersion >= mQuery.mLeastVersion &&
                         std::ranges::find(mTried, it->mId) == mTried.end();
@@ -187,7 +188,7 @@
 {
   const bool isWaitingForWeights =
     mTried.empty() && mQuery.mLeastVersion > 0 &&
-    std::ranges::any_of(mView->mServers, [&](const ServerRecord& aServer) {
+    std::ranges::any_of(mSendView->mServers, [&](const ServerRecord& aServer) {
       return aServer.mService == mService && !aServer.mIsLeaving;
     });
   if (isWaitingForWeights) {
@@ -242,7 +243,7 @@
   if (!mRequest.mPrompt) {
     return std::nullopt;
   }
-  return mView->mWeights.Due(
+  return mSendView->mWeights.Due(
     mRequest.mPrompt->mModel, mChoice.mWeightVersion, mContext.mWeightsWithin);
 }
 
