Do not try a server again that denies the newest weights

A server that is listed with the newest weights and does not have them got the same request 4 times in the test. Cause: servers that answer with another version are not among the tried ones, since those that deny older weights have probably loaded the newest. Change: only these are tried again. Evidence: the test failed before (4 calls, 1 expected) and passes.

--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -182,7 +182,11 @@
                                mRequest.mPrompt->mModel,
                                mChoice.mWeightVersion,
                                NewestWeights());
-  } else {
+  }
+  // A server that denies older weights has probably loaded the newest ones.
+  const bool mayHaveNewest = aFailure.mFault == SendFault::WrongVersion &&
+                             mChoice.mWeightVersion < NewestWeights();
+  if (!mayHaveNewest) {
     mTried.push_back(mChoice.mServer);
   }
   if (aFailure.mFault == SendFault::Full &&
