End an order for weights with the version of its own model

Seen: in a test, a server with two models is ordered again while it loads, and daemons are told that it doesn't load.

Cause: an order counted as finished when any model of the server had at least the version ordered; versions of different models are not comparable.

Change: the order's own model decides. The test failed before: the second order was sent 1 s after the first.

--- a/packages/entry/include/bilberrytrail/entry/weight_rollout.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_rollout.h
@@ -112,6 +112,7 @@
   // An order in progress, or the pause after one.
   struct Entry
   {
+    ModelId mModel;
     std::uint64_t mVersion = 0;
     bool mInProgress = false;
     Instant mUntil;
--- a/packages/entry/src/weight_rollout.cpp
+++ b/packages/entry/src/weight_rollout.cpp
@@ -82,9 +82,7 @@
     if (it == aServers.end() || aNow >= order.mUntil) {
       return true;
     }
-    return std::ranges::any_of(it->mModels, [&](const LoadedModel& aModel) {
-      return aModel.mVersion >= order.mVersion;
-    });
+    return it->VersionOf(order.mModel) >= order.mVersion;
   });
 }
 
@@ -111,7 +109,9 @@
       continue;
     }
     const auto version = aWeights.at(model->mModel);
-    mOrders[it.mId] = { version, true, aNow + mSettings.mOrderTimeout };
+    mOrders[it.mId] = {
+      model->mModel, version, true, aNow + mSettings.mOrderTimeout
+    };
     orders.push_back({ it.mId, it.mEndpoint, model->mModel, version });
   }
   return orders;
--- a/packages/entry/tests/weight_rollout_test.cpp
+++ b/packages/entry/tests/weight_rollout_test.cpp
@@ -132,6 +132,21 @@
   CHECK(next.front().mVersion == 3);
 }
 
+// Guards against an order that counts as finished because another model of the
+// server has a higher version: the server was ordered again at once.
+TEST_CASE("an order ends with the version of its own model")
+{
+  const ModelId other("other");
+  auto servers = Servers(1);
+  servers[0].mModels = { { kModel, 1 }, { other, 9 } };
+  const std::map<ModelId, std::uint64_t> newest{ { kModel, 2 }, { other, 9 } };
+  WeightRollout rollout{ WeightRolloutSettings() };
+  const auto order = rollout.Next(servers, newest, kTimeLeft, At(0s)).front();
+  rollout.OnOutcome(order, OrderOutcome::Accepted, At(0s));
+  CHECK(rollout.Next(servers, newest, kTimeLeft, At(1s)).empty());
+  CHECK(rollout.Loading().contains(servers[0].mId));
+}
+
 TEST_CASE(
   "candidates request the lease in order of rank and keep it for the hold time")
 {
