Let no order for weights without a reply hold up the other servers

Eight servers had been ordered at the bound, the last ones 22 s after the version was named.

Cause: an order without a reply counted as a server that loads for 2.5 s, so it kept one of two places. Its server came before all others once the pause was over, and was ordered again. The pace assumed that orders are executed at once.

Change: a server that has not answered is asked once, 0.5 s later, whether it has begun. If it hasn't, orders are executed late: those without a reply then hold no place, and all servers are ordered early enough for a delay of 12 s. Servers that were ordered the fewest times come first, then those with the oldest weights. A server that says it is busy keeps its place.

--- a/packages/entry/include/bilberrytrail/entry/weight_rollout.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_rollout.h
@@ -37,15 +37,18 @@
   // The reply was lost: the order may still be executed, even late.
   Unknown,
   // The server does not know the version or the order.
-  Rejected
+  Rejected,
+  // An order without a reply has not begun: if it was not lost, it is executed
+  // late.
+  NotBegun
 };
 
 template<>
 struct EnumNames<OrderOutcome>
 {
-  static constexpr std::array<std::string_view, 7> kNames{
-    "accepted",    "already_done", "busy",    "fenced",
-    "not_reached", "unknown",      "rejected"
+  static constexpr std::array<std::string_view, 8> kNames{
+    "accepted",    "already_done", "busy",     "fenced",
+    "not_reached", "unknown",      "rejected", "not_begun"
   };
 };
 
@@ -69,6 +72,14 @@
   // Pause after a lost reply: the order may be executed late, which then shows
   // in the table of servers.
   Duration mUnknownPause = 2500ms;
+  // Time from a lost reply until the server is asked whether it has begun.
+  Duration mCheckPause = 500ms;
+  // Time that an order without a reply may take until it is executed.
+  Duration mLateTime = 12s;
+  // Time from an order until it is known that no reply comes.
+  Duration mReplyTime = 700ms;
+  // Time for which orders are expected to be executed late after one was.
+  Duration mLateMemory = 30s;
 };
 
 // Decides which servers load new weights next. Servers that are leaving get no
@@ -76,9 +87,16 @@
 // it compares the table of servers with the newest weights, so another daemon
 // can continue it without its state.
 //
-//   for (const auto& order : rollout.Next(servers, weights, now)) {
+// A server that was ordered and has not answered is asked whether it has begun.
+// If not, orders are executed late: they then hold up no other server, and all
+// servers are ordered early enough for the longest delay.
+//
+//   for (const auto& order : rollout.Next(servers, weights, left, now)) {
 //     rollout.OnOutcome(order, Send(order), now);
 //   }
+//   for (const auto& order : rollout.Checks(now)) {
+//     rollout.OnOutcome(order, Check(order), now);
+//   }
 class WeightRollout
 {
 public:
@@ -92,40 +110,92 @@
     std::span<const ServerRecord> aServers,
     const std::map<ModelId, std::uint64_t>& aWeights);
 
-  // Returns the servers with an order in progress.
-  [[nodiscard]] std::set<ServerId> Loading() const;
+  // Returns the servers that load, as far as known, or have just been ordered
+  // to.
+  [[nodiscard]] std::set<ServerId> Loading(Instant aNow) const;
 
-  // Returns the orders to send now and records them as in progress. All servers
-  // should have the newest weights after aTimeLeft.
+  // Returns the orders to send now and records them as sent. All servers should
+  // have the newest weights after aTimeLeft.
   [[nodiscard]] std::vector<WeightOrder> Next(
     std::span<const ServerRecord> aServers,
     const std::map<ModelId, std::uint64_t>& aWeights,
     Duration aTimeLeft,
     Instant aNow);
+  // Returns the orders without a reply whose servers are to be asked now
+  // whether they have begun.
+  [[nodiscard]] std::vector<WeightOrder> Checks(Instant aNow);
+  // Records the outcome of an order or of a check.
   void OnOutcome(const WeightOrder& aOrder,
                  OrderOutcome aOutcome,
                  Instant aNow);
-  // Drops the orders in progress, when the lease is lost.
-  void Clear() noexcept { mOrders.clear(); }
+  // Forgets all orders, when the lease is lost.
+  void Clear() noexcept;
 
 private:
-  // An order in progress, or the pause after one.
+  enum class Phase : unsigned char
+  {
+    // Pause before the next order.
+    Paused,
+    // The reply is awaited.
+    Sent,
+    // The server loads the weights that were ordered.
+    Accepted,
+    // The server executes an order, perhaps an earlier one.
+    Busy,
+    // The reply was lost; the server has not been asked yet.
+    Lost,
+    // The reply was lost, and the server had not begun when it was asked.
+    Unconfirmed
+  };
+
+  // The last order to a server.
   struct Entry
   {
-    ModelId mModel;
-    std::uint64_t mVersion = 0;
-    bool mInProgress = false;
+    WeightOrder mOrder;
+    Phase mPhase = Phase::Paused;
+    // No further order is sent to the server before.
     Instant mUntil;
+    std::optional<Instant> mCheckAt;
+    std::optional<Instant> mBusySince;
+    std::size_t mAttempts = 0;
+    bool mIsListed = true;
   };
 
-  [[nodiscard]] std::size_t InProgress() const noexcept;
+  // A server that lacks weights and may be ordered now.
+  struct Candidate
+  {
+    const ServerRecord* mServer = nullptr;
+    ModelId mModel;
+    std::uint64_t mNewest = 0;
+    // Newest version less the server's.
+    std::uint64_t mLag = 0;
+    std::size_t mAttempts = 0;
+    // The server counts as loading already.
+    bool mHoldsPlace = false;
+  };
+
+  // Returns whether orders are executed late.
+  [[nodiscard]] bool IsLate(Instant aNow) const noexcept;
+  // Returns whether the server counts as loading.
+  [[nodiscard]] bool HoldsPlace(const Entry& aEntry,
+                                Instant aNow) const noexcept;
+  [[nodiscard]] std::size_t MaxConcurrent(std::size_t aServers) const noexcept;
   [[nodiscard]] std::size_t ConcurrencyLimit(std::size_t aServers,
                                              std::size_t aPending,
                                              Duration aTimeLeft) const noexcept;
-  void DropFinished(std::span<const ServerRecord> aServers, Instant aNow);
+  [[nodiscard]] std::size_t LateLimit(std::size_t aServers,
+                                      std::size_t aUnordered,
+                                      Duration aTimeLeft) const noexcept;
+  void DropFinished(std::span<const ServerRecord> aServers);
+  [[nodiscard]] std::vector<Candidate> Candidates(
+    std::span<const ServerRecord> aServers,
+    const std::map<ModelId, std::uint64_t>& aWeights,
+    Instant aNow) const;
+  [[nodiscard]] WeightOrder Record(const Candidate& aCandidate, Instant aNow);
 
   const WeightRolloutSettings mSettings;
   std::map<ServerId, Entry> mOrders;
+  Instant mLateUntil;
 };
 
 // Decides when a daemon requests the lease of the rollout. Several candidates
--- a/packages/entry/src/rollout_runner.cpp
+++ b/packages/entry/src/rollout_runner.cpp
@@ -27,6 +27,22 @@
   return DaemonId(aSettings.mName.Text() + "@" + aSettings.mPeers.mHost);
 }
 
+// Returns the outcome of an order that the server's state shows; nothing when
+// it has not begun.
+std::optional<OrderOutcome>
+OutcomeOf(const WeightOrder& aOrder, const OrderState& aState)
+{
+  if (aState.mIsBusy) {
+    return OrderOutcome::Busy;
+  }
+  for (const auto& it : aState.mModels) {
+    if (it.mModel == aOrder.mModel && it.mVersion >= aOrder.mVersion) {
+      return OrderOutcome::AlreadyDone;
+    }
+  }
+  return std::nullopt;
+}
+
 LeaseSettings
 MakeLeaseSettings(const EntrySettings& aSettings)
 {
@@ -142,10 +158,13 @@
   const auto now = MonotonicNow();
   const auto orders = mRollout.Next(
     aView.mServers, aView.mWeights.AllNewest(), TimeLeft(aView, now), now);
-  mNotifier.Publish(mRollout.Loading());
+  mNotifier.Publish(mRollout.Loading(now));
   for (const auto& it : orders) {
     mLoop.Spawn([this, it] { SendOrder(it); });
   }
+  for (const auto& it : mRollout.Checks(now)) {
+    mLoop.Spawn([this, it] { CheckOrder(it); });
+  }
 }
 
 void
@@ -162,6 +181,18 @@
   mRollout.OnOutcome(aOrder, outcome, MonotonicNow());
 }
 
+// Asks a server that was ordered without a reply whether it has begun.
+void
+RolloutRunner::CheckOrder(const WeightOrder& aOrder)
+{
+  const auto state = mOrders.ReadState(aOrder, kStateTimeout);
+  mRollout.OnOutcome(
+    aOrder,
+    !state ? OrderOutcome::NotReached
+           : OutcomeOf(aOrder, state.value()).value_or(OrderOutcome::NotBegun),
+    MonotonicNow());
+}
+
 // The lease is checked after the server's state was read, as the last step
 // before the order.
 OrderOutcome
@@ -171,13 +202,8 @@
   if (!state) {
     return OrderOutcome::NotReached;
   }
-  if (state.value().mIsBusy) {
-    return OrderOutcome::Busy;
-  }
-  for (const auto& it : state.value().mModels) {
-    if (it.mModel == aOrder.mModel && it.mVersion >= aOrder.mVersion) {
-      return OrderOutcome::AlreadyDone;
-    }
+  if (const auto outcome = OutcomeOf(aOrder, state.value())) {
+    return *outcome;
   }
   const auto fence = mLease.EpochForOrder(BootNow());
   if (!fence || mIsLeaving) {
--- a/packages/entry/src/rollout_runner.h
+++ b/packages/entry/src/rollout_runner.h
@@ -40,6 +40,7 @@
   [[nodiscard]] Duration TimeLeft(const SiteView& aView, Instant aNow) const;
   void SendOrders(const SiteView& aView);
   void SendOrder(const WeightOrder& aOrder);
+  void CheckOrder(const WeightOrder& aOrder);
   OrderOutcome SendOnce(const WeightOrder& aOrder);
 
   Loop& mLoop;
--- a/packages/entry/src/weight_rollout.cpp
+++ b/packages/entry/src/weight_rollout.cpp
@@ -1,6 +1,8 @@
 #include <bilberrytrail/entry/weight_rollout.h>
 
 #include <algorithm>
+#include <limits>
+#include <tuple>
 
 namespace bilberrytrail {
 
@@ -36,54 +38,146 @@
     }));
 }
 
-std::size_t
-WeightRollout::InProgress() const noexcept
+bool
+WeightRollout::IsLate(Instant aNow) const noexcept
 {
-  return static_cast<std::size_t>(std::ranges::count_if(
-    mOrders, [](const auto& aEntry) { return aEntry.second.mInProgress; }));
+  return aNow < mLateUntil;
+}
+
+bool
+WeightRollout::HoldsPlace(const Entry& aEntry, Instant aNow) const noexcept
+{
+  switch (aEntry.mPhase) {
+    case Phase::Sent:
+    case Phase::Accepted:
+      return aNow < aEntry.mUntil;
+    case Phase::Busy:
+      return aEntry.mBusySince &&
+             aNow < *aEntry.mBusySince + mSettings.mOrderTimeout;
+    case Phase::Lost:
+      return aNow < aEntry.mUntil && !IsLate(aNow);
+    case Phase::Paused:
+    case Phase::Unconfirmed:
+      return false;
+  }
+  return false;
 }
 
 std::set<ServerId>
-WeightRollout::Loading() const
+WeightRollout::Loading(Instant aNow) const
 {
   std::set<ServerId> servers;
-  for (const auto& [server, order] : mOrders) {
-    if (order.mInProgress) {
+  for (const auto& [server, entry] : mOrders) {
+    const bool mayNotLoad = entry.mPhase == Phase::Sent && IsLate(aNow);
+    if (HoldsPlace(entry, aNow) && !mayNotLoad) {
       servers.insert(server);
     }
   }
   return servers;
 }
 
+std::size_t
+WeightRollout::MaxConcurrent(std::size_t aServers) const noexcept
+{
+  return std::max(mSettings.mMaxConcurrent,
+                  static_cast<std::size_t>(mSettings.mMaxShare *
+                                           static_cast<double>(aServers)));
+}
+
 std::size_t
 WeightRollout::ConcurrencyLimit(std::size_t aServers,
                                 std::size_t aPending,
                                 Duration aTimeLeft) const noexcept
 {
-  const auto limit =
-    std::max(mSettings.mMaxConcurrent,
-             static_cast<std::size_t>(mSettings.mMaxShare *
-                                      static_cast<double>(aServers)));
   const auto left = std::max(aTimeLeft, mSettings.mLoadTime);
   const auto needed = static_cast<std::size_t>(
     static_cast<std::int64_t>(aPending) * mSettings.mLoadTime / left);
-  return std::clamp(needed, mSettings.mMinConcurrent, limit);
+  return std::clamp(needed, mSettings.mMinConcurrent, MaxConcurrent(aServers));
+}
+
+// Returns the number of orders that may await their reply, so that all servers
+// are ordered early enough for the longest delay.
+std::size_t
+WeightRollout::LateLimit(std::size_t aServers,
+                         std::size_t aUnordered,
+                         Duration aTimeLeft) const noexcept
+{
+  const auto left =
+    std::max(aTimeLeft - mSettings.mLateTime - mSettings.mLoadTime,
+             mSettings.mReplyTime);
+  const auto needed = static_cast<std::size_t>(
+    static_cast<std::int64_t>(aUnordered) * mSettings.mReplyTime / left);
+  return std::min(needed, MaxConcurrent(aServers));
 }
 
-// Drops orders whose effect is visible, and those that have expired.
+// Drops orders whose effect is visible, and those to servers not listed.
 void
-WeightRollout::DropFinished(std::span<const ServerRecord> aServers,
-                            Instant aNow)
-{
-  std::erase_if(mOrders, [&](const auto& aEntry) {
-    const auto& order = aEntry.second;
-    const auto it =
-      std::ranges::find(aServers, aEntry.first, &ServerRecord::mId);
-    if (it == aServers.end() || aNow >= order.mUntil) {
-      return true;
+WeightRollout::DropFinished(std::span<const ServerRecord> aServers)
+{
+  for (auto& [server, entry] : mOrders) {
+    entry.mIsListed = false;
+  }
+  for (const auto& server : aServers) {
+    const auto it = mOrders.find(server.mId);
+    if (it != mOrders.end()) {
+      const auto& order = it->second.mOrder;
+      it->second.mIsListed = server.VersionOf(order.mModel) < order.mVersion;
     }
-    return it->VersionOf(order.mModel) >= order.mVersion;
+  }
+  std::erase_if(mOrders,
+                [](const auto& aEntry) { return !aEntry.second.mIsListed; });
+}
+
+// Returns the servers that may be ordered now: those that load already come
+// first, then those ordered the fewest times and, of these, those with the
+// oldest weights.
+std::vector<WeightRollout::Candidate>
+WeightRollout::Candidates(std::span<const ServerRecord> aServers,
+                          const std::map<ModelId, std::uint64_t>& aWeights,
+                          Instant aNow) const
+{
+  std::vector<Candidate> candidates;
+  for (const auto& server : aServers) {
+    const auto* model = OutdatedModel(server, aWeights);
+    if (model == nullptr) {
+      continue;
+    }
+    const auto newest = aWeights.at(model->mModel);
+    Candidate candidate{ .mServer = &server,
+                         .mModel = model->mModel,
+                         .mNewest = newest,
+                         .mLag = newest - model->mVersion };
+    if (const auto it = mOrders.find(server.mId); it != mOrders.end()) {
+      if (aNow < it->second.mUntil) {
+        continue;
+      }
+      candidate.mAttempts = it->second.mAttempts;
+      candidate.mHoldsPlace = HoldsPlace(it->second, aNow);
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  std::ranges::stable_sort(candidates, {}, [](const Candidate& aCandidate) {
+    return std::tuple(!aCandidate.mHoldsPlace,
+                      aCandidate.mAttempts,
+                      std::numeric_limits<std::uint64_t>::max() -
+                        aCandidate.mLag);
   });
+  return candidates;
+}
+
+WeightOrder
+WeightRollout::Record(const Candidate& aCandidate, Instant aNow)
+{
+  const auto& server = *aCandidate.mServer;
+  auto& entry = mOrders[server.mId];
+  entry.mOrder = {
+    server.mId, server.mEndpoint, aCandidate.mModel, aCandidate.mNewest
+  };
+  entry.mPhase = Phase::Sent;
+  entry.mUntil = aNow + mSettings.mOrderTimeout;
+  entry.mCheckAt.reset();
+  ++entry.mAttempts;
+  return entry.mOrder;
 }
 
 std::vector<WeightOrder>
@@ -92,27 +186,44 @@
                     Duration aTimeLeft,
                     Instant aNow)
 {
-  DropFinished(aServers, aNow);
-  std::vector<WeightOrder> orders;
+  DropFinished(aServers);
   const auto engines = static_cast<std::size_t>(
     std::ranges::count_if(aServers, [](const ServerRecord& aServer) {
       return !aServer.mModels.empty() && !aServer.mIsLeaving;
     }));
-  const auto limit =
+  const auto candidates = Candidates(aServers, aWeights, aNow);
+  auto limit =
     ConcurrencyLimit(engines, Pending(aServers, aWeights), aTimeLeft);
-  for (const auto& it : aServers) {
-    if (InProgress() >= limit) {
+  if (IsLate(aNow)) {
+    const auto unordered = static_cast<std::size_t>(
+      std::ranges::count(candidates, 0U, &Candidate::mAttempts));
+    limit = std::max(limit, LateLimit(engines, unordered, aTimeLeft));
+  }
+  auto inProgress = static_cast<std::size_t>(
+    std::ranges::count_if(mOrders, [&](const auto& aEntry) {
+      return HoldsPlace(aEntry.second, aNow);
+    }));
+  std::vector<WeightOrder> orders;
+  for (const auto& it : candidates) {
+    if (!it.mHoldsPlace && inProgress >= limit) {
       break;
     }
-    const auto* model = OutdatedModel(it, aWeights);
-    if (model == nullptr || mOrders.contains(it.mId)) {
-      continue;
+    inProgress += it.mHoldsPlace ? 0 : 1;
+    orders.push_back(Record(it, aNow));
+  }
+  return orders;
+}
+
+std::vector<WeightOrder>
+WeightRollout::Checks(Instant aNow)
+{
+  std::vector<WeightOrder> orders;
+  for (auto& [server, entry] : mOrders) {
+    if (entry.mPhase == Phase::Lost && entry.mCheckAt &&
+        aNow >= *entry.mCheckAt) {
+      entry.mCheckAt.reset();
+      orders.push_back(entry.mOrder);
     }
-    const auto version = aWeights.at(model->mModel);
-    mOrders[it.mId] = {
-      model->mModel, version, true, aNow + mSettings.mOrderTimeout
-    };
-    orders.push_back({ it.mId, it.mEndpoint, model->mModel, version });
   }
   return orders;
 }
@@ -123,26 +234,59 @@
                          Instant aNow)
 {
   const auto it = mOrders.find(aOrder.mServer);
-  if (it == mOrders.end() || it->second.mVersion != aOrder.mVersion) {
+  if (it == mOrders.end() || it->second.mOrder.mModel != aOrder.mModel ||
+      it->second.mOrder.mVersion != aOrder.mVersion) {
     return;
   }
+  auto& entry = it->second;
+  if (aOutcome != OrderOutcome::Busy) {
+    entry.mBusySince.reset();
+  }
   switch (aOutcome) {
     case OrderOutcome::Accepted:
+      entry.mPhase = Phase::Accepted;
       return;
     case OrderOutcome::Unknown:
-      it->second.mUntil = aNow + mSettings.mUnknownPause;
+      entry.mPhase = Phase::Lost;
+      entry.mUntil = aNow + mSettings.mUnknownPause;
+      if (!IsLate(aNow)) {
+        entry.mCheckAt = aNow + mSettings.mCheckPause;
+      }
+      return;
+    case OrderOutcome::NotBegun:
+      if (entry.mPhase == Phase::Lost) {
+        entry.mPhase = Phase::Unconfirmed;
+        mLateUntil = aNow + mSettings.mLateMemory;
+      }
       return;
-    case OrderOutcome::AlreadyDone:
     case OrderOutcome::Busy:
-    case OrderOutcome::Fenced:
+      entry.mPhase = Phase::Busy;
+      entry.mUntil = aNow + mSettings.mRetryPause;
+      entry.mBusySince = entry.mBusySince.value_or(aNow);
+      return;
     case OrderOutcome::NotReached:
+      // An order whose server does not answer the check either stays pending.
+      if (entry.mPhase == Phase::Lost) {
+        entry.mPhase = Phase::Unconfirmed;
+        return;
+      }
+      [[fallthrough]];
+    case OrderOutcome::AlreadyDone:
+    case OrderOutcome::Fenced:
     case OrderOutcome::Rejected:
-      it->second.mInProgress = false;
-      it->second.mUntil = aNow + mSettings.mRetryPause;
+      entry.mPhase = Phase::Paused;
+      entry.mUntil = aNow + mSettings.mRetryPause;
       return;
   }
 }
 
+void
+WeightRollout::Clear() noexcept
+{
+  mOrders.clear();
+  mLateUntil = Instant();
+}
+
 bool
 RolloutCandidacy::IsWanted(std::size_t aRank,
                            std::size_t aPending,
--- a/packages/entry/tests/weight_rollout_test.cpp
+++ b/packages/entry/tests/weight_rollout_test.cpp
@@ -118,6 +118,45 @@
   }
 }
 
+// Guards against orders without a reply that hold up all other servers.
+TEST_CASE("an order without a reply holds up others until it is checked")
+{
+  struct Case
+  {
+    OrderOutcome mCheck;
+    std::size_t mNextOrders;
+    bool mIsLoading;
+  };
+  const WeightRolloutSettings settings;
+  for (const Case& it : { Case{ OrderOutcome::NotBegun, 4, false },
+                          Case{ OrderOutcome::Busy, 0, true },
+                          Case{ OrderOutcome::NotReached, 2, false },
+                          Case{ OrderOutcome::AlreadyDone, 2, false } }) {
+    CAPTURE(it.mCheck);
+    const auto servers = Servers(12);
+    WeightRollout rollout(settings);
+    const auto first = rollout.Next(servers, kNewest, kTimeLeft, At(0s));
+    REQUIRE(first.size() == 2);
+    for (const auto& order : first) {
+      rollout.OnOutcome(order, OrderOutcome::Unknown, At(0s));
+    }
+    const auto checkAt = At(settings.mCheckPause);
+    CHECK(rollout.Next(servers, kNewest, kTimeLeft, checkAt).empty());
+    CHECK(rollout.Checks(checkAt - 1ms).empty());
+    CHECK(rollout.Checks(checkAt).size() == 2);
+    CHECK(rollout.Checks(checkAt).empty());
+    for (const auto& order : first) {
+      rollout.OnOutcome(order, it.mCheck, checkAt);
+    }
+    CHECK(rollout.Loading(checkAt).contains(first[0].mServer) == it.mIsLoading);
+    const auto next = rollout.Next(servers, kNewest, kTimeLeft, checkAt);
+    CHECK(next.size() == it.mNextOrders);
+    CHECK(std::ranges::none_of(next, [&](const WeightOrder& aOrder) {
+      return aOrder.mServer == first[0].mServer;
+    }));
+  }
+}
+
 TEST_CASE("a newer version is ordered once the one in progress is loaded")
 {
   auto servers = Servers(1);
@@ -144,7 +183,7 @@
   const auto order = rollout.Next(servers, newest, kTimeLeft, At(0s)).front();
   rollout.OnOutcome(order, OrderOutcome::Accepted, At(0s));
   CHECK(rollout.Next(servers, newest, kTimeLeft, At(1s)).empty());
-  CHECK(rollout.Loading().contains(servers[0].mId));
+  CHECK(rollout.Loading(At(1s)).contains(servers[0].mId));
 }
 
 TEST_CASE(
