Replace orders for weights that can have no effect any more at once

Cause: a server whose order got no reply was left alone for the pause of 2.5 s also when a newer version had been named since, when its older order had been executed meanwhile (the server then drops the later one, which expects another count of orders), or when it had restarted. After an accepted order a restarted server was left alone for 8 s.

Change: such an order is dropped, and the next step orders the server again. Orders that are awaited or in progress stay.

The test failed before, in all four cases that replace an order.

--- a/packages/entry/include/bilberrytrail/entry/weight_rollout.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_rollout.h
@@ -152,6 +152,9 @@
   struct Entry
   {
     WeightOrder mOrder;
+    // The server's version and start when it was ordered.
+    std::uint64_t mHadVersion = 0;
+    std::uint64_t mStartedAtMs = 0;
     Phase mPhase = Phase::Paused;
     // No further order is sent to the server before.
     Instant mUntil;
@@ -186,7 +189,12 @@
   [[nodiscard]] std::size_t LateLimit(std::size_t aServers,
                                       std::size_t aUnordered,
                                       Duration aTimeLeft) const noexcept;
-  void DropFinished(std::span<const ServerRecord> aServers);
+  [[nodiscard]] static bool IsVoid(
+    const Entry& aEntry,
+    const ServerRecord& aServer,
+    const std::map<ModelId, std::uint64_t>& aWeights);
+  void DropFinished(std::span<const ServerRecord> aServers,
+                    const std::map<ModelId, std::uint64_t>& aWeights);
   [[nodiscard]] std::vector<Candidate> Candidates(
     std::span<const ServerRecord> aServers,
     const std::map<ModelId, std::uint64_t>& aWeights,
--- a/packages/entry/src/weight_rollout.cpp
+++ b/packages/entry/src/weight_rollout.cpp
@@ -110,9 +110,35 @@
   return std::min(needed, MaxConcurrent(aServers));
 }
 
-// Drops orders whose effect is visible, and those to servers not listed.
+// Returns whether a server will not execute its order, or a newer version is to
+// be ordered in place of one that may be executed late.
+bool
+WeightRollout::IsVoid(const Entry& aEntry,
+                      const ServerRecord& aServer,
+                      const std::map<ModelId, std::uint64_t>& aWeights)
+{
+  const auto& order = aEntry.mOrder;
+  if (aServer.mStartedAtMs != aEntry.mStartedAtMs) {
+    return true;
+  }
+  const bool mayBeExecutedLate =
+    aEntry.mPhase == Phase::Lost || aEntry.mPhase == Phase::Unconfirmed;
+  if (!mayBeExecutedLate) {
+    return false;
+  }
+  // Another order was executed since: the server drops this one.
+  if (aServer.VersionOf(order.mModel) != aEntry.mHadVersion) {
+    return true;
+  }
+  const auto newest = aWeights.find(order.mModel);
+  return newest != aWeights.end() && newest->second > order.mVersion;
+}
+
+// Drops orders whose effect is visible, those that are void, and those to
+// servers not listed.
 void
-WeightRollout::DropFinished(std::span<const ServerRecord> aServers)
+WeightRollout::DropFinished(std::span<const ServerRecord> aServers,
+                            const std::map<ModelId, std::uint64_t>& aWeights)
 {
   for (auto& [server, entry] : mOrders) {
     entry.mIsListed = false;
@@ -121,7 +147,8 @@
     const auto it = mOrders.find(server.mId);
     if (it != mOrders.end()) {
       const auto& order = it->second.mOrder;
-      it->second.mIsListed = server.VersionOf(order.mModel) < order.mVersion;
+      it->second.mIsListed = server.VersionOf(order.mModel) < order.mVersion &&
+                             !IsVoid(it->second, server, aWeights);
     }
   }
   std::erase_if(mOrders,
@@ -173,6 +200,8 @@
   entry.mOrder = {
     server.mId, server.mEndpoint, aCandidate.mModel, aCandidate.mNewest
   };
+  entry.mHadVersion = server.VersionOf(aCandidate.mModel);
+  entry.mStartedAtMs = server.mStartedAtMs;
   entry.mPhase = Phase::Sent;
   entry.mUntil = aNow + mSettings.mOrderTimeout;
   entry.mCheckAt.reset();
@@ -186,7 +215,7 @@
                     Duration aTimeLeft,
                     Instant aNow)
 {
-  DropFinished(aServers);
+  DropFinished(aServers, aWeights);
   const auto engines = static_cast<std::size_t>(
     std::ranges::count_if(aServers, [](const ServerRecord& aServer) {
       return !aServer.mModels.empty() && !aServer.mIsLeaving;
--- a/packages/entry/tests/rollout_simulation_test.cpp
+++ b/packages/entry/tests/rollout_simulation_test.cpp
@@ -52,9 +52,13 @@
   Window mHang;
   // The holder of the lease is replaced by one without its state.
   std::optional<Duration> mHolderStops;
+  // Server 0 restarts.
+  std::optional<Duration> mRestart;
   // Maximum number of servers that load at once, and of orders.
   std::size_t mMaxLoading;
   std::size_t mMaxOrders;
+  // Maximum number of runs that leave more than one server with old weights.
+  std::size_t mMaxRunsWithOld = 0;
 };
 
 // Servers of one model that execute orders as the platform's do, late ones
@@ -77,6 +81,9 @@
   void RunUntil(Duration aEnd)
   {
     for (; mNow < aEnd; mNow += kTick) {
+      if (mNow == mScenario.mRestart) {
+        Restart(mServers[0]);
+      }
       const auto loading = std::max(Loading(), kFastLoads);
       for (auto& it : mServers) {
         if (it.mLoadLeft) {
@@ -154,6 +161,14 @@
     return Duration(range(mRandom));
   }
 
+  static void Restart(SimServer& aServer)
+  {
+    aServer.mSequence = 0;
+    aServer.mLoadLeft.reset();
+    aServer.mLate.clear();
+    ++aServer.mRecord.mStartedAtMs;
+  }
+
   // Carries out an order if the server accepts it.
   bool Accept(SimServer& aServer,
               std::uint64_t aExpected,
@@ -294,11 +309,19 @@
 {
   const Duration longest = 12s;
   for (const Scenario& it :
-       { Scenario{ "all is well", { 1s }, {}, {}, {}, {}, {}, 3, 12 },
-         Scenario{
-           "replies are lost", { 1s }, { 0s, 60s }, 0s, 100ms, {}, {}, 4, 12 },
+       { Scenario{ "all is well", { 1s }, {}, {}, {}, {}, {}, {}, 3, 12 },
+         Scenario{ "replies are lost",
+                   { 1s },
+                   { 0s, 60s },
+                   0s,
+                   100ms,
+                   {},
+                   {},
+                   {},
+                   4,
+                   12 },
          Scenario{
-           "all late", { 1s }, { 0s, 60s }, 2s, longest, {}, {}, 12, 48 },
+           "all late", { 1s }, { 0s, 60s }, 2s, longest, {}, {}, {}, 12, 48 },
          Scenario{ "late, half hang",
                    { 1s },
                    { 0s, 17s },
@@ -306,8 +329,30 @@
                    longest,
                    { 11s, 17s },
                    {},
+                   {},
                    12,
                    48 },
+         Scenario{ "two versions 13 s apart",
+                   { 1s, 14s },
+                   { 0s, 17s },
+                   2s,
+                   longest,
+                   { 12s, 18s },
+                   {},
+                   {},
+                   12,
+                   96 },
+         Scenario{ "two versions 11 s apart",
+                   { 1s, 12s },
+                   { 0s, 17s },
+                   2s,
+                   longest,
+                   {},
+                   {},
+                   {},
+                   12,
+                   96,
+                   2 },
          Scenario{ "the holder changes",
                    { 1s },
                    { 0s, 20s },
@@ -315,8 +360,19 @@
                    longest,
                    {},
                    5s,
+                   {},
+                   12,
+                   60 },
+         Scenario{ "a server restarts",
+                   { 1s },
+                   { 0s, 20s },
+                   2s,
+                   longest,
+                   {},
+                   {},
+                   6s,
                    12,
-                   60 } }) {
+                   48 } }) {
     CAPTURE(it.mName);
     std::size_t runsWithOld = 0;
     std::size_t loading = 0;
@@ -328,7 +384,7 @@
       loading = std::max(loading, simulation.MaxLoading());
       orders = std::max(orders, simulation.Orders());
     }
-    CHECK(runsWithOld == 0);
+    CHECK(runsWithOld <= it.mMaxRunsWithOld);
     CHECK(loading <= it.mMaxLoading);
     CHECK(orders <= it.mMaxOrders);
   }
--- a/packages/entry/tests/weight_rollout_test.cpp
+++ b/packages/entry/tests/weight_rollout_test.cpp
@@ -186,6 +186,46 @@
   CHECK(rollout.Loading(At(1s)).contains(servers[0].mId));
 }
 
+// Guards against a server that is left alone for the whole pause, or for the
+// time of an accepted order, although its order can have no effect any more.
+TEST_CASE("an order that can have no effect any more is replaced at once")
+{
+  struct Case
+  {
+    OrderOutcome mOutcome;
+    std::uint64_t mNewest;
+    std::uint64_t mServerVersion;
+    bool mHasRestarted;
+    std::uint64_t mOrdered;
+  };
+  for (const Case& it : { // Nothing has changed.
+                          Case{ OrderOutcome::Unknown, 3, 1, false, 0 },
+                          Case{ OrderOutcome::Accepted, 3, 1, false, 0 },
+                          // A newer version was named.
+                          Case{ OrderOutcome::Unknown, 4, 1, false, 4 },
+                          Case{ OrderOutcome::Accepted, 4, 1, false, 0 },
+                          // An earlier order was executed late.
+                          Case{ OrderOutcome::Unknown, 3, 2, false, 3 },
+                          // The server restarted.
+                          Case{ OrderOutcome::Unknown, 3, 1, true, 3 },
+                          Case{ OrderOutcome::Accepted, 3, 1, true, 3 } }) {
+    CAPTURE(it.mOutcome);
+    CAPTURE(it.mNewest);
+    CAPTURE(it.mServerVersion);
+    auto servers = Servers(1);
+    WeightRollout rollout{ WeightRolloutSettings() };
+    const auto first =
+      rollout.Next(servers, { { kModel, 3 } }, kTimeLeft, At(0s));
+    REQUIRE(first.size() == 1);
+    rollout.OnOutcome(first.front(), it.mOutcome, At(0s));
+    servers[0].mModels = { { kModel, it.mServerVersion } };
+    servers[0].mStartedAtMs += it.mHasRestarted ? 1 : 0;
+    const auto next =
+      rollout.Next(servers, { { kModel, it.mNewest } }, kTimeLeft, At(200ms));
+    CHECK((next.empty() ? 0 : next.front().mVersion) == it.mOrdered);
+  }
+}
+
 TEST_CASE(
   "candidates request the lease in order of rank and keep it for the hold time")
 {
