Order all servers before late orders are executed, through daemons

The servers of the fleet's stand-in can execute orders late and without a reply, and say that they are busy while they load. The loop that writes loaded weights to the rows became a function; the checks of the test that had it are the same.

--- a/standins/src/fleet/fleet_server.cpp
+++ b/standins/src/fleet/fleet_server.cpp
@@ -22,7 +22,7 @@
                          { { { "name", "m" },
                              { "version", mWeights },
                              { "adapters", Json::array() } } } },
-                       { "busy", false },
+                       { "busy", mIsLoading },
                        { "sequence", mOrders } };
     (void)aResponder.Send({ 200, {}, report.dump() });
     return;
@@ -137,14 +137,23 @@
     (void)aResponder.Send({ 400, {}, {} });
     return;
   }
-  if (mRefusesOrders || expected != mOrders) {
-    (void)aResponder.Send({ 409, {}, {} });
+  ++mOrdersReceived;
+  const bool isLate = mOrderDelay > 0ms;
+  if (isLate) {
+    (void)mLoop.Sleep(mOrderDelay);
+  }
+  const bool isAccepted = !mRefusesOrders && expected == mOrders && !mIsLoading;
+  if (!isLate) {
+    (void)aResponder.Send({ isAccepted ? 202U : 409U, {}, {} });
+  }
+  if (!isAccepted) {
     return;
   }
   ++mOrders;
   mFences.push_back(fence);
-  (void)aResponder.Send({ 202, {}, {} });
+  mIsLoading = true;
   (void)mLoop.Sleep(kLoadTime);
+  mIsLoading = false;
   mWeights = version;
 }
 
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -48,6 +48,12 @@
     return mFences;
   }
 
+  // Number of orders received, including those not executed yet or at all.
+  [[nodiscard]] std::uint64_t OrdersReceived() const noexcept
+  {
+    return mOrdersReceived;
+  }
+
   // Arrival times of all requests, refused ones included.
   [[nodiscard]] const std::vector<Instant>& Arrivals() const noexcept
   {
@@ -66,6 +72,8 @@
   void SetFull(bool aIsFull) noexcept { mIsFull = aIsFull; }
   // Breaks streams off behind so many events; 0 for never.
   void SetCutAfter(int aEvents) noexcept { mCutAfter = aEvents; }
+  // Executes orders so much later and sends no reply to them; 0 for neither.
+  void SetOrderDelay(Duration aDelay) noexcept { mOrderDelay = aDelay; }
   void SetEventTime(Duration aTime) noexcept { mEventTime = aTime; }
   // Holds each request in a queue for so long before it begins, even when its
   // connection has closed meanwhile. A request whose deadline passes in the
@@ -92,6 +100,9 @@
   const std::string mId;
   std::uint64_t mWeights = 1;
   std::uint64_t mOrders = 0;
+  std::uint64_t mOrdersReceived = 0;
+  Duration mOrderDelay{};
+  bool mIsLoading = false;
   bool mIsFull = false;
   int mCutAfter = 0;
   Duration mEventTime = 5ms;
--- a/standins/tests/fleet_daemon_test.cpp
+++ b/standins/tests/fleet_daemon_test.cpp
@@ -13,6 +13,20 @@
   "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
   "id: 4\ndata: x\n\nid: 5\ndata: x\n\n";
 
+// Writes the weights that servers have loaded to their rows.
+void
+PutLoadedWeights(FleetSite& aSite)
+{
+  for (std::size_t n = 0; n < aSite.mServers.size(); ++n) {
+    const auto value = aSite.mTable.Value("servers", aSite.mServers[n]->Id());
+    const auto written =
+      "\"version\":" + std::to_string(aSite.mServers[n]->Weights());
+    if (value.find(written) == std::string::npos) {
+      aSite.PutServer(n);
+    }
+  }
+}
+
 } // namespace
 
 TEST_CASE("requests pass through to the servers and back")
@@ -149,14 +163,7 @@
   site.Run(2, [&] {
     site.mTable.Put("op", "version/m", R"({"model":"m","version":2})");
     CHECK(site.Await([&] {
-      for (std::size_t n = 0; n < site.mServers.size(); ++n) {
-        const auto value = site.mTable.Value("servers", site.mServers[n]->Id());
-        const auto written =
-          "\"version\":" + std::to_string(site.mServers[n]->Weights());
-        if (value.find(written) == std::string::npos) {
-          site.PutServer(n);
-        }
-      }
+      PutLoadedWeights(site);
       return std::ranges::all_of(site.mServers, [](const auto& aServer) {
         return aServer->Weights() == 2;
       });
@@ -168,6 +175,34 @@
   });
 }
 
+// Guards against servers that wait for their first order until others, whose
+// orders got no reply, have executed theirs.
+TEST_CASE("all servers are ordered before late orders are executed")
+{
+  FleetSite site;
+  for (const auto& it : site.mServers) {
+    it->SetOrderDelay(5s);
+  }
+  site.Run(2, [&] {
+    site.mTable.Put("op", "version/m", R"({"model":"m","version":2})");
+    const auto hasWeights = [](const auto& aServer) {
+      return aServer->Weights() == 2;
+    };
+    CHECK(site.Await(
+      [&] { return std::ranges::any_of(site.mServers, hasWeights); }));
+    for (const auto& it : site.mServers) {
+      CHECK(it->OrdersReceived() > 0);
+    }
+    CHECK(site.Await([&] {
+      PutLoadedWeights(site);
+      return std::ranges::all_of(site.mServers, hasWeights);
+    }));
+    for (const auto& it : site.mServers) {
+      CHECK(it->Fences().size() == 1);
+    }
+  });
+}
+
 TEST_CASE("a planned stop cuts no request, and no new connections come")
 {
   FleetSite site;
