--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -108,6 +108,8 @@
   ServerLimitChanged,
   OldWeightsCutOff,
   OldWeightsBegun,
+  WeightsOverdue,
+  OrderNotBegun,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -538,6 +538,27 @@
                 "bound for them; `left_when_sent` is the same for the time "
                 "at which it was sent.",
                 "Nothing while `left` is positive; otherwise report it." },
+  LogEventInfo{ WeightsOverdue,
+                2023,
+                Warning,
+                "weights_overdue",
+                "A backend server still has weights `has` of a model `late` "
+                "after the deadline for a newer version; `weights` is the "
+                "newest. The holder of the rollout has sent it `orders` orders "
+                "for it, the last one with `outcome`.",
+                "See the order's outcome: if `not_reached`, check the server's "
+                "VM; if `unknown`, orders get no reply and may be executed "
+                "late; if `busy` or `accepted`, its running requests or the "
+                "load take long." },
+  LogEventInfo{ OrderNotBegun,
+                2024,
+                Warning,
+                "order_not_begun",
+                "A backend server that sent no reply to an order has not begun "
+                "to execute it. Orders are assumed to be executed late: all "
+                "servers are ordered without waiting for each other.",
+                "Check the network and the servers if this goes on; several "
+                "servers may load weights at once." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/weight_rollout.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_rollout.h
@@ -52,6 +52,15 @@
   };
 };
 
+// The orders sent to a server for a version of its weights.
+struct OrderReport
+{
+  // Number of attempts, including those that did not reach the server.
+  std::size_t mOrders = 0;
+  // Outcome of the last order or check; nothing while the first is awaited.
+  std::optional<OrderOutcome> mLastOutcome;
+};
+
 // Limits of a rollout.
 struct WeightRolloutSettings
 {
@@ -128,6 +137,8 @@
   void OnOutcome(const WeightOrder& aOrder,
                  OrderOutcome aOutcome,
                  Instant aNow);
+  // Returns the orders sent to a server, for the log.
+  [[nodiscard]] OrderReport ReportOf(const ServerId& aServer) const;
   // Forgets all orders, when the lease is lost.
   void Clear() noexcept;
 
@@ -161,6 +172,7 @@
     std::optional<Instant> mCheckAt;
     std::optional<Instant> mBusySince;
     std::size_t mAttempts = 0;
+    std::optional<OrderOutcome> mLastOutcome;
     bool mIsListed = true;
   };
 
--- a/packages/entry/src/rollout_runner.cpp
+++ b/packages/entry/src/rollout_runner.cpp
@@ -165,6 +165,26 @@
   for (const auto& it : mRollout.Checks(now)) {
     mLoop.Spawn([this, it] { CheckOrder(it); });
   }
+  LogOverdue(aView, now);
+}
+
+void
+RolloutRunner::LogOverdue(const SiteView& aView, Instant aNow)
+{
+  for (const auto& it :
+       mOverdue.Next(aView.mServers, aView.mWeights, mWeightsWithin, aNow)) {
+    const auto report = mRollout.ReportOf(it.mServer);
+    LogLine(
+      LogEvent::WeightsOverdue,
+      { { "server", it.mServer },
+        { "model", it.mModel },
+        { "has", it.mVersion },
+        { "weights", it.mNewest },
+        { "late", it.mLate },
+        { "orders", report.mOrders },
+        { "outcome",
+          report.mLastOutcome ? ToName(*report.mLastOutcome) : "none" } });
+  }
 }
 
 void
@@ -186,11 +206,16 @@
 RolloutRunner::CheckOrder(const WeightOrder& aOrder)
 {
   const auto state = mOrders.ReadState(aOrder, kStateTimeout);
-  mRollout.OnOutcome(
-    aOrder,
-    !state ? OrderOutcome::NotReached
-           : OutcomeOf(aOrder, state.value()).value_or(OrderOutcome::NotBegun),
-    MonotonicNow());
+  const auto outcome =
+    state ? OutcomeOf(aOrder, state.value()).value_or(OrderOutcome::NotBegun)
+          : OrderOutcome::NotReached;
+  if (outcome == OrderOutcome::NotBegun) {
+    LogLine(LogEvent::OrderNotBegun,
+            { { "server", aOrder.mServer },
+              { "model", aOrder.mModel },
+              { "weights", aOrder.mVersion } });
+  }
+  mRollout.OnOutcome(aOrder, outcome, MonotonicNow());
 }
 
 // The lease is checked after the server's state was read, as the last step
--- a/packages/entry/src/rollout_runner.h
+++ b/packages/entry/src/rollout_runner.h
@@ -6,6 +6,7 @@
 
 #include <bilberrytrail/entry/entry_platform.h>
 #include <bilberrytrail/entry/entry_settings.h>
+#include <bilberrytrail/entry/overdue_weights.h>
 #include <bilberrytrail/release/lease.h>
 
 namespace bilberrytrail {
@@ -40,6 +41,7 @@
   [[nodiscard]] Duration TimeLeft(const SiteView& aView, Instant aNow) const;
   void SendOrders(const SiteView& aView);
   void SendOrder(const WeightOrder& aOrder);
+  void LogOverdue(const SiteView& aView, Instant aNow);
   void CheckOrder(const WeightOrder& aOrder);
   OrderOutcome SendOnce(const WeightOrder& aOrder);
 
@@ -54,6 +56,7 @@
   SiteViewHolder& mViews;
   Lease mLease;
   WeightRollout mRollout;
+  OverdueWeights mOverdue;
   RolloutCandidacy mCandidacy;
   bool mIsLeaving = false;
   std::optional<Instant> mLastOrderAt;
--- a/packages/entry/src/weight_rollout.cpp
+++ b/packages/entry/src/weight_rollout.cpp
@@ -268,6 +268,7 @@
     return;
   }
   auto& entry = it->second;
+  entry.mLastOutcome = aOutcome;
   if (aOutcome != OrderOutcome::Busy) {
     entry.mBusySince.reset();
   }
@@ -309,6 +310,15 @@
   }
 }
 
+OrderReport
+WeightRollout::ReportOf(const ServerId& aServer) const
+{
+  const auto it = mOrders.find(aServer);
+  return it == mOrders.end()
+           ? OrderReport()
+           : OrderReport{ it->second.mAttempts, it->second.mLastOutcome };
+}
+
 void
 WeightRollout::Clear() noexcept
 {
