--- a/packages/entry/tests/weight_rollout_test.cpp
+++ b/packages/entry/tests/weight_rollout_test.cpp
@@ -186,6 +186,36 @@
   CHECK(rollout.Loading(At(1s)).contains(servers[0].mId));
 }
 
+// Guards against servers at the end of the list that wait for those before them
+// to answer.
+TEST_CASE("servers that were ordered the fewest times are ordered first")
+{
+  const auto servers = Servers(4);
+  WeightRollout rollout{ WeightRolloutSettings() };
+  for (const auto& order : rollout.Next(servers, kNewest, kTimeLeft, At(0s))) {
+    rollout.OnOutcome(order, OrderOutcome::NotReached, At(500ms));
+  }
+  const auto next = rollout.Next(servers, kNewest, kTimeLeft, At(5s));
+  REQUIRE(next.size() == 2);
+  CHECK(next[0].mServer == servers[2].mId);
+  CHECK(next[1].mServer == servers[3].mId);
+}
+
+// Guards against a second version that is loaded by servers with the first one
+// while others have neither.
+TEST_CASE("servers with the oldest weights are ordered first")
+{
+  auto servers = Servers(6);
+  for (const std::size_t n : { 0U, 2U, 4U, 5U }) {
+    servers[n].mModels = { { kModel, 2 } };
+  }
+  WeightRollout rollout{ WeightRolloutSettings() };
+  const auto next = rollout.Next(servers, { { kModel, 3 } }, kTimeLeft, At(0s));
+  REQUIRE(next.size() == 2);
+  CHECK(next[0].mServer == servers[1].mId);
+  CHECK(next[1].mServer == servers[3].mId);
+}
+
 // Guards against a server that is left alone for the whole pause, or for the
 // time of an accepted order, although its order can have no effect any more.
 TEST_CASE("an order that can have no effect any more is replaced at once")
