Bound how often orders without a reply are repeated

Change: the pause gets longer with the number of servers without a reply, to 100 repeats a second in all.

--- a/packages/entry/include/bilberrytrail/entry/weight_rollout.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_rollout.h
@@ -81,6 +81,9 @@
   // Pause after a lost reply: the order may be executed late, which then shows
   // in the table of servers.
   Duration mUnknownPause = 2500ms;
+  // Minimum time between two orders that repeat one without a reply, on
+  // average: the pause gets longer while many servers send no reply.
+  Duration mResendSpacing = 10ms;
   // Time from a lost reply until the server is asked whether it has begun.
   Duration mCheckPause = 500ms;
   // Time that an order without a reply may take until it is executed.
@@ -216,6 +219,8 @@
   const WeightRolloutSettings mSettings;
   std::map<ServerId, Entry> mOrders;
   Instant mLateUntil;
+  // Number of servers that have sent no reply, at the last step.
+  std::size_t mWithoutReply = 0;
 };
 
 // Decides when a daemon requests the lease of the rollout. Several candidates
--- a/packages/entry/src/weight_rollout.cpp
+++ b/packages/entry/src/weight_rollout.cpp
@@ -216,6 +216,11 @@
                     Instant aNow)
 {
   DropFinished(aServers, aWeights);
+  mWithoutReply = static_cast<std::size_t>(
+    std::ranges::count_if(mOrders, [](const auto& aEntry) {
+      return aEntry.second.mPhase == Phase::Lost ||
+             aEntry.second.mPhase == Phase::Unconfirmed;
+    }));
   const auto engines = static_cast<std::size_t>(
     std::ranges::count_if(aServers, [](const ServerRecord& aServer) {
       return !aServer.mModels.empty() && !aServer.mIsLeaving;
@@ -278,7 +283,10 @@
       return;
     case OrderOutcome::Unknown:
       entry.mPhase = Phase::Lost;
-      entry.mUntil = aNow + mSettings.mUnknownPause;
+      entry.mUntil =
+        aNow + std::max(mSettings.mUnknownPause,
+                        mSettings.mResendSpacing *
+                          static_cast<std::int64_t>(mWithoutReply));
       if (!IsLate(aNow)) {
         entry.mCheckAt = aNow + mSettings.mCheckPause;
       }
@@ -324,6 +332,7 @@
 {
   mOrders.clear();
   mLateUntil = Instant();
+  mWithoutReply = 0;
 }
 
 bool
--- a/packages/entry/tests/weight_rollout_test.cpp
+++ b/packages/entry/tests/weight_rollout_test.cpp
@@ -201,6 +201,31 @@
   CHECK(next[1].mServer == servers[3].mId);
 }
 
+// Guards against a holder that repeats orders to all servers of a large site
+// every few seconds while none replies.
+TEST_CASE("orders without a reply are repeated at a bounded rate")
+{
+  const WeightRolloutSettings settings;
+  const auto servers = Servers(3000);
+  WeightRollout rollout(settings);
+  std::map<ServerId, std::size_t> orders;
+  std::size_t repeats = 0;
+  Instant now = At(0s);
+  for (; now < At(60s); now += 200ms) {
+    const auto left = At(kTimeLeft) - now;
+    for (const auto& it : rollout.Next(servers, kNewest, left, now)) {
+      repeats += ++orders[it.mServer] > 1 ? 1 : 0;
+      rollout.OnOutcome(it, OrderOutcome::Unknown, now);
+    }
+    for (const auto& it : rollout.Checks(now)) {
+      rollout.OnOutcome(it, OrderOutcome::NotBegun, now);
+    }
+  }
+  CHECK(orders.size() == servers.size());
+  CHECK(repeats > 0);
+  CHECK(repeats <= static_cast<std::size_t>(60s / settings.mResendSpacing));
+}
+
 // Guards against a second version that is loaded by servers with the first one
 // while others have neither.
 TEST_CASE("servers with the oldest weights are ordered first")
