Refuse prompts with a part that crashes the servers that answer on it

Cause: nothing connected the end of a server with the prompts that waited there.

Now the end of a server, told from a lost connection by its refusal of new ones, counts against the shared parts of all prompts that waited at it. A single answer that goes on clears a part of that, which sound parts get all the time. Evidence travels with placement requests, reports and replies, as observations of rate limits do.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -110,6 +110,9 @@
   OldWeightsBegun,
   WeightsOverdue,
   OrderNotBegun,
+  PartSuspect,
+  PartQuarantined,
+  PartCleared,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -559,6 +559,31 @@
                 "servers are ordered without waiting for each other.",
                 "Check the network and the servers if this goes on; several "
                 "servers may load weights at once." },
+  LogEventInfo{ PartSuspect,
+                2025,
+                Info,
+                "part_suspect",
+                "A backend server ended before it had answered a prompt with "
+                "this part; `part` is a hash of the model and the part's id, "
+                "`place` the part's place in the prompt, `deaths` the number "
+                "of servers that ended like this.",
+                "Nothing for single events." },
+  LogEventInfo{ PartQuarantined,
+                2026,
+                Error,
+                "part_quarantined",
+                "Each server that was to answer a prompt with this part has "
+                "ended; such prompts are refused for `for`.",
+                "Find the callers by `request_refused` with reason "
+                "`quarantined`, and report the part to the engine's "
+                "maintainers." },
+  LogEventInfo{ PartCleared,
+                2027,
+                Info,
+                "part_cleared",
+                "A server answered a prompt with a part that was refused, or "
+                "the time of its refusal is over.",
+                "Nothing." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -4,6 +4,7 @@
 #include <bilberrytrail/base/histogram_registry.h>
 #include <bilberrytrail/entry/backend_call.h>
 #include <bilberrytrail/entry/cache_directory.h>
+#include <bilberrytrail/entry/crash_watch.h>
 #include <bilberrytrail/entry/event_splitter.h>
 #include <bilberrytrail/entry/placement.h>
 #include <bilberrytrail/entry/retry_meter.h>
@@ -37,6 +38,8 @@
   // daemon sends to such servers without a home.
   ServerLimits& mLimits;
   RateGate& mGate;
+  PartQuarantine& mParts;
+  CrashWatch& mCrashes;
   // Places requests through homes; null when this daemon chooses servers
   // itself.
   Placer* mPlacer = nullptr;
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -136,6 +136,8 @@
   // Paces requests that this daemon places itself.
   RateGate mGate;
   const double mGatePhase;
+  PartQuarantine mParts;
+  CrashWatch mCrashes;
   ServerPool mPool;
   RetryMeter mRetries;
   CacheDirectory mCache;
@@ -196,6 +198,7 @@
   , mBackend(aPlatform.MakeBackend(mTraffic))
   , mGate(mLimits)
   , mGatePhase(Random(MakeLogId(mSelf)).Unit())
+  , mCrashes(mTraffic, *mBackend, mParts)
   , mPool(mSettings.mZone, ServerPoolSettings(), &mGate)
   , mRetries(
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow },
@@ -204,7 +207,8 @@
                mSettings.mZone,
                mSelf.mName,
                MakeLogId(mSelf),
-               mLimits)
+               mLimits,
+               mParts)
   , mHistograms(kMaxSeries)
   , mCounters(kMaxSeries)
   , mFlow(MakeFlowContext())
@@ -233,6 +237,8 @@
     [this] { return mViews.IsFresh(MonotonicNow()); },
     mLimits,
     mGate,
+    mParts,
+    mCrashes,
     &mPlacement,
   };
 }
--- a/packages/entry/src/placement_codec.cpp
+++ b/packages/entry/src/placement_codec.cpp
@@ -1,4 +1,4 @@
-#include "placement_codec.h"
+#include "part_report_codec.h"
 
 #include <bilberrytrail/platform/json_read.h>
 
@@ -218,6 +218,7 @@
     json["ask"] = ToJson(*aMessage.mRequest);
   }
   AddLimits(json, aMessage.mLimits);
+  AddPartReports(json, aMessage.mParts);
   return Pack(kMessage, json);
 }
 
@@ -233,6 +234,7 @@
              { "time_ms", ToMillis(reply.mTime) },
              { "candidates", reply.mCandidates } };
   AddLimits(json, aAnswer.mLimits);
+  AddPartReports(json, aAnswer.mParts);
   return Pack(kReply, json);
 }
 
@@ -252,6 +254,7 @@
     message.mRequest = ReadObjectField(fields, "ask", ReadRequest);
   }
   message.mLimits = ReadLimits(fields);
+  message.mParts = ReadPartReports(fields);
   return Checked(fields, std::move(message));
 }
 
@@ -273,6 +276,7 @@
   reply.mTime = FromMillis(fields.Real("time_ms"));
   reply.mCandidates = fields.Unsigned("candidates");
   answer.mLimits = ReadLimits(fields);
+  answer.mParts = ReadPartReports(fields);
   return Checked(fields, std::move(answer));
 }
 
--- a/packages/entry/src/placement_codec.h
+++ b/packages/entry/src/placement_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <bilberrytrail/base/error.h>
+#include <bilberrytrail/entry/part_quarantine.h>
 #include <bilberrytrail/entry/placement.h>
 
 #include <string>
@@ -19,21 +20,42 @@
   Duration mAge{};
 };
 
+// The end of a server that was to answer a prompt with a part, as its sender
+// knows it.
+struct PartDeathReport
+{
+  DeathId mDeath;
+  Duration mAge{};
+};
+
+// What the sender knows of a part that waited at servers when they ended.
+struct PartReport
+{
+  PartKey mPart;
+  std::uint32_t mPlace = 0;
+  // Time since a server last went on after answering on the part.
+  std::optional<Duration> mSoundAge;
+  std::vector<PartDeathReport> mDeaths;
+};
+
 // A datagram from a daemon to a home: at most one placement request, reports on
-// earlier grants, and observations of rate limits.
+// earlier grants, observations of rate limits, and evidence against parts.
 struct PlacementMessage
 {
   PlacementClientId mClient;
   std::optional<PlacementRequest> mRequest;
   std::vector<PlacementReport> mReports;
   std::vector<LimitReport> mLimits;
+  std::vector<PartReport> mParts;
 };
 
-// A home's answer to a placement request, with its observations of rate limits.
+// A home's answer to a placement request, with its observations of rate limits
+// and its evidence against parts.
 struct PlacementAnswer
 {
   PlacementReply mReply;
   std::vector<LimitReport> mLimits;
+  std::vector<PartReport> mParts;
 };
 
 [[nodiscard]] std::string
--- a/packages/entry/src/placement_service.cpp
+++ b/packages/entry/src/placement_service.cpp
@@ -1,5 +1,7 @@
 #include "placement_service.h"
 
+#include "part_report_codec.h"
+
 #include <bilberrytrail/base/log.h>
 
 #include <algorithm>
@@ -41,11 +43,13 @@
                                    ZoneId aOwnZone,
                                    DaemonId aSelf,
                                    std::uint64_t aIncarnation,
-                                   ServerLimits& aLimits)
+                                   ServerLimits& aLimits,
+                                   PartQuarantine& aParts)
   : mLoop(aLoop)
   , mSelf{ std::move(aSelf), aIncarnation }
   , mSocket(aLoop)
   , mLimits(aLimits)
+  , mParts(aParts)
   , mLedger(std::move(aOwnZone), HomeAdmissionSettings(), aLimits)
 {
 }
@@ -116,6 +120,22 @@
   mLimits.Merge(observations, now);
 }
 
+std::vector<PartReport>
+PlacementService::PartReports() const
+{
+  const auto now = MonotonicNow();
+  return ToReports(mParts.Recent(now), now);
+}
+
+void
+PlacementService::MergeParts(const std::vector<PartReport>& aReports)
+{
+  if (!aReports.empty()) {
+    const auto now = MonotonicNow();
+    mParts.Merge(ToEvidence(aReports, now), now);
+  }
+}
+
 bool
 PlacementService::IsBackedOff(const DaemonId& aHome) const
 {
@@ -203,10 +223,12 @@
   }
   Event arrived(mLoop);
   mPending[aRequest.mTicket].mArrived = &arrived;
-  mSocket.Send(
-    aHome.mEndpoint,
-    Encode(PlacementMessage{
-      mSelf, aRequest, TakeReports(aHome.mDaemon), LimitReports() }));
+  mSocket.Send(aHome.mEndpoint,
+               Encode(PlacementMessage{ mSelf,
+                                        aRequest,
+                                        TakeReports(aHome.mDaemon),
+                                        LimitReports(),
+                                        PartReports() }));
   const auto timeout = std::clamp(
     FromMillis(ToMillis(aRequest.mQuery.mObjective) * kReplyTimeoutObjectives),
     kMinReplyTimeout,
@@ -279,10 +301,12 @@
   (void)mLoop.Sleep(kReportDelay);
   mIsFlushing = false;
   for (auto& [home, entry] : std::exchange(mReports, {})) {
-    mSocket.Send(
-      entry.first,
-      Encode(PlacementMessage{
-        mSelf, std::nullopt, std::move(entry.second), LimitReports() }));
+    mSocket.Send(entry.first,
+                 Encode(PlacementMessage{ mSelf,
+                                          std::nullopt,
+                                          std::move(entry.second),
+                                          LimitReports(),
+                                          PartReports() }));
   }
 }
 
@@ -312,16 +336,18 @@
               { "reason", message.error().mMessage } });
     return;
   }
-  const auto& [client, request, reports, limits] = message.value();
+  const auto& [client, request, reports, limits, parts] = message.value();
   const auto now = MonotonicNow();
   MergeLimits(limits);
+  MergeParts(parts);
   for (const auto& it : reports) {
     mLedger.Report(client, it, now);
   }
   if (request) {
     mSocket.Send(aDatagram.mFrom,
                  Encode(PlacementAnswer{ HandleRequest(client, *request),
-                                         LimitReports() }));
+                                         LimitReports(),
+                                         PartReports() }));
   }
 }
 
@@ -336,6 +362,7 @@
     return;
   }
   MergeLimits(answer.value().mLimits);
+  MergeParts(answer.value().mParts);
   const auto it = mPending.find(answer.value().mReply.mTicket);
   if (it != mPending.end()) {
     it->second.mReply = std::move(answer).value().mReply;
--- a/packages/entry/src/placement_service.h
+++ b/packages/entry/src/placement_service.h
@@ -25,7 +25,8 @@
                    ZoneId aOwnZone,
                    DaemonId aSelf,
                    std::uint64_t aIncarnation,
-                   ServerLimits& aLimits);
+                   ServerLimits& aLimits,
+                   PartQuarantine& aParts);
 
   // Binds the socket and starts to receive.
   Result<void> Start(const Endpoint& aEndpoint);
@@ -72,6 +73,9 @@
   // Returns the observations of rate limits to send to other daemons.
   [[nodiscard]] std::vector<LimitReport> LimitReports() const;
   void MergeLimits(const std::vector<LimitReport>& aReports);
+  // Returns the evidence against parts to send to other daemons.
+  [[nodiscard]] std::vector<PartReport> PartReports() const;
+  void MergeParts(const std::vector<PartReport>& aReports);
   [[nodiscard]] std::vector<PlacementReport> TakeReports(const DaemonId& aHome);
   [[nodiscard]] bool IsBackedOff(const DaemonId& aHome) const;
   void OnReplyTimeout(const DaemonId& aHome);
@@ -85,6 +89,7 @@
   const PlacementClientId mSelf;
   DatagramSocket mSocket;
   ServerLimits& mLimits;
+  PartQuarantine& mParts;
   PlacementLedger mLedger;
   std::shared_ptr<const PlacementMap> mMap;
   Instant mListReadAt;
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -18,6 +18,9 @@
   mSink.OnCallerGone([this] { mCancel.Cancel(); });
   mContext.mRetries.AddRequest(mService, mArrivedAt);
   mContext.mCounts.Add(Labels(), Counter::Requests);
+  if (mRequest.mPrompt) {
+    mParts = SharedPartKeys(*mRequest.mPrompt);
+  }
   SendUntilAnswered();
 }
 
@@ -89,7 +92,12 @@
       Refuse(RefusalReason::DeadlinePassed, "The deadline has passed.");
       return;
     }
-    if (!ChooseServer()) {
+    if (RefuseQuarantined() || !ChooseServer()) {
+      return;
+    }
+    // The home's reply may have brought news.
+    if (RefuseQuarantined()) {
+      EndGrant(SendOutcome::Abandoned);
       return;
     }
     if (IsPastWeightsBound()) {
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -61,6 +61,12 @@
   std::optional<bool> ChooseByHome();
   // Refuses a request for which no server is left.
   void RefuseUnserved();
+  // Refuses a prompt with a part in quarantine. Returns whether it did.
+  bool RefuseQuarantined();
+  // Records that the answer to the current send goes on.
+  void NoteAnswerGoesOn(bool aIsWhole);
+  // Records that the current send broke off.
+  void NoteBroken();
   // Refuses a prompt that could not be answered in time.
   void RefuseLate(Duration aRetryDelay);
   // Refuses a request since the servers have reached their rate limits.
@@ -124,6 +130,8 @@
   ServiceId mService;
   AttemptLedger mLedger;
   HttpCancel mCancel;
+  // Parts of the prompt that other prompts may have too.
+  std::vector<PartKey> mParts;
   ServerQuery mQuery;
   ChosenServer mChoice;
   SendTicket mTicket;
@@ -131,6 +139,11 @@
   Instant mSentAt;
   // Until when the server may begin the current send.
   Instant mBeginBy;
+  // First event of the answer to the current send.
+  std::optional<Instant> mAnswerBegunAt;
+  // Whether the server of the current send went on after it had begun to
+  // answer.
+  bool mHasAnswerGoneOn = false;
   // Ticket of the home's grant for the current send.
   std::optional<std::uint64_t> mGrant;
   // Whether a home chose the server of the current send.
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -103,6 +103,8 @@
   }
   auto call = MakeCall();
   mSentAt = MonotonicNow();
+  mAnswerBegunAt.reset();
+  mHasAnswerGoneOn = false;
   mTicket = mContext.mPool.Begin(mChoice.mServer, mQuery, mSentAt);
   const auto headTimeout = HeadTimeout();
   auto answer = mContext.mBackend.Send(call, mRequest, headTimeout, mCancel);
@@ -164,6 +166,9 @@
               { "waited", MonotonicNow() - mSentAt },
               { "by_home", mIsByHome } });
   }
+  if (aFailure.mFault == SendFault::Broken) {
+    NoteBroken();
+  }
   if (aFailure.mFault == SendFault::Cancelled || mCancel.IsCancelled()) {
     NoteCallerLeft();
     return Next::Done;
@@ -271,6 +276,9 @@
   const auto status = aAnswer.Head().mStatus;
   const bool isError = status >= kFirstServerErrorStatus;
   EndSend(isError ? SendOutcome::ServerError : SendOutcome::Answered);
+  if (status < kFirstNonSuccessStatus) {
+    NoteAnswerGoesOn(true);
+  }
   if (isError && MayRetry() && TryRetry()) {
     mTried.push_back(mChoice.mServer);
     LogLine(
@@ -308,6 +316,7 @@
     mContext.mPool.OnProgress(mTicket, MonotonicNow());
     if (!piece.value()) {
       EndSend(SendOutcome::Answered);
+      NoteAnswerGoesOn(true);
       return EndStream(mEvents.Rest());
     }
     const auto whole = mEvents.Add(*piece.value());
@@ -320,6 +329,7 @@
       continue;
     }
     mStreamHasBegun = true;
+    NoteAnswerGoesOn(false);
     if (!mFirstAt) {
       mFirstAt = MonotonicNow();
     }
--- a/packages/entry/tests/placement_codec_test.cpp
+++ b/packages/entry/tests/placement_codec_test.cpp
@@ -28,6 +28,8 @@
   message.mRequest = request;
   message.mLimits = { { ServerId("s1"), 1.5, 250ms },
                       { ServerId("s2"), 0, 0ms } };
+  message.mParts = { { PartKey(9), 1, 2s, { { DeathId(7), 1s } } },
+                     { PartKey(8), 0, std::nullopt, {} } };
   return message;
 }
 
@@ -56,6 +58,7 @@
   reply.mOutcome = PlacementOutcome::Busy;
   reply.mTime = 250ms;
   answer.mLimits = Message().mLimits;
+  answer.mParts = Message().mParts;
   const auto again = DecodePlacementAnswer(Encode(answer));
   REQUIRE(again.has_value());
   CHECK(again.value().mReply.mTicket == 6);
@@ -68,6 +71,17 @@
     CHECK(limits[0].mAge == 250ms);
     CHECK(limits[1].mPerSecond == 0);
   }
+  for (const auto& parts : { message.mParts, again.value().mParts }) {
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0].mPart == PartKey(9));
+    CHECK(parts[0].mPlace == 1);
+    CHECK(parts[0].mSoundAge == 2s);
+    REQUIRE(parts[0].mDeaths.size() == 1);
+    CHECK(parts[0].mDeaths[0].mDeath == DeathId(7));
+    CHECK(parts[0].mDeaths[0].mAge == 1s);
+    CHECK_FALSE(parts[1].mSoundAge);
+    CHECK(parts[1].mDeaths.empty());
+  }
   CHECK(IsPlacementReply(Encode(answer)));
   CHECK_FALSE(IsPlacementReply(Encode(Message())));
 }
--- a/packages/entry/tests/placement_service_test.cpp
+++ b/packages/entry/tests/placement_service_test.cpp
@@ -46,8 +46,13 @@
       const auto port = probe.Bind({ "127.0.0.1", 0 });
       REQUIRE(port.has_value());
       mCandidates.push_back({ name, { "127.0.0.1", port.value() }, 0 });
-      mServices.push_back(std::make_unique<PlacementService>(
-        mLoop, ZoneId("z"), name, n + 1, mLimits.emplace_back()));
+      mServices.push_back(
+        std::make_unique<PlacementService>(mLoop,
+                                           ZoneId("z"),
+                                           name,
+                                           n + 1,
+                                           mLimits.emplace_back(),
+                                           mParts.emplace_back()));
     }
     const auto servers = Servers();
     mMap = std::make_shared<const PlacementMap>(servers, mCandidates);
@@ -95,6 +100,7 @@
   Loop mLoop;
   // What each daemon knows of the servers' rate limits.
   std::deque<ServerLimits> mLimits;
+  std::deque<PartQuarantine> mParts;
   std::vector<PlacementCandidate> mCandidates;
   std::vector<std::unique_ptr<PlacementService>> mServices;
   std::shared_ptr<const PlacementMap> mMap;
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -152,6 +152,8 @@
                      [&] { return mIsFresh; },
                      mLimits,
                      mGate,
+                     mParts,
+                     mCrashes,
                      &mPlacer });
   mRetries.SetDaemons(1);
   (void)mPool.Update(mServers, MonotonicNow());
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -42,8 +42,15 @@
     const CallerRequest& aRequest,
     Duration aHeadTime,
     HttpCancel& aCancel) override;
+  bool IsRefusing(const Endpoint& /*aEndpoint*/, Duration /*aTimeout*/) override
+  {
+    return mIsRefusing;
+  }
   void Forget(const Endpoint& /*aEndpoint*/) override {}
 
+  // Whether servers refuse connections.
+  bool mIsRefusing = false;
+
   std::deque<FakeSend> mScript;
   std::vector<BackendCall> mCalls;
   // Called at each send; may be empty.
@@ -116,6 +123,9 @@
                                       Duration /*aTimeLeft*/,
                                       bool /*aMustPlace*/) override
   {
+    if (mOnPlace) {
+      mOnPlace();
+    }
     return mReply;
   }
   void OnBegun(std::uint64_t /*aTicket*/) override { ++mBegun; }
@@ -125,6 +135,7 @@
   }
 
   std::optional<PlacementReply> mReply;
+  std::function<void()> mOnPlace;
   int mBegun = 0;
   std::vector<SendOutcome> mOutcomes;
 };
@@ -143,6 +154,8 @@
   FakeBackend mBackend{ mLoop };
   ServerLimits mLimits;
   RateGate mGate{ mLimits };
+  PartQuarantine mParts;
+  CrashWatch mCrashes{ mLoop, mBackend, mParts };
   ServerPool mPool{ ZoneId("z"), ServerPoolSettings(), &mGate };
   RetryMeter mRetries{ { 0.2, 1000, 10s, 0.8 }, MonotonicNow() - 20s };
   CacheDirectory mCache;
--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -113,6 +113,9 @@
     const Endpoint& aEndpoint,
     const HttpRequest& aRequest,
     const HttpCallOptions& aOptions);
+  // Opens a connection and closes it again. Returns whether the peer's host
+  // refused it, as it does when no process listens on the port.
+  [[nodiscard]] bool IsRefused(const Endpoint& aEndpoint, Duration aTimeout);
   // Closes the idle connections to a peer that is no longer used.
   void Forget(const Endpoint& aEndpoint);
 
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -153,6 +153,7 @@
                                            const HttpCallOptions& aOptions);
   // Keeps a connection for reuse. Its last exchange must have ended cleanly.
   void Release(const Endpoint& aEndpoint, ConnectionPtr aConnection);
+  [[nodiscard]] bool IsRefused(const Endpoint& aEndpoint, Duration aTimeout);
   void Forget(const Endpoint& aEndpoint) { mIdle.erase(aEndpoint); }
 
 private:
@@ -529,6 +530,27 @@
                     "too many responses to other requests" };
 }
 
+bool
+HttpClient::Impl::IsRefused(const Endpoint& aEndpoint, Duration aTimeout)
+{
+  beast::error_code ec;
+  const auto address = asio::ip::make_address(aEndpoint.mHost, ec);
+  if (ec) {
+    return false;
+  }
+  beast::tcp_stream stream(mLoop.Internals().Context());
+  stream.expires_after(aTimeout);
+  std::tie(ec) =
+    stream.async_connect(tcp::endpoint(address, aEndpoint.mPort), kUseFiber);
+  return ec == asio::error::connection_refused;
+}
+
+bool
+HttpClient::IsRefused(const Endpoint& aEndpoint, Duration aTimeout)
+{
+  return mImpl->IsRefused(aEndpoint, aTimeout);
+}
+
 void
 HttpClient::Forget(const Endpoint& aEndpoint)
 {
