Exchange evidence against parts between daemons at random, and after a start

A daemon that starts, or is the home of all its own requests, learned of a part in quarantine only from servers that it lost itself. Seen in a test with whole daemons, of which a new one gets all traffic: 12 crashes, 6 of them later than 3 s after the fifth.

While there is evidence, a daemon sends it each 500 ms to one other, picked at random; after its start it asks four.

--- a/packages/entry/include/bilberrytrail/entry/placement_map.h
+++ b/packages/entry/include/bilberrytrail/entry/placement_map.h
@@ -35,6 +35,11 @@
   PlacementMap(std::span<const ServerRecord> aServers,
                std::span<const PlacementCandidate> aDaemons);
 
+  // Returns all daemons, homes or not.
+  [[nodiscard]] std::span<const PlacementCandidate> Daemons() const noexcept
+  {
+    return mDaemons;
+  }
   // Returns up to aMost groups of a service, in the order in which a request
   // with this affinity tries them; none for a service without servers.
   [[nodiscard]] std::vector<PlacementGroup> GroupsFor(const ServiceId& aService,
@@ -65,6 +70,7 @@
   void AssignHomes(std::span<const PlacementCandidate> aDaemons);
 
   std::map<ServiceId, std::vector<Group>> mServices;
+  std::vector<PlacementCandidate> mDaemons;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/part_quarantine.cpp
+++ b/packages/entry/src/part_quarantine.cpp
@@ -200,6 +200,7 @@
   std::ranges::sort(recent, std::ranges::greater(), rank);
   recent.resize(std::min(recent.size(), kMaxRecent));
   std::vector<PartEvidence> evidence;
+  evidence.reserve(recent.size());
   for (const auto* it : recent) {
     evidence.push_back(it->mEvidence);
   }
--- a/packages/entry/src/placement_map.cpp
+++ b/packages/entry/src/placement_map.cpp
@@ -61,6 +61,7 @@
 
 PlacementMap::PlacementMap(std::span<const ServerRecord> aServers,
                            std::span<const PlacementCandidate> aDaemons)
+  : mDaemons(aDaemons.begin(), aDaemons.end())
 {
   CountServers(aServers);
   AssignHomes(aDaemons);
--- a/packages/entry/src/placement_service.cpp
+++ b/packages/entry/src/placement_service.cpp
@@ -5,6 +5,7 @@
 #include <bilberrytrail/base/log.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace bilberrytrail {
 
@@ -35,6 +36,10 @@
 // Longer than kListValidTime: when a new home uses the whole limit, each other
 // daemon has read its row, or no longer relies on an older list.
 constexpr Duration kHomeSettlingTime = 15s;
+// Period in which a daemon sends evidence against parts to another one.
+constexpr Duration kExchangePeriod = 500ms;
+// Daemons that a daemon asks for evidence after its start.
+constexpr std::size_t kFirstExchanges = 4;
 static_assert(kHomeSettlingTime > kListValidTime);
 
 } // namespace
@@ -51,6 +56,7 @@
   , mLimits(aLimits)
   , mParts(aParts)
   , mLedger(std::move(aOwnZone), HomeAdmissionSettings(), aLimits)
+  , mRandom(aIncarnation)
 {
 }
 
@@ -61,13 +67,18 @@
     return std::move(port).error();
   }
   mLoop.Spawn([this] { Receive(); });
+  mLoop.Spawn([this] { ExchangeParts(); });
   return Ok();
 }
 
 void
 PlacementService::SetMap(std::shared_ptr<const PlacementMap> aMap)
 {
+  const bool isFirst = mMap == nullptr;
   mMap = std::move(aMap);
+  if (isFirst) {
+    SendPartsToRandom(kFirstExchanges);
+  }
   std::map<PlacementGroup, Instant> since;
   for (const auto& group : mMap->GroupsOf(mSelf.mDaemon)) {
     const auto known = mFirstHomeSince.find(group);
@@ -136,6 +147,37 @@
   }
 }
 
+void
+PlacementService::SendParts(const Endpoint& aDaemon)
+{
+  mSocket.Send(
+    aDaemon,
+    Encode(PlacementMessage{ mSelf, std::nullopt, {}, {}, PartReports() }));
+}
+
+void
+PlacementService::SendPartsToRandom(std::size_t aDaemons)
+{
+  std::vector<PlacementCandidate> others;
+  std::ranges::copy_if(
+    mMap->Daemons(), std::back_inserter(others), [&](const auto& aDaemon) {
+      return aDaemon.mDaemon != mSelf.mDaemon;
+    });
+  for (const auto& it : PickRandom(std::move(others), aDaemons, mRandom)) {
+    SendParts(it.mEndpoint);
+  }
+}
+
+void
+PlacementService::ExchangeParts()
+{
+  while (mLoop.Sleep(kExchangePeriod)) {
+    if (mMap != nullptr && !mParts.Recent(MonotonicNow()).empty()) {
+      SendPartsToRandom(1);
+    }
+  }
+}
+
 bool
 PlacementService::IsBackedOff(const DaemonId& aHome) const
 {
@@ -343,6 +385,10 @@
   for (const auto& it : reports) {
     mLedger.Report(client, it, now);
   }
+  const bool isQuery = !request && reports.empty() && parts.empty();
+  if (isQuery && !mParts.Recent(now).empty()) {
+    SendParts(aDatagram.mFrom);
+  }
   if (request) {
     mSocket.Send(aDatagram.mFrom,
                  Encode(PlacementAnswer{ HandleRequest(client, *request),
--- a/packages/entry/src/placement_service.h
+++ b/packages/entry/src/placement_service.h
@@ -2,6 +2,7 @@
 
 #include "placement_codec.h"
 
+#include <bilberrytrail/base/random.h>
 #include <bilberrytrail/entry/placement_ledger.h>
 #include <bilberrytrail/entry/placement_map.h>
 #include <bilberrytrail/runtime/datagram.h>
@@ -76,6 +77,12 @@
   // Returns the evidence against parts to send to other daemons.
   [[nodiscard]] std::vector<PartReport> PartReports() const;
   void MergeParts(const std::vector<PartReport>& aReports);
+  // Sends evidence against parts, while there is any, to daemons picked at
+  // random: a daemon that is the home of all its requests learns it from nobody
+  // else. A message without any is a query, as a daemon sends after its start.
+  void ExchangeParts();
+  void SendParts(const Endpoint& aDaemon);
+  void SendPartsToRandom(std::size_t aDaemons);
   [[nodiscard]] std::vector<PlacementReport> TakeReports(const DaemonId& aHome);
   [[nodiscard]] bool IsBackedOff(const DaemonId& aHome) const;
   void OnReplyTimeout(const DaemonId& aHome);
@@ -104,6 +111,7 @@
   bool mIsFlushing = false;
   std::map<DaemonId, BackOff> mBackOffs;
   std::uint64_t mLastTicket = 0;
+  Random mRandom;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/tests/part_quarantine_test.cpp
+++ b/packages/entry/tests/part_quarantine_test.cpp
@@ -20,6 +20,7 @@
 Keys(const std::vector<std::uint64_t>& aParts)
 {
   std::vector<PartKey> keys;
+  keys.reserve(aParts.size());
   for (const auto it : aParts) {
     keys.emplace_back(it);
   }
--- a/standins/src/fleet/fleet_rows.cpp
+++ b/standins/src/fleet/fleet_rows.cpp
@@ -47,7 +47,8 @@
 SmallSiteRequest(const std::string& aId,
                  const std::string& aTarget,
                  const std::string& aKey,
-                 Duration aPatience)
+                 Duration aPatience,
+                 const std::string& aParts)
 {
   HttpRequest request;
   request.mMethod = "POST";
@@ -63,7 +64,7 @@
   if (aTarget.starts_with("/stream/")) {
     request.mHeaders.push_back({ "Bilberrytrail-Model", "m" });
     request.mHeaders.push_back({ "Bilberrytrail-Token-Usage", "20,5" });
-    request.mHeaders.push_back({ "Bilberrytrail-Prompt-Prefix", "a:10,b:10" });
+    request.mHeaders.push_back({ "Bilberrytrail-Prompt-Prefix", aParts });
   }
   return request;
 }
@@ -80,7 +81,7 @@
     { "zone", "z" },
     { "slots", 8 },
     { "state", aState },
-    { "born", 1 },
+    { "born", aServer.Starts() },
     { "models", { { { "name", "m" }, { "version", aServer.Weights() } } } }
   };
   return row.dump();
--- a/standins/src/fleet/fleet_rows.h
+++ b/standins/src/fleet/fleet_rows.h
@@ -16,12 +16,14 @@
 [[nodiscard]] std::string
 SmallSiteConfig(std::uint64_t aVersion, const std::vector<std::string>& aKeys);
 
-// Returns a caller's request to that site; a prompt for "/stream/".
+// Returns a caller's request to that site; a prompt with these parts for
+// "/stream/".
 [[nodiscard]] HttpRequest
 SmallSiteRequest(const std::string& aId,
                  const std::string& aTarget,
                  const std::string& aKey,
-                 Duration aPatience);
+                 Duration aPatience,
+                 const std::string& aParts = "a:10,b:10");
 
 // Returns the row of a server.
 [[nodiscard]] std::string
--- a/standins/src/fleet/fleet_server.cpp
+++ b/standins/src/fleet/fleet_server.cpp
@@ -32,6 +32,9 @@
     return;
   }
   mArrivals.push_back(MonotonicNow());
+  if (HasDeadlyPart(aRequest)) {
+    mDeadlyArrivals.push_back(MonotonicNow());
+  }
   const auto& headers = aRequest.mHeaders;
   const auto weights = FindHeader(headers, "Bilberrytrail-Expected-Version");
   // Refusals name their request too, as the platform's page says.
@@ -56,6 +59,24 @@
   Run(aRequest, aResponder);
 }
 
+bool
+FleetServer::HasDeadlyPart(const HttpRequest& aRequest) const
+{
+  return !mDeadlyPart.empty() &&
+         FindHeader(aRequest.mHeaders, "Bilberrytrail-Prompt-Prefix")
+             .find(mDeadlyPart) != std::string_view::npos;
+}
+
+// The server starts anew only after each answer in progress has broken off.
+void
+FleetServer::Crash()
+{
+  if (mCrashes.size() < mStarts) {
+    mCrashes.push_back(MonotonicNow());
+    mOnCrash();
+  }
+}
+
 HttpHeaders
 FleetServer::WithLimit(HttpHeaders aHeaders) const
 {
@@ -96,9 +117,14 @@
   }
   headers.push_back(
     { "Bilberrytrail-Weight-Versions", std::to_string(mWeights) });
-  if (aResponder.BeginStream(200, std::move(headers))) {
-    Stream(aRequest, aResponder);
+  if (!aResponder.BeginStream(200, std::move(headers))) {
+    return;
   }
+  if (HasDeadlyPart(aRequest)) {
+    (void)mLoop.Sleep(mEventTime);
+    Crash();
+  }
+  Stream(aRequest, aResponder);
 }
 
 void
@@ -108,6 +134,10 @@
   int next = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
   for (int sent = 1; next <= kEvents; ++next, ++sent) {
     (void)mLoop.Sleep(mEventTime);
+    if (mCrashes.size() == mStarts) {
+      aResponder.Abort();
+      return;
+    }
     const auto event = "id: " + std::to_string(next) + "\ndata: x\n\n";
     if (!aResponder.WriteChunk(event)) {
       return;
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -4,6 +4,7 @@
 #include <bilberrytrail/runtime/loop.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -66,6 +67,29 @@
     return mBegun;
   }
 
+  // Number of times that the server has started.
+  [[nodiscard]] std::uint64_t Starts() const noexcept { return mStarts; }
+  // Times of its crashes, and arrival times of the prompts with the part that
+  // crashes it.
+  [[nodiscard]] const std::vector<Instant>& Crashes() const noexcept
+  {
+    return mCrashes;
+  }
+  [[nodiscard]] const std::vector<Instant>& DeadlyArrivals() const noexcept
+  {
+    return mDeadlyArrivals;
+  }
+
+  // Crashes the server when it begins to answer a prompt with this part: all
+  // its answers break off, and aOnCrash is to close its port.
+  void SetDeadlyPart(std::string aPart, std::function<void()> aOnCrash)
+  {
+    mDeadlyPart = std::move(aPart);
+    mOnCrash = std::move(aOnCrash);
+  }
+  // Starts the server again after a crash.
+  void Restart() noexcept { ++mStarts; }
+
   // Names a limit, in requests per second, in every answer; empty for none.
   void SetLimit(std::string aLimit) { mLimit = std::move(aLimit); }
   // Refuses requests as not run while set.
@@ -92,7 +116,9 @@
   // Waits in the queue. Returns whether the request may begin before its
   // deadline.
   [[nodiscard]] bool Queue(const HttpRequest& aRequest);
+  [[nodiscard]] bool HasDeadlyPart(const HttpRequest& aRequest) const;
   void Run(const HttpRequest& aRequest, HttpResponder& aResponder);
+  void Crash();
   void Stream(const HttpRequest& aRequest, HttpResponder& aResponder);
   void TakeOrder(const HttpRequest& aRequest, HttpResponder& aResponder);
 
@@ -114,6 +140,11 @@
   std::vector<Instant> mArrivals;
   std::vector<FleetRun> mBegun;
   std::string mLimit;
+  std::uint64_t mStarts = 1;
+  std::string mDeadlyPart;
+  std::function<void()> mOnCrash;
+  std::vector<Instant> mCrashes;
+  std::vector<Instant> mDeadlyArrivals;
 };
 
 } // namespace bilberrytrail::standins
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -149,14 +149,41 @@
   return true;
 }
 
+void
+FleetSite::SetDeadlyPart(const std::string& aPart, Duration aDownTime)
+{
+  for (std::size_t n = 0; n < 2; ++n) {
+    mServers[n]->SetDeadlyPart(aPart,
+                               [this, n, aDownTime] { OnCrash(n, aDownTime); });
+  }
+}
+
+void
+FleetSite::OnCrash(std::size_t aNumber, Duration aDownTime)
+{
+  // The first one serves the table.
+  mHttpServers[aNumber + 1]->StopAccepting();
+  mLoop.Spawn([this, aNumber, aDownTime] {
+    (void)mLoop.Sleep(aDownTime);
+    auto server = std::make_unique<HttpServer>(mLoop, HttpLimits());
+    CHECK(server->Listen(mEndpoints[aNumber]).has_value());
+    mServers[aNumber]->Restart();
+    server->Serve(*mServers[aNumber]);
+    mHttpServers[aNumber + 1] = std::move(server);
+    PutServer(aNumber);
+  });
+}
+
 Result<HttpResponse, HttpError>
 FleetSite::Send(std::size_t aDaemon,
                 const std::string& aId,
                 const std::string& aTarget,
-                const std::string& aKey)
+                const std::string& aKey,
+                const std::string& aParts)
 {
-  return mClient->Call(
-    mSettings[aDaemon].mCallers, SmallSiteRequest(aId, aTarget, aKey, 4s), 6s);
+  return mClient->Call(mSettings[aDaemon].mCallers,
+                       SmallSiteRequest(aId, aTarget, aKey, 4s, aParts),
+                       6s);
 }
 
 unsigned
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -32,13 +32,17 @@
                  const Endpoint& aEndpoint,
                  const std::string& aService,
                  const std::string& aState = "ready");
+  // Makes the engines crash on prompts with this part; they are back after a
+  // time.
+  void SetDeadlyPart(const std::string& aPart, Duration aDownTime);
   // Puts the row of a server of the site.
   void PutServer(std::size_t aNumber, const std::string& aState = "ready");
   [[nodiscard]] Result<HttpResponse, HttpError> Send(
     std::size_t aDaemon,
     const std::string& aId,
     const std::string& aTarget,
-    const std::string& aKey = "key");
+    const std::string& aKey = "key",
+    const std::string& aParts = "a:10,b:10");
   [[nodiscard]] unsigned Status(std::size_t aDaemon,
                                 const std::string& aId,
                                 const std::string& aTarget,
@@ -61,6 +65,7 @@
 private:
   Endpoint Listen(HttpHandler& aHandler);
   EntrySettings MakeSettings(int aNumber);
+  void OnCrash(std::size_t aNumber, Duration aDownTime);
 
   std::vector<std::unique_ptr<HttpServer>> mHttpServers;
   std::unique_ptr<HttpClient> mClient;
