Take a stream that ends inside an event as broken off

Callers got a stream whose last event was cut in the middle and that ended as a complete one, when the server ended it cleanly (in chunks, with a length, or with its connection) inside an event.

Cause: at the regular end of the server's answer the bytes behind the last whole event were passed on and the stream was ended.

Change: such an end counts as broken: the stream is resumed where the route allows it, else cut. Empty lines and comments belong to no event. An answer whose content type isn't that of events has no such end.

--- a/packages/entry/include/bilberrytrail/entry/event_splitter.h
+++ b/packages/entry/include/bilberrytrail/entry/event_splitter.h
@@ -20,6 +20,10 @@
   // Returns the bytes after the last complete event.
   [[nodiscard]] const std::string& Rest() const noexcept { return mRest; }
 
+  // Returns whether the rest has a line of an event, so that a stream which
+  // ends here has been broken off. Empty lines and comments belong to no event.
+  [[nodiscard]] bool IsInsideEvent() const noexcept;
+
   // Adds bytes and returns all bytes that now belong to complete events.
   [[nodiscard]] std::string Add(std::string_view aBytes);
   // Discards the bytes of an incomplete event.
--- a/packages/entry/src/event_splitter.cpp
+++ b/packages/entry/src/event_splitter.cpp
@@ -41,6 +41,21 @@
   }
 }
 
+bool
+EventSplitter::IsInsideEvent() const noexcept
+{
+  std::string_view rest = mRest;
+  while (!rest.empty()) {
+    const char first = rest.front();
+    if (first != '\r' && first != '\n' && first != ':') {
+      return true;
+    }
+    const auto end = rest.find('\n');
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+  }
+  return false;
+}
+
 std::string
 EventSplitter::Add(std::string_view aBytes)
 {
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -2,6 +2,9 @@
 
 #include <bilberrytrail/base/log.h>
 
+#include <algorithm>
+#include <cctype>
+
 // Sends of a request, retries, and the answers that are relayed.
 
 namespace bilberrytrail {
@@ -46,6 +49,20 @@
   return SendOutcome::Abandoned;
 }
 
+// Streaming routes answer with events; only a content type tells otherwise.
+bool
+IsEventStream(const AnswerHead& aHead)
+{
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const auto type = FindHeader(aHead.mHeaders, "Content-Type");
+  return type.empty() ||
+         std::ranges::equal(type.substr(0, kEventStream.size()),
+                            kEventStream,
+                            [](unsigned char aLeft, unsigned char aRight) {
+                              return std::tolower(aLeft) == aRight;
+                            });
+}
+
 } // namespace
 
 void
@@ -315,6 +332,10 @@
     }
     mContext.mPool.OnProgress(mTicket, MonotonicNow());
     if (!piece.value()) {
+      if (IsEventStream(aAnswer.Head()) && mEvents.IsInsideEvent()) {
+        return OnStreamBroken(
+          Fail(ErrorCode::Corrupt, "stream ends within an event"));
+      }
       EndSend(SendOutcome::Answered);
       NoteAnswerGoesOn(true);
       return EndStream(mEvents.Rest());
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -15,7 +15,7 @@
     : mLoop(aLoop)
     , mSend(std::move(aSend))
     , mCancel(aCancel)
-    , mHead{ mSend.mStatus, {} }
+    , mHead{ mSend.mStatus, mSend.mHeaders }
   {
   }
 
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -15,6 +15,7 @@
 {
   std::optional<SendFailure> mFailure;
   unsigned mStatus = 200;
+  HttpHeaders mHeaders;
   std::vector<std::string> mPieces;
   // The answer breaks off after its pieces.
   bool mIsCut = false;
--- /dev/null
+++ b/standins/tests/fleet_answer_test.cpp
@@ -0,0 +1,70 @@
+#include "fleet_site.h"
+#include "raw_server.h"
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+using namespace bilberrytrail::standins;
+
+namespace {
+
+constexpr int kMaxRequests = 40;
+
+const std::string kSound = "HTTP/1.1 200 OK\r\nBilberrytrail-Request-Id: ID\r\n"
+                           "Bilberrytrail-Response-Signature: sig-ID\r\n"
+                           "Bilberrytrail-Weight-Versions: 1\r\n";
+
+std::string
+Events(int aFrom, int aTo)
+{
+  std::string text;
+  for (int n = aFrom; n <= aTo; ++n) {
+    text += "id: " + std::to_string(n) + "\ndata: x\n\n";
+  }
+  return text;
+}
+
+// Runs a site with a raw server in place of the engine that streams go to
+// first, and sends streams until the raw server has got so many requests. Each
+// stream must be whole, or fail so that the caller sees it. Returns how many
+// were whole.
+int
+CheckStreams(const RawServer& aServer, int aRequests)
+{
+  int whole = 0;
+  FleetSite site;
+  site.Run(1, [&] {
+    REQUIRE(site.Status(0, "first", "/stream/1") == 200);
+    const std::size_t engine = site.mServers[0]->Runs().empty() ? 1 : 0;
+    site.PutServer(*site.mServers[engine], aServer.Address(), "llm", "ready");
+    for (int n = 0; n < kMaxRequests && aServer.Requests() < aRequests; ++n) {
+      const auto stream = site.Send(0, "a" + std::to_string(n), "/stream/1");
+      if (stream && stream.value().mStatus == 200) {
+        CHECK(stream.value().mBody == Events(1, 5));
+        ++whole;
+      }
+    }
+    CHECK(aServer.Requests() >= aRequests);
+  });
+  return whole;
+}
+
+} // namespace
+
+// Guards against a stream that ends inside an event and reaches the caller as a
+// complete one; in chunks, with a length, and with neither.
+TEST_CASE("a stream that ends inside an event goes on at another server")
+{
+  const auto part = Events(1, 2) + "id: 3\nda";
+  REQUIRE(part.size() == 38);
+  for (const auto& bytes :
+       { kSound + "Transfer-Encoding: chunked\r\n\r\n26\r\n" + part +
+           "\r\n0\r\n\r\n",
+         kSound + "Content-Length: 38\r\n\r\n" + part,
+         kSound + "Connection: close\r\n\r\n" + part }) {
+    const RawServer raw([&](const std::string& /*aHead*/) {
+      return RawAnswer{ bytes, RawEnd::Close };
+    });
+    CHECK(CheckStreams(raw, 1) > 0);
+  }
+}
--- /dev/null
+++ b/standins/tests/raw_server.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <bilberrytrail/base/endpoint.h>
+
+#include <boost/asio.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace bilberrytrail::standins {
+
+// How a raw server goes on after it has written an answer.
+enum class RawEnd : unsigned char
+{
+  // Reads the next request on the connection.
+  KeepOpen,
+  Close,
+  Reset
+};
+
+// The bytes that a raw server writes for one request.
+struct RawAnswer
+{
+  // "ID" stands for the id of the request.
+  std::string mBytes;
+  RawEnd mEnd = RawEnd::KeepOpen;
+};
+
+// A backend server that writes any bytes, also such as are no answer. It runs
+// on a thread of its own; connections are served side by side.
+class RawServer
+{
+public:
+  // Returns the answer to a request, given its head. Called on the server's
+  // thread.
+  using Script = std::function<RawAnswer(const std::string& aHead)>;
+
+  explicit RawServer(Script aScript);
+  ~RawServer();
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  [[nodiscard]] Endpoint Address() const;
+  // Number of requests that were read.
+  [[nodiscard]] int Requests() const noexcept { return mRequests; }
+
+private:
+  void Accept();
+  struct Session;
+  void ReadRequest(std::shared_ptr<Session> aSession);
+  void WriteAnswer(std::shared_ptr<Session> aSession);
+
+  Script mScript;
+  boost::asio::io_context mContext;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  std::atomic<int> mRequests = 0;
+  std::thread mThread;
+};
+
+// Returns the value of a header in the head of a message; empty when it is not
+// there.
+[[nodiscard]] std::string
+HeaderIn(const std::string& aHead, const std::string& aName);
+
+} // namespace bilberrytrail::standins
