Go on with a broken stream only by events

Callers of a stream that broke off got the text of another server's error within it, or the stream ended as a complete one.

Cause: any status below 300 to the resumption counted as the rest of the stream, also 204 and answers whose content type isn't that of events. Errors with a status of 300 or more did not come through before either.

Change: such answers count as garbled; the stream is resumed elsewhere while the route allows it, else cut. A stream of which no event has reached the caller still gets the second server's answer whole.

Evidence: without the change the new test of the request flow failed for text/html, problem+json and 204 (text in the stream, no cut) and held for 302, 404 and 500; through a daemon the caller got "error: gone" in its stream, and a complete end after the 204. With it both pass.

--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -26,6 +26,7 @@
 // servers may send bytes without end.
 constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+constexpr unsigned kNoContent = 204;
 
 SendOutcome
 OutcomeOf(const SendFailure& aFailure)
@@ -251,18 +252,18 @@
       mChoice.mServer, mRequest.mPrompt->mModel, *aAnswer.WeightVersion());
   }
   const auto status = aAnswer.Head().mStatus;
-  if (mRoute->mKind == RequestKind::Streaming &&
-      status < kFirstNonSuccessStatus) {
-    return RelayStream(aAnswer);
-  }
-  if (mStreamHasBegun) {
+  const bool isSuccess = status < kFirstNonSuccessStatus;
+  if (mStreamHasBegun &&
+      (!isSuccess || status == kNoContent || !IsEventStream(aAnswer.Head()))) {
     return OnFailure(
       { SendFault::Garbled,
         false,
         "server answered the resumption of a stream with status " +
           std::to_string(status) });
   }
-  return RelayWhole(aAnswer);
+  return mRoute->mKind == RequestKind::Streaming && isSuccess
+           ? RelayStream(aAnswer)
+           : RelayWhole(aAnswer);
 }
 
 RequestRun::Next
--- a/packages/entry/tests/stream_relay_test.cpp
+++ b/packages/entry/tests/stream_relay_test.cpp
@@ -66,3 +66,47 @@
     }
   }
 }
+
+// Guards against the text of an error in the middle of a caller's stream, and
+// against a stream that such an answer ends as complete.
+TEST_CASE("a begun stream goes on only with events of another server")
+{
+  struct Row
+  {
+    unsigned mStatus;
+    std::string mType;
+    std::string mBody;
+  };
+  for (const Row& row : { Row{ 200, "text/html", "<p>no</p>\n\n" },
+                          Row{ 200, "application/problem+json", "{}" },
+                          Row{ 200, "", "Internal error" },
+                          Row{ 204, "", "" },
+                          Row{ 302, "", "" },
+                          Row{ 404, "text/event-stream", EventText(2) },
+                          Row{ 500, "text/plain", "no\n\n" } }) {
+    for (const bool hasBegun : { false, true }) {
+      CAPTURE(row.mStatus);
+      CAPTURE(row.mType);
+      CAPTURE(hasBegun);
+      FlowFixture fixture;
+      SetStreaming(fixture, true);
+      auto first = Streaming({ hasBegun ? EventText(1) : "id: 1\n" });
+      first.mIsCut = true;
+      auto second = Streaming({ row.mBody }, row.mType);
+      second.mStatus = row.mStatus;
+      fixture.mBackend.mScript = { first, second };
+      fixture.Run();
+      CHECK(fixture.mBackend.mCalls.size() == 2);
+      CHECK(fixture.mSink.mFinalCount == 1);
+      CHECK(fixture.mSink.mIsCut == hasBegun);
+      if (hasBegun) {
+        CHECK(fixture.mSink.mBody == EventText(1));
+        CHECK_FALSE(fixture.mSink.mRefusal);
+      } else if (!fixture.mSink.mRefusal) {
+        // The caller got nothing yet, so the second answer is the whole one.
+        CHECK(fixture.mSink.mStatus == row.mStatus);
+        CHECK(fixture.mSink.mBody == row.mBody);
+      }
+    }
+  }
+}
--- a/standins/tests/fleet_answer_test.cpp
+++ b/standins/tests/fleet_answer_test.cpp
@@ -57,14 +57,49 @@
 {
   const auto part = Events(1, 2) + "id: 3\nda";
   REQUIRE(part.size() == 38);
-  for (const auto& bytes :
-       { kSound + "Transfer-Encoding: chunked\r\n\r\n26\r\n" + part +
-           "\r\n0\r\n\r\n",
-         kSound + "Content-Length: 38\r\n\r\n" + part,
-         kSound + "Connection: close\r\n\r\n" + part }) {
+  const std::vector<std::string> answers{
+    kSound + "Transfer-Encoding: chunked\r\n\r\n26\r\n" + part +
+      "\r\n0\r\n\r\n",
+    kSound + "Content-Length: 38\r\n\r\n" + part,
+    kSound + "Connection: close\r\n\r\n" + part
+  };
+  for (const auto& bytes : answers) {
     const RawServer raw([&](const std::string& /*aHead*/) {
       return RawAnswer{ bytes, RawEnd::Close };
     });
     CHECK(CheckStreams(raw, 1) > 0);
   }
 }
+
+// Guards against the text or the head of an error in the middle of a caller's
+// stream: both engines break streams off, or answer a resumption with an error.
+TEST_CASE("an error instead of a resumed stream never reaches the caller")
+{
+  const std::string error = "\r\nContent-Length: 13\r\n\r\nerror: gone\n\n";
+  const std::vector<std::string> errors{
+    "HTTP/1.1 500 Error\r\nBilberrytrail-Request-Id: ID" + error,
+    kSound + "Content-Type: text/plain" + error,
+    "HTTP/1.1 204 None\r\nBilberrytrail-Request-Id: ID\r\n"
+    "Bilberrytrail-Response-Signature: sig-ID\r\n\r\n"
+  };
+  for (const auto& bytes : errors) {
+    CAPTURE(bytes);
+    const RawServer raw([&](const std::string& aHead) {
+      return HeaderIn(aHead, "Last-Event-Id").empty()
+               ? RawAnswer{ kSound + "\r\n" + Events(1, 2), RawEnd::Reset }
+               : RawAnswer{ bytes, RawEnd::Close };
+    });
+    FleetSite site;
+    site.Run(1, [&] {
+      for (std::size_t n = 0; n < 2; ++n) {
+        site.PutServer(*site.mServers[n], raw.Address(), "llm", "ready");
+      }
+      REQUIRE(site.Await([&] {
+        (void)site.Send(0, "warm", "/stream/1");
+        return raw.Requests() >= 4;
+      }));
+      const auto stream = site.Send(0, "a1", "/stream/1");
+      CHECK_FALSE(stream.has_value());
+    });
+  }
+}
--- a/standins/tests/raw_server.cpp
+++ b/standins/tests/raw_server.cpp
@@ -69,7 +69,7 @@
 }
 
 void
-RawServer::ReadRequest(std::shared_ptr<Session> aSession)
+RawServer::ReadRequest(const std::shared_ptr<Session>& aSession)
 {
   auto& session = *aSession;
   asio::async_read_until(
@@ -92,7 +92,7 @@
 }
 
 void
-RawServer::WriteAnswer(std::shared_ptr<Session> aSession)
+RawServer::WriteAnswer(const std::shared_ptr<Session>& aSession)
 {
   auto& session = *aSession;
   asio::async_write(
--- a/standins/tests/raw_server.h
+++ b/standins/tests/raw_server.h
@@ -50,8 +50,8 @@
 private:
   void Accept();
   struct Session;
-  void ReadRequest(std::shared_ptr<Session> aSession);
-  void WriteAnswer(std::shared_ptr<Session> aSession);
+  void ReadRequest(const std::shared_ptr<Session>& aSession);
+  void WriteAnswer(const std::shared_ptr<Session>& aSession);
 
   Script mScript;
   boost::asio::io_context mContext;
