Require that a resumed stream follows the last event

Callers of a resumed stream got events twice when the next server began again with the first event, and the text of an error when it came as an event without an id. A stream whose events have no ids was resumed from its beginning.

Cause: the events of the next server were passed on whatever their ids.

Change: the first event after a resumption must have an id after the last one that the caller has; otherwise the stream is resumed elsewhere after that same event, or cut. A stream that has begun without ids isn't resumed. Events that a server leaves out can't be told, since ids need not be consecutive.

Evidence: without the change 6 of the 11 rows of the new table failed (events twice, "error: gone" in the stream, no cut), the test of the third server failed since there was no third send, and through a daemon the caller got "error: gone" in its stream. With it all pass.

--- a/packages/entry/include/bilberrytrail/entry/event_splitter.h
+++ b/packages/entry/include/bilberrytrail/entry/event_splitter.h
@@ -26,14 +26,22 @@
 
   // Adds bytes and returns all bytes that now belong to complete events.
   [[nodiscard]] std::string Add(std::string_view aBytes);
-  // Discards the bytes of an incomplete event.
-  void DropRest() noexcept { mRest.clear(); }
+  // Discards the bytes of an incomplete event. The bytes added from now on are
+  // another server's: their first event must have an id after LastId.
+  void Resume() noexcept;
+  // Returns whether the first event after Resume had another id, or none. Its
+  // bytes are discarded.
+  [[nodiscard]] bool IsOutOfOrder() const noexcept { return mIsOutOfOrder; }
 
 private:
   void NoteIds(std::string_view aEvents);
+  // Checks the order if these are the first events after Resume.
+  void CheckOrder(std::string_view aEvents);
 
   std::string mRest;
   std::string mLastId;
+  bool mIsResuming = false;
+  bool mIsOutOfOrder = false;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/event_splitter.cpp
+++ b/packages/entry/src/event_splitter.cpp
@@ -3,6 +3,9 @@
 #include <bilberrytrail/base/text.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
 
 namespace bilberrytrail {
 
@@ -25,19 +28,90 @@
   return end;
 }
 
+// Takes the first line off the text and returns it without its end.
+std::string_view
+TakeLine(std::string_view& aText)
+{
+  const auto end = aText.find('\n');
+  const auto line = aText.substr(0, end);
+  aText.remove_prefix(end == std::string_view::npos ? aText.size() : end + 1);
+  return line.ends_with('\r') ? line.substr(0, line.size() - 1) : line;
+}
+
+std::string_view
+IdIn(std::string_view aLine)
+{
+  return Trim(aLine.substr(kIdField.size()), " ");
+}
+
+// Returns the id of the first event, empty if it has none; nothing if there is
+// no event but only comments.
+std::optional<std::string_view>
+FirstId(std::string_view aEvents)
+{
+  bool isInEvent = false;
+  while (!aEvents.empty()) {
+    const auto line = TakeLine(aEvents);
+    if (line.starts_with(kIdField)) {
+      return IdIn(line);
+    }
+    if (line.empty() && isInEvent) {
+      return std::string_view();
+    }
+    isInEvent = isInEvent || !(line.empty() || line.starts_with(':'));
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t>
+ToNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const auto* end = aText.data() + aText.size();
+  const auto read = std::from_chars(aText.data(), end, number);
+  return read.ec == std::errc() && read.ptr == end ? std::optional(number)
+                                                   : std::nullopt;
+}
+
+// Ids that are no numbers have no order.
+bool
+IsAfter(std::string_view aId, std::string_view aLastId)
+{
+  const auto id = ToNumber(aId);
+  const auto last = ToNumber(aLastId);
+  return id && last ? *id > *last : !aId.empty() && aId != aLastId;
+}
+
 } // namespace
 
+void
+EventSplitter::Resume() noexcept
+{
+  mRest.clear();
+  mIsResuming = !mLastId.empty();
+  mIsOutOfOrder = false;
+}
+
+void
+EventSplitter::CheckOrder(std::string_view aEvents)
+{
+  if (!mIsResuming) {
+    return;
+  }
+  if (const auto id = FirstId(aEvents)) {
+    mIsResuming = false;
+    mIsOutOfOrder = !IsAfter(*id, mLastId);
+  }
+}
+
 void
 EventSplitter::NoteIds(std::string_view aEvents)
 {
   while (!aEvents.empty()) {
-    const auto end = aEvents.find('\n');
-    const auto line = aEvents.substr(0, end);
+    const auto line = TakeLine(aEvents);
     if (line.starts_with(kIdField)) {
-      mLastId = Trim(line.substr(kIdField.size()), " \r");
+      mLastId = IdIn(line);
     }
-    aEvents.remove_prefix(end == std::string_view::npos ? aEvents.size()
-                                                        : end + 1);
   }
 }
 
@@ -63,6 +137,10 @@
   const auto end = EndOfEvents(mRest);
   std::string whole = mRest.substr(0, end);
   mRest.erase(0, end);
+  CheckOrder(whole);
+  if (mIsOutOfOrder) {
+    return {};
+  }
   NoteIds(whole);
   return whole;
 }
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -77,7 +77,9 @@
 {
   const bool isIdempotent =
     mRoute->mKind == RequestKind::Idempotent || mRoute->mResumable;
-  return isIdempotent && mRuns < mRoute->mMaxAttempts;
+  // A stream whose events have no ids can't be resumed after them.
+  const bool isLost = mStreamHasBegun && mEvents.LastId().empty();
+  return isIdempotent && !isLost && mRuns < mRoute->mMaxAttempts;
 }
 
 bool
@@ -347,6 +349,10 @@
         Fail(ErrorCode::Corrupt,
              "event exceeds " + std::to_string(kMaxEventBytes) + " bytes"));
     }
+    if (mEvents.IsOutOfOrder()) {
+      return OnStreamBroken(Fail(
+        ErrorCode::Corrupt, "resumed stream does not follow the last event"));
+    }
     if (whole.empty()) {
       continue;
     }
@@ -380,7 +386,7 @@
 RequestRun::Next
 RequestRun::OnStreamBroken(const Error& aError)
 {
-  mEvents.DropRest();
+  mEvents.Resume();
   const bool isTimeout = aError.mCode == ErrorCode::Timeout;
   return OnFailure({ isTimeout ? SendFault::TimedOut : SendFault::Broken,
                      false,
--- a/packages/entry/tests/stream_relay_test.cpp
+++ b/packages/entry/tests/stream_relay_test.cpp
@@ -110,3 +110,59 @@
     }
   }
 }
+
+// Guards against a resumed stream that begins again: the caller would get
+// events twice or out of order.
+TEST_CASE("a resumed stream must follow the last event that the caller has")
+{
+  struct Row
+  {
+    std::string mBefore;
+    std::string mAfter;
+    bool mIsTaken;
+  };
+  const std::string before = EventText(1) + EventText(2);
+  for (const Row& row :
+       { Row{ before, EventText(3), true },
+         Row{ before, ": ping\n\n" + EventText(3), true },
+         Row{ before, "weights: 3\r\nid: 3\r\ndata: x\r\n\r\n", true },
+         Row{ before, EventText(1) + EventText(2) + EventText(3), false },
+         Row{ before, ": ping\n\n" + EventText(2), false },
+         Row{ before, "error: gone\n\n", false },
+         Row{ before, "data: x\n\n" + EventText(3), false },
+         Row{ EventText(9), EventText(10), true },
+         Row{ "id: b\n\n", "id: a\n\n", true },
+         Row{ "id: b\n\n", "id: b\n\n", false },
+         Row{ "data: x\n\n", "data: x\n\n", false } }) {
+    CAPTURE(row.mBefore);
+    CAPTURE(row.mAfter);
+    FlowFixture fixture;
+    SetStreaming(fixture, true);
+    auto first = Streaming({ row.mBefore });
+    first.mIsCut = true;
+    fixture.mBackend.mScript = { first, Streaming({ row.mAfter }) };
+    fixture.Run();
+    CHECK(fixture.mSink.mFinalCount == 1);
+    CHECK(fixture.mSink.mIsCut != row.mIsTaken);
+    CHECK(fixture.mSink.mBody ==
+          row.mBefore + (row.mIsTaken ? row.mAfter : std::string()));
+  }
+}
+
+// Guards against a third server that is told to go on after an event which the
+// caller never got.
+TEST_CASE("events out of order do not move the place of the next resumption")
+{
+  FlowFixture fixture;
+  SetStreaming(fixture, true);
+  fixture.mConfig.mRoutes.front().mMaxAttempts = 3;
+  auto first = Streaming({ EventText(1) + EventText(2) });
+  first.mIsCut = true;
+  fixture.mBackend.mScript = { first,
+                               Streaming({ EventText(1) }),
+                               Streaming({ EventText(3) }) };
+  fixture.Run();
+  REQUIRE(fixture.mBackend.mCalls.size() == 3);
+  CHECK(fixture.mBackend.mCalls[2].mResumeAfter == "2");
+  CHECK(fixture.mSink.mBody == EventText(1) + EventText(2) + EventText(3));
+}
--- a/standins/tests/fleet_answer_test.cpp
+++ b/standins/tests/fleet_answer_test.cpp
@@ -79,6 +79,7 @@
   const std::vector<std::string> errors{
     "HTTP/1.1 500 Error\r\nBilberrytrail-Request-Id: ID" + error,
     kSound + "Content-Type: text/plain" + error,
+    kSound + "Content-Length: 13\r\n\r\nerror: gone\n\n",
     "HTTP/1.1 204 None\r\nBilberrytrail-Request-Id: ID\r\n"
     "Bilberrytrail-Response-Signature: sig-ID\r\n\r\n"
   };
