Repeat a request to the same server on a new connection

Callers were told "not run, try again" (503) for a request that the server had run: it had refused the request for another weight version, and wrote that refusal once more on the kept connection before it ran the request.

Cause: a response is told from late ones by the request id that it echoes. When the same request goes to the same address again, the repeated refusal bears the right id, on any connection on which the request was refused before.

Change: a request that goes to an address for the second time gets a new connection, in place of an idle one. With that no connection carries an id of one caller's attempt twice, and a refusal can only belong to its send.

Evidence: with the client reusing connections as before, the new exchange test failed, and through a daemon the caller got 503 with disposition not_run while the engine had run the request. With the change both pass and the engine runs it once. The fixture of the request flow now gives its servers different addresses.

--- a/packages/entry/include/bilberrytrail/entry/backend_call.h
+++ b/packages/entry/include/bilberrytrail/entry/backend_call.h
@@ -41,6 +41,9 @@
   // Time at which the server gives up reading kept KV cache, on the servers'
   // clock in milliseconds; none for no limit.
   std::optional<std::uint64_t> mCacheReadDeadlineMs;
+  // The request was sent to this address before: what comes on a connection
+  // kept since then may answer the earlier send.
+  bool mIsRepeat = false;
   // Connect timeout.
   Duration mConnectTime = 250ms;
 };
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -149,6 +149,8 @@
   // Whether a home chose the server of the current send.
   bool mIsByHome = false;
   std::vector<ServerId> mTried;
+  // Addresses to which the request was sent.
+  std::vector<Endpoint> mSentTo;
   std::size_t mSends = 0;
   // Sends that the servers may have run.
   std::size_t mRuns = 0;
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -284,6 +284,8 @@
   call.mServer = mChoice.mServer;
   call.mEndpoint = mChoice.mEndpoint;
   call.mTimeLeft = TimeLeft();
+  call.mIsRepeat = std::ranges::find(mSentTo, call.mEndpoint) != mSentTo.end();
+  mSentTo.push_back(call.mEndpoint);
   call.mConnectTime = ShareOf(
     mRoute->mObjective, kConnectTimeShare, kMinConnectTime, kMaxConnectTime);
   if (mAccount != nullptr) {
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -119,6 +119,7 @@
     server.mId = ServerId("s" + std::to_string(n));
     server.mService = ServiceId("s");
     server.mZone = ZoneId("z");
+    server.mEndpoint = { "10.0.0.1", static_cast<std::uint16_t>(n + 1) };
     server.mModels = { { ModelId("m"), 1 } };
     mServers.push_back(server);
   }
--- a/packages/entry/tests/stream_relay_test.cpp
+++ b/packages/entry/tests/stream_relay_test.cpp
@@ -28,6 +28,31 @@
 
 } // namespace
 
+// Guards against an earlier refusal that a server writes once more on a kept
+// connection, where it would count for the later send of the same request.
+TEST_CASE("a request sent to the same address again is marked as a repeat")
+{
+  for (const bool isSameServer : { false, true }) {
+    CAPTURE(isSameServer);
+    FlowFixture fixture;
+    if (isSameServer) {
+      fixture.mServers.resize(1);
+    }
+    (void)fixture.mWeights.AddVersion(ModelId("m"), 2, MonotonicNow());
+    fixture.mRequest.mPrompt = Prompt{ ModelId("m"), { { "a", 10 } }, 10, 5 };
+    FakeSend refusing;
+    refusing.mFailure = SendFailure{
+      isSameServer ? SendFault::WrongVersion : SendFault::Full, true, "refused"
+    };
+    fixture.mBackend.mScript = { refusing, Streaming({ "ok" }) };
+    fixture.Run();
+    CHECK(fixture.mSink.mBody == "ok");
+    REQUIRE(fixture.mBackend.mCalls.size() == 2);
+    CHECK_FALSE(fixture.mBackend.mCalls[0].mIsRepeat);
+    CHECK(fixture.mBackend.mCalls[1].mIsRepeat == isSameServer);
+  }
+}
+
 // Guards against a stream that ends inside an event and reaches the caller as a
 // complete one.
 TEST_CASE("a stream that ends inside an event has been broken off")
--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -82,6 +82,11 @@
   // connection a response without the header is dropped, too. Empty for no
   // check.
   std::string mEchoHeader;
+  // Opens a connection instead of reusing an idle one, which is closed for it.
+  // Needed when the echo value was sent to the peer before: on a kept
+  // connection a late response to that exchange could not be told from the one
+  // to this.
+  bool mNewConnection = false;
   HttpCancel* mCancel = nullptr;
 };
 
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -184,7 +184,8 @@
 HttpClient::Impl::Acquire(const Endpoint& aEndpoint,
                           const HttpCallOptions& aOptions)
 {
-  if (auto connection = TakeIdle(aEndpoint)) {
+  if (auto connection = TakeIdle(aEndpoint);
+      connection != nullptr && !aOptions.mNewConnection) {
     return connection;
   }
   beast::error_code ec;
--- a/packages/runtime/tests/http_exchange_test.cpp
+++ b/packages/runtime/tests/http_exchange_test.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <set>
 #include <thread>
 
 using namespace bilberrytrail;
@@ -17,12 +18,15 @@
 using boost::asio::ip::tcp;
 
 // A server on a thread of its own that sends the next of the given byte strings
-// for each request that it reads, and counts its connections.
+// for each request that it reads, and counts its connections. If it repeats
+// itself, it writes all earlier responses of a connection once more first.
 class ScriptedPeer
 {
 public:
-  explicit ScriptedPeer(std::vector<std::string> aResponses)
+  explicit ScriptedPeer(std::vector<std::string> aResponses,
+                        bool aIsRepeating = false)
     : mResponses(std::move(aResponses))
+    , mIsRepeating(aIsRepeating)
     , mAcceptor(mContext,
                 tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
   {
@@ -57,19 +61,23 @@
       }
       ++mConnections;
       boost::system::error_code ec;
+      std::string earlier;
       while (!ec && next < mResponses.size()) {
         std::string head;
         boost::asio::read_until(
           socket, boost::asio::dynamic_buffer(head), "\r\n\r\n", ec);
         if (!ec) {
+          const auto& response = mResponses[next++];
           boost::asio::write(
-            socket, boost::asio::buffer(mResponses[next++]), ec);
+            socket, boost::asio::buffer(earlier + response), ec);
+          earlier += mIsRepeating ? response : std::string();
         }
       }
     }
   }
 
   std::vector<std::string> mResponses;
+  bool mIsRepeating;
   boost::asio::io_context mContext;
   tcp::acceptor mAcceptor;
   std::atomic<bool> mStopped = false;
@@ -92,6 +100,7 @@
 Exchange(const Endpoint& aPeer, const std::vector<std::string>& aIds)
 {
   std::vector<std::string> bodies;
+  std::set<std::string> sent;
   Loop loop;
   loop.Spawn([&] {
     HttpClient client(loop);
@@ -101,6 +110,7 @@
       HttpCallOptions options;
       options.mTimeout = 2s;
       options.mEchoHeader = "X-Id";
+      options.mNewConnection = !sent.insert(id).second;
       auto stream = client.Open(aPeer, request, options);
       std::string body = "-";
       if (stream) {
@@ -241,6 +251,21 @@
   CHECK(answers == kCallers + kCallers / 2);
 }
 
+// Guards against a refusal that a server writes once more on a kept connection
+// and that is taken for the answer to a repeat of the same request: "not run"
+// was said of a request that ran.
+TEST_CASE("a repeated request does not get the earlier response once more")
+{
+  ScriptedPeer peer({ Response("1", "refused"),
+                      Response("2", "other"),
+                      Response("1", "ran"),
+                      Response("3", "third") },
+                    true);
+  CHECK(Exchange(peer.Address(), { "1", "2", "1", "3" }) ==
+        std::vector<std::string>{ "refused", "other", "ran", "third" });
+  CHECK(peer.Connections() == 2);
+}
+
 TEST_CASE(
   "a connection is not reused after the idle timeout that the peer announced")
 {
--- a/standins/tests/fleet_answer_test.cpp
+++ b/standins/tests/fleet_answer_test.cpp
@@ -104,3 +104,39 @@
     });
   }
 }
+
+// Guards against "not run" being said of a request that ran: an engine that has
+// newer weights than its row refuses a request, gets it again for these, and
+// writes the refusal once more before it runs the request.
+TEST_CASE("a refusal written once more is not taken for a later send")
+{
+  const std::string refusal = "HTTP/1.1 421 Other\r\n"
+                              "Bilberrytrail-Request-Id: ID\r\n"
+                              "Bilberrytrail-Instance-Id: i-0\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  std::atomic<int> refusals = 0;
+  std::atomic<int> runs = 0;
+  const RawServer raw([&](const std::string& aHead) {
+    if (HeaderIn(aHead, "Bilberrytrail-Expected-Version") != "2") {
+      ++refusals;
+      return RawAnswer{ refusal, RawEnd::KeepOpen, refusal };
+    }
+    ++runs;
+    const auto body = Events(1, 5);
+    return RawAnswer{ kSound + "Content-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body,
+                      RawEnd::KeepOpen };
+  });
+  FleetSite site;
+  site.mTable.Put("op", "version/m", R"({"model":"m","version":2})");
+  site.mTable.Remove("servers", "i-1");
+  site.PutServer(*site.mServers[0], raw.Address(), "llm", "ready");
+  site.Run(1, [&] {
+    const auto stream = site.Send(0, "a1", "/stream/1");
+    REQUIRE(stream.has_value());
+    CHECK(stream.value().mStatus == 200);
+    CHECK(stream.value().mBody == Events(1, 5));
+  });
+  CHECK(refusals > 0);
+  CHECK(runs == 1);
+}
--- a/standins/tests/raw_server.cpp
+++ b/standins/tests/raw_server.cpp
@@ -33,6 +33,7 @@
   tcp::socket mSocket;
   std::string mInput;
   std::string mOutput;
+  std::string mLate;
   RawEnd mEnd = RawEnd::KeepOpen;
 };
 
@@ -84,8 +85,10 @@
       const auto head = std::exchange(aSession->mInput, {});
       ++mRequests;
       auto answer = mScript(head);
-      aSession->mOutput = WithId(std::move(answer.mBytes),
-                                 HeaderIn(head, "Bilberrytrail-Request-Id"));
+      const auto id = HeaderIn(head, "Bilberrytrail-Request-Id");
+      aSession->mOutput =
+        std::exchange(aSession->mLate, WithId(std::move(answer.mLate), id)) +
+        WithId(std::move(answer.mBytes), id);
       aSession->mEnd = answer.mEnd;
       WriteAnswer(aSession);
     });
--- a/standins/tests/raw_server.h
+++ b/standins/tests/raw_server.h
@@ -27,6 +27,8 @@
   // "ID" stands for the id of the request.
   std::string mBytes;
   RawEnd mEnd = RawEnd::KeepOpen;
+  // Written before the answer to the next request on the same connection.
+  std::string mLate = {};
 };
 
 // A backend server that writes any bytes, also such as are no answer. It runs
