Send nothing to a server whose answers say that it is leaving

Callers' requests went on to servers that had answered with Server-Leaving for as long as their rows said ready: through four daemons, each server that said so got up to 48 more requests from a daemon in 3 s, beginning half a second after that daemon had its first such answer. Cause: the header is new, and nothing read it. A server was left out by its row only, which shows the leaving later, or not at all while the table service is down. Class of fault: what a server says of itself in an answer is dropped at the adapter. Change: answers and refusals carry whether the server leaves; AvoidedServers keeps it until the server restarts, over its absence from the list and outages of the table service. The pool skips such a server for first sends, retries, resumed streams, plain calls and as a last resort; a home's grant of it is dropped, and placement requests name up to 32 of them so that homes do not grant them. When no other server is left, the caller is refused at once. Callers get the header as before.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -113,6 +113,7 @@
   PartSuspect,
   PartQuarantined,
   PartCleared,
+  ServerSaidLeaving,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -584,6 +584,13 @@
                 "A server answered a prompt with a part that was refused, or "
                 "the time of its refusal is over.",
                 "Nothing." },
+  LogEventInfo{ ServerSaidLeaving,
+                2030,
+                Info,
+                "server_said_leaving",
+                "A backend server said in an answer that it is leaving; this "
+                "daemon sends it no more requests until it restarts.",
+                "Nothing." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/backend_call.h
+++ b/packages/entry/include/bilberrytrail/entry/backend_call.h
@@ -87,6 +87,8 @@
   // Requests per second that the server takes from all daemons together, if its
   // refusal named a limit.
   std::optional<double> mRequestLimit = std::nullopt;
+  // The server said in its refusal that it is leaving.
+  bool mIsLeaving = false;
 };
 
 // The answer to one attempt, read piece by piece. Destroying it before its end
@@ -104,6 +106,8 @@
   // Returns the requests per second that the server takes from all daemons
   // together, if the answer named a limit.
   [[nodiscard]] virtual std::optional<double> RequestLimit() const noexcept = 0;
+  // Returns whether the answer says that the server is leaving.
+  [[nodiscard]] virtual bool IsLeaving() const noexcept = 0;
   // Waits for the next bytes; returns nothing at the regular end of the answer.
   [[nodiscard]] virtual Result<std::optional<std::string>> Read(
     Duration aTimeout) = 0;
--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -2,6 +2,7 @@
 
 #include <bilberrytrail/base/counter_registry.h>
 #include <bilberrytrail/base/histogram_registry.h>
+#include <bilberrytrail/entry/avoided_servers.h>
 #include <bilberrytrail/entry/backend_call.h>
 #include <bilberrytrail/entry/cache_directory.h>
 #include <bilberrytrail/entry/crash_watch.h>
@@ -40,6 +41,8 @@
   RateGate& mGate;
   PartQuarantine& mParts;
   CrashWatch& mCrashes;
+  // Servers that get no requests, since their answers said so.
+  AvoidedServers& mAvoided;
   // Places requests through homes; null when this daemon chooses servers
   // itself.
   Placer* mPlacer = nullptr;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bilberrytrail/entry/avoided_servers.h>
 #include <bilberrytrail/entry/backend_call.h>
 #include <bilberrytrail/entry/rate_gate.h>
 #include <bilberrytrail/entry/server_load.h>
@@ -46,7 +47,8 @@
   // Rank below kRanks; 0 is the most urgent, and servers start urgent requests
   // first.
   unsigned mRank = 0;
-  // Servers that were already tried for this request.
+  // Servers that the request may not be sent to: those that were already tried
+  // for it, and those that its daemon avoids.
   std::vector<ServerId> mTried;
 };
 
@@ -196,10 +198,12 @@
 {
 public:
   // aGate paces the requests to servers that name a rate limit, and may be
-  // null; the owner records in it what is sent.
+  // null; the owner records in it what is sent. The servers in aAvoided, which
+  // may be null, are not chosen.
   ServerPool(ZoneId aOwnZone,
              const ServerPoolSettings& aSettings,
-             RateGate* aGate = nullptr);
+             RateGate* aGate = nullptr,
+             const AvoidedServers* aAvoided = nullptr);
   ~ServerPool();
   ServerPool(const ServerPool&) = delete;
   ServerPool& operator=(const ServerPool&) = delete;
@@ -251,8 +255,8 @@
   using Candidates = std::vector<Server*>;
 
   // Returns whether a server can run the query at all, whatever its state.
-  [[nodiscard]] static bool IsEligible(const ServerQuery& aQuery,
-                                       const Server& aServer);
+  [[nodiscard]] bool IsEligible(const ServerQuery& aQuery,
+                                const Server& aServer) const;
   [[nodiscard]] Candidates Usable(const ServerQuery& aQuery,
                                   Instant aNow,
                                   Candidates& aExcluded);
@@ -316,6 +320,7 @@
   const ZoneId mOwnZone;
   const ServerPoolSettings mSettings;
   RateGate* const mGate;
+  const AvoidedServers* const mAvoided;
   std::map<ServerId, std::unique_ptr<Server>> mServers;
   std::map<SendTicket, Send> mSends;
   // Sizes of the prompts that asked for a server, admitted or not, by kind of
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -138,6 +138,7 @@
   const double mGatePhase;
   PartQuarantine mParts;
   CrashWatch mCrashes;
+  AvoidedServers mAvoided;
   ServerPool mPool;
   RetryMeter mRetries;
   CacheDirectory mCache;
@@ -199,7 +200,7 @@
   , mGate(mLimits)
   , mGatePhase(Random(MakeLogId(mSelf)).Unit())
   , mCrashes(mTraffic, *mBackend, mParts)
-  , mPool(mSettings.mZone, ServerPoolSettings(), &mGate)
+  , mPool(mSettings.mZone, ServerPoolSettings(), &mGate, &mAvoided)
   , mRetries(
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow },
       MonotonicNow())
@@ -239,6 +240,7 @@
     mGate,
     mParts,
     mCrashes,
+    mAvoided,
     &mPlacement,
   };
 }
@@ -256,6 +258,7 @@
     }
     mPlacement.Ledger().SetServers(view->mServers, MonotonicNow());
     mLimits.Retain(view->mServers, MonotonicNow());
+    mAvoided.Retain(view->mServers, MonotonicNow());
     if (mDaemons > 0) {
       mGate.SetSplitShare(kDirectLimitShare, mDaemons, mGatePhase);
       mRetries.SetDaemons(mDaemons);
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -73,6 +73,9 @@
   void RefuseLimited(Duration aRetryDelay);
   // Records whether the server's answer to the current send names a rate limit.
   void ObserveLimit(std::optional<double> aLimit);
+  // Records that the server's answer to the current send says that it is
+  // leaving.
+  void ObserveLeaving();
   [[nodiscard]] ServerQuery MakeQuery() const;
   [[nodiscard]] BackendCall MakeCall();
   [[nodiscard]] std::string CacheSalt(std::uint64_t aWeightVersion) const;
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -72,6 +72,18 @@
   mContext.mLimits.Observe(mChoice.mServer, aLimit, mSentAt, MonotonicNow());
 }
 
+void
+RequestRun::ObserveLeaving()
+{
+  const auto& servers = mContext.mView()->mServers;
+  const auto it =
+    std::ranges::find(servers, mChoice.mServer, &ServerRecord::mId);
+  mContext.mAvoided.AddLeaving(
+    mChoice.mServer,
+    it == servers.end() ? std::nullopt : std::optional(it->mStartedAtMs),
+    MonotonicNow());
+}
+
 bool
 RequestRun::MayRetry() const noexcept
 {
@@ -133,6 +145,9 @@
     if (failure.mRequestLimit) {
       ObserveLimit(failure.mRequestLimit);
     }
+    if (failure.mIsLeaving) {
+      ObserveLeaving();
+    }
     if (failure.mNotRun) {
       (void)mLedger.MarkRejected(attempt);
     } else {
@@ -147,6 +162,9 @@
   if (limit || answer.value()->Head().mStatus < kFirstServerErrorStatus) {
     ObserveLimit(limit);
   }
+  if (answer.value()->IsLeaving()) {
+    ObserveLeaving();
+  }
   mContext.mPool.OnProgress(mTicket, MonotonicNow());
   if (mGrant) {
     mContext.mPlacer->OnBegun(*mGrant);
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -33,6 +33,9 @@
 constexpr Duration kWeightsRetryAfter = 1s;
 // Work of writing one token, in tokens read.
 constexpr double kOutputTokenWork = 4;
+// Bounds the size of a placement request. A grant of an avoided server that is
+// left out is dropped.
+constexpr std::size_t kMaxAvoidedInQuery = 32;
 
 } // namespace
 
@@ -76,7 +79,9 @@
   query.mService = mService;
   query.mObjective = mRoute->mObjective;
   query.mRank = Rank();
-  query.mTried = mTried;
+  // The homes don't know which servers this daemon avoids.
+  query.mTried = mContext.mAvoided.Some(kMaxAvoidedInQuery);
+  query.mTried.insert(query.mTried.end(), mTried.begin(), mTried.end());
   query.mWork = Work();
   if (mRequest.mPrompt) {
     const auto& prompt = *mRequest.mPrompt;
@@ -170,7 +175,8 @@
   const bool isUsable = it != mSendView->mServers.end() &&
                         it->mService == mService && !it->mIsLeaving &&
                         reply->mWeightVersion >= mQuery.mLeastVersion &&
-                        std::ranges::find(mTried, it->mId) == mTried.end();
+                        std::ranges::find(mTried, it->mId) == mTried.end() &&
+                        !mContext.mAvoided.Contains(it->mId);
   if (!isUsable) {
     EndGrant(SendOutcome::Abandoned);
     mIsByHome = false;
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -24,10 +24,12 @@
 
 ServerPool::ServerPool(ZoneId aOwnZone,
                        const ServerPoolSettings& aSettings,
-                       RateGate* aGate)
+                       RateGate* aGate,
+                       const AvoidedServers* aAvoided)
   : mOwnZone(std::move(aOwnZone))
   , mSettings(aSettings)
   , mGate(aGate)
+  , mAvoided(aAvoided)
 {
 }
 
@@ -84,12 +86,13 @@
 }
 
 bool
-ServerPool::IsEligible(const ServerQuery& aQuery, const Server& aServer)
+ServerPool::IsEligible(const ServerQuery& aQuery, const Server& aServer) const
 {
   const auto& record = aServer.mRecord;
   // A server without the model has version 0 of it.
   const auto least = std::max<std::uint64_t>(aQuery.mLeastVersion, 1);
   return record.mService == aQuery.mService && !record.mIsLeaving &&
+         (mAvoided == nullptr || !mAvoided->Contains(record.mId)) &&
          std::ranges::find(aQuery.mTried, record.mId) == aQuery.mTried.end() &&
          (!aQuery.mModel || aServer.VersionOf(*aQuery.mModel) >= least);
 }
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -32,6 +32,10 @@
   {
     return mSend.mRequestLimit;
   }
+  [[nodiscard]] bool IsLeaving() const noexcept override
+  {
+    return mSend.mIsLeaving;
+  }
   Result<std::optional<std::string>> Read(Duration aTimeout) override
   {
     (void)mLoop.Sleep(std::min(mSend.mPieceTime, aTimeout));
@@ -155,6 +159,7 @@
                      mGate,
                      mParts,
                      mCrashes,
+                     mAvoided,
                      &mPlacer });
   mRetries.SetDaemons(1);
   (void)mPool.Update(mServers, MonotonicNow());
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -23,6 +23,8 @@
   bool mIsEndless = false;
   // The rate limit that the answer names.
   std::optional<double> mRequestLimit;
+  // The answer says that its server is leaving.
+  bool mIsLeaving = false;
   // Time to the head of the answer, and before each piece.
   Duration mHeadTime = 10ms;
   Duration mPieceTime = 10ms;
@@ -157,7 +159,8 @@
   RateGate mGate{ mLimits };
   PartQuarantine mParts;
   CrashWatch mCrashes{ mLoop, mBackend, mParts };
-  ServerPool mPool{ ZoneId("z"), ServerPoolSettings(), &mGate };
+  AvoidedServers mAvoided;
+  ServerPool mPool{ ZoneId("z"), ServerPoolSettings(), &mGate, &mAvoided };
   RetryMeter mRetries{ { 0.2, 1000, 10s, 0.8 }, MonotonicNow() - 20s };
   CacheDirectory mCache;
   HistogramRegistry mTimes{ 16 };
--- a/standins/src/fleet/fleet_server.cpp
+++ b/standins/src/fleet/fleet_server.cpp
@@ -41,18 +41,19 @@
   const HttpHeader request{ "Bilberrytrail-Request-Id",
                             std::string(FindHeader(
                               headers, "Bilberrytrail-Request-Id")) };
+  mArrivalIds.push_back(request.mValue);
   if (FindHeader(headers, "Bilberrytrail-Target-Instance") != mId ||
       (!weights.empty() && weights != std::to_string(mWeights))) {
     (void)aResponder.Send(
       { 421,
-        WithLimit({ request, { "Bilberrytrail-Instance-Id", mId } }),
+        WithState({ request, { "Bilberrytrail-Instance-Id", mId } }),
         {} });
     return;
   }
   if (mIsFull || !Queue(aRequest)) {
     (void)aResponder.Send(
       { 503,
-        WithLimit({ request, { "Bilberrytrail-Not-Executed", "1" } }),
+        WithState({ request, { "Bilberrytrail-Not-Executed", "1" } }),
         {} });
     return;
   }
@@ -77,12 +78,27 @@
   }
 }
 
+std::vector<Instant>
+FleetServer::ArrivalsOf(std::string_view aIdPrefix) const
+{
+  std::vector<Instant> arrivals;
+  for (std::size_t n = 0; n < mArrivals.size(); ++n) {
+    if (mArrivalIds[n].starts_with(aIdPrefix)) {
+      arrivals.push_back(mArrivals[n]);
+    }
+  }
+  return arrivals;
+}
+
 HttpHeaders
-FleetServer::WithLimit(HttpHeaders aHeaders) const
+FleetServer::WithState(HttpHeaders aHeaders) const
 {
   if (!mLimit.empty()) {
     aHeaders.push_back({ "Server-Limit", mLimit });
   }
+  if (mIsLeaving) {
+    aHeaders.push_back({ "Server-Leaving", "1" });
+  }
   return aHeaders;
 }
 
@@ -109,7 +125,7 @@
   mBegun.push_back({ MonotonicNow(), mWeights });
   mLastHeaders = aRequest.mHeaders;
   auto headers =
-    WithLimit({ { "Bilberrytrail-Request-Id", id },
+    WithState({ { "Bilberrytrail-Request-Id", id },
                 { "Bilberrytrail-Response-Signature", "sig-" + id } });
   if (aRequest.mTarget.find("/stream/") == std::string::npos) {
     (void)aResponder.Send({ 200, std::move(headers), aRequest.mBody });
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bilberrytrail::standins {
@@ -87,9 +88,15 @@
     mDeadlyPart = std::move(aPart);
     mOnCrash = std::move(aOnCrash);
   }
-  // Starts the server again after a crash.
+  // Starts the server again.
   void Restart() noexcept { ++mStarts; }
 
+  // Returns the arrival times of the requests, refused ones included, whose id
+  // begins with this text.
+  [[nodiscard]] std::vector<Instant> ArrivalsOf(
+    std::string_view aIdPrefix) const;
+  // Says in every answer that the server is leaving.
+  void SetLeaving(bool aIsLeaving) noexcept { mIsLeaving = aIsLeaving; }
   // Names a limit, in requests per second, in every answer; empty for none.
   void SetLimit(std::string aLimit) { mLimit = std::move(aLimit); }
   // Refuses requests as not run while set.
@@ -111,12 +118,12 @@
   void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
 
 private:
-  // Adds the named limit to the headers of an answer.
-  [[nodiscard]] HttpHeaders WithLimit(HttpHeaders aHeaders) const;
   // Waits in the queue. Returns whether the request may begin before its
   // deadline.
   [[nodiscard]] bool Queue(const HttpRequest& aRequest);
   [[nodiscard]] bool HasDeadlyPart(const HttpRequest& aRequest) const;
+  // Adds what the server says in all its answers to the headers of one.
+  [[nodiscard]] HttpHeaders WithState(HttpHeaders aHeaders) const;
   void Run(const HttpRequest& aRequest, HttpResponder& aResponder);
   void Crash();
   void Stream(const HttpRequest& aRequest, HttpResponder& aResponder);
@@ -139,12 +146,15 @@
   std::vector<std::uint64_t> mFences;
   std::vector<Instant> mArrivals;
   std::vector<FleetRun> mBegun;
-  std::string mLimit;
   std::uint64_t mStarts = 1;
   std::string mDeadlyPart;
   std::function<void()> mOnCrash;
   std::vector<Instant> mCrashes;
   std::vector<Instant> mDeadlyArrivals;
+  // Ids of the requests in mArrivals.
+  std::vector<std::string> mArrivalIds;
+  std::string mLimit;
+  bool mIsLeaving = false;
 };
 
 } // namespace bilberrytrail::standins
