Send nothing to a server for the time that its refusal names

Callers' requests went on to servers that had answered 503 with Retry-After: through four daemons, such a server got up to 38 requests from one daemon between half a second after such an answer and the end of the time, two allowed. Cause: nothing read the header. A full server was left alone for a back-off of the daemon's own choice, 150 ms to 1.2 s, and taken as a last resort meanwhile. Class of fault: what a server says of itself in an answer is dropped at the adapter. AvoidedServers keeps the latest end of a server's pauses until then or until it restarts, and the server is skipped wherever a leaving one is. When all servers of a service are avoided and one of them pauses, the caller is refused at once, before a home is asked, with the time until the first pause ends, also when the budget of retries is used up. Open: weight orders do not heed pauses.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -114,6 +114,7 @@
   PartQuarantined,
   PartCleared,
   ServerSaidLeaving,
+  ServerPaused,
   LogLinesDropped
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -591,6 +591,13 @@
                 "A backend server said in an answer that it is leaving; this "
                 "daemon sends it no more requests until it restarts.",
                 "Nothing." },
+  LogEventInfo{ ServerPaused,
+                2031,
+                Info,
+                "server_paused",
+                "A backend server refused a request and wants none from this "
+                "daemon; `for` is the time that it named.",
+                "Find out why the server is short of capacity." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/avoided_servers.h
+++ b/packages/entry/include/bilberrytrail/entry/avoided_servers.h
@@ -12,22 +12,36 @@
 
 // The backend servers that this daemon sends no requests to since their answers
 // said so: those that are leaving, which the list of servers may show later or
-// not at all. Not thread-safe.
+// not at all, and those that asked for a pause. Not thread-safe.
 //
-//   avoided.AddLeaving(server, startedAtMs, now);
-//   if (!avoided.Contains(server)) { ... }
+//   avoided.AddPause(server, startedAtMs, 2s, now);
+//   if (!avoided.Contains(server, now)) { ... }
 class AvoidedServers
 {
 public:
-  [[nodiscard]] bool Contains(const ServerId& aServer) const;
+  [[nodiscard]] bool Contains(const ServerId& aServer, Instant aNow) const;
   // Returns the servers to avoid, at most aMost of them.
-  [[nodiscard]] std::vector<ServerId> Some(std::size_t aMost) const;
+  [[nodiscard]] std::vector<ServerId> Some(std::size_t aMost,
+                                           Instant aNow) const;
+  // Returns the time until the first of a service's servers that pause may be
+  // used; nothing when one that is not avoided is listed, or none pauses.
+  [[nodiscard]] std::optional<Duration> TimeUntilAny(
+    std::span<const ServerRecord> aServers,
+    const ServiceId& aService,
+    Instant aNow) const;
 
   // Records that a server is leaving; this holds until it restarts.
   // aStartedAtMs is the start of its incarnation, empty when it is not listed.
   void AddLeaving(const ServerId& aServer,
                   std::optional<std::uint64_t> aStartedAtMs,
                   Instant aNow);
+  // Records that a server wants no requests for a time; this ends early when it
+  // restarts. The latest end counts: a shorter pause that it names later, maybe
+  // in an answer that was overtaken, does not take back a longer one.
+  void AddPause(const ServerId& aServer,
+                std::optional<std::uint64_t> aStartedAtMs,
+                Duration aTime,
+                Instant aNow);
   // Forgets the servers that have restarted, and those that have not been
   // listed or heard from for long: a server may be missing from the list while
   // it still serves.
@@ -40,8 +54,19 @@
     std::optional<std::uint64_t> mStartedAtMs;
     // When the server was last listed or heard from.
     Instant mSeenAt;
+    bool mIsLeaving = false;
+    Instant mPausedUntil;
+
+    [[nodiscard]] bool IsAvoided(Instant aNow) const noexcept
+    {
+      return mIsLeaving || aNow < mPausedUntil;
+    }
   };
 
+  Entry& EntryOf(const ServerId& aServer,
+                 std::optional<std::uint64_t> aStartedAtMs,
+                 Instant aNow);
+
   std::map<ServerId, Entry> mEntries;
 };
 
--- a/packages/entry/include/bilberrytrail/entry/backend_call.h
+++ b/packages/entry/include/bilberrytrail/entry/backend_call.h
@@ -89,6 +89,9 @@
   std::optional<double> mRequestLimit = std::nullopt;
   // The server said in its refusal that it is leaving.
   bool mIsLeaving = false;
+  // Time for which the server wants no requests from this daemon, if its
+  // refusal named one.
+  std::optional<Duration> mPause = std::nullopt;
 };
 
 // The answer to one attempt, read piece by piece. Destroying it before its end
@@ -108,6 +111,9 @@
   [[nodiscard]] virtual std::optional<double> RequestLimit() const noexcept = 0;
   // Returns whether the answer says that the server is leaving.
   [[nodiscard]] virtual bool IsLeaving() const noexcept = 0;
+  // Returns the time for which the server wants no requests from this daemon,
+  // if the answer turns the request away and names one.
+  [[nodiscard]] virtual std::optional<Duration> Pause() const noexcept = 0;
   // Waits for the next bytes; returns nothing at the regular end of the answer.
   [[nodiscard]] virtual Result<std::optional<std::string>> Read(
     Duration aTimeout) = 0;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -256,7 +256,8 @@
 
   // Returns whether a server can run the query at all, whatever its state.
   [[nodiscard]] bool IsEligible(const ServerQuery& aQuery,
-                                const Server& aServer) const;
+                                const Server& aServer,
+                                Instant aNow) const;
   [[nodiscard]] Candidates Usable(const ServerQuery& aQuery,
                                   Instant aNow,
                                   Candidates& aExcluded);
--- a/packages/entry/src/avoided_servers.cpp
+++ b/packages/entry/src/avoided_servers.cpp
@@ -2,6 +2,8 @@
 
 #include <bilberrytrail/base/log.h>
 
+#include <algorithm>
+
 namespace bilberrytrail {
 
 namespace {
@@ -12,37 +14,91 @@
 } // namespace
 
 bool
-AvoidedServers::Contains(const ServerId& aServer) const
+AvoidedServers::Contains(const ServerId& aServer, Instant aNow) const
 {
-  return mEntries.contains(aServer);
+  const auto it = mEntries.find(aServer);
+  return it != mEntries.end() && it->second.IsAvoided(aNow);
 }
 
 std::vector<ServerId>
-AvoidedServers::Some(std::size_t aMost) const
+AvoidedServers::Some(std::size_t aMost, Instant aNow) const
 {
   std::vector<ServerId> servers;
   for (const auto& [server, entry] : mEntries) {
     if (servers.size() == aMost) {
       break;
     }
-    servers.push_back(server);
+    if (entry.IsAvoided(aNow)) {
+      servers.push_back(server);
+    }
   }
   return servers;
 }
 
+std::optional<Duration>
+AvoidedServers::TimeUntilAny(std::span<const ServerRecord> aServers,
+                             const ServiceId& aService,
+                             Instant aNow) const
+{
+  if (mEntries.empty()) {
+    return std::nullopt;
+  }
+  std::optional<Duration> least;
+  for (const auto& it : aServers) {
+    if (it.mService != aService || it.mIsLeaving) {
+      continue;
+    }
+    const auto entry = mEntries.find(it.mId);
+    if (entry == mEntries.end() || !entry->second.IsAvoided(aNow)) {
+      return std::nullopt;
+    }
+    if (!entry->second.mIsLeaving) {
+      const auto left = entry->second.mPausedUntil - aNow;
+      least = std::min(least.value_or(left), left);
+    }
+  }
+  return least;
+}
+
+AvoidedServers::Entry&
+AvoidedServers::EntryOf(const ServerId& aServer,
+                        std::optional<std::uint64_t> aStartedAtMs,
+                        Instant aNow)
+{
+  const auto [it, isNew] = mEntries.try_emplace(aServer);
+  if (isNew) {
+    it->second.mStartedAtMs = aStartedAtMs;
+  }
+  it->second.mSeenAt = aNow;
+  return it->second;
+}
+
 void
 AvoidedServers::AddLeaving(const ServerId& aServer,
                            std::optional<std::uint64_t> aStartedAtMs,
                            Instant aNow)
 {
-  const auto [it, isNew] = mEntries.try_emplace(aServer);
-  it->second.mSeenAt = aNow;
-  if (isNew) {
-    it->second.mStartedAtMs = aStartedAtMs;
+  auto& entry = EntryOf(aServer, aStartedAtMs, aNow);
+  if (!entry.mIsLeaving) {
+    entry.mIsLeaving = true;
     LogLine(LogEvent::ServerSaidLeaving, { { "server", aServer } });
   }
 }
 
+void
+AvoidedServers::AddPause(const ServerId& aServer,
+                         std::optional<std::uint64_t> aStartedAtMs,
+                         Duration aTime,
+                         Instant aNow)
+{
+  auto& entry = EntryOf(aServer, aStartedAtMs, aNow);
+  if (aNow >= entry.mPausedUntil) {
+    LogLine(LogEvent::ServerPaused,
+            { { "server", aServer }, { "for", aTime } });
+  }
+  entry.mPausedUntil = std::max(entry.mPausedUntil, aNow + aTime);
+}
+
 void
 AvoidedServers::Retain(std::span<const ServerRecord> aServers, Instant aNow)
 {
@@ -63,7 +119,9 @@
     }
   }
   std::erase_if(mEntries, [&](const auto& aEntry) {
-    return aNow - aEntry.second.mSeenAt > kUnlistedKeepTime;
+    const auto& entry = aEntry.second;
+    return !entry.IsAvoided(aNow) ||
+           (entry.mIsLeaving && aNow - entry.mSeenAt > kUnlistedKeepTime);
   });
 }
 
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -73,9 +73,14 @@
   void RefuseLimited(Duration aRetryDelay);
   // Records whether the server's answer to the current send names a rate limit.
   void ObserveLimit(std::optional<double> aLimit);
-  // Records that the server's answer to the current send says that it is
-  // leaving.
-  void ObserveLeaving();
+  // Refuses a request since all servers of the service have asked for a pause.
+  void RefusePaused(Duration aRetryDelay);
+  // Records whether the server's answer to the current send says that it is
+  // leaving or wants no requests for a time.
+  void ObserveAvoidance(bool aIsLeaving, std::optional<Duration> aPause);
+  // Returns the time until a server of the service may be used again; nothing
+  // unless all of them are avoided and one of them pauses.
+  [[nodiscard]] std::optional<Duration> PauseDelay() const;
   [[nodiscard]] ServerQuery MakeQuery() const;
   [[nodiscard]] BackendCall MakeCall();
   [[nodiscard]] std::string CacheSalt(std::uint64_t aWeightVersion) const;
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -73,15 +73,22 @@
 }
 
 void
-RequestRun::ObserveLeaving()
+RequestRun::ObserveAvoidance(bool aIsLeaving, std::optional<Duration> aPause)
 {
+  if (!aIsLeaving && !aPause) {
+    return;
+  }
+  const auto& id = mChoice.mServer;
   const auto& servers = mContext.mView()->mServers;
-  const auto it =
-    std::ranges::find(servers, mChoice.mServer, &ServerRecord::mId);
-  mContext.mAvoided.AddLeaving(
-    mChoice.mServer,
-    it == servers.end() ? std::nullopt : std::optional(it->mStartedAtMs),
-    MonotonicNow());
+  const auto it = std::ranges::find(servers, id, &ServerRecord::mId);
+  const auto startedAtMs =
+    it == servers.end() ? std::nullopt : std::optional(it->mStartedAtMs);
+  if (aIsLeaving) {
+    mContext.mAvoided.AddLeaving(id, startedAtMs, MonotonicNow());
+  }
+  if (aPause) {
+    mContext.mAvoided.AddPause(id, startedAtMs, *aPause, MonotonicNow());
+  }
 }
 
 bool
@@ -145,9 +152,7 @@
     if (failure.mRequestLimit) {
       ObserveLimit(failure.mRequestLimit);
     }
-    if (failure.mIsLeaving) {
-      ObserveLeaving();
-    }
+    ObserveAvoidance(failure.mIsLeaving, failure.mPause);
     if (failure.mNotRun) {
       (void)mLedger.MarkRejected(attempt);
     } else {
@@ -162,9 +167,7 @@
   if (limit || answer.value()->Head().mStatus < kFirstServerErrorStatus) {
     ObserveLimit(limit);
   }
-  if (answer.value()->IsLeaving()) {
-    ObserveLeaving();
-  }
+  ObserveAvoidance(answer.value()->IsLeaving(), answer.value()->Pause());
   mContext.mPool.OnProgress(mTicket, MonotonicNow());
   if (mGrant) {
     mContext.mPlacer->OnBegun(*mGrant);
@@ -254,7 +257,7 @@
   if (aFailure.mNotRun) {
     Refuse(RefusalReason::QueueFull,
            "No server of the service could take the request.",
-           RetryDelay());
+           PauseDelay().value_or(RetryDelay()));
   } else {
     Refuse(aFailure.mFault == SendFault::TimedOut
              ? RefusalReason::DeadlinePassed
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -80,7 +80,7 @@
   query.mObjective = mRoute->mObjective;
   query.mRank = Rank();
   // The homes don't know which servers this daemon avoids.
-  query.mTried = mContext.mAvoided.Some(kMaxAvoidedInQuery);
+  query.mTried = mContext.mAvoided.Some(kMaxAvoidedInQuery, MonotonicNow());
   query.mTried.insert(query.mTried.end(), mTried.begin(), mTried.end());
   query.mWork = Work();
   if (mRequest.mPrompt) {
@@ -112,6 +112,10 @@
   mSendView = mContext.mView();
   mQuery = MakeQuery();
   mIsByHome = false;
+  if (const auto delay = PauseDelay()) {
+    RefusePaused(*delay);
+    return false;
+  }
   if (const auto hasServer = ChooseByHome()) {
     return *hasServer;
   }
@@ -176,7 +180,7 @@
                         it->mService == mService && !it->mIsLeaving &&
                         reply->mWeightVersion >= mQuery.mLeastVersion &&
                         std::ranges::find(mTried, it->mId) == mTried.end() &&
-                        !mContext.mAvoided.Contains(it->mId);
+                        !mContext.mAvoided.Contains(it->mId, MonotonicNow());
   if (!isUsable) {
     EndGrant(SendOutcome::Abandoned);
     mIsByHome = false;
@@ -225,6 +229,21 @@
          aRetryDelay);
 }
 
+void
+RequestRun::RefusePaused(Duration aRetryDelay)
+{
+  Refuse(RefusalReason::QueueFull,
+         "The servers of the service want no requests for a time.",
+         aRetryDelay);
+}
+
+std::optional<Duration>
+RequestRun::PauseDelay() const
+{
+  return mContext.mAvoided.TimeUntilAny(
+    mView->mServers, mService, MonotonicNow());
+}
+
 void
 RequestRun::EndGrant(SendOutcome aOutcome)
 {
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -86,13 +86,15 @@
 }
 
 bool
-ServerPool::IsEligible(const ServerQuery& aQuery, const Server& aServer) const
+ServerPool::IsEligible(const ServerQuery& aQuery,
+                       const Server& aServer,
+                       Instant aNow) const
 {
   const auto& record = aServer.mRecord;
   // A server without the model has version 0 of it.
   const auto least = std::max<std::uint64_t>(aQuery.mLeastVersion, 1);
   return record.mService == aQuery.mService && !record.mIsLeaving &&
-         (mAvoided == nullptr || !mAvoided->Contains(record.mId)) &&
+         (mAvoided == nullptr || !mAvoided->Contains(record.mId, aNow)) &&
          std::ranges::find(aQuery.mTried, record.mId) == aQuery.mTried.end() &&
          (!aQuery.mModel || aServer.VersionOf(*aQuery.mModel) >= least);
 }
@@ -106,7 +108,7 @@
   const Server* soonest = nullptr;
   Duration wait = Duration::max();
   for (const auto& [id, server] : mServers) {
-    if (!IsEligible(aQuery, *server) || mGate->IsOpen(id, aNow)) {
+    if (!IsEligible(aQuery, *server, aNow) || mGate->IsOpen(id, aNow)) {
       continue;
     }
     const auto own = mGate->WaitFor(id, aNow).value_or(Duration::max());
@@ -128,7 +130,7 @@
 {
   Candidates usable;
   for (const auto& [id, server] : mServers) {
-    if (!IsEligible(aQuery, *server) ||
+    if (!IsEligible(aQuery, *server, aNow) ||
         (mGate != nullptr && !mGate->IsOpen(id, aNow))) {
       continue;
     }
--- a/packages/entry/tests/request_avoided_test.cpp
+++ b/packages/entry/tests/request_avoided_test.cpp
@@ -48,8 +48,8 @@
     fixture.mBackend.mScript = { first };
     fixture.Run();
     REQUIRE_FALSE(fixture.mBackend.mCalls.empty());
-    CHECK(fixture.mAvoided.Contains(fixture.mBackend.mCalls.front().mServer) ==
-          row.mIsLeaving);
+    CHECK(fixture.mAvoided.Contains(fixture.mBackend.mCalls.front().mServer,
+                                    MonotonicNow()) == row.mIsLeaving);
   }
 }
 
@@ -88,7 +88,7 @@
     fixture.Run();
     CHECK(fixture.mBackend.mCalls.size() == 2);
     for (const auto& it : fixture.mBackend.mCalls) {
-      CHECK_FALSE(fixture.mAvoided.Contains(it.mServer));
+      CHECK_FALSE(fixture.mAvoided.Contains(it.mServer, MonotonicNow()));
     }
     CHECK(fixture.mSink.mFinalCount == 1);
     if (row.mIsByHome) {
@@ -128,7 +128,7 @@
       const auto choice = fixture.mPool.Choose(query, MonotonicNow());
       REQUIRE(choice.has_value() == (avoidedCount < 4));
       if (choice) {
-        CHECK_FALSE(fixture.mAvoided.Contains(choice->mServer));
+        CHECK_FALSE(fixture.mAvoided.Contains(choice->mServer, MonotonicNow()));
         const auto ticket =
           fixture.mPool.Begin(choice->mServer, query, MonotonicNow());
         (void)fixture.mPool.End(
@@ -137,3 +137,51 @@
     }
   }
 }
+
+// Guards against asking homes, or waiting, when every server of the service has
+// asked for a pause, and against a time that is not the one they named.
+TEST_CASE("a request is refused until the first server's pause ends")
+{
+  for (const bool isBySend : { false, true }) {
+    CAPTURE(isBySend);
+    FlowFixture fixture;
+    for (std::size_t n = isBySend ? 1 : 0; n < fixture.mServers.size(); ++n) {
+      fixture.mAvoided.AddPause(fixture.mServers[n].mId,
+                                std::nullopt,
+                                5s + 100ms * static_cast<int>(n),
+                                MonotonicNow());
+    }
+    FakeSend refusal;
+    refusal.mFailure = SendFailure{ SendFault::Full, true, "full" };
+    refusal.mFailure->mPause = 3s;
+    fixture.mBackend.mScript = { refusal };
+    fixture.mPlacer.mReply = Grant(fixture.mServers[1].mId);
+    fixture.Run();
+    CHECK(fixture.mBackend.mCalls.size() == (isBySend ? 1 : 0));
+    CHECK(fixture.mElapsed < 20ms);
+    REQUIRE(fixture.mSink.mRefusal);
+    CHECK(fixture.mSink.mRefusal->GetDisposition() == Disposition::NotRun);
+    CHECK(fixture.mSink.mRefusal->RetryAfter() == (isBySend ? 3s : 5s));
+  }
+}
+
+TEST_CASE("answers and refusals with a pause are observed")
+{
+  for (const bool isRefusal : { false, true }) {
+    CAPTURE(isRefusal);
+    FlowFixture fixture;
+    FakeSend first;
+    first.mStatus = 503;
+    first.mPieces = { "x" };
+    first.mPause = 3s;
+    if (isRefusal) {
+      first.mFailure = SendFailure{ SendFault::Full, true, "full" };
+      first.mFailure->mPause = 3s;
+    }
+    fixture.mBackend.mScript = { first };
+    fixture.Run();
+    REQUIRE_FALSE(fixture.mBackend.mCalls.empty());
+    const auto& server = fixture.mBackend.mCalls.front().mServer;
+    CHECK(fixture.mAvoided.Contains(server, MonotonicNow()));
+  }
+}
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -36,6 +36,10 @@
   {
     return mSend.mIsLeaving;
   }
+  [[nodiscard]] std::optional<Duration> Pause() const noexcept override
+  {
+    return mSend.mPause;
+  }
   Result<std::optional<std::string>> Read(Duration aTimeout) override
   {
     (void)mLoop.Sleep(std::min(mSend.mPieceTime, aTimeout));
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -25,6 +25,8 @@
   std::optional<double> mRequestLimit;
   // The answer says that its server is leaving.
   bool mIsLeaving = false;
+  // The time for which the server wants no requests.
+  std::optional<Duration> mPause;
   // Time to the head of the answer, and before each piece.
   Duration mHeadTime = 10ms;
   Duration mPieceTime = 10ms;
--- a/standins/src/fleet/fleet_server.cpp
+++ b/standins/src/fleet/fleet_server.cpp
@@ -51,10 +51,12 @@
     return;
   }
   if (mIsFull || !Queue(aRequest)) {
-    (void)aResponder.Send(
-      { 503,
-        WithState({ request, { "Bilberrytrail-Not-Executed", "1" } }),
-        {} });
+    auto refusal =
+      WithState({ request, { "Bilberrytrail-Not-Executed", "1" } });
+    if (!mRetryAfter.empty()) {
+      refusal.push_back({ "Retry-After", mRetryAfter });
+    }
+    (void)aResponder.Send({ 503, std::move(refusal), {} });
     return;
   }
   Run(aRequest, aResponder);
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -99,6 +99,11 @@
   void SetLeaving(bool aIsLeaving) noexcept { mIsLeaving = aIsLeaving; }
   // Names a limit, in requests per second, in every answer; empty for none.
   void SetLimit(std::string aLimit) { mLimit = std::move(aLimit); }
+  // Names a time in seconds in every refusal with status 503; empty for none.
+  void SetRetryAfter(std::string aSeconds)
+  {
+    mRetryAfter = std::move(aSeconds);
+  }
   // Refuses requests as not run while set.
   void SetFull(bool aIsFull) noexcept { mIsFull = aIsFull; }
   // Breaks streams off behind so many events; 0 for never.
@@ -154,6 +159,7 @@
   // Ids of the requests in mArrivals.
   std::vector<std::string> mArrivalIds;
   std::string mLimit;
+  std::string mRetryAfter;
   bool mIsLeaving = false;
 };
 
--- a/standins/tests/fleet_leaving_test.cpp
+++ b/standins/tests/fleet_leaving_test.cpp
@@ -54,6 +54,8 @@
   int mRefused = 0;
   // Refusals that came late, or without a time to return after.
   int mPoorRefusals = 0;
+  // The longest time to return after that a refusal named, in seconds.
+  double mLongestDelay = 0;
 
 private:
   void SendOne(std::size_t aDaemon)
@@ -70,8 +72,10 @@
     ++mRefused;
     const auto delay =
       response ? FindHeader(response.value().mHeaders, "Retry-After") : "";
-    const bool isGood = std::strtod(std::string(delay).c_str(), nullptr) > 0 &&
-                        MonotonicNow() - start <= kMaxRefusalTime;
+    const double seconds = std::strtod(std::string(delay).c_str(), nullptr);
+    const bool isGood =
+      seconds > 0 && MonotonicNow() - start <= kMaxRefusalTime;
+    mLongestDelay = std::max(mLongestDelay, seconds);
     mPoorRefusals += isGood ? 0 : 1;
   }
 
@@ -95,6 +99,39 @@
              });
 }
 
+// Returns the most requests that reached a server from a daemon during a pause
+// that it asked for by refusing one of them at aFrom or later.
+std::ptrdiff_t
+MostInPause(const FleetServer& aServer,
+            std::size_t aDaemon,
+            Instant aFrom,
+            Duration aPause)
+{
+  const auto arrivals = aServer.ArrivalsOf(IdPrefix(aDaemon));
+  std::ptrdiff_t most = 0;
+  for (auto it = std::ranges::lower_bound(arrivals, aFrom);
+       it != arrivals.end();
+       ++it) {
+    const auto from = std::ranges::upper_bound(arrivals, *it + kOnTheWayTime);
+    const auto to = std::ranges::lower_bound(arrivals, *it + aPause);
+    most = std::max(most, to - from);
+  }
+  return most;
+}
+
+struct PauseRow
+{
+  const char* mName;
+  const char* mTarget;
+  // Servers of the site that refuse requests and ask for a pause.
+  std::vector<std::size_t> mPaused;
+  const char* mRetryAfter;
+  // All servers of the service refuse.
+  bool mIsAll = false;
+  // The table service fails meanwhile.
+  bool mHasOutage = false;
+};
+
 struct LeavingRow
 {
   const char* mName;
@@ -194,3 +231,80 @@
     CHECK(callers.mRefused == 0);
   });
 }
+
+// Guards against requests to a server that has refused one with 503 and a time
+// for which it wants none.
+TEST_CASE("a server that refuses with Retry-After gets no requests until then")
+{
+  const PauseRow rows[] = {
+    { "one of two engines", "/stream/", { 0 }, "1.5" },
+    { "one of two plain servers", "/read/", { 3 }, "1.5" },
+    { "calls that run once, long pause, table service down",
+      "/order/",
+      { 2 },
+      "30",
+      false,
+      true },
+    { "both engines", "/stream/", { 0, 1 }, "2", true },
+    { "both plain servers", "/read/", { 2, 3 }, "1.25", true }
+  };
+  for (const auto& row : rows) {
+    CAPTURE(std::string(row.mName));
+    const double seconds = std::strtod(row.mRetryAfter, nullptr);
+    FleetSite site;
+    site.Run(kDaemons, [&] {
+      Callers before(site, row.mTarget);
+      before.Run(500ms);
+      if (row.mHasOutage) {
+        site.mTable.SetFault(RowTableFault::Busy);
+      }
+      for (const auto n : row.mPaused) {
+        site.mServers[n]->SetRetryAfter(row.mRetryAfter);
+        site.mServers[n]->SetFull(true);
+      }
+      const auto began = MonotonicNow();
+      Callers callers(site, row.mTarget);
+      callers.Run(kTrafficTime);
+      for (const auto n : row.mPaused) {
+        CAPTURE(n);
+        for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+          CHECK(MostInPause(*site.mServers[n],
+                            daemon,
+                            began,
+                            FromMillis(1000 * seconds)) == 0);
+        }
+      }
+      CHECK((callers.mServed > 0) == !row.mIsAll);
+      CHECK((callers.mRefused > 0) == row.mIsAll);
+      CHECK(callers.mPoorRefusals == 0);
+      CHECK(callers.mLongestDelay <= seconds);
+    });
+  }
+}
+
+// Guards against a server that stays unused after its pause, or after a restart
+// under the same id.
+TEST_CASE("a server that asked for a pause is used again after it")
+{
+  for (const bool isRestarted : { false, true }) {
+    CAPTURE(isRestarted);
+    FleetSite site;
+    site.Run(2, [&] {
+      auto& server = *site.mServers[3];
+      server.SetRetryAfter(isRestarted ? "60" : "1.5");
+      server.SetFull(true);
+      Callers callers(site, "/read/");
+      callers.Run(500ms);
+      server.SetFull(false);
+      const auto count = server.Arrivals().size();
+      CHECK(count > 0);
+      if (isRestarted) {
+        server.SetBorn(2);
+        site.PutServer(3);
+      }
+      callers.Run(2500ms);
+      CHECK(server.Arrivals().size() > count);
+      CHECK(callers.mRefused == 0);
+    });
+  }
+}
