--- a/standins/tests/fleet_leaving_test.cpp
+++ b/standins/tests/fleet_leaving_test.cpp
@@ -299,7 +299,7 @@
       const auto count = server.Arrivals().size();
       CHECK(count > 0);
       if (isRestarted) {
-        server.SetBorn(2);
+        server.Restart();
         site.PutServer(3);
       }
       callers.Run(2500ms);
