Test answers that end with their connection

An answer may come with neither a length nor chunks. Whole answers and streams of that kind reach the caller whole, with a length or in chunks, when the connection ends cleanly, and not as a success when it is reset.

Evidence: no code is changed and the test passes. With a reset read as the end of the body, the test failed for the whole answer and for the stream.

--- a/standins/tests/fleet_answer_test.cpp
+++ b/standins/tests/fleet_answer_test.cpp
@@ -140,3 +140,42 @@
   CHECK(refusals > 0);
   CHECK(runs == 1);
 }
+
+// Guards against an answer with neither a length nor chunks that is lost, or
+// that counts as complete although its connection was reset.
+TEST_CASE("an answer that ends with its connection is whole unless it is reset")
+{
+  for (const bool isStream : { false, true }) {
+    for (const auto end : { RawEnd::Close, RawEnd::Reset }) {
+      CAPTURE(isStream);
+      CAPTURE(static_cast<int>(end));
+      const auto body = isStream ? Events(1, 5) : std::string("whole");
+      auto bytes = kSound;
+      bytes.append("\r\n").append(body);
+      const RawServer raw([&](const std::string& /*aHead*/) {
+        return RawAnswer{ bytes, end };
+      });
+      FleetSite site;
+      const std::size_t first = isStream ? 0 : 2;
+      site.mTable.Remove("servers", "i-" + std::to_string(first + 1));
+      site.PutServer(*site.mServers[first],
+                     raw.Address(),
+                     isStream ? "llm" : "shop",
+                     "ready");
+      site.Run(1, [&] {
+        const auto answer =
+          site.Send(0, "a1", isStream ? "/stream/1" : "/order/1");
+        const bool isWhole = answer && answer.value().mStatus == 200;
+        CHECK(isWhole == (end == RawEnd::Close));
+        if (isWhole) {
+          CHECK(answer.value().mBody == body);
+          // The caller must be able to tell an early end.
+          const auto& headers = answer.value().mHeaders;
+          CHECK((FindHeader(headers, "Content-Length").empty() &&
+                 FindHeader(headers, "Transfer-Encoding").empty()) == false);
+        }
+      });
+      CHECK(raw.Requests() == 1);
+    }
+  }
+}
