--- a/standins/tests/fleet_weights_test.cpp
+++ b/standins/tests/fleet_weights_test.cpp
@@ -161,6 +161,8 @@
   // An engine has the newest weights after the bound, so that prompts are
   // served.
   bool mIsServed;
+  // What happens before the announcement; may be null.
+  void (*mPrepare)(WeightsSite&) = nullptr;
 };
 
 } // namespace
@@ -196,6 +198,18 @@
         aSite.mSite.mTable.SetFault(RowTableFault::None);
       },
       true },
+    { "the announcement is read late",
+      [](WeightsSite& aSite) {
+        aSite.Load(1, 2);
+        aSite.SleepUntil(1500ms);
+        aSite.mSite.mTable.SetFault(RowTableFault::None);
+      },
+      true,
+      [](WeightsSite& aSite) {
+        aSite.mSite.mTable.SetFault(RowTableFault::Busy);
+        // Waits for changes that began before the fault end with an answer.
+        (void)aSite.mSite.mLoop.Sleep(3s);
+      } },
     { "an engine breaks streams off",
       [](WeightsSite& aSite) {
         aSite.mSite.mServers[0]->SetCutAfter(2);
@@ -237,6 +251,9 @@
     CAPTURE(std::string(row.mName));
     WeightsSite site;
     site.mSite.Run(kDaemons, [&] {
+      if (row.mPrepare != nullptr) {
+        row.mPrepare(site);
+      }
       site.Announce(2);
       bool hasEnded = false;
       site.mSite.mLoop.Spawn([&] {
