Reject deeply nested placement datagrams

Seen: a datagram of 32,000 nested CBOR arrays on the port of the daemons ends the daemon with a stack overflow (SIGSEGV), as does one of nested objects.

Cause: the parser of the library recurses for each level, on the small stack of a fiber; what may be nested was checked behind the parse.

Change: a check of the depth goes before it and stops the parse. The test crashed before, with SIGSEGV.

--- a/packages/entry/src/placement_codec.cpp
+++ b/packages/entry/src/placement_codec.cpp
@@ -16,6 +16,44 @@
 // An older observation of a rate limit is not sent, and rejected when read.
 constexpr Duration kMaxLimitAge = 3600s;
 
+// Deepest nesting of arrays and objects in a datagram.
+constexpr std::size_t kMaxDepth = 16;
+
+// Rejects deeply nested values, which would exhaust the stack of the fiber that
+// parses them. Keeps nothing of the values.
+class DepthCheck : public nlohmann::json_sax<Json>
+{
+public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return Enter(); }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t) override { return Enter(); }
+  bool end_array() override { return Leave(); }
+  bool parse_error(std::size_t,
+                   const std::string&,
+                   const nlohmann::detail::exception&) override
+  {
+    return false;
+  }
+
+private:
+  bool Enter() { return ++mDepth <= kMaxDepth; }
+  bool Leave()
+  {
+    --mDepth;
+    return true;
+  }
+
+  std::size_t mDepth = 0;
+};
+
 std::string
 Pack(char aKind, const Json& aJson)
 {
@@ -34,6 +72,15 @@
   }
   Json json;
   try {
+    DepthCheck check;
+    if (!Json::sax_parse(aBytes.begin() + 1,
+                         aBytes.end(),
+                         &check,
+                         Json::input_format_t::cbor)) {
+      return Fail(ErrorCode::Corrupt,
+                  "placement datagram is malformed or nested more than " +
+                    std::to_string(kMaxDepth) + " deep");
+    }
     json = Json::from_cbor(aBytes.begin() + 1, aBytes.end(), true, false);
   } catch (const Json::exception& exception) {
     // The parser throws on sizes that exceed any memory, although the last
--- a/packages/entry/tests/placement_codec_test.cpp
+++ b/packages/entry/tests/placement_codec_test.cpp
@@ -1,6 +1,7 @@
 #include "../src/placement_codec.h"
 
 #include <bilberrytrail/base/random.h>
+#include <bilberrytrail/runtime/loop.h>
 
 #include <doctest/doctest.h>
 
@@ -108,3 +109,25 @@
     }
   }
 }
+
+// Guards against a daemon that ends by a stack overflow when it reads a deeply
+// nested datagram.
+TEST_CASE("deeply nested datagrams are rejected on a fiber")
+{
+  constexpr std::size_t kBytes = 32'000;
+  // An array of one element; an object of one entry with an empty key.
+  for (const std::string level : { "\x81", "\xa1\x60" }) {
+    std::string nested;
+    while (nested.size() < kBytes) {
+      nested += level;
+    }
+    CAPTURE(level.size());
+    Loop loop;
+    loop.Spawn([&] {
+      CHECK_FALSE(DecodePlacementMessage("M" + nested).has_value());
+      CHECK_FALSE(DecodePlacementAnswer("R" + nested).has_value());
+      loop.Stop();
+    });
+    loop.Run();
+  }
+}
