Count the bound for older weights on the boot clock

A VM that is suspended counts its monotonic clock too little: the bound for older weights came later by the time of the suspension, and callers were served on older weights behind it.

Cause: announcements were dated, and the bound compared, on the monotonic clock. Leases were on the boot clock already.

Change: the time up to which the operator's rows are complete, and all that counts from it (least version, deadline at the server, time left of the rollout, overdue servers), is on the boot clock. Found in review; no test suspends a VM, so that none was red before.

--- a/packages/entry/include/bilberrytrail/entry/weight_history.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_history.h
@@ -13,7 +13,8 @@
 // When each version of the models' weights was announced, at the earliest: the
 // times are never later than the announcements, so that limits which count from
 // them are kept. A version announced before the daemon started counts as
-// announced long ago.
+// announced long ago. All times are on the boot clock, which also counts while
+// the machine is suspended.
 class WeightHistory
 {
 public:
--- a/packages/entry/src/relay_follower.cpp
+++ b/packages/entry/src/relay_follower.cpp
@@ -136,7 +136,7 @@
 bool
 RelayFollower::QueryRelay(const PeerAddress& aRelay)
 {
-  const auto sentAt = MonotonicNow();
+  const auto sentAt = BootNow();
   const auto reply = Call(aRelay);
   const auto now = MonotonicNow();
   const bool isUsable = reply && reply.value().mReplica.mIsTableReachable &&
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -95,7 +95,7 @@
     query.mLeastVersion = mSendView->mWeights.LeastAllowed(
       prompt.mModel,
       mContext.mWeightsWithin - kOldWeightsReserve,
-      MonotonicNow());
+      BootNow());
     if (const auto* part = prompt.LastSharedPart()) {
       query.mAffinity = StableHash64(part->mId);
       query.mSharedTokens = static_cast<double>(prompt.SharedTokens());
@@ -276,7 +276,7 @@
 RequestRun::IsPastWeightsBound() const
 {
   const auto bound = WeightsBound();
-  return bound && *bound - MonotonicNow() <
+  return bound && *bound - BootNow() <
                     kMaxConnectTime + kTransitAllowance + kMinBeginTime;
 }
 
@@ -292,9 +292,10 @@
     return;
   }
   if (const auto bound = WeightsBound()) {
-    mBeginBy = std::min(mBeginBy, *bound);
+    const auto left = *bound - BootNow();
+    mBeginBy = std::min(mBeginBy, now + left);
     aCall.mTimeLeft = std::min(
-      aCall.mTimeLeft, *bound - now - aCall.mConnectTime - kTransitAllowance);
+      aCall.mTimeLeft, left - aCall.mConnectTime - kTransitAllowance);
   } else {
     // Newer weights may be announced while the request waits.
     mBeginBy =
--- a/packages/entry/src/request_run_end.cpp
+++ b/packages/entry/src/request_run_end.cpp
@@ -132,15 +132,15 @@
   if (!bound) {
     return;
   }
-  const auto now = MonotonicNow();
+  const auto left = *bound - BootNow();
   LogLine(LogEvent::OldWeightsBegun,
           { { "request", mRequest.mId },
             { "server", mChoice.mServer },
             { "weights", mChoice.mWeightVersion },
             { "newest", NewestWeights() },
-            { "since", now - (*bound - mContext.mWeightsWithin) },
-            { "left_when_sent", *bound - mSentAt },
-            { "left", *bound - now },
+            { "since", mContext.mWeightsWithin - left },
+            { "left_when_sent", left + (MonotonicNow() - mSentAt) },
+            { "left", left },
             { "choice", mChoice.mReason },
             { "by_home", mIsByHome },
             { "sends", mSends } });
--- a/packages/entry/src/rollout_runner.cpp
+++ b/packages/entry/src/rollout_runner.cpp
@@ -137,7 +137,7 @@
 
 // Returns the time until the first deadline of a server for newer weights.
 Duration
-RolloutRunner::TimeLeft(const SiteView& aView, Instant aNow) const
+RolloutRunner::TimeLeft(const SiteView& aView) const
 {
   Duration left = mWeightsWithin;
   for (const auto& server : aView.mServers) {
@@ -145,7 +145,7 @@
       const auto due =
         aView.mWeights.Due(it.mModel, it.mVersion, mWeightsWithin);
       if (due && !server.mIsLeaving) {
-        left = std::min(left, *due - aNow);
+        left = std::min(left, *due - BootNow());
       }
     }
   }
@@ -157,7 +157,7 @@
 {
   const auto now = MonotonicNow();
   const auto orders = mRollout.Next(
-    aView.mServers, aView.mWeights.AllNewest(), TimeLeft(aView, now), now);
+    aView.mServers, aView.mWeights.AllNewest(), TimeLeft(aView), now);
   mNotifier.Publish(mRollout.Loading(now));
   for (const auto& it : orders) {
     mLoop.Spawn([this, it] { SendOrder(it); });
@@ -165,7 +165,7 @@
   for (const auto& it : mRollout.Checks(now)) {
     mLoop.Spawn([this, it] { CheckOrder(it); });
   }
-  LogOverdue(aView, now);
+  LogOverdue(aView, BootNow());
 }
 
 void
--- a/packages/entry/src/rollout_runner.h
+++ b/packages/entry/src/rollout_runner.h
@@ -38,7 +38,7 @@
 private:
   void Step();
   void RunLease();
-  [[nodiscard]] Duration TimeLeft(const SiteView& aView, Instant aNow) const;
+  [[nodiscard]] Duration TimeLeft(const SiteView& aView) const;
   void SendOrders(const SiteView& aView);
   void SendOrder(const WeightOrder& aOrder);
   void LogOverdue(const SiteView& aView, Instant aNow);
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -100,7 +100,7 @@
 {
   const auto wait = mIsServing ? kServingWait : kChangeWait;
   const auto margin = mIsServing ? kServingCallMargin : kCallMargin;
-  const auto sentAt = MonotonicNow();
+  const auto sentAt = BootNow();
   const auto rows =
     aMustReadAll ? mFeed.ReadAll(aTable, kReadTimeout)
                  : mFeed.ReadChanges(
@@ -126,7 +126,7 @@
     Publish();
   }
   if (aTable == SiteTable::Operator) {
-    SetComplete(hasWaited ? std::min(sentAt + wait, now) : sentAt);
+    SetComplete(hasWaited ? std::min(sentAt + wait, BootNow()) : sentAt);
   }
   if (changed) {
     (void)mLoop.Sleep(kChangePause);
@@ -171,7 +171,7 @@
   }
   mIsQueryingPeers = true;
   for (const auto& peer : mPeers.PickOthers(kPeersPerQuery)) {
-    const auto sentAt = MonotonicNow();
+    const auto sentAt = BootNow();
     if (const auto reply = QueryPeer(peer)) {
       ApplyReplica(peer, reply.value(), sentAt);
     }
@@ -241,9 +241,11 @@
 ReplicaReply
 SiteFollower::AnswerQuery(const ReplicaQuery& aQuery) const
 {
-  const auto now = MonotonicNow();
-  return AnswerReplicaQuery(
-    aQuery, mReplica, !mIsOutage, mViews.Age(now), now - mCompleteAt);
+  return AnswerReplicaQuery(aQuery,
+                            mReplica,
+                            !mIsOutage,
+                            mViews.Age(MonotonicNow()),
+                            BootNow() - mCompleteAt);
 }
 
 void
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -91,7 +91,8 @@
   void OnOutage(SiteTable aTable, const CallError& aError);
   void QueryPeers();
   Result<ReplicaReply> QueryPeer(const PeerAddress& aPeer);
-  // Records that the operator's rows lack no change made before a time.
+  // Records that the operator's rows lack no change made before a time on the
+  // boot clock.
   void SetComplete(Instant aAt) noexcept
   {
     mCompleteAt = std::max(mCompleteAt, aAt);
@@ -106,7 +107,7 @@
   HttpClient mClient;
   SiteReplica mReplica;
   SiteAssembler mAssembler;
-  // The operator's rows lack no change made before this time.
+  // The operator's rows lack no change made before this time on the boot clock.
   Instant mCompleteAt;
   bool mIsOutage = false;
   bool mIsQueryingPeers = false;
--- a/packages/entry/tests/request_flow_test.cpp
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -324,7 +324,7 @@
       it.mModels = { { ModelId("m"), 3 } };
       it.mIsLeaving = it.mId == ServerId("s1");
     }
-    (void)fixture.mWeights.AddVersion(ModelId("m"), 3, MonotonicNow() - 60s);
+    (void)fixture.mWeights.AddVersion(ModelId("m"), 3, BootNow() - 60s);
     fixture.mRequest.mPrompt = Prompt{ ModelId("m"), { { "a", 10 } }, 10, 5 };
     fixture.mBackend.mScript = { Answering(200, "ok") };
     if (row.mOutcome) {
--- a/packages/entry/tests/request_weights_test.cpp
+++ b/packages/entry/tests/request_weights_test.cpp
@@ -24,7 +24,7 @@
   if (aHasNewest) {
     aFixture.mServers.back().mModels = { { kModel, 2 } };
   }
-  (void)aFixture.mWeights.AddVersion(kModel, 2, MonotonicNow() - aAge);
+  (void)aFixture.mWeights.AddVersion(kModel, 2, BootNow() - aAge);
 }
 
 // Makes a home grant a server with version 1.
@@ -213,7 +213,7 @@
   fixture.mBackend.mScript = { broken, Streaming({ "ok" }) };
   fixture.mBackend.mOnSend = [&] {
     // The daemon was cut off from the table service until now.
-    (void)fixture.mWeights.AddVersion(kModel, 2, MonotonicNow() - 60s);
+    (void)fixture.mWeights.AddVersion(kModel, 2, BootNow() - 60s);
   };
   fixture.Run();
   REQUIRE(fixture.mBackend.mCalls.size() == 2);
--- a/packages/entry/tests/stream_relay_test.cpp
+++ b/packages/entry/tests/stream_relay_test.cpp
@@ -38,7 +38,7 @@
     if (isSameServer) {
       fixture.mServers.resize(1);
     }
-    (void)fixture.mWeights.AddVersion(ModelId("m"), 2, MonotonicNow());
+    (void)fixture.mWeights.AddVersion(ModelId("m"), 2, BootNow());
     fixture.mRequest.mPrompt = Prompt{ ModelId("m"), { { "a", 10 } }, 10, 5 };
     FakeSend refusing;
     refusing.mFailure = SendFailure{
