Name the server's start at the send in evidence against parts

A server that was listed, or had restarted, after a request had arrived was looked up in the view of the arrival: its death at a retry was lost, or counted as the death before it.

Cause: the choice takes the view of each send, the evidence took that of the arrival. Found in review by reading; a trial of it was not run, and no test was red before.

Change: the view of the send is used.

--- a/packages/entry/src/request_run_parts.cpp
+++ b/packages/entry/src/request_run_parts.cpp
@@ -46,8 +46,8 @@
     return;
   }
   const auto it =
-    std::ranges::find(mView->mServers, mChoice.mServer, &ServerRecord::mId);
-  if (it != mView->mServers.end()) {
+    std::ranges::find(mSendView->mServers, mChoice.mServer, &ServerRecord::mId);
+  if (it != mSendView->mServers.end()) {
     mContext.mCrashes.OnBroken(*it, mParts);
   }
 }
