Pass evidence against a part on beside many cleared parts

Cause: a daemon passes on evidence about at most eight parts, those with the most deaths ever and the newest news first. Sound parts that had been at the same server were cleared soon after, and their news outranked the part that crashes servers; its own news was over after 2 s, untold. Each daemon then counts by itself.

Change: parts are ranked by the deaths that still count against them, and half of the places stay for them. The test failed before with 8 and 30 sound parts.

--- a/packages/entry/include/bilberrytrail/entry/part_quarantine.h
+++ b/packages/entry/include/bilberrytrail/entry/part_quarantine.h
@@ -115,8 +115,6 @@
   struct Entry
   {
     PartEvidence mEvidence;
-    // Most deaths at any time; parts with more are passed on first.
-    std::size_t mMostDeaths = 0;
     Instant mChangedAt;
     bool mIsQuarantined = false;
   };
--- a/packages/entry/src/part_quarantine.cpp
+++ b/packages/entry/src/part_quarantine.cpp
@@ -113,8 +113,6 @@
 PartQuarantine::NoteChange(Entry& aEntry, Instant aNow)
 {
   aEntry.mChangedAt = aNow;
-  aEntry.mMostDeaths =
-    std::max(aEntry.mMostDeaths, aEntry.mEvidence.mDeaths.size());
 }
 
 void
@@ -194,10 +192,22 @@
     }
   }
   const auto rank = [](const Entry* aEntry) {
-    return std::tuple(
-      aEntry->mIsQuarantined, aEntry->mMostDeaths, aEntry->mChangedAt);
+    return std::tuple(aEntry->mIsQuarantined,
+                      aEntry->mEvidence.mDeaths.size(),
+                      aEntry->mChangedAt);
   };
   std::ranges::sort(recent, std::ranges::greater(), rank);
+  // Half of the places are for parts with deaths, and half for cleared ones;
+  // either takes what the other leaves.
+  const auto isCharged = [](const Entry* aEntry) {
+    return aEntry->mIsQuarantined || !aEntry->mEvidence.mDeaths.empty();
+  };
+  const auto cleared = std::ranges::partition_point(recent, isCharged);
+  const auto charged = static_cast<std::size_t>(cleared - recent.begin());
+  const auto excess = recent.size() - std::min(recent.size(), kMaxRecent);
+  const auto dropped =
+    std::min(excess, charged - std::min(charged, kMaxRecent / 2));
+  recent.erase(cleared - static_cast<std::ptrdiff_t>(dropped), cleared);
   recent.resize(std::min(recent.size(), kMaxRecent));
   std::vector<PartEvidence> evidence;
   evidence.reserve(recent.size());
--- a/packages/entry/tests/part_quarantine_test.cpp
+++ b/packages/entry/tests/part_quarantine_test.cpp
@@ -255,3 +255,25 @@
   prompt.mParts.clear();
   CHECK(SharedPartKeys(prompt).empty());
 }
+
+// Guards against evidence that never leaves a daemon, since the sound parts
+// that were at the same server and have been cleared since take all the places.
+TEST_CASE("evidence against a part is passed on beside many cleared parts")
+{
+  for (const std::size_t sound : { 3U, 7U, 8U, 30U }) {
+    CAPTURE(sound);
+    PartQuarantine quarantine;
+    std::vector<std::uint64_t> others;
+    for (std::size_t n = 0; n < sound; ++n) {
+      others.push_back(100 + n);
+    }
+    auto all = others;
+    all.push_back(kDeadly);
+    Apply(quarantine, { 1, all, 0s });
+    Apply(quarantine, { 0, others, 500ms });
+    const auto recent = quarantine.Recent(At(600ms));
+    CHECK(recent.size() == std::min(sound + 1, PartQuarantine::kMaxRecent));
+    CHECK(std::ranges::count(recent, PartKey(kDeadly), &PartEvidence::mPart) ==
+          1);
+  }
+}
