--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -93,9 +93,7 @@
     }
     query.mNewestVersion = NewestWeights();
     query.mLeastVersion = mSendView->mWeights.LeastAllowed(
-      prompt.mModel,
-      mContext.mWeightsWithin - kOldWeightsReserve,
-      BootNow());
+      prompt.mModel, mContext.mWeightsWithin - kOldWeightsReserve, BootNow());
     if (const auto* part = prompt.LastSharedPart()) {
       query.mAffinity = StableHash64(part->mId);
       query.mSharedTokens = static_cast<double>(prompt.SharedTokens());
@@ -294,8 +292,8 @@
   if (const auto bound = WeightsBound()) {
     const auto left = *bound - BootNow();
     mBeginBy = std::min(mBeginBy, now + left);
-    aCall.mTimeLeft = std::min(
-      aCall.mTimeLeft, left - aCall.mConnectTime - kTransitAllowance);
+    aCall.mTimeLeft =
+      std::min(aCall.mTimeLeft, left - aCall.mConnectTime - kTransitAllowance);
   } else {
     // Newer weights may be announced while the request waits.
     mBeginBy =
