--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -544,8 +544,9 @@
                 "weights_overdue",
                 "A backend server still has weights `has` of a model `late` "
                 "after the deadline for a newer version; `weights` is the "
-                "newest. The holder of the rollout has sent it `orders` orders "
-                "for it, the last one with `outcome`.",
+                "newest. The holder of the rollout has tried `orders` times to "
+                "order it since the last one became void, the last time with "
+                "`outcome`.",
                 "See the order's outcome: if `not_reached`, check the server's "
                 "VM; if `unknown`, orders get no reply and may be executed "
                 "late; if `busy` or `accepted`, its running requests or the "
