Name newer weights after the start in the test of a repeated refusal

The test named them before the daemon's start. Such weights count as named long ago since the bound for older weights holds strictly, and the prompt was refused at once (503, not run): the set-up was wrong, not the daemon. What it checks is as before.

--- a/standins/tests/fleet_answer_test.cpp
+++ b/standins/tests/fleet_answer_test.cpp
@@ -128,10 +128,13 @@
                       RawEnd::KeepOpen };
   });
   FleetSite site;
-  site.mTable.Put("op", "version/m", R"({"model":"m","version":2})");
   site.mTable.Remove("servers", "i-1");
   site.PutServer(*site.mServers[0], raw.Address(), "llm", "ready");
   site.Run(1, [&] {
+    // Weights that the daemon finds at its start would count as named long ago,
+    // and it would send no prompts to servers with older ones.
+    site.mTable.Put("op", "version/m", R"({"model":"m","version":2})");
+    (void)site.mLoop.Sleep(1s);
     const auto stream = site.Send(0, "a1", "/stream/1");
     REQUIRE(stream.has_value());
     CHECK(stream.value().mStatus == 200);
