Show that a stream without an event counts as complete

Callers get an empty stream, framed as complete, when a server that sends neither a length nor chunks closes its connection between the head of its answer and the first event.

--- a/packages/entry/include/bilberrytrail/entry/backend_call.h
+++ b/packages/entry/include/bilberrytrail/entry/backend_call.h
@@ -114,6 +114,9 @@
   // Returns the time for which the server wants no requests from this daemon,
   // if the answer turns the request away and names one.
   [[nodiscard]] virtual std::optional<Duration> Pause() const noexcept = 0;
+  // Returns whether only the end of the connection ends the answer, so that a
+  // server that ends early looks like one that is done.
+  [[nodiscard]] virtual bool EndsWithConnection() const noexcept = 0;
   // Waits for the next bytes; returns nothing at the regular end of the answer.
   [[nodiscard]] virtual Result<std::optional<std::string>> Read(
     Duration aTimeout) = 0;
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -40,6 +40,10 @@
   {
     return mSend.mPause;
   }
+  [[nodiscard]] bool EndsWithConnection() const noexcept override
+  {
+    return mSend.mEndsWithConnection;
+  }
   Result<std::optional<std::string>> Read(Duration aTimeout) override
   {
     (void)mLoop.Sleep(std::min(mSend.mPieceTime, aTimeout));
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -19,6 +19,8 @@
   std::vector<std::string> mPieces;
   // The answer breaks off after its pieces.
   bool mIsCut = false;
+  // Only the end of the connection ends the answer.
+  bool mEndsWithConnection = false;
   // The last piece is repeated endlessly.
   bool mIsEndless = false;
   // The rate limit that the answer names.
--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -26,6 +26,9 @@
 
   [[nodiscard]] unsigned Status() const noexcept;
   [[nodiscard]] const HttpHeaders& Headers() const noexcept;
+  // Returns whether the body has neither a length nor chunks and ends with the
+  // connection, so that a peer that ends early looks like one that is done.
+  [[nodiscard]] bool EndsWithConnection() const noexcept;
 
   // Waits for the next part of the body. Returns nullopt after the last one.
   // Fails with Timeout, with Cancelled, or with Unavailable when the connection
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -247,6 +247,7 @@
 
   [[nodiscard]] unsigned Status() const noexcept { return mStatus; }
   [[nodiscard]] const HttpHeaders& Headers() const noexcept { return mHeaders; }
+  [[nodiscard]] bool EndsWithConnection() const { return mParser->need_eof(); }
 
   beast::error_code ReadHead(Duration aTimeout);
   // Reads and drops this response, and prepares to read the next one on the
@@ -445,6 +446,12 @@
   return mImpl->Headers();
 }
 
+bool
+HttpStream::EndsWithConnection() const noexcept
+{
+  return mImpl->EndsWithConnection();
+}
+
 Result<std::optional<std::string>>
 HttpStream::Read(Duration aTimeout)
 {
