Take an empty stream that ends with its connection as broken off

Callers got a whole, empty stream when a server that sends neither a length nor chunks closed its connection between the head of its answer and the first event: no byte of it was inside an event, so nothing told it from a complete one. Such a stream now needs an event of its own, also at a retry and at a resumption; comments and empty lines do not count. Streams with a length or chunks state their end themselves and may still be empty.

--- a/packages/entry/include/bilberrytrail/entry/event_splitter.h
+++ b/packages/entry/include/bilberrytrail/entry/event_splitter.h
@@ -24,6 +24,9 @@
   // ends here has been broken off. Empty lines and comments belong to no event.
   [[nodiscard]] bool IsInsideEvent() const noexcept;
 
+  // Returns whether there was a complete event since the last Resume.
+  [[nodiscard]] bool HasEvent() const noexcept { return mHasEvent; }
+
   // Adds bytes and returns all bytes that now belong to complete events.
   [[nodiscard]] std::string Add(std::string_view aBytes);
   // Discards the bytes of an incomplete event. The bytes added from now on are
@@ -35,12 +38,12 @@
 
 private:
   void NoteIds(std::string_view aEvents);
-  // Checks the order if these are the first events after Resume.
-  void CheckOrder(std::string_view aEvents);
+  // Looks for the first event since Resume and checks its order.
+  void FindFirst(std::string_view aEvents);
 
   std::string mRest;
   std::string mLastId;
-  bool mIsResuming = false;
+  bool mHasEvent = false;
   bool mIsOutOfOrder = false;
 };
 
--- a/packages/entry/src/event_splitter.cpp
+++ b/packages/entry/src/event_splitter.cpp
@@ -88,19 +88,19 @@
 EventSplitter::Resume() noexcept
 {
   mRest.clear();
-  mIsResuming = !mLastId.empty();
+  mHasEvent = false;
   mIsOutOfOrder = false;
 }
 
 void
-EventSplitter::CheckOrder(std::string_view aEvents)
+EventSplitter::FindFirst(std::string_view aEvents)
 {
-  if (!mIsResuming) {
+  if (mHasEvent) {
     return;
   }
   if (const auto id = FirstId(aEvents)) {
-    mIsResuming = false;
-    mIsOutOfOrder = !IsAfter(*id, mLastId);
+    mHasEvent = true;
+    mIsOutOfOrder = !mLastId.empty() && !IsAfter(*id, mLastId);
   }
 }
 
@@ -137,7 +137,7 @@
   const auto end = EndOfEvents(mRest);
   std::string whole = mRest.substr(0, end);
   mRest.erase(0, end);
-  CheckOrder(whole);
+  FindFirst(whole);
   if (mIsOutOfOrder) {
     return {};
   }
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -53,6 +53,8 @@
   Next RelayWhole(BackendAnswer& aAnswer);
   Next RelayStream(BackendAnswer& aAnswer);
   Next OnStreamBroken(const Error& aError);
+  // Returns why a stream that has ended was broken off; null if it is whole.
+  [[nodiscard]] const char* EndFault(const BackendAnswer& aAnswer) const;
   Next EndStream(const std::string& aRest);
   bool ChooseServer();
   // Places the request through a home. Returns nothing when this daemon must
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -356,9 +356,8 @@
     }
     mContext.mPool.OnProgress(mTicket, MonotonicNow());
     if (!piece.value()) {
-      if (IsEventStream(aAnswer.Head()) && mEvents.IsInsideEvent()) {
-        return OnStreamBroken(
-          Fail(ErrorCode::Corrupt, "stream ends within an event"));
+      if (const auto* fault = EndFault(aAnswer)) {
+        return OnStreamBroken(Fail(ErrorCode::Corrupt, fault));
       }
       EndSend(SendOutcome::Answered);
       NoteAnswerGoesOn(true);
@@ -390,6 +389,21 @@
   }
 }
 
+const char*
+RequestRun::EndFault(const BackendAnswer& aAnswer) const
+{
+  if (!IsEventStream(aAnswer.Head())) {
+    return nullptr;
+  }
+  if (mEvents.IsInsideEvent()) {
+    return "stream ends within an event";
+  }
+  // Without a length or chunks, this end looks the same when the server closes
+  // the connection before it has sent anything.
+  const bool isEmpty = aAnswer.EndsWithConnection() && !mEvents.HasEvent();
+  return isEmpty ? "connection ends before the first event" : nullptr;
+}
+
 RequestRun::Next
 RequestRun::EndStream(const std::string& aRest)
 {
