Check the server behind an answer that ends with its connection

Callers got an answer that was cut between two events, or in a whole body, as complete: when a process ends, its connections look closed by it, so that an answer with neither length nor chunks seems to have ended. After such an answer the daemon now checks, as it does after a broken one, whether the server refuses connections; if so, the answer was broken off.

--- a/packages/entry/include/bilberrytrail/entry/crash_watch.h
+++ b/packages/entry/include/bilberrytrail/entry/crash_watch.h
@@ -28,6 +28,9 @@
   // Records that the send of a prompt with these shared parts broke off before
   // its answer. Does not wait for the check.
   void OnBroken(const ServerRecord& aServer, std::vector<PartKey> aParts);
+  // Returns whether a server that has just closed a connection refuses new
+  // ones. Waits for the check.
+  [[nodiscard]] bool HasEnded(const Endpoint& aEndpoint);
 
 private:
   // Prompts that waited at one server.
--- a/packages/entry/src/crash_watch.cpp
+++ b/packages/entry/src/crash_watch.cpp
@@ -24,13 +24,17 @@
   }
 }
 
+bool
+CrashWatch::HasEnded(const Endpoint& aEndpoint)
+{
+  return mLoop.Sleep(kCheckDelay) &&
+         mBackend.IsRefusing(aEndpoint, kCheckTimeout);
+}
+
 void
 CrashWatch::Check(const DeathId& aDeath, const Endpoint& aEndpoint)
 {
-  if (!mLoop.Sleep(kCheckDelay)) {
-    return;
-  }
-  const bool hasEnded = mBackend.IsRefusing(aEndpoint, kCheckTimeout);
+  const bool hasEnded = HasEnded(aEndpoint);
   const auto waiting = std::move(mWaiting.extract(aDeath).mapped());
   if (!hasEnded) {
     return;
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -53,8 +53,11 @@
   Next RelayWhole(BackendAnswer& aAnswer);
   Next RelayStream(BackendAnswer& aAnswer);
   Next OnStreamBroken(const Error& aError);
+  // Returns whether the end of the answer is that of its server's process.
+  // Waits for a check of the server.
+  [[nodiscard]] bool HasEndedWithServer(const BackendAnswer& aAnswer);
   // Returns why a stream that has ended was broken off; null if it is whole.
-  [[nodiscard]] const char* EndFault(const BackendAnswer& aAnswer) const;
+  [[nodiscard]] const char* EndFault(const BackendAnswer& aAnswer);
   Next EndStream(const std::string& aRest);
   bool ChooseServer();
   // Places the request through a home. Returns nothing when this daemon must
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 constexpr unsigned kNoContent = 204;
+constexpr const char* kEndedWithServer =
+  "answer without length or chunks ends with its server";
 
 SendOutcome
 OutcomeOf(const SendFailure& aFailure)
@@ -314,6 +316,9 @@
           "answer exceeds " + std::to_string(kMaxAnswerBytes) + " bytes" });
     }
   }
+  if (HasEndedWithServer(aAnswer)) {
+    return OnFailure({ SendFault::Broken, false, kEndedWithServer });
+  }
   const auto status = aAnswer.Head().mStatus;
   const bool isError = status >= kFirstServerErrorStatus;
   EndSend(isError ? SendOutcome::ServerError : SendOutcome::Answered);
@@ -389,19 +394,28 @@
   }
 }
 
+// The connections of a process that ends look closed by it.
+bool
+RequestRun::HasEndedWithServer(const BackendAnswer& aAnswer)
+{
+  return aAnswer.EndsWithConnection() &&
+         mContext.mCrashes.HasEnded(mChoice.mEndpoint);
+}
+
 const char*
-RequestRun::EndFault(const BackendAnswer& aAnswer) const
+RequestRun::EndFault(const BackendAnswer& aAnswer)
 {
-  if (!IsEventStream(aAnswer.Head())) {
-    return nullptr;
-  }
-  if (mEvents.IsInsideEvent()) {
-    return "stream ends within an event";
+  if (IsEventStream(aAnswer.Head())) {
+    if (mEvents.IsInsideEvent()) {
+      return "stream ends within an event";
+    }
+    // Without a length or chunks, this end looks the same when the server
+    // closes the connection before it has sent anything.
+    if (aAnswer.EndsWithConnection() && !mEvents.HasEvent()) {
+      return "connection ends before the first event";
+    }
   }
-  // Without a length or chunks, this end looks the same when the server closes
-  // the connection before it has sent anything.
-  const bool isEmpty = aAnswer.EndsWithConnection() && !mEvents.HasEvent();
-  return isEmpty ? "connection ends before the first event" : nullptr;
+  return HasEndedWithServer(aAnswer) ? kEndedWithServer : nullptr;
 }
 
 RequestRun::Next
--- a/packages/entry/tests/answer_end_test.cpp
+++ b/packages/entry/tests/answer_end_test.cpp
@@ -85,3 +85,58 @@
     CHECK(fixture.mSink.mBody == (hasBegun ? EventText(1) : "") + second);
   }
 }
+
+// Guards against an answer that is passed on as complete although its server
+// crashed: the connections of a process that ends look closed by it, so that a
+// body without length or chunks seems to end there.
+TEST_CASE("an answer that ends with its connection and its server is broken")
+{
+  struct Row
+  {
+    bool mIsStream;
+    bool mEndsWithConnection;
+    bool mHasServerEnded;
+    bool mIsComplete;
+  };
+  for (const Row& row : { Row{ true, true, true, false },
+                          Row{ true, true, false, true },
+                          Row{ true, false, true, true },
+                          Row{ false, true, true, false },
+                          Row{ false, true, false, true },
+                          Row{ false, false, true, true } }) {
+    CAPTURE(row.mIsStream);
+    CAPTURE(row.mEndsWithConnection);
+    CAPTURE(row.mHasServerEnded);
+    FlowFixture fixture;
+    if (row.mIsStream) {
+      SetStreaming(fixture, 1);
+    }
+    fixture.mBackend.mIsRefusing = row.mHasServerEnded;
+    fixture.mBackend.mScript = { Answering({ EventText(1) },
+                                           row.mEndsWithConnection) };
+    fixture.Run();
+    CHECK(IsComplete(fixture.mSink) == row.mIsComplete);
+  }
+}
+
+// Guards against the same at a route whose answers may be repeated, where the
+// caller can still get a whole one.
+TEST_CASE("an answer that ends with its server is read from another one")
+{
+  for (const bool isStream : { false, true }) {
+    CAPTURE(isStream);
+    FlowFixture fixture;
+    SetStreaming(fixture, 2);
+    if (!isStream) {
+      fixture.mConfig.mRoutes.front().mKind = RequestKind::Idempotent;
+    }
+    fixture.mBackend.mIsRefusing = true;
+    fixture.mBackend.mScript = { Answering({ EventText(1) }, true),
+                                 Answering({ EventText(2) }, false) };
+    fixture.Run();
+    CHECK(fixture.mBackend.mCalls.size() == 2);
+    CHECK(IsComplete(fixture.mSink));
+    CHECK(fixture.mSink.mBody ==
+          (isStream ? EventText(1) : std::string()) + EventText(2));
+  }
+}
