--- a/packages/runtime/tests/http_exchange_test.cpp
+++ b/packages/runtime/tests/http_exchange_test.cpp
@@ -190,6 +190,41 @@
         std::vector<std::string>{ "old" });
 }
 
+// Guards against a response with an empty body, as if whole, from a server that
+// closes in the middle of its head.
+TEST_CASE("a response whose head ends early is an error")
+{
+  const std::vector<std::string> heads{
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+  };
+  const auto isAnswered = [](const std::string& aBytes) {
+    ScriptedPeer peer({ aBytes });
+    bool answered = false;
+    Loop loop;
+    loop.Spawn([&] {
+      HttpClient client(loop);
+      HttpRequest request;
+      request.mHeaders = { { "X-Id", "1" } };
+      HttpCallOptions options;
+      options.mTimeout = 2s;
+      options.mEchoHeader = "X-Id";
+      answered = client.Open(peer.Address(), request, options).has_value();
+      loop.Stop();
+    });
+    loop.Run();
+    return answered;
+  };
+  for (const auto& head : heads) {
+    CHECK(isAnswered(head));
+    for (std::size_t n = 0; n < head.size(); ++n) {
+      CAPTURE(n);
+      CHECK_FALSE(isAnswered(head.substr(0, n)));
+    }
+  }
+}
+
 // Guards against losing requests at a planned stop under load: callers have
 // connected and sent requests that the server has not accepted or read yet.
 TEST_CASE("requests sent just before StopAccepting are answered")
--- a/standins/tests/raw_server.cpp
+++ b/standins/tests/raw_server.cpp
@@ -40,6 +40,7 @@
 RawServer::RawServer(Script aScript)
   : mScript(std::move(aScript))
   , mAcceptor(mContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+  , mAddress{ "127.0.0.1", mAcceptor.local_endpoint().port() }
 {
   Accept();
   mThread = std::thread([this] { mContext.run(); });
@@ -51,12 +52,6 @@
   mThread.join();
 }
 
-Endpoint
-RawServer::Address() const
-{
-  return { "127.0.0.1", mAcceptor.local_endpoint().port() };
-}
-
 void
 RawServer::Accept()
 {
@@ -109,6 +104,9 @@
         ReadRequest(aSession);
         return;
       }
+      if (aSession->mEnd == RawEnd::Crash) {
+        mAcceptor.close(aCode);
+      }
       if (aSession->mEnd == RawEnd::Reset) {
         aSession->mSocket.set_option(asio::socket_base::linger(true, 0), aCode);
       }
--- a/standins/tests/raw_server.h
+++ b/standins/tests/raw_server.h
@@ -18,7 +18,9 @@
   // Reads the next request on the connection.
   KeepOpen,
   Close,
-  Reset
+  Reset,
+  // Closes the connection and refuses new ones, as a process that ends.
+  Crash
 };
 
 // The bytes that a raw server writes for one request.
@@ -45,7 +47,7 @@
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
 
-  [[nodiscard]] Endpoint Address() const;
+  [[nodiscard]] const Endpoint& Address() const noexcept { return mAddress; }
   // Number of requests that were read.
   [[nodiscard]] int Requests() const noexcept { return mRequests; }
 
@@ -58,6 +60,7 @@
   Script mScript;
   boost::asio::io_context mContext;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  const Endpoint mAddress;
   std::atomic<int> mRequests = 0;
   std::thread mThread;
 };
