Show that changes stay out of force after a restored table

Callers get 404 and 401 for routes and keys of a confirmed configuration when the table service has come back from an older copy, and daemons call it without pause (183,000 calls in some seconds on loopback).

--- a/standins/src/fleet/row_table.cpp
+++ b/standins/src/fleet/row_table.cpp
@@ -93,6 +93,15 @@
   mRows[{ aTable, aKey }] = { {}, ++mVersion, true };
 }
 
+void
+RowTable::Restore()
+{
+  mRows = mCopy;
+  mVersion = mCopyVersion;
+  mOldest = std::min(mOldest, mVersion);
+  mEra = mEra.value_or(0) + 1;
+}
+
 RowTableFault
 RowTable::FaultOf(const HttpRequest& aRequest) const
 {
@@ -105,12 +114,19 @@
 void
 RowTable::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
 {
+  ++mCalls;
+  const auto send = [&](HttpResponse aResponse) {
+    if (mEra) {
+      aResponse.mHeaders.push_back({ "Store-Era", std::to_string(*mEra) });
+    }
+    (void)aResponder.Send(std::move(aResponse));
+  };
   switch (FaultOf(aRequest)) {
     case RowTableFault::Busy:
-      (void)aResponder.Send({ 503, {}, {} });
+      send({ 503, {}, {} });
       return;
     case RowTableFault::Many:
-      (void)aResponder.Send({ 429, {}, {} });
+      send({ 429, {}, {} });
       return;
     case RowTableFault::LostAnswer:
       (void)Serve(aRequest);
@@ -122,7 +138,7 @@
     case RowTableFault::None:
       break;
   }
-  (void)aResponder.Send(Serve(aRequest));
+  send(Serve(aRequest));
 }
 
 HttpResponse
@@ -135,7 +151,8 @@
   if (aRequest.mTarget.starts_with("/rows-feed?")) {
     const auto wait = std::chrono::milliseconds(FindNumber(query, "wait_ms"));
     const auto end = MonotonicNow() + wait;
-    while (Rows(query, FindNumber(query, "after")).empty() &&
+    const auto after = FindNumber(query, "after");
+    while (HasHistory(after) && Rows(query, after).empty() &&
            MonotonicNow() < end && mLoop.Sleep(kFeedStep)) {
     }
     return Feed(query);
@@ -200,7 +217,7 @@
 RowTable::Feed(const Query& aQuery) const
 {
   const auto after = FindNumber(aQuery, "after");
-  if (after < mOldest) {
+  if (!HasHistory(after)) {
     return { 410, {}, {} };
   }
   return Page(Rows(aQuery, after), false);
--- a/standins/src/fleet/row_table.h
+++ b/standins/src/fleet/row_table.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -61,6 +62,19 @@
   void Remove(const std::string& aTable, const std::string& aKey);
   // Answers requests for older changes with 410 from now on.
   void DropHistory() noexcept { mOldest = mVersion; }
+  // Keeps a copy of all rows for Restore.
+  void TakeCopy()
+  {
+    mCopy = mRows;
+    mCopyVersion = mVersion;
+  }
+  // Comes back from the copy: what was written since is lost, its versions are
+  // given out again, and the era rises by one.
+  void Restore();
+  // Names the era in all answers from now on; not before.
+  void SetEra(std::uint64_t aEra) noexcept { mEra = aEra; }
+  // Number of calls that were received.
+  [[nodiscard]] std::uint64_t Calls() const noexcept { return mCalls; }
   // Sets the fault of calls on one table, or of all calls when aTable is empty.
   void SetFault(RowTableFault aFault, std::string aTable = {})
   {
@@ -87,12 +101,21 @@
   [[nodiscard]] HttpResponse Get(const Query& aQuery) const;
   [[nodiscard]] HttpResponse Feed(const Query& aQuery) const;
   [[nodiscard]] HttpResponse Commit(const Json& aBody);
+  // Returns whether all changes after a version are known.
+  [[nodiscard]] bool HasHistory(std::uint64_t aAfter) const noexcept
+  {
+    return aAfter >= mOldest && aAfter <= mVersion;
+  }
   [[nodiscard]] Json Rows(const Query& aQuery, std::uint64_t aAfter) const;
   [[nodiscard]] HttpResponse Page(Json aRows, bool aHasMore) const;
 
   Loop& mLoop;
   std::map<std::pair<std::string, std::string>, Row> mRows;
   std::uint64_t mVersion = 0;
+  std::map<std::pair<std::string, std::string>, Row> mCopy;
+  std::uint64_t mCopyVersion = 0;
+  std::optional<std::uint64_t> mEra;
+  std::uint64_t mCalls = 0;
   std::uint64_t mOldest = 0;
   std::size_t mPageRows = 500;
   RowTableFault mFault = RowTableFault::None;
--- /dev/null
+++ b/standins/tests/fleet_restored_test.cpp
@@ -0,0 +1,162 @@
+#include "fleet_site.h"
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+using namespace bilberrytrail::standins;
+
+namespace {
+
+constexpr Duration kAwayTime = 500ms;
+// Time within which a change is in force after the table service is back.
+constexpr Duration kApplyTime = 3s;
+
+// Takes the table service away and brings it back from its copy.
+void
+Lose(FleetSite& aSite)
+{
+  aSite.mTable.SetFault(RowTableFault::Busy);
+  (void)aSite.mLoop.Sleep(kAwayTime);
+  aSite.mTable.Restore();
+  aSite.mTable.SetFault(RowTableFault::None);
+}
+
+// Returns whether a daemon serves reads by a key within the time for changes.
+bool
+Serves(FleetSite& aSite, std::size_t aDaemon, const std::string& aKey)
+{
+  static int sent = 0;
+  const auto end = MonotonicNow() + kApplyTime;
+  while (MonotonicNow() < end) {
+    if (aSite.Status(aDaemon, "s" + std::to_string(++sent), "/read/1", aKey) ==
+        200) {
+      return true;
+    }
+    (void)aSite.mLoop.Sleep(20ms);
+  }
+  return false;
+}
+
+} // namespace
+
+// Guards against a confirmed configuration that is never put in force, since
+// the numbers of a table service that came back from an older copy are lower
+// than those that the daemons have, and against calls without end.
+TEST_CASE("changes come into force after a loss of the table service's newest")
+{
+  for (const int losses : { 1, 2 }) {
+    for (const int changes : { 0, 1, 5 }) {
+      CAPTURE(losses);
+      CAPTURE(changes);
+      FleetSite site;
+      site.mTable.SetEra(1);
+      site.Run(2, [&] {
+        site.mTable.TakeCopy();
+        std::uint64_t version = 1;
+        // These are lost, so that their numbers are given out again.
+        for (int n = 0; n < changes; ++n) {
+          site.PutConfig(++version, "lost");
+        }
+        if (changes > 0) {
+          REQUIRE(Serves(site, 0, "lost"));
+          REQUIRE(Serves(site, 1, "lost"));
+        }
+        for (int n = 0; n < losses; ++n) {
+          Lose(site);
+        }
+        const auto before = site.mTable.Calls();
+        // The operator writes what was lost again, and a change.
+        site.PutConfig(version, changes > 0 ? "lost" : "key");
+        site.PutConfig(++version, "new");
+        for (const std::size_t n : { 0, 1 }) {
+          CAPTURE(n);
+          CHECK(Serves(site, n, "new"));
+          CHECK(site.Status(n, "old", "/read/1", "key") == 401);
+        }
+        (void)site.mLoop.Sleep(kApplyTime);
+        CHECK(site.mTable.Calls() - before < 60);
+      });
+    }
+  }
+}
+
+// Guards against a configuration that comes back older: the restored table has
+// an earlier one until the operator has written again.
+TEST_CASE("a configuration in force stays while the table has an older one")
+{
+  FleetSite site;
+  site.mTable.SetEra(1);
+  site.Run(1, [&] {
+    site.mTable.TakeCopy();
+    site.PutConfig(2, "new");
+    REQUIRE(Serves(site, 0, "new"));
+    Lose(site);
+    const auto end = MonotonicNow() + kApplyTime;
+    for (int n = 0; MonotonicNow() < end; ++n) {
+      CHECK(site.Status(0, "a" + std::to_string(n), "/read/1", "new") == 200);
+      CHECK(site.Status(0, "b" + std::to_string(n), "/read/1") != 200);
+      (void)site.mLoop.Sleep(50ms);
+    }
+  });
+}
+
+// Guards against a daemon that keeps its rows of before the loss, and passes
+// them on: it was cut off or frozen while the table service came back.
+TEST_CASE("a daemon cut off over a loss follows the restored table")
+{
+  for (const int losses : { 1, 2 }) {
+    CAPTURE(losses);
+    FleetSite site;
+    site.mTable.SetEra(1);
+    site.Run(2, [&] {
+      site.mTable.TakeCopy();
+      site.PutConfig(2, "lost");
+      site.PutConfig(3, "lost");
+      REQUIRE(Serves(site, 0, "lost"));
+      REQUIRE(Serves(site, 1, "lost"));
+      site.mGates[1]->mIsClosed = true;
+      for (int n = 0; n < losses; ++n) {
+        Lose(site);
+      }
+      site.PutConfig(3, "lost");
+      site.PutConfig(4, "new");
+      // By the daemon that reaches the table service.
+      CHECK(Serves(site, 0, "new"));
+      CHECK(Serves(site, 1, "new"));
+      site.PutConfig(5, "newer");
+      (void)site.mLoop.Sleep(kApplyTime);
+      site.mGates[1]->mIsClosed = false;
+      CHECK(Serves(site, 0, "newer"));
+      CHECK(Serves(site, 1, "newer"));
+    });
+  }
+}
+
+// Guards against a server that is used again although it had said that it
+// leaves: the restored table has its earlier row.
+TEST_CASE("a server that was leaving is not used while its row is an older one")
+{
+  for (const bool isGone : { false, true }) {
+    CAPTURE(isGone);
+    FleetSite site;
+    site.mTable.SetEra(1);
+    site.Run(1, [&] {
+      site.mTable.TakeCopy();
+      if (isGone) {
+        site.mTable.Remove("servers", "i-2");
+      } else {
+        site.PutServer(2, "draining");
+      }
+      (void)site.mLoop.Sleep(500ms);
+      REQUIRE(site.Status(0, "a", "/read/1") == 200);
+      const auto before = site.mServers[2]->Runs().size();
+      Lose(site);
+      const auto end = MonotonicNow() + kApplyTime;
+      for (int n = 0; MonotonicNow() < end; ++n) {
+        (void)site.Status(0, "b" + std::to_string(n), "/read/1");
+        (void)site.mLoop.Sleep(20ms);
+      }
+      CHECK(site.mServers[2]->Runs().size() == before);
+    });
+  }
+}
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr Duration kGatePeriod = 10ms;
+
 // An address of this process's own on loopback, so that a free port of it stays
 // free whatever runs beside.
 std::string
@@ -23,10 +25,17 @@
 
 } // namespace
 
+void
+TableGate::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  while (mIsClosed && mLoop.Sleep(kGatePeriod)) {
+  }
+  mTable.Handle(aRequest, aResponder);
+}
+
 FleetSite::FleetSite()
   : mClient(std::make_unique<HttpClient>(mLoop))
 {
-  mTableEndpoint = Listen(mTable);
   for (int n = 0; n < 4; ++n) {
     mServers.push_back(
       std::make_unique<FleetServer>(mLoop, "i-" + std::to_string(n)));
@@ -54,7 +63,8 @@
   EntrySettings settings;
   settings.mName = DaemonId("d" + std::to_string(aNumber));
   settings.mZone = ZoneId("z");
-  settings.mStore = mTableEndpoint;
+  mGates.push_back(std::make_unique<TableGate>(mLoop, mTable));
+  settings.mStore = Listen(*mGates.back());
   settings.mWeightsWithin = mWeightsWithin;
   // A daemon may repeat some sends soon after its start.
   settings.mRetryWindow = 100ms;
@@ -118,6 +128,9 @@
     }
     aBody();
     mTable.SetFault(RowTableFault::None);
+    for (auto& it : mGates) {
+      it->mIsClosed = false;
+    }
     for (auto& it : mDaemons) {
       it->Drain();
     }
@@ -161,15 +174,14 @@
 void
 FleetSite::OnCrash(std::size_t aNumber, Duration aDownTime)
 {
-  // The first one serves the table.
-  mHttpServers[aNumber + 1]->StopAccepting();
+  mHttpServers[aNumber]->StopAccepting();
   mLoop.Spawn([this, aNumber, aDownTime] {
     (void)mLoop.Sleep(aDownTime);
     auto server = std::make_unique<HttpServer>(mLoop, HttpLimits());
     CHECK(server->Listen(mEndpoints[aNumber]).has_value());
     mServers[aNumber]->Restart();
     server->Serve(*mServers[aNumber]);
-    mHttpServers[aNumber + 1] = std::move(server);
+    mHttpServers[aNumber] = std::move(server);
     PutServer(aNumber);
   });
 }
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -15,6 +15,26 @@
 
 namespace bilberrytrail::standins {
 
+// Passes the calls of one daemon to the table service, or holds them back as a
+// network that is cut, or a daemon that is frozen, would.
+class TableGate final : public HttpHandler
+{
+public:
+  TableGate(Loop& aLoop, HttpHandler& aTable)
+    : mLoop(aLoop)
+    , mTable(aTable)
+  {
+  }
+
+  void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
+
+  bool mIsClosed = false;
+
+private:
+  Loop& mLoop;
+  HttpHandler& mTable;
+};
+
 // A site of the fleet on loopback: the table service, two engines, two servers
 // of a plain service and some daemons, all in this process.
 class FleetSite
@@ -61,6 +81,8 @@
   std::unique_ptr<EntryPlatform> mPlatform = MakeFleetPlatform();
   std::vector<std::unique_ptr<EntryDaemon>> mDaemons;
   std::vector<EntrySettings> mSettings;
+  // The way of each daemon to the table service.
+  std::vector<std::unique_ptr<TableGate>> mGates;
 
 private:
   Endpoint Listen(HttpHandler& aHandler);
@@ -69,7 +91,6 @@
 
   std::vector<std::unique_ptr<HttpServer>> mHttpServers;
   std::unique_ptr<HttpClient> mClient;
-  Endpoint mTableEndpoint;
 };
 
 } // namespace bilberrytrail::standins
