Follow the table service into a later era

Callers got 404 and 401 for confirmed routes and keys, and old settings, from the moment the table service came back from an older copy until its version had passed the one before. Numbers that had caught up hid the changes in between.

A version is now a pair of the store's era and its number, in rows, replicas and what daemons pass to each other. A later era is newer whatever its number and is read whole; changes of another era are never merged; servers without a row in it lapse as after an outage. After a failed call the next one does not wait, so that a new era is seen at once, and a full read that is older than the replica counts as an outage, so that calls stay bounded. The event 1106 tells of it.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -43,6 +43,7 @@
   StopForced,
   TableDown,
   TableUp,
+  TableRestored,
   ListStale,
   ListFresh,
   ObjectStoreFailed,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -90,6 +90,15 @@
                 "table_up",
                 "The table service answers again.",
                 "Nothing." },
+  LogEventInfo{ TableRestored,
+                1106,
+                Warning,
+                "table_restored",
+                "The table service came back from an older copy: it is in a "
+                "new `era`, and its version has gone from `version_before` to "
+                "`version`. What was in force stays in force.",
+                "Check that the operator and the backend servers write again "
+                "what was lost." },
   LogEventInfo{ ListStale,
                 1103,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/site_feed.h
+++ b/packages/entry/include/bilberrytrail/entry/site_feed.h
@@ -27,14 +27,45 @@
                                                            "servers" };
 };
 
+// A version of the table service. Its number grows with each change of any row.
+// When the service comes back from an older copy, numbers are given out again
+// in a new, higher era, so that numbers of different eras cannot be compared.
+class TableVersion
+{
+public:
+  // The era is 0 if the table service has none. Implicit, since versions of
+  // one era are just numbers.
+  constexpr TableVersion(std::uint64_t aNumber = 0,
+                         std::uint64_t aEra = 0) noexcept
+    : mEra(aEra)
+    , mNumber(aNumber)
+  {
+  }
+
+  [[nodiscard]] constexpr std::uint64_t Era() const noexcept { return mEra; }
+  [[nodiscard]] constexpr std::uint64_t Number() const noexcept
+  {
+    return mNumber;
+  }
+  // Returns whether a table was read at all.
+  [[nodiscard]] constexpr bool IsKnown() const noexcept { return mNumber > 0; }
+
+  constexpr auto operator<=>(const TableVersion&) const noexcept = default;
+
+private:
+  // Compared first.
+  std::uint64_t mEra;
+  std::uint64_t mNumber;
+};
+
 // A row of such a table, or its removal.
 struct SiteRow
 {
   std::string mKey;
   std::string mValue;
-  // Version of the table service at the row's last change; it grows with each
-  // change of any row.
-  std::uint64_t mVersion = 0;
+  // Version of the table service at the row's last change, in the era in which
+  // the row was read.
+  TableVersion mVersion;
   bool mRemoved = false;
 
   bool operator==(const SiteRow&) const = default;
@@ -44,11 +75,11 @@
 struct SiteRows
 {
   std::vector<SiteRow> mRows;
-  std::uint64_t mVersion = 0;
+  TableVersion mVersion;
 };
 
 // Reads the tables and their changes. The error code NotFound means that the
-// requested changes are no longer kept, so that all rows must be read again.
+// requested changes are not known, so that all rows must be read again.
 class SiteFeed
 {
 public:
@@ -58,9 +89,9 @@
   [[nodiscard]] virtual CallResult<SiteRows> ReadAll(SiteTable aTable,
                                                      Duration aTimeout) = 0;
   // Returns the changes after a version as soon as there are any, or none after
-  // aWait.
+  // aWait. Fails with NotFound when the table service answers in another era.
   [[nodiscard]] virtual CallResult<SiteRows> ReadChanges(SiteTable aTable,
-                                                         std::uint64_t aAfter,
+                                                         TableVersion aAfter,
                                                          Duration aWait,
                                                          Duration aTimeout) = 0;
 };
--- a/packages/entry/include/bilberrytrail/entry/site_replica.h
+++ b/packages/entry/include/bilberrytrail/entry/site_replica.h
@@ -10,9 +10,10 @@
 namespace bilberrytrail {
 
 // This daemon's replica of the followed tables. It never goes back to an older
-// version. During an outage of the table service, rows of servers may lapse
-// although the servers are alive: such a row stays in force until the service
-// has been reachable again for kRecoveryTime.
+// version; all versions of a later era of the table service are newer. During
+// an outage of the table service, rows of servers may lapse although the
+// servers are alive, and a new era lacks the newest rows: such a row stays in
+// force until the service has been reachable again for kRecoveryTime.
 //
 //   if (replica.Merge(SiteTable::Servers, changes, now)) { publish a new view }
 class SiteReplica
@@ -24,23 +25,24 @@
   static constexpr Duration kRecoveryTime = 1900ms;
 
   // Returns the version of a table's replica; 0 before the first read.
-  [[nodiscard]] std::uint64_t Version(SiteTable aTable) const noexcept;
+  [[nodiscard]] TableVersion Version(SiteTable aTable) const noexcept;
   // Returns the rows in force, including lapsed rows of servers.
   [[nodiscard]] std::vector<SiteRow> Rows(SiteTable aTable) const;
   // Returns a whole table for another daemon, without lapsed rows.
   [[nodiscard]] SiteRows Export(SiteTable aTable) const;
   // Returns the changes after a version, lapsed rows as removed; nothing when
-  // some removals since then have been discarded.
+  // some removals since then are not known, as those of another era.
   [[nodiscard]] std::optional<SiteRows> ChangesSince(
     SiteTable aTable,
-    std::uint64_t aVersion) const;
+    TableVersion aVersion) const;
   // Returns when Expire should be called next; nothing if no row is to expire.
   [[nodiscard]] std::optional<Instant> NextExpiry() const noexcept;
 
-  // Replaces a table by a full read. Returns true when the rows in force
-  // changed, or the table was read for the first time.
+  // Replaces a table by a full read, unless that is older. Returns true when
+  // the rows in force changed, or the table was read for the first time.
   bool Replace(SiteTable aTable, const SiteRows& aRows, Instant aNow);
-  // Applies changes. Returns true in the same cases as Replace.
+  // Applies changes of the era of the replica; those of another era are
+  // ignored. Returns true in the same cases as Replace.
   bool Merge(SiteTable aTable, const SiteRows& aChanges, Instant aNow);
   // Records that the table service answered this daemon or one that it asked.
   void OnContact(Instant aNow) noexcept;
@@ -54,11 +56,11 @@
   struct Table
   {
     std::map<std::string, SiteRow> mRows;
-    std::uint64_t mVersion = 0;
+    TableVersion mVersion;
     // The newest removals, oldest first: key and version.
-    std::deque<std::pair<std::string, std::uint64_t>> mRemovals;
+    std::deque<std::pair<std::string, TableVersion>> mRemovals;
     // All removals after this version are in mRemovals.
-    std::uint64_t mRemovalsSince = 0;
+    TableVersion mRemovalsSince;
   };
 
   // Removals kept for other daemons; many times those of a few seconds.
@@ -67,8 +69,10 @@
   [[nodiscard]] bool IsRemovalUncertain(Instant aNow) const noexcept;
   bool Remove(SiteTable aTable,
               const std::string& aKey,
-              std::uint64_t aVersion,
+              TableVersion aVersion,
               Instant aNow);
+  // Applies changes whatever their era.
+  bool Apply(SiteTable aTable, const SiteRows& aChanges, Instant aNow);
   [[nodiscard]] Table& TableOf(SiteTable aTable) noexcept;
   [[nodiscard]] const Table& TableOf(SiteTable aTable) const noexcept;
 
@@ -76,7 +80,7 @@
   // Rows of servers that lapsed during an outage.
   std::map<std::string, SiteRow> mLapsed;
   bool mIsReachable = false;
-  // When the table service became reachable again.
+  // When the table service became reachable again, or began a new era.
   std::optional<Instant> mReachableSince;
 };
 
--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -56,12 +56,12 @@
   const SiteReader& mReader;
   // The part of the view that comes from the operator's rows.
   SiteView mOperator;
-  std::uint64_t mOperatorVersion = 0;
+  TableVersion mOperatorVersion;
   bool mHasReadOperator = false;
   // Parsed records by key, with the version of their row.
-  std::map<std::string, std::pair<std::uint64_t, ServerRecord>> mServers;
+  std::map<std::string, std::pair<TableVersion, ServerRecord>> mServers;
   // Row version of each key that was last logged as unreadable.
-  std::map<std::string, std::uint64_t> mReported;
+  std::map<std::string, TableVersion> mReported;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/peer_replicas.cpp
+++ b/packages/entry/src/peer_replicas.cpp
@@ -10,10 +10,18 @@
 // A longer lag is not sent, and rejected when read.
 constexpr Duration kMaxLag = 3600s;
 
+// Returns an era; builds that do not know eras omit the field.
+std::uint64_t
+ReadEra(JsonFields& aFields, std::string_view aName)
+{
+  return aFields.Has(aName) ? aFields.Unsigned(aName) : 0;
+}
+
+// The era of a row is that of its table.
 Json
 ToJson(const SiteRow& aRow)
 {
-  Json json{ { "key", aRow.mKey }, { "version", aRow.mVersion } };
+  Json json{ { "key", aRow.mKey }, { "version", aRow.mVersion.Number() } };
   if (aRow.mRemoved) {
     json["removed"] = true;
   } else {
@@ -30,7 +38,8 @@
     rows.push_back(ToJson(it));
   }
   return { { "whole", aRows.mIsWhole },
-           { "version", aRows.mRows.mVersion },
+           { "version", aRows.mRows.mVersion.Number() },
+           { "era", aRows.mRows.mVersion.Era() },
            { "rows", std::move(rows) } };
 }
 
@@ -59,8 +68,13 @@
   JsonFields fields(aJson);
   ReplicaRows rows;
   rows.mIsWhole = fields.Flag("whole");
-  rows.mRows.mVersion = fields.Unsigned("version");
+  const auto number = fields.Unsigned("version");
+  const auto era = ReadEra(fields, "era");
+  rows.mRows.mVersion = { number, era };
   rows.mRows.mRows = ReadListField(fields, "rows", ReadRow);
+  for (auto& it : rows.mRows.mRows) {
+    it.mVersion = { it.mVersion.Number(), era };
+  }
   return Checked(fields, std::move(rows));
 }
 
@@ -87,7 +101,7 @@
 
 // Returns the rows of a table that the requester lacks.
 std::optional<ReplicaRows>
-RowsSince(SiteTable aTable, std::uint64_t aVersion, const SiteReplica& aReplica)
+RowsSince(SiteTable aTable, TableVersion aVersion, const SiteReplica& aReplica)
 {
   if (aReplica.Version(aTable) <= aVersion) {
     return std::nullopt;
@@ -103,8 +117,10 @@
 Json
 ToJson(const ReplicaQuery& aQuery)
 {
-  return { { "operator", aQuery.mOperatorVersion },
-           { "servers", aQuery.mServersVersion } };
+  return { { "operator", aQuery.mOperatorVersion.Number() },
+           { "operator_era", aQuery.mOperatorVersion.Era() },
+           { "servers", aQuery.mServersVersion.Number() },
+           { "servers_era", aQuery.mServersVersion.Era() } };
 }
 
 Result<ReplicaQuery>
@@ -112,8 +128,10 @@
 {
   JsonFields fields(aJson);
   ReplicaQuery query;
-  query.mOperatorVersion = fields.Unsigned("operator");
-  query.mServersVersion = fields.Unsigned("servers");
+  query.mOperatorVersion = { fields.Unsigned("operator"),
+                             ReadEra(fields, "operator_era") };
+  query.mServersVersion = { fields.Unsigned("servers"),
+                            ReadEra(fields, "servers_era") };
   return Checked(fields, query);
 }
 
--- a/packages/entry/src/peer_replicas.h
+++ b/packages/entry/src/peer_replicas.h
@@ -17,8 +17,8 @@
 struct ReplicaQuery
 {
   // Versions of the requester's replicas.
-  std::uint64_t mOperatorVersion = 0;
-  std::uint64_t mServersVersion = 0;
+  TableVersion mOperatorVersion;
+  TableVersion mServersVersion;
 };
 
 // Rows of a table for another daemon.
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -76,17 +76,18 @@
 void
 SiteFollower::Follow(SiteTable aTable)
 {
-  bool mustReadAll = true;
+  auto mode = ReadMode::All;
   unsigned pauses = 1;
   while (!mLoop.IsStopping()) {
     if (!mIsDirect) {
       (void)mWakeUps[static_cast<std::size_t>(aTable)].Wait(kIndirectPause);
       continue;
     }
-    if (ReadOnce(aTable, mustReadAll)) {
+    if (ReadOnce(aTable, mode)) {
       pauses = 1;
       continue;
     }
+    mode = mode == ReadMode::Wait ? ReadMode::Changes : mode;
     for (unsigned n = 0; n < pauses && mIsDirect; ++n) {
       QueryPeers();
       (void)mLoop.Sleep(kRetryPause);
@@ -96,32 +97,41 @@
 }
 
 bool
-SiteFollower::ReadOnce(SiteTable aTable, bool& aMustReadAll)
+SiteFollower::ReadOnce(SiteTable aTable, ReadMode& aMode)
 {
-  const auto wait = mIsServing ? kServingWait : kChangeWait;
+  const bool mustReadAll = aMode == ReadMode::All;
+  const auto wait = aMode == ReadMode::Changes ? Duration(0)
+                    : mIsServing               ? kServingWait
+                                               : kChangeWait;
   const auto margin = mIsServing ? kServingCallMargin : kCallMargin;
   const auto sentAt = BootNow();
-  const auto rows =
-    aMustReadAll ? mFeed.ReadAll(aTable, kReadTimeout)
-                 : mFeed.ReadChanges(
-                     aTable, mReplica.Version(aTable), wait, wait + margin);
+  auto rows = mustReadAll
+                ? mFeed.ReadAll(aTable, kReadTimeout)
+                : mFeed.ReadChanges(
+                    aTable, mReplica.Version(aTable), wait, wait + margin);
   if (!rows) {
     if (rows.error().mError.mCode == ErrorCode::NotFound) {
-      aMustReadAll = true;
+      aMode = ReadMode::All;
       return true;
     }
     OnOutage(aTable, rows.error());
     return false;
   }
+  // Changes may be overtaken by those of another daemon, whole tables are not.
+  if (mustReadAll && rows.value().mVersion < mReplica.Version(aTable)) {
+    OnOutage(aTable,
+             FailCall(CallDisposition::NotRun,
+                      ErrorCode::Corrupt,
+                      "rows are older than this daemon's"));
+    return false;
+  }
   OnContact(aTable);
-  const auto now = MonotonicNow();
-  const bool changed = aMustReadAll
-                         ? mReplica.Replace(aTable, rows.value(), now)
-                         : mReplica.Merge(aTable, rows.value(), now);
+  const ReplicaRows read{ mustReadAll, std::move(rows).value() };
+  const bool changed = ApplyRows(aTable, read, MonotonicNow());
   // An answer without changes comes at the end of the wait; it may be read much
   // later, as after the process was frozen.
-  const bool hasWaited = !aMustReadAll && rows.value().mRows.empty();
-  aMustReadAll = false;
+  const bool hasWaited = !mustReadAll && read.mRows.mRows.empty();
+  aMode = ReadMode::Wait;
   if (changed) {
     Publish();
   }
@@ -154,12 +164,13 @@
   mReplica.OnOutage();
   if (!mIsOutage) {
     mIsOutage = true;
-    LogLine(LogEvent::TableDown,
-            { { "table", aTable },
-              { "code", aError.mError.mCode },
-              { "reason", aError.mError.mMessage },
-              { "operator_version", mReplica.Version(SiteTable::Operator) },
-              { "servers_version", mReplica.Version(SiteTable::Servers) } });
+    LogLine(
+      LogEvent::TableDown,
+      { { "table", aTable },
+        { "code", aError.mError.mCode },
+        { "reason", aError.mError.mMessage },
+        { "operator_version", mReplica.Version(SiteTable::Operator).Number() },
+        { "servers_version", mReplica.Version(SiteTable::Servers).Number() } });
   }
 }
 
@@ -208,11 +219,12 @@
     changed = ApplyRows(SiteTable::Servers, *aReply.mServers, now) || changed;
   }
   if (changed && mIsDirect) {
-    LogLine(LogEvent::PeerImageTaken,
-            { { "daemon", aPeer.mName },
-              { "in_reach", aReply.mIsTableReachable },
-              { "operator_version", mReplica.Version(SiteTable::Operator) },
-              { "servers_version", mReplica.Version(SiteTable::Servers) } });
+    LogLine(
+      LogEvent::PeerImageTaken,
+      { { "daemon", aPeer.mName },
+        { "in_reach", aReply.mIsTableReachable },
+        { "operator_version", mReplica.Version(SiteTable::Operator).Number() },
+        { "servers_version", mReplica.Version(SiteTable::Servers).Number() } });
   }
   if (changed) {
     Publish();
@@ -227,8 +239,19 @@
                         const ReplicaRows& aRows,
                         Instant aNow)
 {
-  return aRows.mIsWhole ? mReplica.Replace(aTable, aRows.mRows, aNow)
-                        : mReplica.Merge(aTable, aRows.mRows, aNow);
+  const auto before = mReplica.Version(aTable);
+  const bool changed = aRows.mIsWhole
+                         ? mReplica.Replace(aTable, aRows.mRows, aNow)
+                         : mReplica.Merge(aTable, aRows.mRows, aNow);
+  const auto after = mReplica.Version(aTable);
+  if (before.IsKnown() && after.Era() > before.Era()) {
+    LogLine(LogEvent::TableRestored,
+            { { "table", aTable },
+              { "era", after.Era() },
+              { "version", after.Number() },
+              { "version_before", before.Number() } });
+  }
+  return changed;
 }
 
 ReplicaQuery
@@ -265,10 +288,11 @@
   const auto before = mViews.Load();
   auto view = mAssembler.Assemble(mReplica, mCompleteAt);
   if (before == nullptr || before->mServers.size() != view->mServers.size()) {
-    LogLine(LogEvent::SiteServersChanged,
-            { { "cause", "list" },
-              { "servers", view->mServers.size() },
-              { "servers_version", mReplica.Version(SiteTable::Servers) } });
+    LogLine(
+      LogEvent::SiteServersChanged,
+      { { "cause", "list" },
+        { "servers", view->mServers.size() },
+        { "servers_version", mReplica.Version(SiteTable::Servers).Number() } });
   }
   mViews.Store(std::move(view));
 }
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -84,9 +84,20 @@
   void AddMethods(RpcMethods& aMethods);
 
 private:
+  // What the next call reads.
+  enum class ReadMode : unsigned char
+  {
+    All,
+    // What has changed by now: after a failed call, the answer tells at once
+    // whether the table service is in another era.
+    Changes,
+    // The next changes.
+    Wait
+  };
+
   void Follow(SiteTable aTable);
   void WatchExpiry();
-  bool ReadOnce(SiteTable aTable, bool& aMustReadAll);
+  bool ReadOnce(SiteTable aTable, ReadMode& aMode);
   void OnContact(SiteTable aTable);
   void OnOutage(SiteTable aTable, const CallError& aError);
   void QueryPeers();
--- a/packages/entry/src/site_replica.cpp
+++ b/packages/entry/src/site_replica.cpp
@@ -18,7 +18,7 @@
   return mTables[static_cast<std::size_t>(aTable)];
 }
 
-std::uint64_t
+TableVersion
 SiteReplica::Version(SiteTable aTable) const noexcept
 {
   return TableOf(aTable).mVersion;
@@ -51,10 +51,11 @@
 }
 
 std::optional<SiteRows>
-SiteReplica::ChangesSince(SiteTable aTable, std::uint64_t aVersion) const
+SiteReplica::ChangesSince(SiteTable aTable, TableVersion aVersion) const
 {
   const auto& table = TableOf(aTable);
-  if (aVersion < table.mRemovalsSince || aVersion == 0) {
+  if (aVersion < table.mRemovalsSince || !aVersion.IsKnown() ||
+      aVersion.Era() != table.mVersion.Era()) {
     return std::nullopt;
   }
   SiteRows rows{ {}, table.mVersion };
@@ -92,7 +93,7 @@
 bool
 SiteReplica::Remove(SiteTable aTable,
                     const std::string& aKey,
-                    std::uint64_t aVersion,
+                    TableVersion aVersion,
                     Instant aNow)
 {
   auto& table = TableOf(aTable);
@@ -122,6 +123,13 @@
   if (aRows.mVersion < table.mVersion) {
     return false;
   }
+  if (table.mVersion.IsKnown() && aRows.mVersion.Era() > table.mVersion.Era()) {
+    table.mRemovals.clear();
+    table.mRemovalsSince = aRows.mVersion;
+    if (aTable == SiteTable::Servers) {
+      mReachableSince = aNow;
+    }
+  }
   SiteRows changes{ {}, aRows.mVersion };
   std::set<std::string_view> present;
   for (const auto& it : aRows.mRows) {
@@ -136,14 +144,23 @@
   }
   changes.mRows.insert(
     changes.mRows.end(), aRows.mRows.begin(), aRows.mRows.end());
-  return Merge(aTable, changes, aNow);
+  return Apply(aTable, changes, aNow);
 }
 
 bool
 SiteReplica::Merge(SiteTable aTable, const SiteRows& aChanges, Instant aNow)
+{
+  const auto version = Version(aTable);
+  const bool isOtherEra =
+    version.IsKnown() && aChanges.mVersion.Era() != version.Era();
+  return !isOtherEra && Apply(aTable, aChanges, aNow);
+}
+
+bool
+SiteReplica::Apply(SiteTable aTable, const SiteRows& aChanges, Instant aNow)
 {
   auto& table = TableOf(aTable);
-  bool changed = table.mVersion == 0 && aChanges.mVersion > 0;
+  bool changed = !table.mVersion.IsKnown() && aChanges.mVersion.IsKnown();
   for (const auto& row : aChanges.mRows) {
     const auto it = table.mRows.find(row.mKey);
     if (it != table.mRows.end() && it->second.mVersion >= row.mVersion) {
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -32,7 +32,7 @@
   LogLine(LogEvent::SiteRowUnreadable,
           { { "table", aTable },
             { "row", aRow.mKey },
-            { "row_version", aRow.mVersion },
+            { "row_version", aRow.mVersion.Number() },
             { "reason", aError.mMessage } });
 }
 
@@ -102,7 +102,7 @@
     }
   }
   auto view = std::make_shared<SiteView>(mOperator);
-  view->mHasReadServers = aReplica.Version(SiteTable::Servers) > 0;
+  view->mHasReadServers = aReplica.Version(SiteTable::Servers).IsKnown();
   const auto rows = aReplica.Rows(SiteTable::Servers);
   for (const auto& row : rows) {
     ReadServerRow(row, *view);
--- a/packages/entry/tests/peer_replicas_test.cpp
+++ b/packages/entry/tests/peer_replicas_test.cpp
@@ -62,6 +62,45 @@
   }
 }
 
+// Guards against daemons that keep each other at rows of before a loss, which
+// have higher numbers than the restored ones.
+TEST_CASE("a replica of a later era is newer whatever its number")
+{
+  SiteReplica replica;
+  const Instant now = Instant() + 1000s;
+  const auto table = SiteTable::Servers;
+  (void)replica.Replace(table, { { { "s1", "x", 7 } }, { 7, 1 } }, now);
+  (void)replica.Replace(table, { { { "s2", "y", { 3, 2 } } }, { 4, 2 } }, now);
+  struct Row
+  {
+    TableVersion mHas;
+    bool mIsTold;
+    bool mIsWhole;
+  };
+  for (const Row& row : { Row{ 0, true, true },
+                          Row{ { 7, 1 }, true, true },
+                          Row{ { 4, 1 }, true, true },
+                          Row{ { 3, 2 }, true, true },
+                          Row{ { 4, 2 }, false, false },
+                          Row{ { 9, 2 }, false, false },
+                          Row{ { 1, 3 }, false, false } }) {
+    CAPTURE(row.mHas.Era());
+    CAPTURE(row.mHas.Number());
+    const auto query = ReadReplicaQuery(ToJson(ReplicaQuery{ 9, row.mHas }));
+    REQUIRE(query.has_value());
+    const auto reply = ReadReplicaReply(
+      ToJson(AnswerReplicaQuery(query.value(), replica, true, 0ms)));
+    REQUIRE(reply.has_value());
+    const auto& rows = reply.value().mServers;
+    REQUIRE(rows.has_value() == row.mIsTold);
+    if (rows) {
+      CHECK(rows->mIsWhole == row.mIsWhole);
+      CHECK(rows->mRows.mVersion == TableVersion{ 4, 2 });
+      CHECK(rows->mRows.mRows.front().mVersion == TableVersion{ 3, 2 });
+    }
+  }
+}
+
 TEST_CASE("malformed replica replies are rejected")
 {
   for (const char* text :
--- a/packages/entry/tests/site_replica_test.cpp
+++ b/packages/entry/tests/site_replica_test.cpp
@@ -61,6 +61,51 @@
   CHECK(replica.Rows(table).front().mValue == "new");
 }
 
+// Guards against a replica that refuses the rows of a table service that came
+// back from an older copy, or takes changes of an earlier era.
+TEST_CASE("a replica follows its table service into a later era")
+{
+  const auto table = SiteTable::Operator;
+  SiteReplica replica;
+  (void)replica.Replace(
+    table, { { { "config", "old", 9 } }, { 9, 1 } }, At(0s));
+  const TableVersion restored{ 4, 2 };
+  const SiteRows later{ { { "config", "new", restored } }, restored };
+  CHECK_FALSE(replica.Merge(table, later, At(1s)));
+  CHECK(replica.Replace(table, later, At(1s)));
+  CHECK(replica.Version(table) == restored);
+  CHECK(replica.Rows(table).front().mValue == "new");
+  const SiteRows earlier{ { { "config", "old", { 12, 1 } } }, { 12, 1 } };
+  CHECK_FALSE(replica.Merge(table, earlier, At(2s)));
+  CHECK_FALSE(replica.Replace(table, earlier, At(2s)));
+  // The number of an earlier row is given out again.
+  const TableVersion again{ 9, 2 };
+  CHECK(
+    replica.Merge(table, { { { "config", "newer", again } }, again }, At(3s)));
+  CHECK(replica.Rows(table).front().mValue == "newer");
+  CHECK(replica.Rows(table).size() == 1);
+}
+
+// Guards against live servers that are dropped because the copy has no row of
+// them yet: they write it again.
+TEST_CASE("servers without a row in the copy stay until the recovery time")
+{
+  for (const bool comesBack : { false, true }) {
+    CAPTURE(comesBack);
+    auto replica = StableReplica();
+    CHECK(replica.Replace(
+      kServers, { { { "b", "v", { 2, 1 } } }, { 2, 1 } }, At(10s)));
+    CHECK(Has(replica, "a"));
+    if (comesBack) {
+      CHECK(replica.Merge(
+        kServers, { { { "a", "v", { 3, 1 } } }, { 3, 1 } }, At(11s)));
+    }
+    CHECK(replica.Expire(At(10s) + SiteReplica::kRecoveryTime) != comesBack);
+    CHECK(Has(replica, "a") == comesBack);
+    CHECK(Has(replica, "b"));
+  }
+}
+
 TEST_CASE(
   "a server removed while the table service is reachable is gone at once")
 {
