Keep servers that left out when their earlier rows are restored

Callers' requests reached servers that had said that they leave, or whose rows had been removed, for as long as the restored table showed their earlier rows: 73 requests in 3 s on loopback. A view now keeps what is known of a server until its row changes again in the new era: a leaving server stays leaving, removed ones are remembered (1,024 of them) and come back as leaving only, and no server goes back to an earlier start, which would also have ended its pauses.

--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -4,6 +4,7 @@
 #include <bilberrytrail/entry/site_replica.h>
 #include <bilberrytrail/entry/weight_history.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 
@@ -30,6 +31,11 @@
 // Builds views from the replica of the tables. Unreadable rows are skipped, and
 // the last readable configuration stays in force. Each unreadable version of a
 // row is logged once.
+//
+// A restored table shows servers as they were some time ago. What was known of
+// a server stays until its row changes again: a server that was leaving, or
+// whose row was removed, does not come back with its earlier row, and none goes
+// back to an earlier start.
 class SiteAssembler
 {
 public:
@@ -46,8 +52,22 @@
     Instant aAbsentAt);
 
 private:
+  // Removed servers that are kept; many times those of the span that a copy of
+  // the table may lack.
+  static constexpr std::size_t kMaxRemoved = 1024;
+
   void ReadOperatorRow(const SiteRow& aRow, Instant aAbsentAt);
+  // A server's record, and the version of the row that it was read from.
+  struct KnownServer
+  {
+    TableVersion mVersion;
+    ServerRecord mRecord;
+  };
+
   void ReadServerRow(const SiteRow& aRow, SiteView& aView);
+  [[nodiscard]] ServerRecord ParseServer(const SiteRow& aRow);
+  // Keeps what is known of servers that have no row any more.
+  void NoteRemovals(const std::vector<SiteRow>& aRows);
   void ApplyConfig(SiteConfig aConfig);
   void ReportUnreadable(SiteTable aTable,
                         const SiteRow& aRow,
@@ -58,8 +78,10 @@
   SiteView mOperator;
   TableVersion mOperatorVersion;
   bool mHasReadOperator = false;
-  // Parsed records by key, with the version of their row.
-  std::map<std::string, std::pair<TableVersion, ServerRecord>> mServers;
+  // By key.
+  std::map<std::string, KnownServer> mServers;
+  // Servers whose rows were removed, as leaving ones, in the order of removal.
+  std::deque<KnownServer> mRemoved;
   // Row version of each key that was last logged as unreadable.
   std::map<std::string, TableVersion> mReported;
 };
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -8,6 +8,19 @@
 
 namespace bilberrytrail {
 
+namespace {
+
+// Returns whether a record of a server is older than another one.
+bool
+GoesBack(const ServerRecord& aKnown, const ServerRecord& aRead)
+{
+  return aRead.mStartedAtMs < aKnown.mStartedAtMs ||
+         (aRead.mStartedAtMs == aKnown.mStartedAtMs && aKnown.mIsLeaving &&
+          !aRead.mIsLeaving);
+}
+
+} // namespace
+
 const BackendService*
 SiteView::FindService(const ServiceId& aName) const noexcept
 {
@@ -70,22 +83,68 @@
   }
 }
 
+ServerRecord
+SiteAssembler::ParseServer(const SiteRow& aRow)
+{
+  auto parsed = mReader.Read(SiteTable::Servers, aRow);
+  if (auto* server = std::get_if<ServerRecord>(&parsed)) {
+    return std::move(*server);
+  }
+  if (const auto* error = std::get_if<Error>(&parsed)) {
+    ReportUnreadable(SiteTable::Servers, aRow, *error);
+  }
+  return {};
+}
+
 void
 SiteAssembler::ReadServerRow(const SiteRow& aRow, SiteView& aView)
 {
-  auto& [version, record] = mServers[aRow.mKey];
-  if (version != aRow.mVersion) {
-    version = aRow.mVersion;
-    record = ServerRecord();
-    auto parsed = mReader.Read(SiteTable::Servers, aRow);
-    if (auto* server = std::get_if<ServerRecord>(&parsed)) {
-      record = std::move(*server);
-    } else if (const auto* error = std::get_if<Error>(&parsed)) {
-      ReportUnreadable(SiteTable::Servers, aRow, *error);
+  const auto [it, isNew] = mServers.try_emplace(aRow.mKey);
+  auto& known = it->second;
+  if (isNew) {
+    const auto removed =
+      std::ranges::find(mRemoved, ServerId(aRow.mKey), [](const auto& aServer) {
+        return aServer.mRecord.mId;
+      });
+    if (removed != mRemoved.end()) {
+      known = std::move(*removed);
+      mRemoved.erase(removed);
     }
   }
-  if (!record.mId.IsEmpty()) {
-    aView.mServers.push_back(record);
+  if (known.mVersion != aRow.mVersion) {
+    auto record = ParseServer(aRow);
+    const bool isLaterEra = aRow.mVersion.Era() > known.mVersion.Era();
+    if (!isLaterEra || !GoesBack(known.mRecord, record)) {
+      known.mRecord = std::move(record);
+    }
+    known.mVersion = aRow.mVersion;
+  }
+  if (!known.mRecord.mId.IsEmpty()) {
+    aView.mServers.push_back(known.mRecord);
+  }
+}
+
+void
+SiteAssembler::NoteRemovals(const std::vector<SiteRow>& aRows)
+{
+  std::set<std::string_view> present;
+  for (const auto& it : aRows) {
+    present.insert(it.mKey);
+  }
+  for (auto it = mServers.begin(); it != mServers.end();) {
+    if (present.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    auto& server = it->second;
+    if (!server.mRecord.mId.IsEmpty()) {
+      server.mRecord.mIsLeaving = true;
+      mRemoved.push_back(std::move(server));
+    }
+    it = mServers.erase(it);
+  }
+  while (mRemoved.size() > kMaxRemoved) {
+    mRemoved.pop_front();
   }
 }
 
@@ -107,13 +166,7 @@
   for (const auto& row : rows) {
     ReadServerRow(row, *view);
   }
-  std::set<std::string_view> present;
-  for (const auto& row : rows) {
-    present.insert(row.mKey);
-  }
-  std::erase_if(mServers, [&](const auto& aEntry) {
-    return !present.contains(aEntry.first);
-  });
+  NoteRemovals(rows);
   return view;
 }
 
--- a/standins/tests/fleet_restored_test.cpp
+++ b/standins/tests/fleet_restored_test.cpp
@@ -149,6 +149,8 @@
     FleetSite site;
     site.mTable.SetEra(1);
     site.Run(1, [&] {
+      // A removal soon after the start may be a lapse.
+      (void)site.mLoop.Sleep(2s);
       site.mTable.TakeCopy();
       if (isGone) {
         site.mTable.Remove("servers", "i-2");
