Give each era of the table service a lease row of its own

When the table service comes back from an older copy, the newest lease rows are lost: another daemon could take the lease at once, with a fencing number that the holder of before uses, and a late write of before could match a version that was given out again. Servers that do not check fencing numbers would follow both.

The lease now knows the era. A higher one ends the lease and drops writes in progress; each era has a row of its own, whose epochs are greater than all before; an absent row is taken only after a holder of before must have stopped, counted from when the era was learned. A daemon therefore waits that long after its start, too, before the first order of an era.

--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -22,6 +22,8 @@
   // before.
   bool mHasReadServers = false;
   WeightHistory mWeights;
+  // Highest era of the followed tables.
+  std::uint64_t mTableEra = 0;
 
   // Returns null when the configuration has no such service.
   [[nodiscard]] const BackendService* FindService(
--- a/packages/entry/src/rollout_runner.cpp
+++ b/packages/entry/src/rollout_runner.cpp
@@ -102,6 +102,7 @@
   const bool isWanted = mIsLeaving
                           ? mLastOrderAt && now < *mLastOrderAt + mOrderGap
                           : mCandidacy.IsWanted(rank, pending, now);
+  mLease.SetEra(view->mTableEra, BootNow());
   mLease.SetWanted(isWanted);
   RunLease();
   const auto fence = mLease.EpochForOrder(BootNow());
@@ -127,11 +128,13 @@
   }
   if (const auto* read = std::get_if<LeaseRead>(&*action)) {
     const auto row = mTable.Read(read->mKey, kLeaseCallTimeout);
+    mLease.SetEra(mTable.Era(), BootNow());
     mLease.OnRead(read->mSequence, row, BootNow());
     return;
   }
   const auto& write = std::get<LeaseWrite>(*action);
   const auto done = mTable.Commit({ write.mWrite }, kLeaseCallTimeout);
+  mLease.SetEra(mTable.Era(), BootNow());
   mLease.OnWrite(write.mSequence, done, BootNow());
 }
 
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -162,6 +162,9 @@
   }
   auto view = std::make_shared<SiteView>(mOperator);
   view->mHasReadServers = aReplica.Version(SiteTable::Servers).IsKnown();
+  for (const auto table : AllOf<SiteTable>()) {
+    view->mTableEra = std::max(view->mTableEra, aReplica.Version(table).Era());
+  }
   const auto rows = aReplica.Rows(SiteTable::Servers);
   for (const auto& row : rows) {
     ReadServerRow(row, *view);
--- a/packages/platform/include/bilberrytrail/platform/table_service.h
+++ b/packages/platform/include/bilberrytrail/platform/table_service.h
@@ -50,6 +50,9 @@
 public:
   virtual ~TableService() = default;
 
+  // Returns the highest era that the table service has named in an answer: it
+  // rises when the service comes back from an older copy. 0 for none.
+  [[nodiscard]] virtual std::uint64_t Era() const noexcept { return 0; }
   // Reads one row; std::nullopt when it does not exist.
   [[nodiscard]] virtual CallResult<std::optional<TableRow>> Read(
     const std::string& aKey,
--- a/packages/release/include/bilberrytrail/release/lease.h
+++ b/packages/release/include/bilberrytrail/release/lease.h
@@ -70,6 +70,11 @@
 // sending of its last confirmed write, an observer from the last change of the
 // row that it saw.
 //
+// A table service that comes back from an older copy, in a new era, has lost
+// the newest rows and gives their versions out again. So each era has a row of
+// its own, which no write of an earlier era can match, and its epochs are
+// greater than all of earlier eras.
+//
 //   Lease lease("lease/3", self, settings);
 //   lease.SetWanted(true);
 //   if (auto action = lease.Tick(now)) { ... }
@@ -92,6 +97,10 @@
   // the change confirmed in the row.
   [[nodiscard]] bool IsRelinquishing() const noexcept;
 
+  // Sets the era of the table service, from any of its answers and before a
+  // result of the same answer is handled. A higher one ends the lease and the
+  // call in progress. Lower ones are ignored.
+  void SetEra(std::uint64_t aEra, Instant aNow);
   // Sets whether this daemon should hold the lease. A holder that should not
   // relinquishes it, and repeats the write when a reply is lost; its caller
   // must have finished its orders before.
@@ -130,11 +139,23 @@
   void ApplyRow(const std::optional<TableRow>& aRow, Instant aNow);
   void Confirm(const Pending& aWrite);
   [[nodiscard]] bool CanAcquire(Instant aNow) const;
+  // Returns the time after which a holder of which nothing more is heard has
+  // sent its last order.
+  [[nodiscard]] Duration TakeoverWait() const noexcept
+  {
+    return mSettings.mLength + mSettings.mMaxOrderDuration;
+  }
+  // Returns the key of the row in the current era.
+  [[nodiscard]] std::string Key() const;
 
   std::string mKey;
   DaemonId mSelf;
   LeaseSettings mSettings;
   bool mWanted = false;
+  // 0 if the table service has none.
+  std::uint64_t mEra = 0;
+  // When this daemon learned of the era.
+  Instant mEraSince;
   std::uint64_t mSequence = 0;
   std::optional<Call> mCall;
   std::vector<Pending> mPending;
--- a/packages/release/src/lease.cpp
+++ b/packages/release/src/lease.cpp
@@ -6,6 +6,13 @@
 
 using nlohmann::json;
 
+namespace {
+
+// Epochs of one era; many more than there are changes of holder.
+constexpr std::uint64_t kEpochsPerEra = 1ULL << 32U;
+
+} // namespace
+
 std::string
 ToText(const LeaseRow& aRow)
 {
@@ -77,6 +84,31 @@
   return mWanted || mRelinquishing ? mNextRead : Instant::max();
 }
 
+std::string
+Lease::Key() const
+{
+  return mEra == 0 ? mKey : mKey + "@" + std::to_string(mEra);
+}
+
+void
+Lease::SetEra(std::uint64_t aEra, Instant aNow)
+{
+  if (aEra <= mEra) {
+    return;
+  }
+  mEra = aEra;
+  mEraSince = aNow;
+  mCall.reset();
+  mPending.clear();
+  mMustRead = true;
+  mNextRead = aNow;
+  mSeen.reset();
+  mSeenVersion = 0;
+  mChangedAt.reset();
+  mEpoch.reset();
+  mRelinquishing.reset();
+}
+
 void
 Lease::SetWanted(bool aWanted) noexcept
 {
@@ -144,24 +176,28 @@
 Lease::TickObserver(Instant aNow)
 {
   if (CanAcquire(aNow)) {
-    const FencingNumber last = mSeen ? mSeen->mEpoch : FencingNumber();
+    const FencingNumber last =
+      mSeen ? mSeen->mEpoch : FencingNumber(mEra * kEpochsPerEra);
     return Write(mSelf, last.Next(), aNow);
   }
   return aNow >= mNextRead ? std::optional(Read(aNow)) : std::nullopt;
 }
 
-// An absent or relinquished row is free, and so is one that still names this
-// daemon: no other daemon can have sent orders since it expired. Otherwise the
-// lease and its holder's last order must have ended, counted from the last
-// observed change of the row.
+// A relinquished row is free, and so is one that still names this daemon: no
+// other daemon can have sent orders since it expired. Otherwise the lease and
+// its holder's last order must have ended, counted from the last observed
+// change of the row. While the row is absent, the holder may be one of an
+// earlier era.
 bool
 Lease::CanAcquire(Instant aNow) const
 {
-  if (!mSeen || mSeen->mHolder.IsEmpty() || mSeen->mHolder == mSelf) {
+  if (!mSeen) {
+    return mEra == 0 || aNow >= mEraSince + TakeoverWait();
+  }
+  if (mSeen->mHolder.IsEmpty() || mSeen->mHolder == mSelf) {
     return true;
   }
-  return mChangedAt &&
-         aNow >= *mChangedAt + mSettings.mLength + mSettings.mMaxOrderDuration;
+  return mChangedAt && aNow >= *mChangedAt + TakeoverWait();
 }
 
 LeaseAction
@@ -169,7 +205,7 @@
 {
   mNextRead = aNow + mSettings.mReadInterval;
   mCall = Call{ ++mSequence, aNow, false };
-  return LeaseRead{ mSequence, mKey };
+  return LeaseRead{ mSequence, Key() };
 }
 
 LeaseAction
@@ -178,7 +214,7 @@
   mCall = Call{ ++mSequence, aNow, true };
   const LeaseRow row{ std::move(aHolder), aEpoch, mSequence };
   mPending.push_back({ row, mSeenVersion, aNow });
-  return LeaseWrite{ mSequence, { mKey, ToText(row), mSeenVersion } };
+  return LeaseWrite{ mSequence, { Key(), ToText(row), mSeenVersion } };
 }
 
 void
--- a/packages/release/tests/lease_test.cpp
+++ b/packages/release/tests/lease_test.cpp
@@ -264,7 +264,9 @@
 
 // Three daemons with random faults of their calls, random pauses in which a
 // daemon does nothing, and writes that take effect late. At no time may two
-// daemons hold the lease, and the epochs of successive holders must grow.
+// daemons hold the lease, and the epochs of successive holders must grow. On
+// some runs the table comes back from a copy some seconds old, several times:
+// versions are given out again, so that late writes may match.
 TEST_CASE("at most one holder and growing epochs under random faults")
 {
   struct LateWrite
@@ -275,8 +277,11 @@
   int holders = 0;
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
     CAPTURE(seed);
+    const bool isRestored = seed % 2 == 0;
     Random random(seed);
     FakeTable table;
+    FakeTable copy;
+    std::uint64_t era = isRestored ? 1 : 0;
     std::vector<Daemon> daemons;
     std::vector<Instant> pausedUntil(3, At(0s));
     for (const char* it : { "a", "b", "c" }) {
@@ -290,6 +295,13 @@
         (void)table.Commit({ late.front().mWrite });
         late.pop_front();
       }
+      if (isRestored && random.Below(100) == 0) {
+        copy = table;
+      }
+      if (isRestored && random.Below(150) == 0) {
+        table = copy;
+        ++era;
+      }
       for (std::size_t n = 0; n < daemons.size(); ++n) {
         if (now < pausedUntil[n]) {
           continue;
@@ -307,7 +319,11 @@
                              ? static_cast<TableFault>(random.Below(4))
                              : TableFault::None;
         if (const auto* read = std::get_if<LeaseRead>(&*action)) {
-          lease.OnRead(read->mSequence, table.Read(kKey, fault), now);
+          const auto row = table.Read(read->mKey, fault);
+          if (row) {
+            lease.SetEra(era, now);
+          }
+          lease.OnRead(read->mSequence, row, now);
           continue;
         }
         const auto& write = std::get<LeaseWrite>(*action);
@@ -316,8 +332,11 @@
           late.push_back({ now + 4s, write.mWrite });
           continue;
         }
-        lease.OnWrite(
-          write.mSequence, table.Commit({ write.mWrite }, fault), now);
+        const auto done = table.Commit({ write.mWrite }, fault);
+        if (done) {
+          lease.SetEra(era, now);
+        }
+        lease.OnWrite(write.mSequence, done, now);
       }
       int count = 0;
       for (std::size_t n = 0; n < daemons.size(); ++n) {
@@ -340,6 +359,45 @@
   CHECK(holders > 10000);
 }
 
+// Guards against a second holder, or a fencing number given out again, when the
+// table comes back from a copy without the holder's row.
+TEST_CASE("a lease of an earlier era ends before the next holder's begins")
+{
+  FakeTable table;
+  Daemon first("a");
+  Daemon second("b");
+  Instant now = At(0s);
+  first.mLease.SetEra(1, now);
+  second.mLease.SetEra(1, now);
+  const auto wait = kSettings.mLength + kSettings.mMaxOrderDuration;
+  // The era may have begun just before.
+  RunSteps(table, { &first, &second }, now, wait);
+  CHECK_FALSE(first.mLease.EpochForOrder(now));
+  RunSteps(table, { &first, &second }, now, 2s);
+  const auto before = first.mLease.EpochForOrder(now);
+  REQUIRE(before);
+  table = FakeTable();
+  // Only the second daemon learns of the loss; the first one is paused.
+  second.mLease.SetEra(2, now);
+  const auto lost = now;
+  while (!second.mLease.EpochForOrder(now)) {
+    RunSteps(table, { &second }, now, kStep);
+    REQUIRE(now - lost < 20s);
+  }
+  CHECK(now - lost >= wait);
+  CHECK_FALSE(first.mLease.EpochForOrder(now));
+  CHECK(second.mLease.EpochForOrder(now)->Value() > before->Value());
+  // The first one learns of it by an answer, after a late write of its own.
+  const LeaseRow row{ DaemonId("a"), *before, 99 };
+  CHECK(table.Commit({ { kKey + "@1", ToText(row), 0 } }).value().mCommitted);
+  first.mLease.SetEra(2, now);
+  for (int n = 0; n < 20; ++n) {
+    RunSteps(table, { &first, &second }, now, 1s);
+    CHECK_FALSE(first.mLease.EpochForOrder(now));
+    CHECK(second.mLease.EpochForOrder(now));
+  }
+}
+
 // A holder that lost its connection to the table returns before a takeover.
 // No other daemon can have sent orders, so it does not have to wait.
 TEST_CASE("an expired holder reacquires its lease at once, with a higher epoch")
