Register a daemon again when the table service has lost its row

Daemons that had started shortly before the table service came back from an older copy had no row any more. The others forgot them at their next read, so that homes, shares of limits and allowances of repeats were computed for fewer daemons, and nobody asked them while the table service was away. A daemon now writes its row again in each era, without a write if it is still there, and the others keep what they know for 4 s, until all have done so.

--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -320,6 +320,9 @@
   std::shared_ptr<const SiteConfig> config;
   while (mControl.Sleep(kForwardPeriod)) {
     mDaemons = mPeers.IsComplete() ? mPeers.All().size() : 0;
+    if (const auto view = mViews.Load()) {
+      mPeers.SetEra(view->mTableEra);
+    }
     ForwardPlacement();
     if (IsReady() != wasReady) {
       wasReady = !wasReady;
--- a/packages/entry/src/peer_directory.cpp
+++ b/packages/entry/src/peer_directory.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kCallTimeout = 1s;
 // Pause after a failed call.
 constexpr Duration kRetryPause = 500ms;
+// Time within which all daemons have noticed a new era and registered again.
+constexpr Duration kReturnTime = 4s;
 // Time between two reads of the other daemons' rows; new daemons are rare.
 constexpr Duration kReadPeriod = 10s;
 
@@ -54,6 +56,7 @@
   , mSelf(std::move(aSelf))
   , mRandom(aSeed)
   , mPeers{ mSelf }
+  , mEraHasRisen(aLoop)
 {
 }
 
@@ -105,6 +108,10 @@
   if (!rows) {
     return false;
   }
+  SetEra(mTable.Era());
+  if (mEra > mRegisteredEra) {
+    return true;
+  }
   std::vector<PeerAddress> peers{ mSelf };
   for (const auto& row : rows.value()) {
     const DaemonId name(row.mKey.substr(kRowPrefix.size()));
@@ -128,15 +135,38 @@
 }
 
 void
-PeerDirectory::Run()
+PeerDirectory::SetEra(std::uint64_t aEra)
 {
+  if (aEra > mEra) {
+    mEra = aEra;
+    if (mReadAt) {
+      mEraHasRisen.Notify();
+    }
+  }
+}
+
+void
+PeerDirectory::RegisterAll()
+{
+  const bool isFirst = !mReadAt;
   while (!mLoop.IsStopping() && !Register()) {
     (void)mLoop.Sleep(kRetryPause);
   }
-  // Daemons that started at the same time have registered after a pause.
-  (void)mLoop.Sleep(kRetryPause);
+  SetEra(mTable.Era());
+  mRegisteredEra = mEra;
+  (void)mLoop.Sleep(isFirst ? kRetryPause : kReturnTime);
+}
+
+void
+PeerDirectory::Run()
+{
+  RegisterAll();
   while (!mLoop.IsStopping()) {
-    (void)mLoop.Sleep(ReadPeers() ? kReadPeriod : kRetryPause);
+    const auto pause = ReadPeers() ? kReadPeriod : kRetryPause;
+    (void)mEraHasRisen.Wait(pause);
+    if (mEra > mRegisteredEra) {
+      RegisterAll();
+    }
   }
 }
 
--- a/packages/entry/src/peer_directory.h
+++ b/packages/entry/src/peer_directory.h
@@ -29,9 +29,9 @@
 [[nodiscard]] Result<PeerAddress>
 ReadPeerRow(const DaemonId& aName, const std::string& aText);
 
-// The daemons of the site. Each writes a row at its start. Rows of stopped
-// daemons stay: a call to one of these fails, and the caller tries another
-// daemon.
+// The daemons of the site. Each writes a row at its start, and again when the
+// table service has come back from a copy without it. Rows of stopped daemons
+// stay: a call to one of these fails, and the caller tries another daemon.
 class PeerDirectory
 {
 public:
@@ -58,10 +58,15 @@
   // Returns up to aLimit other daemons in random order.
   [[nodiscard]] std::vector<PeerAddress> PickOthers(std::size_t aLimit);
 
+  // Tells the era of the table service. In a later one the rows known so far
+  // stay until all daemons have had time to write theirs again.
+  void SetEra(std::uint64_t aEra);
   // Registers this daemon, then reads the other rows until the loop stops.
   void Run();
 
 private:
+  // Registers this daemon in the newest era and waits for the others to do so.
+  void RegisterAll();
   bool Register();
   bool ReadPeers();
 
@@ -71,6 +76,10 @@
   Random mRandom;
   std::vector<PeerAddress> mPeers;
   std::optional<Instant> mReadAt;
+  // The newest era known, and that in which this daemon is registered.
+  std::uint64_t mEra = 0;
+  std::uint64_t mRegisteredEra = 0;
+  Event mEraHasRisen;
 };
 
 } // namespace bilberrytrail
--- a/standins/tests/fleet_restored_test.cpp
+++ b/standins/tests/fleet_restored_test.cpp
@@ -170,3 +170,30 @@
     });
   }
 }
+
+// Guards against daemons that forget each other: the row of one that started
+// shortly before the loss is not in the copy.
+TEST_CASE("a daemon writes its own row again after a loss")
+{
+  FleetSite site;
+  site.mTable.SetEra(1);
+  site.mTable.TakeCopy();
+  const auto rows = [&] {
+    return static_cast<int>(
+             !site.mTable.Value("bilberrytrail", "daemon/d0").empty()) +
+           static_cast<int>(
+             !site.mTable.Value("bilberrytrail", "daemon/d1").empty());
+  };
+  site.Run(2, [&] {
+    REQUIRE(site.Await([&] { return rows() == 2; }));
+    for (int n = 0; n < 2; ++n) {
+      Lose(site);
+      CHECK(rows() == 0);
+      const auto end = MonotonicNow() + kApplyTime;
+      while (rows() < 2 && MonotonicNow() < end) {
+        (void)site.mLoop.Sleep(20ms);
+      }
+      CHECK(rows() == 2);
+    }
+  });
+}
