Send the whole table to daemons older than the first read

A server whose row was removed stayed in use at a daemon that asked another one which had started after the removal: that one took itself to know all removals since version 0 and sent changes only. Now it knows them from its first read on.

The test failed before, for both versions.

--- a/packages/entry/src/site_replica.cpp
+++ b/packages/entry/src/site_replica.cpp
@@ -123,12 +123,14 @@
   if (aRows.mVersion < table.mVersion) {
     return false;
   }
-  if (table.mVersion.IsKnown() && aRows.mVersion.Era() > table.mVersion.Era()) {
+  // Removals before the first read, or of an earlier era, are not known.
+  const bool isNewEra = aRows.mVersion.Era() > table.mVersion.Era();
+  if (!table.mVersion.IsKnown() || isNewEra) {
     table.mRemovals.clear();
     table.mRemovalsSince = aRows.mVersion;
-    if (aTable == SiteTable::Servers) {
-      mReachableSince = aNow;
-    }
+  }
+  if (table.mVersion.IsKnown() && isNewEra && aTable == SiteTable::Servers) {
+    mReachableSince = aNow;
   }
   SiteRows changes{ {}, aRows.mVersion };
   std::set<std::string_view> present;
--- a/packages/entry/tests/peer_replicas_test.cpp
+++ b/packages/entry/tests/peer_replicas_test.cpp
@@ -62,6 +62,21 @@
   }
 }
 
+// Guards against a row that stays with a requester for good: the daemon that
+// answers started after its removal, so that it knows nothing of it.
+TEST_CASE("a replica read anew tells no changes since before its first read")
+{
+  SiteReplica replica;
+  const Instant now = Instant() + 1000s;
+  (void)replica.Replace(
+    SiteTable::Servers, { { { "s2", "y", 5, false } }, 6 }, now);
+  for (const std::uint64_t version : { 4, 5 }) {
+    const auto reply = AnswerReplicaQuery({ 0, version }, replica, true, 0ms);
+    REQUIRE(reply.mServers);
+    CHECK(reply.mServers->mIsWhole);
+  }
+}
+
 // Guards against daemons that keep each other at rows of before a loss, which
 // have higher numbers than the restored ones.
 TEST_CASE("a replica of a later era is newer whatever its number")
