Doubt the operator's table for a time after a loss

Unknown ones now get 503 with the time to come back until the operator has had time to write again, and the time from which weights count as announced does not move on.

The test failed before (401 and 404 where 503 is due). That the time of announcements stays is by reading, not tested.

--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -33,7 +33,7 @@
 bool
 SiteViewHolder::IsFresh(Instant aNow) const noexcept
 {
-  return Age(aNow) <= kFreshTime;
+  return Age(aNow) <= kFreshTime && !IsDoubted(aNow);
 }
 
 SiteFollower::SiteFollower(Loop& aLoop,
@@ -250,6 +250,9 @@
               { "era", after.Era() },
               { "version", after.Number() },
               { "version_before", before.Number() } });
+    if (aTable == SiteTable::Operator) {
+      mViews.DoubtUntil(aNow + SiteReplica::kRecoveryTime);
+    }
   }
   return changed;
 }
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -26,7 +26,7 @@
     return mView.load();
   }
   // Returns whether the view was confirmed within kFreshTime, by the table
-  // service or by a daemon that it answers. Thread-safe.
+  // service or by a daemon that it answers, and is not doubted. Thread-safe.
   [[nodiscard]] bool IsFresh(Instant aNow) const noexcept;
 
   void Store(std::shared_ptr<const SiteView> aView)
@@ -39,6 +39,15 @@
     mConfirmedAt =
       std::max(mConfirmedAt.load(), aAt.time_since_epoch().count());
   }
+  // Records that the operator's table may lack changes until a time.
+  void DoubtUntil(Instant aUntil) noexcept
+  {
+    mDoubtedUntil = aUntil.time_since_epoch().count();
+  }
+  [[nodiscard]] bool IsDoubted(Instant aNow) const noexcept
+  {
+    return aNow < Instant(Duration(mDoubtedUntil.load()));
+  }
   // Returns the time since the view was confirmed.
   [[nodiscard]] Duration Age(Instant aNow) const noexcept
   {
@@ -51,6 +60,7 @@
 private:
   std::atomic<std::shared_ptr<const SiteView>> mView;
   std::atomic<Duration::rep> mConfirmedAt = 0;
+  std::atomic<Duration::rep> mDoubtedUntil = 0;
 };
 
 // Follows the operator's and the servers' tables, and queries other daemons for
@@ -103,10 +113,12 @@
   void QueryPeers();
   Result<ReplicaReply> QueryPeer(const PeerAddress& aPeer);
   // Records that the operator's rows lack no change made before a time on the
-  // boot clock.
+  // boot clock, unless a restored table may lack some.
   void SetComplete(Instant aAt) noexcept
   {
-    mCompleteAt = std::max(mCompleteAt, aAt);
+    if (!mViews.IsDoubted(MonotonicNow())) {
+      mCompleteAt = std::max(mCompleteAt, aAt);
+    }
   }
   bool ApplyRows(SiteTable aTable, const ReplicaRows& aRows, Instant aNow);
   void Publish();
--- a/standins/tests/fleet_restored_test.cpp
+++ b/standins/tests/fleet_restored_test.cpp
@@ -197,3 +197,26 @@
     }
   });
 }
+
+// Guards against "no such key" for one that the operator has added but not
+// written again yet.
+TEST_CASE("unknown keys are not denied while the restored table may lack some")
+{
+  FleetSite site;
+  site.mTable.SetEra(1);
+  site.Run(1, [&] {
+    site.mTable.TakeCopy();
+    site.PutConfig(2, "key");
+    CHECK(site.Status(0, "a", "/read/1", "unknown") == 401);
+    const auto before = site.mTable.Calls();
+    Lose(site);
+    // Two tables have been read and are waited for.
+    REQUIRE(site.Await([&] { return site.mTable.Calls() >= before + 8; }));
+    CHECK(site.Status(0, "b", "/read/1", "unknown") == 503);
+    CHECK(site.Status(0, "c", "/nowhere/1") == 503);
+    CHECK(site.Status(0, "d", "/read/1") == 200);
+    (void)site.mLoop.Sleep(kApplyTime);
+    CHECK(site.Status(0, "e", "/read/1", "unknown") == 401);
+    CHECK(site.Status(0, "f", "/nowhere/1") == 404);
+  });
+}
