--- a/standins/tests/fleet_broken_answer_test.cpp
+++ b/standins/tests/fleet_broken_answer_test.cpp
@@ -28,30 +28,36 @@
   const std::string part = aIsStream ? kEvent + "id: 2\nda" : "who";
   const std::string between = aIsStream ? kEvent : part;
   std::vector<Broken> rows;
+  const auto size = between.size();
+  const auto chunk = (size < 10 ? std::to_string(size) : "f") + "\r\n";
   for (const auto end : { RawEnd::Close, RawEnd::Reset, RawEnd::Crash }) {
+    const auto add = [&](std::string aHead,
+                         std::initializer_list<std::string_view> aBody) {
+      for (const auto it : aBody) {
+        aHead += it;
+      }
+      rows.push_back({ std::move(aHead), end });
+    };
     for (const std::size_t n : { 4, 15, 17, 40, 60 }) {
-      rows.push_back({ kHead.substr(0, n), end });
+      add(kHead.substr(0, n), {});
     }
-    rows.push_back({ kHead, end });
+    add(kHead, {});
     const auto length = kHead + "Content-Length: 99\r\n\r\n";
     const auto chunks = kHead + "Transfer-Encoding: chunked\r\n\r\n";
-    for (const auto& head : { length, chunks }) {
-      rows.push_back({ head, end });
-    }
-    rows.push_back({ length + between, end });
-    rows.push_back({ length + part, end });
-    const auto size = between.size();
-    const auto chunk = (size < 10 ? std::to_string(size) : "f") + "\r\n";
-    rows.push_back({ chunks + chunk + between + "\r\n", end });
-    rows.push_back({ chunks + chunk + between, end });
-    rows.push_back({ chunks + "63\r\n" + part, end });
+    add(length, {});
+    add(length, { between });
+    add(length, { part });
+    add(chunks, {});
+    add(chunks, { chunk, between, "\r\n" });
+    add(chunks, { chunk, between });
+    add(chunks, { "63\r\n", part });
     if (aIsStream) {
-      rows.push_back({ kHead + "\r\n", end });
-      rows.push_back({ kHead + "\r\n" + part, end });
+      add(kHead, { "\r\n" });
+      add(kHead, { "\r\n", part });
     }
     if (end != RawEnd::Close) {
-      rows.push_back({ kHead + "\r\n", end });
-      rows.push_back({ kHead + "\r\n" + between, end });
+      add(kHead, { "\r\n" });
+      add(kHead, { "\r\n", between });
     }
   }
   return rows;
@@ -70,6 +76,7 @@
     site.mTable.Remove("servers", "i-" + std::to_string(first + 1));
     std::vector<std::unique_ptr<RawServer>> servers;
     const auto rows = MakeBroken(isStream);
+    servers.reserve(rows.size());
     for (const auto& it : rows) {
       servers.push_back(
         std::make_unique<RawServer>([&it](const std::string& /*aHead*/) {
