Answer the requests that a planned stop cannot finish

Here idle connections are closed 2.6 s after the signal, so that only requests that were being read or queued then can come late; but whatever ran at the end of the stop time was cut: its caller saw a closed connection and could not tell whether the order may have run.

Requests that arrive more than 0.5 s after the daemon has stopped accepting are refused at once, as not run and with Retry-After.

--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -14,9 +14,12 @@
 #include <bilberrytrail/traffic/attempt_ledger.h>
 
 #include <functional>
+#include <set>
 
 namespace bilberrytrail {
 
+class RequestRun;
+
 // State and services that the requests of one traffic thread share.
 struct FlowContext
 {
@@ -61,9 +64,16 @@
 
   // Answers one request; blocks the calling fiber until it has ended.
   void Handle(const CallerRequest& aRequest, CallerSink& aSink);
+  // Refuses requests that arrive from now on, as not run.
+  void RefuseNew() noexcept { mRefusesNew = true; }
+  // Ends all requests in progress: their callers are told what is known of
+  // them, or their streams are cut. The daemon is about to exit.
+  void EndAll();
 
 private:
   FlowContext mContext;
+  bool mRefusesNew = false;
+  std::set<RequestRun*> mRuns;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -22,8 +22,13 @@
 // The balancer removes a daemon after two failed readiness checks, one a
 // second; its last connections arrive shortly after.
 constexpr Duration kBalancerLeaveTime = 2600ms;
+// Time after that in which requests on connections that were accepted before
+// still arrive; later ones are refused.
+constexpr Duration kLastRequestTime = 500ms;
 // Reserve of the stop time, to exit before the process is killed.
 constexpr Duration kStopReserve = 400ms;
+// Time of the reserve in which callers are told that their requests have ended.
+constexpr Duration kLastAnswerTime = 200ms;
 constexpr Duration kDrainCheckPeriod = 20ms;
 constexpr Duration kForwardPeriod = 500ms;
 // Share of a server's rate limit that all daemons together use for requests
@@ -92,6 +97,7 @@
   void OnStores(std::vector<CacheStore> aStores) override;
   void OnPage(CachePage aPage) override;
   void DrainOnControl();
+  void AwaitEnd(Instant aUntil);
   void ForwardSettings();
   void ForwardPlacement();
   void ForwardMap();
@@ -439,6 +445,17 @@
   mControl.Spawn([this] { DrainOnControl(); });
 }
 
+// Waits until nothing is left to do before the exit, or until a time.
+void
+EntryDaemon::Impl::AwaitEnd(Instant aUntil)
+{
+  while (
+    MonotonicNow() < aUntil &&
+    (mCallerServer.ActiveRequests() > 0 || mRolloutRunner.IsRelinquishing()) &&
+    mControl.Sleep(kDrainCheckPeriod)) {
+  }
+}
+
 void
 EntryDaemon::Impl::DrainOnControl()
 {
@@ -452,11 +469,12 @@
   mTraffic.Post([this] { mCallerServer.CloseAfterAnswers(); });
   (void)mControl.Sleep(kBalancerLeaveTime);
   mTraffic.Post([this] { mCallerServer.StopAccepting(); });
-  while (
-    MonotonicNow() < end &&
-    (mCallerServer.ActiveRequests() > 0 || mRolloutRunner.IsRelinquishing()) &&
-    mControl.Sleep(kDrainCheckPeriod)) {
-  }
+  const auto lastRequest = MonotonicNow() + kLastRequestTime;
+  AwaitEnd(std::min(lastRequest, end));
+  mTraffic.Post([this] { mFlow.RefuseNew(); });
+  AwaitEnd(end);
+  mTraffic.Post([this] { mFlow.EndAll(); });
+  AwaitEnd(end + kLastAnswerTime);
   LogLine(LogEvent::DrainDone,
           { { "running", mCallerServer.ActiveRequests() } });
   mTraffic.Stop();
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -85,7 +85,7 @@
   Next next = Next::Send;
   while (next == Next::Send) {
     if (mCancel.IsCancelled() || mSink.HasCallerLeft()) {
-      NoteCallerLeft();
+      EndCancelled();
       return;
     }
     if (TimeLeft() < kMinTimeLeft) {
@@ -112,7 +112,23 @@
 void
 RequestFlow::Handle(const CallerRequest& aRequest, CallerSink& aSink)
 {
-  RequestRun(mContext, aRequest, aSink).Run();
+  RequestRun run(mContext, aRequest, aSink);
+  if (mRefusesNew) {
+    run.RefuseStopping();
+    return;
+  }
+  mRuns.insert(&run);
+  run.Run();
+  mRuns.erase(&run);
+}
+
+void
+RequestFlow::EndAll()
+{
+  RefuseNew();
+  for (auto* it : mRuns) {
+    it->Stop();
+  }
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -29,6 +29,11 @@
   }
 
   void Run();
+  // Ends the request while Run is in progress, since the daemon exits. Call on
+  // the loop's thread.
+  void Stop();
+  // Refuses the request, since the daemon exits soon.
+  void RefuseStopping();
 
 private:
   // A request with less time left is not sent.
@@ -124,6 +129,8 @@
   [[nodiscard]] Duration RetryDelay() const noexcept;
   void NoteDone(unsigned aStatus);
   void NoteCallerLeft();
+  // Ends a request that was cancelled, by its caller or by Stop.
+  void EndCancelled();
   [[nodiscard]] SeriesLabels Labels() const;
   // Returns the tokens of the prompt; 0 for a request without one.
   [[nodiscard]] std::uint64_t PromptTokens() const noexcept;
@@ -143,6 +150,7 @@
   ServiceId mService;
   AttemptLedger mLedger;
   HttpCancel mCancel;
+  bool mIsStopped = false;
   // Parts of the prompt that other prompts may have too.
   std::vector<PartKey> mParts;
   ServerQuery mQuery;
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -213,7 +213,7 @@
     NoteBroken();
   }
   if (aFailure.mFault == SendFault::Cancelled || mCancel.IsCancelled()) {
-    NoteCallerLeft();
+    EndCancelled();
     return Next::Done;
   }
   LogLine(LogEvent::SendFailed,
--- a/packages/entry/src/request_run_end.cpp
+++ b/packages/entry/src/request_run_end.cpp
@@ -146,6 +146,29 @@
             { "sends", mSends } });
 }
 
+void
+RequestRun::Stop()
+{
+  mIsStopped = true;
+  mCancel.Cancel();
+}
+
+void
+RequestRun::RefuseStopping()
+{
+  Refuse(RefusalReason::Draining, "This daemon is stopping.", kMinRetryAfter);
+}
+
+void
+RequestRun::EndCancelled()
+{
+  if (mIsStopped && !mSink.HasCallerLeft()) {
+    RefuseStopping();
+  } else {
+    NoteCallerLeft();
+  }
+}
+
 void
 RequestRun::NoteCallerLeft()
 {
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -177,6 +177,15 @@
       mSink.mOnCallerGone();
     });
   }
+  if (mRefusesNew) {
+    flow.RefuseNew();
+  }
+  if (mEndsAllAfter) {
+    mLoop.Spawn([&] {
+      (void)mLoop.Sleep(*mEndsAllAfter);
+      flow.EndAll();
+    });
+  }
   mLoop.Spawn([&] {
     const auto begin = MonotonicNow();
     flow.Handle(mRequest, mSink);
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -177,6 +177,10 @@
   CallerRequest mRequest;
   FakeSink mSink;
   FakePlacer mPlacer;
+  // The daemon refuses new requests before its stop.
+  bool mRefusesNew = false;
+  // The daemon stops after this time.
+  std::optional<Duration> mEndsAllAfter;
   Duration mElapsed{};
 };
 
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -66,6 +66,7 @@
   mGates.push_back(std::make_unique<TableGate>(mLoop, mTable));
   settings.mStore = Listen(*mGates.back());
   settings.mWeightsWithin = mWeightsWithin;
+  settings.mStopTime = mStopTime;
   // A daemon may repeat some sends soon after its start.
   settings.mRetryWindow = 100ms;
   settings.mRetrySlack = 1000;
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -74,6 +74,8 @@
 
   // The setting weights.within of the daemons that start from now on.
   Duration mWeightsWithin = EntrySettings().mWeightsWithin;
+  // The time that the daemons that start from now on have to stop.
+  Duration mStopTime = EntrySettings().mStopTime;
   Loop mLoop;
   RowTable mTable{ mLoop };
   std::vector<std::unique_ptr<FleetServer>> mServers;
