--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -68,7 +68,7 @@
 
   void ReadServerRow(const SiteRow& aRow, SiteView& aView);
   [[nodiscard]] ServerRecord ParseServer(const SiteRow& aRow);
-  // Keeps what is known of servers that have no row any more.
+  // Moves servers that have no row any more to mRemoved.
   void NoteRemovals(const std::vector<SiteRow>& aRows);
   void ApplyConfig(SiteConfig aConfig);
   void ReportUnreadable(SiteTable aTable,
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -1,3 +1,4 @@
+#include "function_handler.h"
 #include "peer_directory.h"
 #include "placement_service.h"
 #include "relay_follower.h"
@@ -46,26 +47,6 @@
   return limits;
 }
 
-// Passes requests for all paths to one function.
-class FunctionHandler final : public HttpHandler
-{
-public:
-  using Function = std::function<HttpResponse(const HttpRequest&)>;
-
-  explicit FunctionHandler(Function aFunction)
-    : mFunction(std::move(aFunction))
-  {
-  }
-
-  void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override
-  {
-    (void)aResponder.Send(mFunction(aRequest));
-  }
-
-private:
-  Function mFunction;
-};
-
 // Returns an identifier that differs from those of all other daemons and of
 // earlier processes of this one.
 std::uint64_t
