Register again at once when the era rises before the first read

A daemon that learned of a later era between its registration and its first read of the other daemons' rows would have waited 10 s with neither, so that it knew no other daemon meanwhile. Found by reading, not seen, and without a test of its own.

--- a/packages/entry/src/peer_directory.cpp
+++ b/packages/entry/src/peer_directory.cpp
@@ -163,7 +163,9 @@
   RegisterAll();
   while (!mLoop.IsStopping()) {
     const auto pause = ReadPeers() ? kReadPeriod : kRetryPause;
-    (void)mEraHasRisen.Wait(pause);
+    if (mEra == mRegisteredEra) {
+      (void)mEraHasRisen.Wait(pause);
+    }
     if (mEra > mRegisteredEra) {
       RegisterAll();
     }
--- a/packages/entry/src/peer_directory.h
+++ b/packages/entry/src/peer_directory.h
@@ -68,6 +68,9 @@
   // Registers this daemon in the newest era and waits for the others to do so.
   void RegisterAll();
   bool Register();
+  // Reads the other daemons' rows, unless some may be missing in a later era
+  // than that in which this daemon is registered. Returns false when the call
+  // failed.
   bool ReadPeers();
 
   Loop& mLoop;
