Give the call after a failed one as long for its answer as any other

The call after a failed one does not wait for changes any more, and its timeout had shrunk with the wait, to 0.3 or 0.6 s: less than the answer takes, so that each further call failed too. The timeout is again that of a call which waits.

The test failed before.

--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -100,15 +100,15 @@
 SiteFollower::ReadOnce(SiteTable aTable, ReadMode& aMode)
 {
   const bool mustReadAll = aMode == ReadMode::All;
-  const auto wait = aMode == ReadMode::Changes ? Duration(0)
-                    : mIsServing               ? kServingWait
-                                               : kChangeWait;
+  const auto longestWait = mIsServing ? kServingWait : kChangeWait;
+  const auto wait = aMode == ReadMode::Wait ? longestWait : Duration(0);
   const auto margin = mIsServing ? kServingCallMargin : kCallMargin;
   const auto sentAt = BootNow();
-  auto rows = mustReadAll
-                ? mFeed.ReadAll(aTable, kReadTimeout)
-                : mFeed.ReadChanges(
-                    aTable, mReplica.Version(aTable), wait, wait + margin);
+  auto rows =
+    mustReadAll
+      ? mFeed.ReadAll(aTable, kReadTimeout)
+      : mFeed.ReadChanges(
+          aTable, mReplica.Version(aTable), wait, longestWait + margin);
   if (!rows) {
     if (rows.error().mError.mCode == ErrorCode::NotFound) {
       aMode = ReadMode::All;
--- a/standins/tests/fleet_restored_test.cpp
+++ b/standins/tests/fleet_restored_test.cpp
@@ -224,3 +224,20 @@
     CHECK(site.Status(0, "f", "/nowhere/1") == 404);
   });
 }
+
+// Guards against a daemon that never reads a large configuration over a narrow
+// link: the call after a failed one does not wait for changes, but its answer
+// may take as long as that of any other.
+TEST_CASE("a change whose answer takes long comes into force after a failure")
+{
+  FleetSite site;
+  site.Run(1, [&] {
+    (void)site.mLoop.Sleep(1200ms);
+    site.mTable.SetFault(RowTableFault::Busy);
+    (void)site.mLoop.Sleep(kCutOffTime);
+    site.mGates[0]->mAnswerTime = 900ms;
+    site.mTable.SetFault(RowTableFault::None);
+    site.PutConfig(2, "new");
+    CHECK(Serves(site, 0, "new", kCutOffTime));
+  });
+}
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -30,6 +30,9 @@
 {
   while (mIsClosed && mLoop.Sleep(kGatePeriod)) {
   }
+  if (mAnswerTime > Duration(0)) {
+    (void)mLoop.Sleep(mAnswerTime);
+  }
   mTable.Handle(aRequest, aResponder);
 }
 
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -29,6 +29,8 @@
   void Handle(const HttpRequest& aRequest, HttpResponder& aResponder) override;
 
   bool mIsClosed = false;
+  // Time that each answer is under way, as a large one on a narrow link.
+  Duration mAnswerTime{};
 
 private:
   Loop& mLoop;
