--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,202 +1,132 @@
-// The machine that gives weight orders is cut off while an order is on its way.
-// Another machine takes over. The first one must not be heard as a holder
-// again after the cut.
+// An order crashes each server that begins to run it, and comes again. Other
+// orders are at work at the servers that crash.
 
-#include "link.h"
+#include "standin.h"
 
 using namespace review;
 
 namespace {
 
-constexpr double kCutTime = 8;
-// unfreeze_slack_ms: orders that arrive so soon after the cut don't count.
-constexpr double kHealSlack = 0.3;
-constexpr double kWatchTime = 30;
-constexpr double kLoadTime = 1.1;
+constexpr std::size_t kServers = 3;
 constexpr std::size_t kDaemons = 2;
-constexpr std::size_t kEngines = 3;
+// How long a server that has crashed is away.
+constexpr double kDownTime = 3;
+constexpr double kStableWindow = 3;
+constexpr std::size_t kMostRetries = 3;
+constexpr double kPlayTime = 30;
+constexpr double kCrashingPeriod = 1;
+constexpr double kSoundPeriod = 0.05;
+constexpr double kWorkTime = 0.1;
+const std::string kCrashingBody = "three reels of wick 7, cut to 0 m";
 
-struct Order
-{
-  double mAt = 0;
-  std::string mHolder;
-  std::uint64_t mFence = 0;
-};
-
-std::mutex sMutex;
 Table sTable;
+std::mutex sMutex;
+std::vector<double> sCrashes;
+std::vector<double> sArrivals;
+std::atomic<int> sLost = 0;
 
-// An engine that takes weight orders and does not check fences.
-struct Engine
+// A server of the order service whose process may crash: its connections and
+// its port are closed.
+class OrderServer
 {
-  std::string mId;
-  std::uint64_t mWeights = 1;
-  std::uint64_t mAccepted = 0;
-  bool mIsBusy = false;
-  std::vector<Order> mOrders;
-  std::unique_ptr<Server> mServer;
-
-  void PutRow() const
+public:
+  void Start(std::string aId)
   {
-    sTable.Put("servers", mId, ServerRow(mServer->Address(), "llm", mWeights));
+    mId = std::move(aId);
+    Open();
   }
-  bool Serve(const Message& aRequest, Stream& aStream)
+
+private:
+  void Open()
   {
-    const auto target = aRequest.Header("Bilberrytrail-Target-Instance");
-    if (!target.empty() && target != mId) {
-      return aStream.Write(ToText(421, {}, ""));
-    }
-    if (aRequest.mTarget == "/report") {
-      const std::lock_guard lock(sMutex);
-      const Json report{ { "stage", "unified" },
-                         { "models",
-                           { { { "name", "m0" },
-                               { "version", mWeights },
-                               { "adapters", Json::array() } } } },
-                         { "busy", mIsBusy },
-                         { "sequence", mAccepted } };
-      return aStream.Write(
-        ToText(200, { { "Content-Type", "application/json" } }, report.dump()));
-    }
-    if (aRequest.mTarget != "/order") {
-      return aStream.Write(ToText(404, {}, ""));
+    const std::lock_guard lock(mMutex);
+    mListener = Listen(OwnHost(), mPort, mPort);
+    ++mBorn;
+    auto row = ServerRow(OwnHost() + ":" + std::to_string(mPort), "shop");
+    row["born"] = mBorn;
+    sTable.Put("servers", mId, row);
+    std::thread([this, listener = mListener] { Accept(listener); }).detach();
+  }
+  void Accept(int aListener)
+  {
+    while (true) {
+      const int fd = ::accept4(aListener, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd < 0) {
+        ::close(aListener);
+        return;
+      }
+      const std::lock_guard lock(mMutex);
+      if (aListener != mListener) {
+        ::close(fd);
+        continue;
+      }
+      const auto stream = std::make_shared<Stream>(fd);
+      mStreams.push_back(stream);
+      std::thread([this, stream] { Serve(*stream); }).detach();
     }
-    return aStream.Write(ToText(TakeOrder(aRequest), {}, ""));
   }
-  int TakeOrder(const Message& aRequest)
+  void Serve(Stream& aStream)
   {
-    const auto body = Json::parse(aRequest.mBody);
-    const std::lock_guard lock(sMutex);
-    const auto version = body.at("version").get<std::uint64_t>();
-    const bool isAccepted =
-      !mIsBusy && body.at("expected").get<std::uint64_t>() == mAccepted;
-    mOrders.push_back(
-      { Seconds(), body.at("holder"), body.at("fencing_token") });
-    const int status = mWeights >= version ? 200 : isAccepted ? 202 : 409;
-    Note("server " + mId + ": " + std::to_string(status) + " to order " +
-         aRequest.mBody);
-    if (status == 202) {
-      ++mAccepted;
-      mIsBusy = true;
-      std::thread([this, version] { Load(version); }).detach();
+    while (const auto request = aStream.Read(Clock::now() + 600s)) {
+      if (!request->mIsWhole || !Run(*request, aStream)) {
+        return;
+      }
     }
-    return status;
   }
-  void Load(std::uint64_t aVersion)
+  bool Run(const Message& aRequest, Stream& aStream)
   {
-    Sleep(kLoadTime);
-    const std::lock_guard lock(sMutex);
-    mIsBusy = false;
-    mWeights = aVersion;
-    PutRow();
+    const auto id = aRequest.Header("Bilberrytrail-Request-Id");
+    if (aRequest.mBody == kCrashingBody) {
+      Note("server " + mId + ": " + id + " begins to run, and crashes it");
+      Crash();
+      return false;
+    }
+    Sleep(kWorkTime);
+    return aStream.Write(
+      ToText(200,
+             { { "Bilberrytrail-Request-Id", id },
+               { "Bilberrytrail-Response-Signature", "sig-" + id } },
+             "answer to " + id));
+  }
+  void Crash()
+  {
+    {
+      const std::lock_guard lock(sMutex);
+      sArrivals.push_back(Seconds());
+      sCrashes.push_back(Seconds());
+    }
+    const std::lock_guard lock(mMutex);
+    ::shutdown(mListener, SHUT_RDWR);
+    mListener = -1;
+    for (const auto& it : mStreams) {
+      ::shutdown(it->Handle(), SHUT_RDWR);
+    }
+    mStreams.clear();
+    std::thread([this] {
+      Sleep(kDownTime);
+      Open();
+    }).detach();
   }
-};
 
-std::array<Engine, kEngines> sEngines;
-
-// A daemon with its links to the store, the engines and the other daemons.
-struct Machine
-{
-  Uplink mUplink;
-  std::unique_ptr<Server> mTableView;
-  std::unique_ptr<Link> mToStore;
-  // By the address of the other end.
-  std::map<std::string, std::unique_ptr<Link>> mLinks;
-  std::unique_ptr<Daemon> mDaemon;
+  std::mutex mMutex;
+  std::string mId;
+  int mListener = -1;
+  int mPort = 0;
+  std::uint64_t mBorn = 1'700'000'000'000;
+  std::vector<std::shared_ptr<Stream>> mStreams;
 };
 
-std::array<Machine, kDaemons> sMachines;
-std::atomic<bool> sHasCut = false;
-
-void
-OnBytes(Machine& aMachine, const std::string& aBytes)
-{
-  if (HasTrouble() && aBytes.starts_with("POST /order") &&
-      !sHasCut.exchange(true)) {
-    Note("an order of " + aMachine.mUplink.mName + " is on its way");
-    aMachine.mUplink.Cut(kCutTime);
-  }
-}
-
-// Returns the address of a link of the machine to an address.
-std::string
-LinkTo(Machine& aMachine, const std::string& aTarget)
-{
-  auto& link = aMachine.mLinks[aTarget];
-  if (link == nullptr) {
-    link = std::make_unique<Link>(
-      aTarget,
-      std::vector<Uplink*>{ &aMachine.mUplink },
-      [&aMachine](const std::string& aBytes) { OnBytes(aMachine, aBytes); });
-  }
-  return link->Address();
-}
-
-// Names the links in place of the addresses behind them.
-std::string
-ViewOf(Machine& aMachine,
-       const std::string& aTable,
-       const std::string& aKey,
-       const std::string& aValue)
-{
-  if (aTable == "servers") {
-    auto row = Json::parse(aValue);
-    row["address"] = LinkTo(aMachine, row.at("address"));
-    return row.dump();
-  }
-  const bool isPeer =
-    aKey.starts_with("daemon/") && aKey != "daemon/" + aMachine.mUplink.mName;
-  if (!isPeer) {
-    return aValue;
-  }
-  const auto end = aValue.find(' ');
-  return LinkTo(aMachine, aValue.substr(0, end)) + aValue.substr(end);
-}
-
-void
-StartMachine(std::size_t aNumber, const std::string& aFolder)
-{
-  auto& machine = sMachines[aNumber];
-  machine.mUplink.mName = "d" + std::to_string(aNumber + 1);
-  machine.mTableView = std::make_unique<Server>(
-    [&machine](const Message& aRequest, Stream& aStream) {
-      return sTable.Serve(
-        aRequest,
-        aStream,
-        [&machine](const auto& aTable, const auto& aKey, const auto& aValue) {
-          return ViewOf(machine, aTable, aKey, aValue);
-        });
-    });
-  machine.mToStore = std::make_unique<Link>(
-    machine.mTableView->Address(), std::vector<Uplink*>{ &machine.mUplink });
-  machine.mDaemon = std::make_unique<Daemon>(
-    machine.mUplink.mName, machine.mToStore->Address(), aFolder);
-  machine.mDaemon->Start();
-}
-
-// Returns whether a server got a lower fencing number after a higher one, both
-// of them from different holders. Orders just after the cut don't count.
-bool
-IsBroken(const Engine& aEngine, double aHealsAt)
+int
+Send(const Daemon& aDaemon, const std::string& aId, const std::string& aBody)
 {
-  std::optional<Order> highest;
-  for (const auto& it : aEngine.mOrders) {
-    if (it.mAt >= aHealsAt && it.mAt < aHealsAt + kHealSlack) {
-      continue;
-    }
-    if (highest && it.mHolder != highest->mHolder &&
-        it.mFence <= highest->mFence) {
-      Note("server " + aEngine.mId + ": order of " + it.mHolder +
-           " with fencing number " + std::to_string(it.mFence) + " after " +
-           std::to_string(highest->mFence) + " of " + highest->mHolder + ", " +
-           std::to_string(it.mAt - aHealsAt) + " s after the cut");
-      return true;
-    }
-    if (!highest || it.mFence > highest->mFence) {
-      highest = it;
-    }
-  }
-  return false;
+  auto stream = Connect(OwnHost(), aDaemon.Port());
+  if (stream == nullptr) {
+    return 0;
+  }
+  stream->Write(
+    ClientRequest("POST", "/order/reels", aId, "key-1", 1000, aBody));
+  const auto answer = stream->Read(Clock::now() + 2s);
+  return answer && answer->mIsWhole ? answer->mStatus : 0;
 }
 
 } // namespace
@@ -205,46 +135,77 @@
 main(int argc, char** argv)
 {
   const auto folder = Begin(argc, argv);
+  Server store([](const Message& aRequest, Stream& aStream) {
+    return sTable.Serve(aRequest, aStream);
+  });
   sTable.Put("op", "config", Config(1, { "key-1" }));
-  sTable.Put("op", "version/m0", Json{ { "model", "m0" }, { "version", 1 } });
-  for (std::size_t n = 0; n < kEngines; ++n) {
-    auto& engine = sEngines[n];
-    engine.mId = "i-" + std::to_string(n + 1);
-    engine.mServer = std::make_unique<Server>(
-      [&engine](const Message& aRequest, Stream& aStream) {
-        return engine.Serve(aRequest, aStream);
-      });
-    engine.PutRow();
+  std::array<OrderServer, kServers> servers;
+  for (std::size_t n = 0; n < kServers; ++n) {
+    servers[n].Start("i-" + std::to_string(n + 1));
   }
+  std::vector<std::unique_ptr<Daemon>> daemons;
   for (std::size_t n = 0; n < kDaemons; ++n) {
-    StartMachine(n, folder);
-  }
-  for (const auto& it : sMachines) {
-    it.mDaemon->AwaitReady();
+    daemons.push_back(std::make_unique<Daemon>(
+      "d" + std::to_string(n + 1), store.Address(), folder));
+    daemons.back()->Start();
+  }
+  for (const auto& it : daemons) {
+    it->AwaitReady();
+  }
+  Sleep(4);
+  std::atomic<int> served = 0;
+  std::atomic<int> failed = 0;
+  std::atomic<int> refused = 0;
+  std::atomic<int> running = 0;
+  const auto end = Seconds() + kPlayTime;
+  double nextCrashing = Seconds();
+  for (std::size_t n = 0; Seconds() < end; ++n) {
+    const auto& daemon = *daemons[n % kDaemons];
+    if (HasTrouble() && Seconds() >= nextCrashing) {
+      nextCrashing += kCrashingPeriod;
+      ++running;
+      std::thread([&, n] {
+        const auto id = "crashing-" + std::to_string(n);
+        const auto status = Send(daemon, id, kCrashingBody);
+        Note("client: " + id + " status " + std::to_string(status));
+        --running;
+      }).detach();
+    }
+    ++running;
+    std::thread([&, n] {
+      const auto id = "sound-" + std::to_string(n);
+      const auto status = Send(daemon, id, "one reel of wick 7");
+      (status == 200                    ? served
+       : status == 503 || status == 429 ? refused
+                                        : failed)++;
+      if (status != 200) {
+        Note("client: " + id + " status " + std::to_string(status));
+      }
+      --running;
+    }).detach();
+    Sleep(kSoundPeriod);
+  }
+  while (running > 0) {
+    Sleep(0.01);
   }
-  // The daemons read each other's rows each 10 s.
-  Sleep(12);
-  sTable.Put("op", "version/m0", Json{ { "model", "m0" }, { "version", 2 } });
-  Note("version 2 of the weights is named");
-  Sleep(kWatchTime);
   const std::lock_guard lock(sMutex);
-  double healsAt = 0;
-  for (const auto& it : sMachines) {
-    healsAt = std::max(healsAt, it.mUplink.HealsAt());
-  }
-  std::size_t orders = 0;
-  bool isBroken = false;
-  for (const auto& it : sEngines) {
-    orders += it.mOrders.size();
-    isBroken = IsBroken(it, healsAt) || isBroken;
-  }
+  std::size_t late = 0;
+  if (sCrashes.size() >= 3) {
+    const auto from = sCrashes[2] + kStableWindow;
+    late = static_cast<std::size_t>(std::ranges::count_if(
+      sArrivals, [&](double aTime) { return aTime > from; }));
+  }
+  Note("crashes " + std::to_string(sCrashes.size()) +
+       ", arrivals later than 3 s after the third one " + std::to_string(late) +
+       ", other orders: served " + std::to_string(served) + ", refused " +
+       std::to_string(refused) + ", lost " + std::to_string(failed));
   bool isRunning = true;
-  for (auto& it : sMachines) {
-    isRunning = it.mDaemon->IsRunning() && isRunning;
-    it.mDaemon->Kill();
+  for (const auto& it : daemons) {
+    isRunning = it->IsRunning() && isRunning;
+    it->Kill();
   }
-  if (orders == 0 || !isRunning) {
-    CannotRun("no order was sent, or a daemon has ended");
+  if (served == 0 || !isRunning) {
+    CannotRun("nothing was served");
   }
-  Finish(isBroken);
+  Finish(late > kMostRetries);
 }
