--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -68,6 +68,7 @@
 ServePlain(const Message& aRequest, Stream& aStream)
 {
   const auto id = aRequest.Header("Bilberrytrail-Request-Id");
+  Note("server: runs " + id);
   return aStream.Write(
     ToText(200,
            { { "Bilberrytrail-Request-Id", id },
@@ -81,10 +82,13 @@
 {
   auto stream = Connect(OwnHost(), aDaemon.Port());
   if (stream == nullptr) {
+    Note("client: " + aId + " finds no connection");
     return false;
   }
   stream->Write(ClientRequest("GET", "/read/" + aId, aId, "key-1", 1000, ""));
   const auto answer = stream->Read(Clock::now() + 1s);
+  Note("client: " + aId + " status " +
+       std::to_string(answer ? answer->mStatus : 0));
   return answer && answer->mStatus == 200;
 }
 
