--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -648,6 +648,22 @@
                { "idle_timeout_ms", 30000 } } } };
 }
 
+// Answers 421 to a request for another server. Returns whether it did.
+inline bool
+IsMisdirected(const std::string& aServer,
+              const Message& aRequest,
+              const Stream& aStream)
+{
+  if (aRequest.Header("Bilberrytrail-Target-Instance") == aServer) {
+    return false;
+  }
+  aStream.Write(ToText(421,
+                       { { "Bilberrytrail-Request-Id",
+                           aRequest.Header("Bilberrytrail-Request-Id") } },
+                       ""));
+  return true;
+}
+
 // Returns the row of a server, of an engine when it has weights.
 inline Json
 ServerRow(const std::string& aAddress,
@@ -798,21 +814,29 @@
 }
 
 // Whether the script runs with its disruption.
+inline bool&
+Trouble()
+{
+  static bool sTrouble = true;
+  return sTrouble;
+}
+
 inline bool
 HasTrouble()
 {
-  const char* text = std::getenv("TROUBLE");
-  return text == nullptr || std::string(text) != "0";
+  return Trouble();
 }
 
-// Prepares a case: argv holds its folder and a temporary one.
+// Prepares a case: argv holds its folder, a temporary one, and 0 to leave the
+// disruption out.
 inline std::string
 Begin(int aCount, char** aArguments)
 {
-  if (aCount != 3) {
-    std::fprintf(stderr, "usage: case FOLDER TEMPORARY-FOLDER\n");
+  if (aCount != 4) {
+    std::fprintf(stderr, "usage: case FOLDER TEMPORARY-FOLDER TROUBLE\n");
     std::exit(2);
   }
+  Trouble() = std::string(aArguments[3]) != "0";
   (void)Seconds();
   ::signal(SIGPIPE, SIG_IGN);
   Record::Get().Open(std::string(aArguments[1]) + "/record.txt");
