--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -12,6 +12,8 @@
 constexpr double kMemoryMb = 110;
 constexpr double kLinkMbps = 1000;
 constexpr std::size_t kDaemons = 3;
+// Copies of the store on the site; one of them is in trouble.
+constexpr std::size_t kStores = 3;
 constexpr double kTroubleTime = 30;
 constexpr double kRestartDelay = 1;
 // Two machines at least, and three ends on each of them.
@@ -45,12 +47,12 @@
 }
 
 bool
-ServeEvents(const Message& aRequest, Stream& aStream)
+ServeEvents(bool aMayFail, const Message& aRequest, Stream& aStream)
 {
   if (!aRequest.mTarget.starts_with("/kv-events")) {
     return aStream.Write(ToText(404, {}, ""));
   }
-  if (sIsInTrouble) {
+  if (aMayFail && sIsInTrouble) {
     WriteWithoutEnd(aStream);
     return false;
   }
@@ -67,6 +69,9 @@
 bool
 ServePlain(const Message& aRequest, Stream& aStream)
 {
+  if (IsMisdirected("i-1", aRequest, aStream)) {
+    return true;
+  }
   const auto id = aRequest.Header("Bilberrytrail-Request-Id");
   Note("server: runs " + id);
   return aStream.Write(
@@ -136,15 +141,23 @@
   Server store([&](const Message& aRequest, Stream& aStream) {
     return table.Serve(aRequest, aStream);
   });
-  Server keep(ServeEvents);
+  std::vector<std::unique_ptr<Server>> stores;
+  for (std::size_t n = 0; n < kStores; ++n) {
+    stores.push_back(
+      std::make_unique<Server>([n](const Message& aRequest, Stream& aStream) {
+        return ServeEvents(n == 0, aRequest, aStream);
+      }));
+  }
   Server shop(ServePlain);
   auto config = Config(1, { "key-1" });
-  config["services"].push_back({ { "name", "keep" },
-                                 { "kv_store_addr", keep.Address() },
-                                 { "zone", "z1" },
-                                 { "kv_capacity_tokens", 267304 },
-                                 { "link_mbps", 170000.0 },
-                                 { "managed", true } });
+  for (std::size_t n = 0; n < kStores; ++n) {
+    config["services"].push_back({ { "name", "keep-" + std::to_string(n + 1) },
+                                   { "kv_store_addr", stores[n]->Address() },
+                                   { "zone", "z1" },
+                                   { "kv_capacity_tokens", 293456 },
+                                   { "link_mbps", 230000.0 },
+                                   { "managed", true } });
+  }
   table.Put("op", "config", config);
   table.Put("servers", "i-1", ServerRow(shop.Address(), "shop"));
   std::array<Machine, kDaemons> machines;
@@ -159,7 +172,7 @@
   Sleep(4);
   sIsInTrouble = HasTrouble();
   if (sIsInTrouble) {
-    Note("the store of kept KV cache is in trouble from now on");
+    Note("the store keep-1 is in trouble from now on");
   }
   int sent = 0;
   int served = 0;
