--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -75,6 +75,9 @@
   }
   bool Run(const Message& aRequest, Stream& aStream)
   {
+    if (IsMisdirected(mId, aRequest, aStream)) {
+      return true;
+    }
     const auto id = aRequest.Header("Bilberrytrail-Request-Id");
     if (aRequest.mBody == kCrashingBody) {
       Note("server " + mId + ": " + id + " begins to run, and crashes it");
