Bound each answer that a call reads, in time and in bytes

Cause: HttpClient::Call collected bodies up to 256 MB, and its timeout did not hold, since each read got at least 1 ms and never looked at the clock when bytes had already arrived. The parser's look-ahead, as for the size line of a chunk, had no bound.

--- a/bench/bench_site.cpp
+++ b/bench/bench_site.cpp
@@ -69,7 +69,7 @@
   std::optional<Duration> first;
   bool isDone = false;
   while (true) {
-    const auto line = opened.value().ReadLine(kTimeout);
+    const auto line = opened.value().ReadLine(MonotonicNow() + kTimeout);
     if (!line || !line.value()) {
       break;
     }
--- a/packages/backend/src/event_reader.cpp
+++ b/packages/backend/src/event_reader.cpp
@@ -1,6 +1,5 @@
 #include "event_reader.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace bilberrytrail {
@@ -21,8 +20,7 @@
 {
   const auto deadline = MonotonicNow() + aTimeout;
   while (true) {
-    const auto remaining = std::max(deadline - MonotonicNow(), Duration(0));
-    auto line = mStream.ReadLine(remaining);
+    auto line = mStream.ReadLine(deadline);
     if (!line) {
       return std::move(line).error();
     }
--- a/packages/daemon/src/peer_channel.cpp
+++ b/packages/daemon/src/peer_channel.cpp
@@ -125,7 +125,7 @@
 PeerChannel::Relay(HttpStream& aStream, FrameSink& aSink)
 {
   while (true) {
-    auto line = aStream.ReadLine(kFrameTimeout);
+    auto line = aStream.ReadLine(MonotonicNow() + kFrameTimeout);
     if (!line) {
       return Cut(std::move(line).error());
     }
--- a/packages/platform/include/bilberrytrail/platform/http_call.h
+++ b/packages/platform/include/bilberrytrail/platform/http_call.h
@@ -51,12 +51,14 @@
 [[nodiscard]] CallResult<HttpRequest>
 MakeJsonRequest(std::string aMethod, std::string aTarget, const Json& aBody);
 
-// Sends a request and parses the JSON body of a 2xx response.
+// Sends a request and parses the JSON body of a 2xx response, which fails with
+// TooLarge when it is larger than aMaxBodyBytes.
 [[nodiscard]] CallResult<Json>
 CallForJson(HttpClient& aClient,
             const Endpoint& aEndpoint,
             const HttpRequest& aRequest,
-            Duration aTimeout);
+            Duration aTimeout,
+            std::size_t aMaxBodyBytes = HttpClient::kMaxWholeBodyBytes);
 
 // Sends a JSON body by POST and parses the JSON body of a 2xx response.
 [[nodiscard]] CallResult<Json>
--- a/packages/platform/src/http_call.cpp
+++ b/packages/platform/src/http_call.cpp
@@ -58,9 +58,10 @@
 CallExpecting2xx(HttpClient& aClient,
                  const Endpoint& aEndpoint,
                  const HttpRequest& aRequest,
-                 Duration aTimeout)
+                 Duration aTimeout,
+                 std::size_t aMaxBodyBytes = HttpClient::kMaxWholeBodyBytes)
 {
-  auto response = aClient.Call(aEndpoint, aRequest, aTimeout);
+  auto response = aClient.Call(aEndpoint, aRequest, aTimeout, aMaxBodyBytes);
   if (!response) {
     return ToCallError(response.error());
   }
@@ -125,9 +126,11 @@
 CallForJson(HttpClient& aClient,
             const Endpoint& aEndpoint,
             const HttpRequest& aRequest,
-            Duration aTimeout)
+            Duration aTimeout,
+            std::size_t aMaxBodyBytes)
 {
-  auto response = CallExpecting2xx(aClient, aEndpoint, aRequest, aTimeout);
+  auto response =
+    CallExpecting2xx(aClient, aEndpoint, aRequest, aTimeout, aMaxBodyBytes);
   if (!response) {
     return std::move(response).error();
   }
--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -31,13 +31,13 @@
   [[nodiscard]] bool EndsWithConnection() const noexcept;
 
   // Waits for the next part of the body. Returns nullopt after the last one.
-  // Fails with Timeout, with Cancelled, or with Unavailable when the connection
-  // was lost.
-  [[nodiscard]] Result<std::optional<std::string>> Read(Duration aTimeout);
+  // Fails with Timeout from the deadline on, even if more bytes have arrived,
+  // with Cancelled, or with Unavailable when the connection was lost.
+  [[nodiscard]] Result<std::optional<std::string>> Read(Instant aDeadline);
   // Reads up to and including the next line feed and returns the line without
-  // it, or nullopt at the end of the body. Fails like Read, and with Corrupt
-  // when the body ends within a line.
-  [[nodiscard]] Result<std::optional<std::string>> ReadLine(Duration aTimeout);
+  // it, or nullopt at the end of the body. Fails like Read, with Corrupt when
+  // the body ends within a line, and with TooLarge.
+  [[nodiscard]] Result<std::optional<std::string>> ReadLine(Instant aDeadline);
   // Closes the connection, so that a pending read and all later ones fail. Call
   // on the loop's thread.
   void Cancel();
@@ -107,11 +107,16 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  // Sends a request and reads the complete response within the timeout.
+  // Largest body of a response that Call reads.
+  static constexpr std::size_t kMaxWholeBodyBytes = 8 * 1024 * 1024;
+
+  // Sends a request and reads the complete response within the timeout. Fails
+  // with TooLarge when the body is larger than aMaxBodyBytes.
   [[nodiscard]] Result<HttpResponse, HttpError> Call(
     const Endpoint& aEndpoint,
     const HttpRequest& aRequest,
-    Duration aTimeout);
+    Duration aTimeout,
+    std::size_t aMaxBodyBytes = kMaxWholeBodyBytes);
   // Sends a request and reads the head of the response within the timeout.
   [[nodiscard]] Result<HttpStream, HttpError> Open(const Endpoint& aEndpoint,
                                                    const HttpRequest& aRequest,
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -28,7 +28,13 @@
 using BodyParser = http::response_parser<http::buffer_body>;
 
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
+// Largest body that is read piece by piece.
 constexpr std::size_t kMaxBodyBytes = 256 * 1024 * 1024;
+// Longest line of a body that is read line by line.
+constexpr std::size_t kMaxLineBytes = 8 * 1024 * 1024;
+// Received bytes that are not parsed yet. Also bounds what the parser looks
+// ahead for: a head, the size line of a chunk, or trailers.
+constexpr std::size_t kMaxUnparsedBytes = 80 * 1024;
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
 // Connections are dropped this long before the peer's announced idle timeout,
 // because a request sent while the peer closes the connection would be lost.
@@ -49,7 +55,7 @@
   }
 
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   // The connection has already been used for an earlier exchange.
   bool mIsReused = false;
   // The idle connection is not reused from this time on, because the peer may
@@ -252,9 +258,9 @@
   beast::error_code ReadHead(Duration aTimeout);
   // Reads and drops this response, and prepares to read the next one on the
   // connection.
-  Result<void> SkipResponse(Duration aTimeout);
-  Result<std::optional<std::string>> Read(Duration aTimeout);
-  Result<std::optional<std::string>> ReadLine(Duration aTimeout);
+  Result<void> SkipResponse(Instant aDeadline);
+  Result<std::optional<std::string>> Read(Instant aDeadline);
+  Result<std::optional<std::string>> ReadLine(Instant aDeadline);
   void Cancel();
   // Prevents reuse of the connection, for a request that was not sent
   // completely.
@@ -305,16 +311,14 @@
 }
 
 Result<void>
-HttpStream::Impl::SkipResponse(Duration aTimeout)
+HttpStream::Impl::SkipResponse(Instant aDeadline)
 {
   if (!mParser->keep_alive()) {
     return Fail(ErrorCode::Unavailable, "connection ends before the response");
   }
-  const auto end = MonotonicNow() + aTimeout;
   mSkipping = true;
   while (!mParser->is_done()) {
-    const auto left = std::max<Duration>(end - MonotonicNow(), 1ms);
-    if (auto piece = Read(left); !piece) {
+    if (auto piece = Read(aDeadline); !piece) {
       return std::move(piece).error();
     }
   }
@@ -358,7 +362,7 @@
 }
 
 Result<std::optional<std::string>>
-HttpStream::Impl::Read(Duration aTimeout)
+HttpStream::Impl::Read(Instant aDeadline)
 {
   if (mParser->is_done()) {
     return std::optional<std::string>();
@@ -366,8 +370,15 @@
   if (mConnection == nullptr) {
     return Fail(ErrorCode::Unavailable, "connection is closed");
   }
+  // Bytes that have already arrived do not count after the deadline: a peer
+  // that sends without end would pass it otherwise.
+  const auto left = aDeadline - MonotonicNow();
+  if (left <= Duration(0)) {
+    Close();
+    return Fail(ErrorCode::Timeout, "response is not complete in time");
+  }
   std::array<char, kReadBufferBytes> buf{};
-  mConnection->mStream.expires_after(aTimeout);
+  mConnection->mStream.expires_after(left);
   while (true) {
     auto& body = mParser->get().body();
     body.data = buf.data();
@@ -391,7 +402,7 @@
 }
 
 Result<std::optional<std::string>>
-HttpStream::Impl::ReadLine(Duration aTimeout)
+HttpStream::Impl::ReadLine(Instant aDeadline)
 {
   while (true) {
     const auto end = mLineBuffer.find('\n');
@@ -400,7 +411,11 @@
       mLineBuffer.erase(0, end + 1);
       return std::optional<std::string>(std::move(line));
     }
-    auto piece = Read(aTimeout);
+    if (mLineBuffer.size() > kMaxLineBytes) {
+      Close();
+      return Fail(ErrorCode::TooLarge, "line is too long");
+    }
+    auto piece = Read(aDeadline);
     if (!piece) {
       return std::move(piece).error();
     }
@@ -453,15 +468,15 @@
 }
 
 Result<std::optional<std::string>>
-HttpStream::Read(Duration aTimeout)
+HttpStream::Read(Instant aDeadline)
 {
-  return mImpl->Read(aTimeout);
+  return mImpl->Read(aDeadline);
 }
 
 Result<std::optional<std::string>>
-HttpStream::ReadLine(Duration aTimeout)
+HttpStream::ReadLine(Instant aDeadline)
 {
-  return mImpl->ReadLine(aTimeout);
+  return mImpl->ReadLine(aDeadline);
 }
 
 void
@@ -527,7 +542,7 @@
       stream->ReleaseWhenDone();
       return HttpStream(std::move(stream));
     }
-    if (auto ok = stream->SkipResponse(left); !ok) {
+    if (auto ok = stream->SkipResponse(end); !ok) {
       return HttpError{ SendState::MaybeSent,
                         ErrorCode::Corrupt,
                         "response to another request" };
@@ -568,7 +583,8 @@
 Result<HttpResponse, HttpError>
 HttpClient::Call(const Endpoint& aEndpoint,
                  const HttpRequest& aRequest,
-                 Duration aTimeout)
+                 Duration aTimeout,
+                 std::size_t aMaxBodyBytes)
 {
   const auto end = MonotonicNow() + aTimeout;
   auto opened = Open(aEndpoint, aRequest, aTimeout);
@@ -580,8 +596,7 @@
   response.mStatus = stream.Status();
   response.mHeaders = stream.Headers();
   while (true) {
-    const auto left = std::max<Duration>(end - MonotonicNow(), 1ms);
-    auto piece = stream.Read(left);
+    auto piece = stream.Read(end);
     if (!piece) {
       auto& error = piece.error();
       return HttpError{ SendState::MaybeSent, error.mCode, error.mMessage };
@@ -589,6 +604,12 @@
     if (!piece.value().has_value()) {
       return response;
     }
+    if (response.mBody.size() + piece.value()->size() > aMaxBodyBytes) {
+      return HttpError{ SendState::MaybeSent,
+                        ErrorCode::TooLarge,
+                        "response body exceeds " +
+                          std::to_string(aMaxBodyBytes) + " bytes" };
+    }
     response.mBody += *piece.value();
   }
 }
--- a/packages/runtime/tests/http_exchange_test.cpp
+++ b/packages/runtime/tests/http_exchange_test.cpp
@@ -114,9 +114,9 @@
       auto stream = client.Open(aPeer, request, options);
       std::string body = "-";
       if (stream) {
-        auto piece = stream.value().Read(2s);
+        auto piece = stream.value().Read(MonotonicNow() + 2s);
         body = piece && piece.value() ? *piece.value() : "-";
-        (void)stream.value().Read(2s);
+        (void)stream.value().Read(MonotonicNow() + 2s);
       }
       bodies.push_back(body);
     }
@@ -326,7 +326,7 @@
       HttpClient client(loop);
       auto stream = client.Open({ "127.0.0.1", port.value() }, {}, 2s);
       REQUIRE(stream.has_value());
-      CHECK(stream.value().Read(2s).has_value());
+      CHECK(stream.value().Read(MonotonicNow() + 2s).has_value());
     }
     while (server.ActiveRequests() > 0 && loop.Sleep(5ms)) {
     }
--- a/packages/runtime/tests/http_test.cpp
+++ b/packages/runtime/tests/http_test.cpp
@@ -81,13 +81,14 @@
       const bool cut = std::string_view(target) == "/cut";
       auto stream = client.Open(aEndpoint, { "GET", target, {}, "" }, 5s);
       REQUIRE(stream.has_value());
-      CHECK(*stream.value().ReadLine(5s).value() == "one");
-      CHECK(*stream.value().ReadLine(5s).value() == "two");
-      const auto third = stream.value().ReadLine(5s);
+      CHECK(*stream.value().ReadLine(MonotonicNow() + 5s).value() == "one");
+      CHECK(*stream.value().ReadLine(MonotonicNow() + 5s).value() == "two");
+      const auto third = stream.value().ReadLine(MonotonicNow() + 5s);
       REQUIRE(third.has_value() == !cut);
       if (!cut) {
         CHECK(*third.value() == "three");
-        CHECK_FALSE(stream.value().ReadLine(5s).value().has_value());
+        CHECK_FALSE(
+          stream.value().ReadLine(MonotonicNow() + 5s).value().has_value());
       }
     }
   });
--- a/tests/site/site_call.cpp
+++ b/tests/site/site_call.cpp
@@ -55,7 +55,7 @@
     auto stream = std::move(opened).value();
     answer.mStatus = stream.Status();
     while (true) {
-      auto line = stream.ReadLine(aTimeout);
+      auto line = stream.ReadLine(MonotonicNow() + aTimeout);
       if (!line || !line.value().has_value()) {
         break;
       }
