Reset connections whose requests are given up

Cause: at its timeout an order closed its connection in order, and the kernel went on to send the unacknowledged bytes. It does so for requests of callers, store writes and calls to peers as well, and for a process that was killed.

All connections of the client are reset when they are closed, by the process or by the kernel at its end, which drops unsent bytes. Calls also limit the time for acknowledgements to their timeout, for a process that is suspended then and cannot close anything.

--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -94,7 +94,8 @@
 };
 
 // Sends HTTP/1.1 requests from fibers of one loop over persistent connections.
-// A connection whose exchange did not end cleanly is never reused. An idle
+// A connection whose exchange did not end cleanly is never reused; it is reset,
+// so that the peer does not get the rest of the request later. An idle
 // connection that the peer has closed, or whose announced idle timeout is about
 // to expire, is replaced before anything is sent.
 class HttpClient
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -46,7 +46,10 @@
 // stopped reading.
 constexpr Duration kEarlyResponseTimeout = 20ms;
 
-// One connection and the bytes received on it that are not parsed yet.
+// One connection and the bytes received on it that are not parsed yet. Closing
+// it resets it, also when the process is killed: otherwise the kernel goes on
+// to send the bytes of a request that was given up, for minutes, and a server
+// that was out of reach would get it late.
 struct Connection
 {
   explicit Connection(asio::io_context& aContext)
@@ -58,6 +61,7 @@
   beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   // The connection has already been used for an earlier exchange.
   bool mIsReused = false;
+  Duration mAckTimeout{ 0 };
   // The idle connection is not reused from this time on, because the peer may
   // close it.
   Instant mUsableUntil = Instant::max();
@@ -117,20 +121,21 @@
            : std::nullopt;
 }
 
-// Makes the connection fail when sent bytes stay unacknowledged for aTimeout.
-// 0 keeps the default of the operating system.
+// Makes the connection fail when sent bytes stay unacknowledged for aTimeout. 0
+// restores the default of the operating system.
 void
-SetAckTimeout(tcp::socket& aSocket, Duration aTimeout)
+SetAckTimeout(Connection& aConnection, Duration aTimeout)
 {
-  if (aTimeout <= Duration(0)) {
+  if (aConnection.mAckTimeout == aTimeout) {
     return;
   }
+  aConnection.mAckTimeout = aTimeout;
   using AckTimeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   beast::error_code ec;
-  const auto millis =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout);
-  aSocket.set_option(AckTimeout(static_cast<int>(millis.count())), ec);
+  const auto millis = std::chrono::ceil<std::chrono::milliseconds>(aTimeout);
+  aConnection.mStream.socket().set_option(
+    AckTimeout(static_cast<int>(millis.count())), ec);
 }
 
 } // namespace
@@ -215,8 +220,9 @@
   if (ec) {
     return MakeError(SendState::NotSent, ec);
   }
-  connection->mStream.socket().set_option(tcp::no_delay(true), ec);
-  SetAckTimeout(connection->mStream.socket(), aOptions.mAckTimeout);
+  auto& socket = connection->mStream.socket();
+  socket.set_option(tcp::no_delay(true), ec);
+  socket.set_option(asio::socket_base::linger(true, 0), ec);
   return connection;
 }
 
@@ -517,6 +523,7 @@
     return std::move(acquired).error();
   }
   auto connection = std::move(acquired).value();
+  SetAckTimeout(*connection, aOptions.mAckTimeout);
   const bool isReused = connection->mIsReused;
   const auto text = SerializeMessage(ToMessage(aEndpoint, aRequest));
   const auto writeError =
@@ -587,7 +594,13 @@
                  std::size_t aMaxBodyBytes)
 {
   const auto end = MonotonicNow() + aTimeout;
-  auto opened = Open(aEndpoint, aRequest, aTimeout);
+  HttpCallOptions options;
+  options.mTimeout = aTimeout;
+  options.mConnectTimeout = aTimeout;
+  // After the timeout the kernel no longer sends the request either, even if
+  // the process is suspended then and can't close the connection.
+  options.mAckTimeout = aTimeout;
+  auto opened = Open(aEndpoint, aRequest, options);
   if (!opened) {
     return std::move(opened).error();
   }
