Quarantine requests that crash servers, not only parts of prompts

Cause: the entry path kept evidence against shared parts of prompts only; a request without such parts was never suspected.

At a death the requests sent to the server last answer for it, since a request that crashes servers does so when it begins. A request that has lost two servers waits for the verdict before its next retry, so that its deaths count one by one.

--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -574,25 +574,28 @@
                 Info,
                 "part_suspect",
                 "A backend server ended before it had answered a prompt with "
-                "this part; `part` is a hash of the model and the part's id, "
-                "`place` the part's place in the prompt, `deaths` the number "
-                "of servers that ended like this.",
+                "this part, or this request, by `kind`; `part` is a hash of "
+                "the model and the part's id, or of the request, `place` the "
+                "part's place in the prompt, `deaths` the number of servers "
+                "that ended like this.",
                 "Nothing for single events." },
   LogEventInfo{ PartQuarantined,
                 2026,
                 Error,
                 "part_quarantined",
-                "Each server that was to answer a prompt with this part has "
-                "ended; such prompts are refused for `for`.",
+                "Each server that was to answer a prompt with this part, or "
+                "this request, by `kind`, has ended; such prompts, or the "
+                "request, are refused for `for`.",
                 "Find the callers by `request_refused` with reason "
-                "`quarantined`, and report the part to the engine's "
-                "maintainers." },
+                "`quarantined`, and report the part or the request to the "
+                "servers' maintainers." },
   LogEventInfo{ PartCleared,
                 2027,
                 Info,
                 "part_cleared",
                 "A server answered a prompt with a part that was refused, or "
-                "the time of its refusal is over.",
+                "a request that was, by `kind`, or the time of its refusal is "
+                "over.",
                 "Nothing." },
   LogEventInfo{ ServerSaidLeaving,
                 2030,
--- a/packages/entry/include/bilberrytrail/entry/part_quarantine.h
+++ b/packages/entry/include/bilberrytrail/entry/part_quarantine.h
@@ -13,12 +13,18 @@
 
 namespace bilberrytrail {
 
-// Identifies a part of prompts for one model; the same on every daemon.
+// Identifies a part of prompts for one model, or a whole request; the same on
+// every daemon.
 using PartKey = Number<struct PartKeyTag>;
 
 [[nodiscard]] PartKey
 MakePartKey(const ModelId& aModel, std::string_view aPart);
 
+// Returns the key of a request; the same for requests of one client account
+// with the same method, target, prompt and body.
+[[nodiscard]] PartKey
+MakeRequestKey(const CallerRequest& aRequest, const AccountId& aAccount);
+
 // Returns the keys of the parts that other prompts may have too, in order.
 [[nodiscard]] std::vector<PartKey>
 SharedPartKeys(const Prompt& aPrompt);
@@ -43,9 +49,23 @@
   std::vector<PartDeath> mDeaths;
 };
 
+// What the keys of a quarantine identify.
+enum class QuarantinedKind : unsigned char
+{
+  Part,
+  Request
+};
+
+template<>
+struct EnumNames<QuarantinedKind>
+{
+  static constexpr std::array<std::string_view, 2> kNames{ "part", "request" };
+};
+
 // Thresholds and bounds of a part quarantine.
 struct PartQuarantineSettings
 {
+  QuarantinedKind mKind = QuarantinedKind::Part;
   // Deaths that quarantine a part.
   std::size_t mDeaths = 3;
   // Deaths that quarantine a part that servers answered on before.
@@ -70,7 +90,9 @@
 // that waited at the same deaths, the one with the most deaths explains them,
 // or else the last one in the prompt, and they no longer count against others.
 // Evidence of other daemons is merged, in any order and any number of times.
-// Not thread-safe.
+// Requests that come again and crash servers as a whole are quarantined in the
+// same way, as prompts with a single part; they have a quarantine of their own,
+// so that the two kinds of evidence don't explain each other. Not thread-safe.
 //
 //   if (const auto time = parts.QuarantineTime(keys, now)) { ... refuse ... }
 //   parts.ServerDied(death, keys, brokenAt, now);
@@ -88,6 +110,8 @@
   {
   }
 
+  // Returns whether a server that was to answer on this part ended.
+  [[nodiscard]] bool IsSuspect(PartKey aPart) const;
   // Returns the number of parts with evidence.
   [[nodiscard]] std::size_t size() const noexcept { return mEntries.size(); }
   // Returns for how long prompts with these parts are refused; nothing when
--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -42,7 +42,9 @@
   // daemon sends to such servers without a home.
   ServerLimits& mLimits;
   RateGate& mGate;
+  // Evidence against parts of prompts, and against whole requests.
   PartQuarantine& mParts;
+  PartQuarantine& mRequests;
   CrashWatch& mCrashes;
   // Servers that get no requests, since their answers said so.
   AvoidedServers& mAvoided;
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -124,6 +124,7 @@
   RateGate mGate;
   const double mGatePhase;
   PartQuarantine mParts;
+  PartQuarantine mRequests{ { .mKind = QuarantinedKind::Request } };
   CrashWatch mCrashes;
   AvoidedServers mAvoided;
   ServerPool mPool;
@@ -186,7 +187,7 @@
   , mBackend(aPlatform.MakeBackend(mTraffic))
   , mGate(mLimits)
   , mGatePhase(Random(MakeLogId(mSelf)).Unit())
-  , mCrashes(mTraffic, *mBackend, mParts)
+  , mCrashes(mTraffic, *mBackend, mParts, mRequests)
   , mPool(mSettings.mZone, ServerPoolSettings(), &mGate, &mAvoided)
   , mRetries(
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow },
@@ -196,7 +197,8 @@
                mSelf.mName,
                MakeLogId(mSelf),
                mLimits,
-               mParts)
+               mParts,
+               mRequests)
   , mHistograms(kMaxSeries)
   , mCounters(kMaxSeries)
   , mFlow(MakeFlowContext())
@@ -226,6 +228,7 @@
     mLimits,
     mGate,
     mParts,
+    mRequests,
     mCrashes,
     mAvoided,
     &mPlacement,
--- a/packages/entry/src/part_quarantine.cpp
+++ b/packages/entry/src/part_quarantine.cpp
@@ -32,6 +32,28 @@
   return PartKey(StableHash64(text));
 }
 
+PartKey
+MakeRequestKey(const CallerRequest& aRequest, const AccountId& aAccount)
+{
+  std::string head;
+  const auto add = [&](std::string_view aText) {
+    head += std::to_string(aText.size());
+    head += ':';
+    head += aText;
+  };
+  add(aAccount.Text());
+  add(aRequest.mHost);
+  add(aRequest.mPassedOn.mMethod);
+  add(aRequest.mPassedOn.mTarget);
+  if (aRequest.mPrompt) {
+    add(aRequest.mPrompt->mModel.Text());
+    for (const auto& it : aRequest.mPrompt->mParts) {
+      add(it.mId);
+    }
+  }
+  return PartKey(KeyedHash64(head, aRequest.mPassedOn.mBody));
+}
+
 std::vector<PartKey>
 SharedPartKeys(const Prompt& aPrompt)
 {
@@ -42,6 +64,13 @@
   return keys;
 }
 
+bool
+PartQuarantine::IsSuspect(PartKey aPart) const
+{
+  const auto it = mEntries.find(aPart);
+  return it != mEntries.end() && !it->second.mEvidence.mDeaths.empty();
+}
+
 PartQuarantine::Entry&
 PartQuarantine::EntryOf(PartKey aPart, std::uint32_t aPlace)
 {
@@ -131,7 +160,8 @@
     if (AddDeath(entry, { aDeath, aAt })) {
       NoteChange(entry, aNow);
       LogLine(LogEvent::PartSuspect,
-              { { "part", aParts[place] },
+              { { "kind", mSettings.mKind },
+                { "part", aParts[place] },
                 { "place", place },
                 { "death", aDeath },
                 { "deaths", entry.mEvidence.mDeaths.size() } });
@@ -292,12 +322,14 @@
     }
     if (it->mIsQuarantined && !wasQuarantined) {
       LogLine(LogEvent::PartQuarantined,
-              { { "part", evidence.mPart },
+              { { "kind", mSettings.mKind },
+                { "part", evidence.mPart },
                 { "place", evidence.mPlace },
                 { "deaths", evidence.mDeaths.size() },
                 { "for", mSettings.mLifetime } });
     } else if (wasQuarantined && !it->mIsQuarantined) {
-      LogLine(LogEvent::PartCleared, { { "part", evidence.mPart } });
+      LogLine(LogEvent::PartCleared,
+              { { "kind", mSettings.mKind }, { "part", evidence.mPart } });
     }
   }
 }
--- a/packages/entry/src/part_report_codec.cpp
+++ b/packages/entry/src/part_report_codec.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-constexpr const char* kField = "parts";
 // Evidence that is older is rejected when read.
 constexpr Duration kMaxAge = 3600s;
 
@@ -62,18 +61,20 @@
 } // namespace
 
 void
-AddPartReports(Json& aJson, const std::vector<PartReport>& aReports)
+AddPartReports(Json& aJson,
+               const char* aField,
+               const std::vector<PartReport>& aReports)
 {
   if (!aReports.empty()) {
-    aJson[kField] = ToJsonList(
+    aJson[aField] = ToJsonList(
       aReports, [](const PartReport& aReport) { return ToJson(aReport); });
   }
 }
 
 std::vector<PartReport>
-ReadPartReports(JsonFields& aFields)
+ReadPartReports(JsonFields& aFields, const char* aField)
 {
-  return aFields.Has(kField) ? ReadListField(aFields, kField, ReadReport)
+  return aFields.Has(aField) ? ReadListField(aFields, aField, ReadReport)
                              : std::vector<PartReport>();
 }
 
--- a/packages/entry/src/placement_codec.cpp
+++ b/packages/entry/src/placement_codec.cpp
@@ -265,7 +265,8 @@
     json["ask"] = ToJson(*aMessage.mRequest);
   }
   AddLimits(json, aMessage.mLimits);
-  AddPartReports(json, aMessage.mParts);
+  AddPartReports(json, kPartsField, aMessage.mParts);
+  AddPartReports(json, kWholeRequestsField, aMessage.mWholeRequests);
   return Pack(kMessage, json);
 }
 
@@ -281,7 +282,8 @@
              { "time_ms", ToMillis(reply.mTime) },
              { "candidates", reply.mCandidates } };
   AddLimits(json, aAnswer.mLimits);
-  AddPartReports(json, aAnswer.mParts);
+  AddPartReports(json, kPartsField, aAnswer.mParts);
+  AddPartReports(json, kWholeRequestsField, aAnswer.mWholeRequests);
   return Pack(kReply, json);
 }
 
@@ -301,7 +303,8 @@
     message.mRequest = ReadObjectField(fields, "ask", ReadRequest);
   }
   message.mLimits = ReadLimits(fields);
-  message.mParts = ReadPartReports(fields);
+  message.mParts = ReadPartReports(fields, kPartsField);
+  message.mWholeRequests = ReadPartReports(fields, kWholeRequestsField);
   return Checked(fields, std::move(message));
 }
 
@@ -323,7 +326,8 @@
   reply.mTime = FromMillis(fields.Real("time_ms"));
   reply.mCandidates = fields.Unsigned("candidates");
   answer.mLimits = ReadLimits(fields);
-  answer.mParts = ReadPartReports(fields);
+  answer.mParts = ReadPartReports(fields, kPartsField);
+  answer.mWholeRequests = ReadPartReports(fields, kWholeRequestsField);
   return Checked(fields, std::move(answer));
 }
 
--- a/packages/entry/src/placement_codec.h
+++ b/packages/entry/src/placement_codec.h
@@ -28,7 +28,8 @@
   Duration mAge{};
 };
 
-// What the sender knows of a part that waited at servers when they ended.
+// What the sender knows of a part, or a whole request, that waited at servers
+// when they ended.
 struct PartReport
 {
   PartKey mPart;
@@ -39,7 +40,8 @@
 };
 
 // A datagram from a daemon to a home: at most one placement request, reports on
-// earlier grants, observations of rate limits, and evidence against parts.
+// earlier grants, observations of rate limits, and evidence against parts and
+// whole requests.
 struct PlacementMessage
 {
   PlacementClientId mClient;
@@ -47,15 +49,17 @@
   std::vector<PlacementReport> mReports;
   std::vector<LimitReport> mLimits;
   std::vector<PartReport> mParts;
+  std::vector<PartReport> mWholeRequests;
 };
 
 // A home's answer to a placement request, with its observations of rate limits
-// and its evidence against parts.
+// and its evidence against parts and whole requests.
 struct PlacementAnswer
 {
   PlacementReply mReply;
   std::vector<LimitReport> mLimits;
   std::vector<PartReport> mParts;
+  std::vector<PartReport> mWholeRequests;
 };
 
 [[nodiscard]] std::string
--- a/packages/entry/src/placement_service.cpp
+++ b/packages/entry/src/placement_service.cpp
@@ -36,12 +36,30 @@
 // Longer than kListValidTime: when a new home uses the whole limit, each other
 // daemon has read its row, or no longer relies on an older list.
 constexpr Duration kHomeSettlingTime = 15s;
-// Period in which a daemon sends evidence against parts to another one.
+// Period in which a daemon sends evidence to another one.
 constexpr Duration kExchangePeriod = 500ms;
 // Daemons that a daemon asks for evidence after its start.
 constexpr std::size_t kFirstExchanges = 4;
 static_assert(kHomeSettlingTime > kListValidTime);
 
+// Returns the evidence to send to other daemons.
+std::vector<PartReport>
+ReportsOf(const PartQuarantine& aQuarantine)
+{
+  const auto now = MonotonicNow();
+  return ToReports(aQuarantine.Recent(now), now);
+}
+
+void
+MergeReports(PartQuarantine& aQuarantine,
+             const std::vector<PartReport>& aReports)
+{
+  if (!aReports.empty()) {
+    const auto now = MonotonicNow();
+    aQuarantine.Merge(ToEvidence(aReports, now), now);
+  }
+}
+
 } // namespace
 
 PlacementService::PlacementService(Loop& aLoop,
@@ -49,12 +67,14 @@
                                    DaemonId aSelf,
                                    std::uint64_t aIncarnation,
                                    ServerLimits& aLimits,
-                                   PartQuarantine& aParts)
+                                   PartQuarantine& aParts,
+                                   PartQuarantine& aRequests)
   : mLoop(aLoop)
   , mSelf{ std::move(aSelf), aIncarnation }
   , mSocket(aLoop)
   , mLimits(aLimits)
   , mParts(aParts)
+  , mRequests(aRequests)
   , mLedger(std::move(aOwnZone), HomeAdmissionSettings(), aLimits)
   , mRandom(aIncarnation)
 {
@@ -67,7 +87,7 @@
     return std::move(port).error();
   }
   mLoop.Spawn([this] { Receive(); });
-  mLoop.Spawn([this] { ExchangeParts(); });
+  mLoop.Spawn([this] { ExchangeEvidence(); });
   return Ok();
 }
 
@@ -77,7 +97,7 @@
   const bool isFirst = mMap == nullptr;
   mMap = std::move(aMap);
   if (isFirst) {
-    SendPartsToRandom(kFirstExchanges);
+    SendEvidenceToRandom(kFirstExchanges);
   }
   std::map<PlacementGroup, Instant> since;
   for (const auto& group : mMap->GroupsOf(mSelf.mDaemon)) {
@@ -131,32 +151,32 @@
   mLimits.Merge(observations, now);
 }
 
-std::vector<PartReport>
-PlacementService::PartReports() const
+PlacementMessage
+PlacementService::MakeMessage() const
 {
-  const auto now = MonotonicNow();
-  return ToReports(mParts.Recent(now), now);
+  PlacementMessage message;
+  message.mClient = mSelf;
+  message.mLimits = LimitReports();
+  message.mParts = ReportsOf(mParts);
+  message.mWholeRequests = ReportsOf(mRequests);
+  return message;
 }
 
-void
-PlacementService::MergeParts(const std::vector<PartReport>& aReports)
+bool
+PlacementService::HasEvidence() const
 {
-  if (!aReports.empty()) {
-    const auto now = MonotonicNow();
-    mParts.Merge(ToEvidence(aReports, now), now);
-  }
+  const auto now = MonotonicNow();
+  return !mParts.Recent(now).empty() || !mRequests.Recent(now).empty();
 }
 
 void
-PlacementService::SendParts(const Endpoint& aDaemon)
+PlacementService::SendEvidence(const Endpoint& aDaemon)
 {
-  mSocket.Send(
-    aDaemon,
-    Encode(PlacementMessage{ mSelf, std::nullopt, {}, {}, PartReports() }));
+  mSocket.Send(aDaemon, Encode(MakeMessage()));
 }
 
 void
-PlacementService::SendPartsToRandom(std::size_t aDaemons)
+PlacementService::SendEvidenceToRandom(std::size_t aDaemons)
 {
   std::vector<PlacementCandidate> others;
   std::ranges::copy_if(
@@ -164,16 +184,16 @@
       return aDaemon.mDaemon != mSelf.mDaemon;
     });
   for (const auto& it : PickRandom(std::move(others), aDaemons, mRandom)) {
-    SendParts(it.mEndpoint);
+    SendEvidence(it.mEndpoint);
   }
 }
 
 void
-PlacementService::ExchangeParts()
+PlacementService::ExchangeEvidence()
 {
   while (mLoop.Sleep(kExchangePeriod)) {
-    if (mMap != nullptr && !mParts.Recent(MonotonicNow()).empty()) {
-      SendPartsToRandom(1);
+    if (mMap != nullptr && HasEvidence()) {
+      SendEvidenceToRandom(1);
     }
   }
 }
@@ -265,12 +285,10 @@
   }
   Event arrived(mLoop);
   mPending[aRequest.mTicket].mArrived = &arrived;
-  mSocket.Send(aHome.mEndpoint,
-               Encode(PlacementMessage{ mSelf,
-                                        aRequest,
-                                        TakeReports(aHome.mDaemon),
-                                        LimitReports(),
-                                        PartReports() }));
+  auto message = MakeMessage();
+  message.mRequest = aRequest;
+  message.mReports = TakeReports(aHome.mDaemon);
+  mSocket.Send(aHome.mEndpoint, Encode(message));
   const auto timeout = std::clamp(
     FromMillis(ToMillis(aRequest.mQuery.mObjective) * kReplyTimeoutObjectives),
     kMinReplyTimeout,
@@ -343,12 +361,9 @@
   (void)mLoop.Sleep(kReportDelay);
   mIsFlushing = false;
   for (auto& [home, entry] : std::exchange(mReports, {})) {
-    mSocket.Send(entry.first,
-                 Encode(PlacementMessage{ mSelf,
-                                          std::nullopt,
-                                          std::move(entry.second),
-                                          LimitReports(),
-                                          PartReports() }));
+    auto message = MakeMessage();
+    message.mReports = std::move(entry.second);
+    mSocket.Send(entry.first, Encode(message));
   }
 }
 
@@ -378,22 +393,26 @@
               { "reason", message.error().mMessage } });
     return;
   }
-  const auto& [client, request, reports, limits, parts] = message.value();
+  const auto& [client, request, reports, limits, parts, requests] =
+    message.value();
   const auto now = MonotonicNow();
   MergeLimits(limits);
-  MergeParts(parts);
+  MergeReports(mParts, parts);
+  MergeReports(mRequests, requests);
   for (const auto& it : reports) {
     mLedger.Report(client, it, now);
   }
-  const bool isQuery = !request && reports.empty() && parts.empty();
-  if (isQuery && !mParts.Recent(now).empty()) {
-    SendParts(aDatagram.mFrom);
+  const bool isQuery =
+    !request && reports.empty() && parts.empty() && requests.empty();
+  if (isQuery && HasEvidence()) {
+    SendEvidence(aDatagram.mFrom);
   }
   if (request) {
     mSocket.Send(aDatagram.mFrom,
                  Encode(PlacementAnswer{ HandleRequest(client, *request),
                                          LimitReports(),
-                                         PartReports() }));
+                                         ReportsOf(mParts),
+                                         ReportsOf(mRequests) }));
   }
 }
 
@@ -408,7 +427,8 @@
     return;
   }
   MergeLimits(answer.value().mLimits);
-  MergeParts(answer.value().mParts);
+  MergeReports(mParts, answer.value().mParts);
+  MergeReports(mRequests, answer.value().mWholeRequests);
   const auto it = mPending.find(answer.value().mReply.mTicket);
   if (it != mPending.end()) {
     it->second.mReply = std::move(answer).value().mReply;
--- a/packages/entry/src/placement_service.h
+++ b/packages/entry/src/placement_service.h
@@ -27,7 +27,8 @@
                    DaemonId aSelf,
                    std::uint64_t aIncarnation,
                    ServerLimits& aLimits,
-                   PartQuarantine& aParts);
+                   PartQuarantine& aParts,
+                   PartQuarantine& aRequests);
 
   // Binds the socket and starts to receive.
   Result<void> Start(const Endpoint& aEndpoint);
@@ -74,15 +75,17 @@
   // Returns the observations of rate limits to send to other daemons.
   [[nodiscard]] std::vector<LimitReport> LimitReports() const;
   void MergeLimits(const std::vector<LimitReport>& aReports);
-  // Returns the evidence against parts to send to other daemons.
-  [[nodiscard]] std::vector<PartReport> PartReports() const;
-  void MergeParts(const std::vector<PartReport>& aReports);
-  // Sends evidence against parts, while there is any, to daemons picked at
-  // random: a daemon that is the home of all its requests learns it from nobody
-  // else. A message without any is a query, as a daemon sends after its start.
-  void ExchangeParts();
-  void SendParts(const Endpoint& aDaemon);
-  void SendPartsToRandom(std::size_t aDaemons);
+  // Returns a message without a request, with all that other daemons are told.
+  [[nodiscard]] PlacementMessage MakeMessage() const;
+  // Returns whether there is evidence that other daemons need.
+  [[nodiscard]] bool HasEvidence() const;
+  // Sends evidence against parts and requests, while there is any, to daemons
+  // picked at random: a daemon that is the home of all its requests learns it
+  // from nobody else. A message without any is a query, as a daemon sends after
+  // its start.
+  void ExchangeEvidence();
+  void SendEvidence(const Endpoint& aDaemon);
+  void SendEvidenceToRandom(std::size_t aDaemons);
   [[nodiscard]] std::vector<PlacementReport> TakeReports(const DaemonId& aHome);
   [[nodiscard]] bool IsBackedOff(const DaemonId& aHome) const;
   void OnReplyTimeout(const DaemonId& aHome);
@@ -97,6 +100,7 @@
   DatagramSocket mSocket;
   ServerLimits& mLimits;
   PartQuarantine& mParts;
+  PartQuarantine& mRequests;
   PlacementLedger mLedger;
   std::shared_ptr<const PlacementMap> mMap;
   Instant mListReadAt;
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -71,8 +71,14 @@
   std::optional<bool> ChooseByHome();
   // Refuses a request for which no server is left.
   void RefuseUnserved();
-  // Refuses a prompt with a part in quarantine. Returns whether it did.
+  // Refuses a request that is in quarantine, or a prompt with a part that is.
+  // Returns whether it did.
   bool RefuseQuarantined();
+  // Returns the key by which the request is recognized when it comes again.
+  [[nodiscard]] PartKey RequestKey();
+  // Before a request that may have crashed servers is sent once more, waits
+  // until that is known.
+  void AwaitVerdict();
   // Records that the answer to the current send goes on.
   void NoteAnswerGoesOn(bool aIsWhole);
   // Records that the current send broke off.
@@ -153,6 +159,9 @@
   bool mIsStopped = false;
   // Parts of the prompt that other prompts may have too.
   std::vector<PartKey> mParts;
+  std::optional<PartKey> mRequestKey;
+  // Sends whose connections were lost before the answer.
+  std::size_t mBrokenSends = 0;
   ServerQuery mQuery;
   ChosenServer mChoice;
   SendTicket mTicket;
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -254,6 +254,9 @@
     LogLine(LogEvent::RequestRetried,
             { { "request", mRequest.mId }, { "runs", mRuns } });
     mContext.mCounts.Add(Labels(), Counter::Retries);
+    if (aFailure.mFault == SendFault::Broken) {
+      AwaitVerdict();
+    }
     return Next::Send;
   }
   if (aFailure.mNotRun) {
--- a/packages/entry/tests/placement_service_test.cpp
+++ b/packages/entry/tests/placement_service_test.cpp
@@ -52,7 +52,8 @@
                                            name,
                                            n + 1,
                                            mLimits.emplace_back(),
-                                           mParts.emplace_back()));
+                                           mParts.emplace_back(),
+                                           mRequests.emplace_back()));
     }
     const auto servers = Servers();
     mMap = std::make_shared<const PlacementMap>(servers, mCandidates);
@@ -101,6 +102,7 @@
   // What each daemon knows of the servers' rate limits.
   std::deque<ServerLimits> mLimits;
   std::deque<PartQuarantine> mParts;
+  std::deque<PartQuarantine> mRequests;
   std::vector<PlacementCandidate> mCandidates;
   std::vector<std::unique_ptr<PlacementService>> mServices;
   std::shared_ptr<const PlacementMap> mMap;
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -166,6 +166,7 @@
                      mLimits,
                      mGate,
                      mParts,
+                     mRequests,
                      mCrashes,
                      mAvoided,
                      &mPlacer });
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -162,7 +162,8 @@
   ServerLimits mLimits;
   RateGate mGate{ mLimits };
   PartQuarantine mParts;
-  CrashWatch mCrashes{ mLoop, mBackend, mParts };
+  PartQuarantine mRequests{ { .mKind = QuarantinedKind::Request } };
+  CrashWatch mCrashes{ mLoop, mBackend, mParts, mRequests };
   AvoidedServers mAvoided;
   ServerPool mPool{ ZoneId("z"), ServerPoolSettings(), &mGate, &mAvoided };
   RetryMeter mRetries{ { 0.2, 1000, 10s, 0.8 }, MonotonicNow() - 20s };
--- a/standins/src/fleet/fleet_server.cpp
+++ b/standins/src/fleet/fleet_server.cpp
@@ -32,7 +32,7 @@
     return;
   }
   mArrivals.push_back(MonotonicNow());
-  if (HasDeadlyPart(aRequest)) {
+  if (IsDeadly(aRequest)) {
     mDeadlyArrivals.push_back(MonotonicNow());
   }
   const auto& headers = aRequest.mHeaders;
@@ -63,8 +63,11 @@
 }
 
 bool
-FleetServer::HasDeadlyPart(const HttpRequest& aRequest) const
+FleetServer::IsDeadly(const HttpRequest& aRequest) const
 {
+  if (!mDeadlyBody.empty() && aRequest.mBody == mDeadlyBody) {
+    return true;
+  }
   return !mDeadlyPart.empty() &&
          FindHeader(aRequest.mHeaders, "Bilberrytrail-Prompt-Prefix")
              .find(mDeadlyPart) != std::string_view::npos;
@@ -130,6 +133,11 @@
     WithState({ { "Bilberrytrail-Request-Id", id },
                 { "Bilberrytrail-Response-Signature", "sig-" + id } });
   if (aRequest.mTarget.find("/stream/") == std::string::npos) {
+    if (IsDeadly(aRequest)) {
+      Crash();
+      aResponder.Abort();
+      return;
+    }
     (void)aResponder.Send({ 200, std::move(headers), aRequest.mBody });
     return;
   }
@@ -138,7 +146,7 @@
   if (!aResponder.BeginStream(200, std::move(headers))) {
     return;
   }
-  if (HasDeadlyPart(aRequest)) {
+  if (IsDeadly(aRequest)) {
     (void)mLoop.Sleep(mEventTime);
     Crash();
   }
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -70,8 +70,7 @@
 
   // Number of times that the server has started.
   [[nodiscard]] std::uint64_t Starts() const noexcept { return mStarts; }
-  // Times of its crashes, and arrival times of the prompts with the part that
-  // crashes it.
+  // Times of its crashes, and arrival times of the requests that crash it.
   [[nodiscard]] const std::vector<Instant>& Crashes() const noexcept
   {
     return mCrashes;
@@ -88,6 +87,12 @@
     mDeadlyPart = std::move(aPart);
     mOnCrash = std::move(aOnCrash);
   }
+  // Crashes the server when it begins to run a request with this body.
+  void SetDeadlyBody(std::string aBody, std::function<void()> aOnCrash)
+  {
+    mDeadlyBody = std::move(aBody);
+    mOnCrash = std::move(aOnCrash);
+  }
   // Starts the server again.
   void Restart() noexcept { ++mStarts; }
 
@@ -126,7 +131,7 @@
   // Waits in the queue. Returns whether the request may begin before its
   // deadline.
   [[nodiscard]] bool Queue(const HttpRequest& aRequest);
-  [[nodiscard]] bool HasDeadlyPart(const HttpRequest& aRequest) const;
+  [[nodiscard]] bool IsDeadly(const HttpRequest& aRequest) const;
   // Adds what the server says in all its answers to the headers of one.
   [[nodiscard]] HttpHeaders WithState(HttpHeaders aHeaders) const;
   void Run(const HttpRequest& aRequest, HttpResponder& aResponder);
@@ -153,6 +158,7 @@
   std::vector<FleetRun> mBegun;
   std::uint64_t mStarts = 1;
   std::string mDeadlyPart;
+  std::string mDeadlyBody;
   std::function<void()> mOnCrash;
   std::vector<Instant> mCrashes;
   std::vector<Instant> mDeadlyArrivals;
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -175,6 +175,15 @@
   }
 }
 
+void
+FleetSite::SetDeadlyBody(const std::string& aBody, Duration aDownTime)
+{
+  for (std::size_t n = 0; n < mServers.size(); ++n) {
+    mServers[n]->SetDeadlyBody(aBody,
+                               [this, n, aDownTime] { OnCrash(n, aDownTime); });
+  }
+}
+
 void
 FleetSite::OnCrash(std::size_t aNumber, Duration aDownTime)
 {
@@ -197,9 +206,13 @@
                 const std::string& aKey,
                 const std::string& aParts)
 {
-  return mClient->Call(mSettings[aDaemon].mCallers,
-                       SmallSiteRequest(aId, aTarget, aKey, 4s, aParts),
-                       6s);
+  return Send(aDaemon, SmallSiteRequest(aId, aTarget, aKey, 4s, aParts));
+}
+
+Result<HttpResponse, HttpError>
+FleetSite::Send(std::size_t aDaemon, const HttpRequest& aRequest)
+{
+  return mClient->Call(mSettings[aDaemon].mCallers, aRequest, 6s);
 }
 
 unsigned
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -57,6 +57,8 @@
   // Makes the engines crash on prompts with this part; they are back after a
   // time.
   void SetDeadlyPart(const std::string& aPart, Duration aDownTime);
+  // Makes all servers crash on requests with this body.
+  void SetDeadlyBody(const std::string& aBody, Duration aDownTime);
   // Puts the row of a server of the site.
   void PutServer(std::size_t aNumber, const std::string& aState = "ready");
   [[nodiscard]] Result<HttpResponse, HttpError> Send(
@@ -65,6 +67,9 @@
     const std::string& aTarget,
     const std::string& aKey = "key",
     const std::string& aParts = "a:10,b:10");
+  [[nodiscard]] Result<HttpResponse, HttpError> Send(
+    std::size_t aDaemon,
+    const HttpRequest& aRequest);
   [[nodiscard]] unsigned Status(std::size_t aDaemon,
                                 const std::string& aId,
                                 const std::string& aTarget,
