Give the relay of an answer one deadline

Cause: the relay loops gave each read the time left, at least 10 ms. A read that finds bytes sooner never times out, and nothing else looked at the clock.

BackendAnswer::Read takes the deadline of the whole loop and fails from then on even if bytes have arrived, so that no loop over pieces can pass it.

--- a/packages/entry/include/bilberrytrail/entry/backend_call.h
+++ b/packages/entry/include/bilberrytrail/entry/backend_call.h
@@ -118,8 +118,9 @@
   // server that ends early looks like one that is done.
   [[nodiscard]] virtual bool EndsWithConnection() const noexcept = 0;
   // Waits for the next bytes; returns nothing at the regular end of the answer.
+  // Fails with Timeout from the deadline on, even if more bytes have arrived.
   [[nodiscard]] virtual Result<std::optional<std::string>> Read(
-    Duration aTimeout) = 0;
+    Instant aDeadline) = 0;
 };
 
 // Sends requests to backend servers. It only translates; all decisions are the
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -300,7 +300,7 @@
   NoteOldWeights();
   std::string body;
   while (true) {
-    auto piece = aAnswer.Read(std::max(TimeLeft(), kMinTimeLeft));
+    auto piece = aAnswer.Read(mDeadline);
     if (!piece) {
       return OnFailure({ piece.error().mCode == ErrorCode::Timeout
                            ? SendFault::TimedOut
@@ -354,8 +354,8 @@
   }
   bool hasBegun = false;
   while (true) {
-    auto piece = aAnswer.Read(hasBegun ? std::max(TimeLeft(), kMinTimeLeft)
-                                       : BeginTimeLeft());
+    auto piece =
+      aAnswer.Read(hasBegun ? mDeadline : std::min(mBeginBy, mDeadline));
     if (!piece) {
       return OnStreamBroken(piece.error());
     }
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -1,5 +1,7 @@
 #include "request_flow_fixture.h"
 
+#include <algorithm>
+
 namespace bilberrytrail {
 
 namespace {
@@ -44,13 +46,15 @@
   {
     return mSend.mEndsWithConnection;
   }
-  Result<std::optional<std::string>> Read(Duration aTimeout) override
+  Result<std::optional<std::string>> Read(Instant aDeadline) override
   {
-    (void)mLoop.Sleep(std::min(mSend.mPieceTime, aTimeout));
+    const auto timeout = aDeadline - MonotonicNow();
+    (void)mLoop.Sleep(std::clamp(
+      mSend.mPieceTime, Duration(0), std::max(timeout, Duration(0))));
     if (mCancel.IsCancelled()) {
       return Fail(ErrorCode::Cancelled, "cancelled");
     }
-    if (mSend.mPieceTime > aTimeout) {
+    if (timeout <= Duration(0) || mSend.mPieceTime > timeout) {
       return Fail(ErrorCode::Timeout, "no bytes before the timeout");
     }
     if (mNext < mSend.mPieces.size()) {
--- /dev/null
+++ b/standins/tests/fleet_endless_answer_test.cpp
@@ -0,0 +1,102 @@
+#include "fleet_site.h"
+#include "raw_server.h"
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytrail;
+using namespace bilberrytrail::standins;
+
+namespace {
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nBilberrytrail-Request-Id: ID\r\n"
+                          "Bilberrytrail-Response-Signature: sig-ID\r\n";
+const std::string kChunked = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kNoLength = kHead + "\r\n";
+
+// An answer without end.
+struct Endless
+{
+  const char* mName;
+  const char* mTarget;
+  std::string mBytes;
+  std::string mRepeated;
+  std::chrono::milliseconds mPause;
+  // The caller gets a refusal; it sees the end of the connection otherwise.
+  bool mIsRefused;
+};
+
+// Replaces one of the two servers of a service by one whose answers have no
+// end, and waits until requests reach it.
+void
+UseEndless(FleetSite& aSite, RawServer& aServer, const Endless& aRow)
+{
+  const std::string target = aRow.mTarget;
+  const bool isStream = target.starts_with("/stream/");
+  const std::size_t replaced = isStream ? 0 : 2;
+  aSite.mTable.Remove("servers", "i-" + std::to_string(replaced + 1));
+  aSite.PutServer(*aSite.mServers[replaced],
+                  aServer.Address(),
+                  isStream ? "llm" : "shop",
+                  "ready");
+  int sent = 0;
+  REQUIRE(aSite.Await([&] {
+    (void)aSite.Send(
+      0, SmallSiteRequest("w" + std::to_string(sent++), target, "key", 100ms));
+    return aServer.Requests() > 0;
+  }));
+}
+
+} // namespace
+
+// Guards against answers that go on without end past the deadline of their
+// callers, who never got a final answer.
+TEST_CASE("callers of an endless answer get a final one at their deadline")
+{
+  const std::string event = "id: 1\ndata: x\n\n";
+  const std::vector<Endless> rows{
+    { "chunks, slow", "/order/1", kChunked, "1\r\nx\r\n", 1ms, true },
+    { "no length, slow", "/order/1", kNoLength, "x", 1ms, true },
+    { "no length, slow, read", "/read/1", kNoLength, "x", 1ms, true },
+    { "head, slow", "/order/1", kHead, "X-Field: x\r\n", 20ms, true },
+    { "comments, slow", "/stream/1", kNoLength, ": x\n\n", 1ms, false },
+    { "one event, slow",
+      "/stream/1",
+      kChunked + "f\r\n" + event + "\r\n",
+      "1\r\nx\r\n",
+      1ms,
+      false },
+  };
+  constexpr Duration kWaitLimit = 500ms;
+  constexpr int kRequests = 4;
+  for (const auto& row : rows) {
+    CAPTURE(std::string(row.mName));
+    RawServer server([&row](const std::string& /*aHead*/) {
+      return RawAnswer{
+        row.mBytes, RawEnd::Close, {}, row.mRepeated, row.mPause
+      };
+    });
+    FleetSite site;
+    site.Run(1, [&] {
+      UseEndless(site, server, row);
+      int sent = 0;
+      const int end = server.Requests() + kRequests;
+      while (server.Requests() < end) {
+        const auto start = MonotonicNow();
+        const auto before = server.Requests();
+        const auto answer = site.Send(
+          0,
+          SmallSiteRequest(
+            "a" + std::to_string(sent++), row.mTarget, "key", kWaitLimit));
+        CHECK(MonotonicNow() - start < kWaitLimit + 500ms);
+        if (server.Requests() == before) {
+          // A server whose row is no longer in force has answered.
+          continue;
+        }
+        CHECK(answer.has_value() == row.mIsRefused);
+        if (answer) {
+          CHECK(answer.value().mStatus >= 500);
+        }
+      }
+    });
+  }
+}
--- a/standins/tests/raw_server.cpp
+++ b/standins/tests/raw_server.cpp
@@ -35,6 +35,9 @@
   std::string mOutput;
   std::string mLate;
   RawEnd mEnd = RawEnd::KeepOpen;
+  std::string mRepeated;
+  std::chrono::milliseconds mPause{ 0 };
+  asio::steady_timer mTimer{ mSocket.get_executor() };
 };
 
 RawServer::RawServer(Script aScript)
@@ -85,6 +88,8 @@
         std::exchange(aSession->mLate, WithId(std::move(answer.mLate), id)) +
         WithId(std::move(answer.mBytes), id);
       aSession->mEnd = answer.mEnd;
+      aSession->mRepeated = std::move(answer.mRepeated);
+      aSession->mPause = answer.mPause;
       WriteAnswer(aSession);
     });
 }
@@ -100,6 +105,10 @@
       if (aCode) {
         return;
       }
+      if (!aSession->mRepeated.empty()) {
+        WriteRepeated(aSession);
+        return;
+      }
       if (aSession->mEnd == RawEnd::KeepOpen) {
         ReadRequest(aSession);
         return;
@@ -114,6 +123,24 @@
     });
 }
 
+void
+RawServer::WriteRepeated(const std::shared_ptr<Session>& aSession)
+{
+  auto& session = *aSession;
+  session.mTimer.expires_after(session.mPause);
+  session.mTimer.async_wait(
+    [this, aSession](const boost::system::error_code& /*aCode*/) {
+      asio::async_write(
+        aSession->mSocket,
+        asio::buffer(aSession->mRepeated),
+        [this, aSession](const boost::system::error_code& aCode, std::size_t) {
+          if (!aCode) {
+            WriteRepeated(aSession);
+          }
+        });
+    });
+}
+
 std::string
 HeaderIn(const std::string& aHead, const std::string& aName)
 {
--- a/standins/tests/raw_server.h
+++ b/standins/tests/raw_server.h
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,6 +32,10 @@
   RawEnd mEnd = RawEnd::KeepOpen;
   // Written before the answer to the next request on the same connection.
   std::string mLate = {};
+  // Written again and again after mBytes, with a pause before each, until the
+  // caller closes the connection; empty for nothing.
+  std::string mRepeated = {};
+  std::chrono::milliseconds mPause{ 0 };
 };
 
 // A backend server that writes any bytes, also such as are no answer. It runs
@@ -56,6 +61,7 @@
   struct Session;
   void ReadRequest(const std::shared_ptr<Session>& aSession);
   void WriteAnswer(const std::shared_ptr<Session>& aSession);
+  void WriteRepeated(const std::shared_ptr<Session>& aSession);
 
   Script mScript;
   boost::asio::io_context mContext;
