Count retries for at least the users' window, also over restarts

Cause: the meter's ten slices included the current one, so that its window was 9 to 10 s long and forgot retries up to a second early. A daemon that had just started took its full share though the process before it had used its own in the same window.

Retries are counted for 10 to 10.5 s and requests for 9.5 to 10 s, whatever the phase, and a daemon takes 0.15 of its allowance in its first window.

The test of the slack expected that a retry is forgotten exactly one window later, which is the fault, and a faster growth at first; its new values are lower.

--- a/packages/entry/include/bilberrytrail/entry/retry_meter.h
+++ b/packages/entry/include/bilberrytrail/entry/retry_meter.h
@@ -19,13 +19,18 @@
   Duration mWindow = 10s;
   // Share of the allowance that is used, since the daemons count independently.
   double mUsedShare = 0.8;
+  // Share that is used in the first window after the start: the process before
+  // may have used its own in the same window.
+  double mStartShare = 0.15;
 };
 
 // Limits the retries of this daemon per service in a sliding window, so that
-// all daemons together stay within the site's allowance without exchanging
-// messages: each takes the ratio of its own requests and an equal part of the
-// slack. The slack of a daemon that has just started grows over one window,
-// since the process before it may have used it up.
+// all daemons together stay within the site's allowance in each span of that
+// length, without exchanging messages: each takes the ratio of its own requests
+// and an equal part of the slack. Retries are counted for somewhat longer than
+// the window, and requests for somewhat shorter, since counts are kept in
+// slices. A daemon that has just started takes a small share for one window,
+// and its slack grows meanwhile.
 class RetryMeter
 {
 public:
@@ -47,7 +52,7 @@
   [[nodiscard]] bool TryRetry(const ServiceId& aService, Instant aNow);
 
 private:
-  // Counts for a tenth of the window.
+  // Counts for a part of the window.
   struct Slice
   {
     std::int64_t mIndex = 0;
--- a/packages/entry/src/retry_meter.cpp
+++ b/packages/entry/src/retry_meter.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::int64_t kSlices = 10;
+// Slices in a window.
+constexpr std::int64_t kSlices = 20;
 
 } // namespace
 
@@ -20,7 +21,9 @@
 RetryMeter::Current(Slices& aSlices, Instant aNow) const
 {
   const auto index = aNow.time_since_epoch() / (mSettings.mWindow / kSlices);
-  while (!aSlices.empty() && aSlices.front().mIndex <= index - kSlices) {
+  // The current slice has just begun, perhaps: one more than kSlices make up a
+  // whole window.
+  while (!aSlices.empty() && aSlices.front().mIndex < index - kSlices) {
     aSlices.pop_front();
   }
   if (aSlices.empty() || aSlices.back().mIndex < index) {
@@ -33,17 +36,21 @@
 RetryMeter::Allowance(const ServiceId& aService, Instant aNow)
 {
   auto& slices = mServices[aService];
-  (void)Current(slices, aNow);
+  const auto current = Current(slices, aNow).mIndex;
   double requests = 0;
   double retries = 0;
   for (const auto& it : slices) {
-    requests += static_cast<double>(it.mRequests);
+    // The oldest slice may lie before the window.
+    if (it.mIndex > current - kSlices) {
+      requests += static_cast<double>(it.mRequests);
+    }
     retries += static_cast<double>(it.mRetryCount);
   }
   const double age = std::clamp(
     ToMillis(aNow - mStartedAt) / ToMillis(mSettings.mWindow), 0.0, 1.0);
   const double slack = age * mSettings.mSlack / static_cast<double>(mDaemons);
-  return mSettings.mUsedShare * (mSettings.mRatio * requests + slack) - retries;
+  const double share = age < 1 ? mSettings.mStartShare : mSettings.mUsedShare;
+  return share * (mSettings.mRatio * requests + slack) - retries;
 }
 
 void
--- a/packages/entry/tests/retry_meter_test.cpp
+++ b/packages/entry/tests/retry_meter_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <deque>
 #include <vector>
 
 using namespace bilberrytrail;
@@ -19,7 +21,7 @@
 RetryMeterSettings
 Settings()
 {
-  return { 0.2, 50, 10s, 0.8 };
+  return { 0.2, 50, 10s };
 }
 
 } // namespace
@@ -59,16 +61,84 @@
   }
 }
 
+// Guards against retries that all daemons together make within one window, as a
+// user counts it, beyond the allowance: the meters forgot retries up to a tenth
+// of a window early, and daemons that were killed forgot all of theirs.
+TEST_CASE("trouble that begins at any part of a second stays in the allowance")
+{
+  constexpr std::size_t kDaemons = 4;
+  constexpr Duration kStep = 10ms;
+  constexpr Duration kTrouble = 23s;
+  struct Row
+  {
+    const char* mName;
+    int mRequestsPerSecond;
+    // Time between the ends of two daemons; 0 for none.
+    Duration mKillGap;
+  };
+  for (const Row& row : { Row{ "100/s", 100, 0s },
+                          Row{ "200/s", 200, 0s },
+                          Row{ "100/s, killed in turn", 100, 2s },
+                          Row{ "200/s, killed in turn", 200, 2s },
+                          Row{ "200/s, killed in a moment", 200, 300ms } }) {
+    for (Duration phase = 0ms; phase < 1s; phase += 50ms) {
+      CAPTURE(std::string(row.mName));
+      CAPTURE(ToMillis(phase));
+      std::vector<RetryMeter> meters(kDaemons, RetryMeter(Settings(), At(0s)));
+      std::deque<Instant> requests;
+      std::deque<Instant> retries;
+      double mostOver = 0;
+      std::size_t next = 0;
+      std::size_t killed = 0;
+      double due = 0;
+      for (Duration t = 0s; t < 60s; t += kStep) {
+        const auto now = At(t);
+        const auto trouble = kTrouble + phase;
+        if (row.mKillGap > 0s && killed < kDaemons &&
+            t >= trouble + 1s + killed * row.mKillGap) {
+          meters[killed++] = RetryMeter(Settings(), now);
+        }
+        for (due += row.mRequestsPerSecond * 0.01; due >= 1; --due) {
+          auto& meter = meters[next++ % kDaemons];
+          meter.SetDaemons(kDaemons);
+          meter.AddRequest(kService, now);
+          requests.push_back(now);
+          for (int n = 0; t >= trouble && n < 2; ++n) {
+            if (meter.TryRetry(kService, now)) {
+              retries.push_back(now);
+            }
+          }
+        }
+        for (auto* it : { &requests, &retries }) {
+          while (!it->empty() && it->front() <= now - Settings().mWindow) {
+            it->pop_front();
+          }
+        }
+        const auto allowed =
+          Settings().mRatio * static_cast<double>(requests.size()) +
+          Settings().mSlack;
+        mostOver =
+          std::max(mostOver, static_cast<double>(retries.size()) / allowed);
+      }
+      CHECK(mostOver <= 1);
+      // Most of the allowance is used.
+      CHECK(mostOver >= 0.5);
+    }
+  }
+}
+
 TEST_CASE("the slack grows over the first window and is shared by the daemons")
 {
   RetryMeter meter(Settings(), At(0s));
   meter.SetDaemons(10);
   CHECK(meter.Allowance(kService, At(0s)) == doctest::Approx(0));
-  CHECK(meter.Allowance(kService, At(5s)) == doctest::Approx(2));
+  CHECK(meter.Allowance(kService, At(5s)) == doctest::Approx(0.375));
   CHECK(meter.Allowance(kService, At(10s)) == doctest::Approx(4));
   CHECK(meter.Allowance(kService, At(60s)) == doctest::Approx(4));
   CHECK(meter.TryRetry(kService, At(60s)));
   CHECK(meter.Allowance(kService, At(60s)) == doctest::Approx(3));
   CHECK(meter.Allowance(ServiceId("other"), At(60s)) == doctest::Approx(4));
-  CHECK(meter.Allowance(kService, At(70s)) == doctest::Approx(4));
+  // The whole window after the retry has passed.
+  CHECK(meter.Allowance(kService, At(70s)) == doctest::Approx(3));
+  CHECK(meter.Allowance(kService, At(70500ms)) == doctest::Approx(4));
 }
