Wait at the start for addresses that are still taken

Users saw processes that did not start or ended by themselves (FAULT), with no logs; that this was their cause is only suspected.

Cause: a daemon that found one of its addresses taken, as by the process before it that was about to end, exited at once.

The daemon tries again for up to 12 s, which is longer than the time to stop, and logs listen_delayed.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -36,6 +36,7 @@
   SettingsRejected,
   Listening,
   ListenFailed,
+  ListenDelayed,
   DaemonReady,
   DaemonNotReady,
   DrainBegun,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -42,6 +42,13 @@
                 "listen_failed",
                 "A configured address cannot be bound.",
                 "Free the port or correct the address in [listen]." },
+  LogEventInfo{ ListenDelayed,
+                1030,
+                Warning,
+                "listen_delayed",
+                "An address is still taken, perhaps by the process before; "
+                "the daemon tries again for some seconds.",
+                "Nothing, unless listen_failed follows." },
   LogEventInfo{ DaemonReady,
                 1006,
                 Info,
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -1,3 +1,4 @@
+#include "await_address.h"
 #include "function_handler.h"
 #include "peer_directory.h"
 #include "placement_service.h"
@@ -38,6 +39,9 @@
 constexpr double kDirectLimitShare = 0.125;
 // Share of the memory that messages in progress may take: a quarter.
 constexpr double kMessageBytesPerMb = 0.25 * 1e6;
+// Time to wait for addresses that are still taken: the process before may end
+// only when its stop time is over.
+constexpr Duration kAddressWait = 12s;
 constexpr const char* kMetricsPath = "/metrics";
 
 // Limits of requests between daemons; a replica of the tables is the largest
@@ -272,16 +276,24 @@
 Result<void>
 EntryDaemon::Impl::Start()
 {
+  const auto end = MonotonicNow() + kAddressWait;
   for (const auto& [server, endpoint] :
        { std::pair{ &mReadinessServer, mSettings.mReadiness },
          std::pair{ &mPeerServer, mSettings.mPeers },
          std::pair{ &mMetricsServer, mSettings.mMetrics },
          std::pair{ &mCallerServer, mSettings.mCallers } }) {
-    if (auto port = server->Listen(endpoint); !port) {
-      return std::move(port).error();
+    const auto listen = [it = server, &to = endpoint]() -> Result<void> {
+      if (auto port = it->Listen(to); !port) {
+        return std::move(port).error();
+      }
+      return Ok();
+    };
+    if (auto ok = AwaitAddress(listen, end); !ok) {
+      return ok;
     }
   }
-  if (auto ok = mPlacement.Start(mSettings.mPeers); !ok) {
+  const auto bind = [this] { return mPlacement.Start(mSettings.mPeers); };
+  if (auto ok = AwaitAddress(bind, end); !ok) {
     return ok;
   }
   mReadinessServer.Serve(mReadinessHandler);
--- a/packages/runtime/src/datagram.cpp
+++ b/packages/runtime/src/datagram.cpp
@@ -54,6 +54,8 @@
     mImpl->mSocket.non_blocking(true, ec);
   }
   if (ec) {
+    boost::system::error_code ignored;
+    mImpl->mSocket.close(ignored);
     return Fail(ErrorCode::Unavailable,
                 "cannot bind " + ToText(aEndpoint) + ": " + ec.message());
   }
--- a/packages/runtime/src/http_server.cpp
+++ b/packages/runtime/src/http_server.cpp
@@ -186,6 +186,8 @@
     mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
   }
   if (ec) {
+    beast::error_code ignored;
+    mAcceptor.close(ignored);
     return Fail(ErrorCode::Unavailable,
                 "cannot listen on " + ToText(aEndpoint) + ": " + ec.message());
   }
