Split the HTTP client and the entry daemon by file

The stream of a response has a file of its own, and the classes behind both a private header. No change of behaviour.

--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -1,16 +1,10 @@
 #include "await_address.h"
-#include "function_handler.h"
-#include "peer_directory.h"
-#include "placement_service.h"
-#include "relay_follower.h"
-#include "rollout_runner.h"
-#include "site_follower.h"
+#include "entry_daemon_impl.h"
 
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/log.h>
 #include <bilberrytrail/base/metrics_text.h>
 #include <bilberrytrail/base/random.h>
-#include <bilberrytrail/entry/entry_daemon.h>
 #include <bilberrytrail/runtime/memory_budget.h>
 
 #include <algorithm>
@@ -68,87 +62,6 @@
 
 } // namespace
 
-class EntryDaemon::Impl : private CacheSink
-{
-public:
-  Impl(EntrySettings aSettings, EntryPlatform& aPlatform);
-
-  Result<void> Start();
-  void Drain();
-  void Join();
-
-private:
-  [[nodiscard]] FlowContext MakeFlowContext();
-  [[nodiscard]] bool IsReady() const;
-  std::shared_ptr<const SiteView> UpdateView();
-  void ForwardLoading(const std::set<ServerId>& aServers);
-  void OnStores(std::vector<CacheStore> aStores) override;
-  void OnPage(CachePage aPage) override;
-  void DrainOnControl();
-  void AwaitEnd(Instant aUntil);
-  void ForwardSettings();
-  void ForwardPlacement();
-  void ForwardMap();
-  HttpResponse ServeReadiness(const HttpRequest& aRequest) const;
-  HttpResponse ServeMetrics(const HttpRequest& aRequest) const;
-  HttpResponse ServePeer(const HttpRequest& aRequest);
-
-  const EntrySettings mSettings;
-  EntryPlatform& mPlatform;
-  // Used on the control thread.
-  Loop mControl;
-  std::unique_ptr<SiteFeed> mFeed;
-  std::unique_ptr<TableService> mTable;
-  std::unique_ptr<SiteReader> mReader;
-  std::unique_ptr<OrderPort> mOrders;
-  std::unique_ptr<CacheEventPort> mCacheEvents;
-  SiteViewHolder mViews;
-  const PeerAddress mSelf;
-  PeerDirectory mPeers;
-  SiteFollower mSiteFollower;
-  StoreFollower mStoreFollower;
-  LoadingNotifier mNotifier;
-  RelayFollower mRelayFollower;
-  RolloutRunner mRolloutRunner;
-  RpcMethods mMethods;
-  HttpServer mReadinessServer;
-  HttpServer mPeerServer;
-  HttpServer mMetricsServer;
-  FunctionHandler mReadinessHandler;
-  FunctionHandler mPeerHandler;
-  FunctionHandler mMetricsHandler;
-  std::atomic<bool> mIsDraining = false;
-  // Input of the current placement map.
-  std::size_t mGroupedPeers = 0;
-  std::vector<ServerRecord> mGroupedServers;
-  // When the list of daemons that the traffic thread knows was read.
-  std::optional<Instant> mListReadAt;
-  // Used on the traffic thread.
-  Loop mTraffic;
-  std::unique_ptr<BackendPort> mBackend;
-  ServerLimits mLimits;
-  // Paces requests that this daemon places itself.
-  RateGate mGate;
-  const double mGatePhase;
-  PartQuarantine mParts;
-  PartQuarantine mRequests{ { .mKind = QuarantinedKind::Request } };
-  CrashWatch mCrashes;
-  AvoidedServers mAvoided;
-  ServerPool mPool;
-  RetryMeter mRetries;
-  CacheDirectory mCache;
-  PlacementService mPlacement;
-  HistogramRegistry mHistograms;
-  CounterRegistry mCounters;
-  std::shared_ptr<const SiteView> mCurrentView;
-  RequestFlow mFlow;
-  std::unique_ptr<HttpHandler> mCallerHandler;
-  HttpServer mCallerServer;
-  // Number of daemons; 0 while unknown.
-  std::atomic<std::size_t> mDaemons = 0;
-  std::vector<std::thread> mThreads;
-};
-
 EntryDaemon::Impl::Impl(EntrySettings aSettings, EntryPlatform& aPlatform)
   : mSettings(std::move(aSettings))
   , mPlatform(aPlatform)
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -1,20 +1,13 @@
-#include "loop_impl.h"
+#include "http_client_impl.h"
 #include "socket_state.h"
 #include "socket_write.h"
 #include "use_fiber.h"
 
-#include <bilberrytrail/runtime/http_client.h>
-
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <netinet/tcp.h>
 
-#include <array>
-#include <charconv>
-#include <map>
 #include <tuple>
 
 namespace bilberrytrail {
@@ -25,20 +18,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
-using BodyParser = http::response_parser<http::buffer_body>;
-
-constexpr std::size_t kReadBufferBytes = 16 * 1024;
-// Largest body that is read piece by piece.
-constexpr std::size_t kMaxBodyBytes = 256 * 1024 * 1024;
-// Longest line of a body that is read line by line.
-constexpr std::size_t kMaxLineBytes = 8 * 1024 * 1024;
-// Received bytes that are not parsed yet. Also bounds what the parser looks
-// ahead for: a head, the size line of a chunk, or trailers.
-constexpr std::size_t kMaxUnparsedBytes = 80 * 1024;
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
-// Connections are dropped this long before the peer's announced idle timeout,
-// because a request sent while the peer closes the connection would be lost.
-constexpr Duration kIdleMargin = 400ms;
 // Number of late responses to earlier requests that are dropped before the
 // connection is given up.
 constexpr int kMaxStaleResponses = 4;
@@ -46,39 +26,6 @@
 // stopped reading.
 constexpr Duration kEarlyResponseTimeout = 20ms;
 
-// One connection and the bytes received on it that are not parsed yet. Closing
-// it resets it, also when the process is killed: otherwise the kernel goes on
-// to send the bytes of a request that was given up, for minutes, and a server
-// that was out of reach would get it late.
-struct Connection
-{
-  explicit Connection(asio::io_context& aContext)
-    : mStream(aContext)
-  {
-  }
-
-  beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
-  // The connection has already been used for an earlier exchange.
-  bool mIsReused = false;
-  Duration mAckTimeout{ 0 };
-  // The idle connection is not reused from this time on, because the peer may
-  // close it.
-  Instant mUsableUntil = Instant::max();
-};
-
-ErrorCode
-CodeOf(const beast::error_code& aCode)
-{
-  if (aCode == beast::error::timeout) {
-    return ErrorCode::Timeout;
-  }
-  if (aCode == asio::error::operation_aborted) {
-    return ErrorCode::Cancelled;
-  }
-  return ErrorCode::Unavailable;
-}
-
 HttpError
 MakeError(SendState aSent, const beast::error_code& aCode)
 {
@@ -126,28 +73,10 @@
   return message;
 }
 
-// Returns the idle timeout in a Keep-Alive header ("timeout=5"), if any.
-std::optional<Duration>
-AnnouncedIdleTime(std::string_view aKeepAlive)
-{
-  constexpr std::string_view kName = "timeout=";
-  const auto at = aKeepAlive.find(kName);
-  if (at == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const auto text = aKeepAlive.substr(at + kName.size());
-  unsigned seconds = 0;
-  const auto end =
-    std::from_chars(text.data(), text.data() + text.size(), seconds);
-  return end.ec == std::errc()
-           ? std::optional<Duration>(std::chrono::seconds(seconds))
-           : std::nullopt;
-}
-
 // Makes the connection fail when sent bytes stay unacknowledged for aTimeout. 0
 // restores the default of the operating system.
 void
-SetAckTimeout(Connection& aConnection, Duration aTimeout)
+SetAckTimeout(HttpConnection& aConnection, Duration aTimeout)
 {
   if (aConnection.mAckTimeout == aTimeout) {
     return;
@@ -172,35 +101,6 @@
   }
 }
 
-class HttpClient::Impl
-{
-public:
-  using ConnectionPtr = std::unique_ptr<Connection>;
-
-  explicit Impl(Loop& aLoop)
-    : mLoop(aLoop)
-  {
-  }
-
-  // Returns an idle connection that is still usable, or opens a new one.
-  Result<ConnectionPtr, HttpError> Acquire(const Endpoint& aEndpoint,
-                                           const HttpCallOptions& aOptions);
-  // Keeps a connection for reuse. Its last exchange must have ended cleanly.
-  void Release(const Endpoint& aEndpoint, ConnectionPtr aConnection);
-  [[nodiscard]] bool IsRefused(const Endpoint& aEndpoint, Duration aTimeout);
-  void Forget(const Endpoint& aEndpoint) { mIdle.erase(aEndpoint); }
-  [[nodiscard]] const std::shared_ptr<MemoryBudget>& Memory() const noexcept
-  {
-    return mLoop.MessageMemory();
-  }
-
-private:
-  ConnectionPtr TakeIdle(const Endpoint& aEndpoint);
-
-  Loop& mLoop;
-  std::map<Endpoint, std::vector<ConnectionPtr>> mIdle;
-};
-
 HttpClient::Impl::ConnectionPtr
 HttpClient::Impl::TakeIdle(const Endpoint& aEndpoint)
 {
@@ -233,7 +133,8 @@
                       ErrorCode::InvalidInput,
                       "not an IP number: " + aEndpoint.mHost };
   }
-  auto connection = std::make_unique<Connection>(mLoop.Internals().Context());
+  auto connection =
+    std::make_unique<HttpConnection>(mLoop.Internals().Context());
   connection->mStream.expires_after(
     std::min(aOptions.mConnectTimeout, aOptions.mTimeout));
   if (aOptions.mCancel != nullptr) {
@@ -263,261 +164,6 @@
   }
 }
 
-class HttpStream::Impl
-{
-public:
-  Impl(std::shared_ptr<HttpClient::Impl> aClient,
-       Endpoint aEndpoint,
-       std::unique_ptr<Connection> aConnection,
-       HttpCancel* aCancel)
-    : mClient(std::move(aClient))
-    , mEndpoint(std::move(aEndpoint))
-    , mConnection(std::move(aConnection))
-    , mCancel(aCancel)
-  {
-    StartResponse();
-    if (mCancel != nullptr) {
-      mCancel->Attach([this] { Cancel(); });
-    }
-  }
-  ~Impl() { Detach(); }
-  Impl(const Impl&) = delete;
-  Impl& operator=(const Impl&) = delete;
-
-  [[nodiscard]] unsigned Status() const noexcept { return mStatus; }
-  [[nodiscard]] const HttpHeaders& Headers() const noexcept { return mHeaders; }
-  [[nodiscard]] bool EndsWithConnection() const { return mParser->need_eof(); }
-
-  beast::error_code ReadHead(Duration aTimeout);
-  // Reads and drops this response, and prepares to read the next one on the
-  // connection.
-  Result<void> SkipResponse(Instant aDeadline);
-  Result<std::optional<std::string>> Read(Instant aDeadline);
-  Result<std::optional<std::string>> ReadLine(Instant aDeadline);
-  void Cancel();
-  // Prevents reuse of the connection, for a request that was not sent
-  // completely.
-  void ForbidReuse() noexcept { mReusable = false; }
-  // Once the response has been read completely, returns the connection to the
-  // client for reuse or closes it.
-  void ReleaseWhenDone();
-
-private:
-  void StartResponse();
-  void Detach();
-  void Close();
-
-  std::shared_ptr<HttpClient::Impl> mClient;
-  Endpoint mEndpoint;
-  std::unique_ptr<Connection> mConnection;
-  HttpCancel* mCancel;
-  std::optional<BodyParser> mParser;
-  bool mSkipping = false;
-  bool mReusable = true;
-  unsigned mStatus = 0;
-  HttpHeaders mHeaders;
-  std::string mLineBuffer;
-};
-
-void
-HttpStream::Impl::StartResponse()
-{
-  mParser.emplace();
-  mParser->body_limit(kMaxBodyBytes);
-  mHeaders.clear();
-}
-
-void
-HttpStream::Impl::Detach()
-{
-  if (mCancel != nullptr) {
-    mCancel->Attach(nullptr);
-    mCancel = nullptr;
-  }
-}
-
-void
-HttpStream::Impl::Close()
-{
-  Detach();
-  mConnection.reset();
-}
-
-Result<void>
-HttpStream::Impl::SkipResponse(Instant aDeadline)
-{
-  if (!mParser->keep_alive()) {
-    return Fail(ErrorCode::Unavailable, "connection ends before the response");
-  }
-  mSkipping = true;
-  while (!mParser->is_done()) {
-    if (auto piece = Read(aDeadline); !piece) {
-      return std::move(piece).error();
-    }
-  }
-  mSkipping = false;
-  StartResponse();
-  return Ok();
-}
-
-beast::error_code
-HttpStream::Impl::ReadHead(Duration aTimeout)
-{
-  mConnection->mStream.expires_after(aTimeout);
-  const auto [ec, n] = http::async_read_header(
-    mConnection->mStream, mConnection->mBuffer, *mParser, kUseFiber);
-  if (ec) {
-    Close();
-    return ec;
-  }
-  mStatus = mParser->get().result_int();
-  for (const auto& field : mParser->get()) {
-    mHeaders.push_back(
-      { std::string(field.name_string()), std::string(field.value()) });
-  }
-  return {};
-}
-
-void
-HttpStream::Impl::ReleaseWhenDone()
-{
-  if (!mParser->is_done() || mConnection == nullptr || mSkipping) {
-    return;
-  }
-  Detach();
-  if (mParser->keep_alive() && mReusable) {
-    const auto idle = AnnouncedIdleTime(FindHeader(mHeaders, "Keep-Alive"));
-    mConnection->mUsableUntil =
-      idle ? MonotonicNow() + *idle - kIdleMargin : Instant::max();
-    mClient->Release(mEndpoint, std::move(mConnection));
-  }
-  mConnection.reset();
-}
-
-Result<std::optional<std::string>>
-HttpStream::Impl::Read(Instant aDeadline)
-{
-  if (mParser->is_done()) {
-    return std::optional<std::string>();
-  }
-  if (mConnection == nullptr) {
-    return Fail(ErrorCode::Unavailable, "connection is closed");
-  }
-  // Bytes that have already arrived do not count after the deadline: a peer
-  // that sends without end would pass it otherwise.
-  const auto left = aDeadline - MonotonicNow();
-  if (left <= Duration(0)) {
-    Close();
-    return Fail(ErrorCode::Timeout, "response is not complete in time");
-  }
-  std::array<char, kReadBufferBytes> buf{};
-  mConnection->mStream.expires_after(left);
-  while (true) {
-    auto& body = mParser->get().body();
-    body.data = buf.data();
-    body.size = buf.size();
-    auto [ec, n] = http::async_read_some(
-      mConnection->mStream, mConnection->mBuffer, *mParser, kUseFiber);
-    const std::size_t filled = buf.size() - body.size;
-    if (ec && ec != http::error::need_buffer) {
-      Close();
-      return Fail(CodeOf(ec), "response cut: " + ec.message());
-    }
-    if (filled > 0) {
-      ReleaseWhenDone();
-      return std::optional<std::string>(std::string(buf.data(), filled));
-    }
-    if (mParser->is_done()) {
-      ReleaseWhenDone();
-      return std::optional<std::string>();
-    }
-  }
-}
-
-Result<std::optional<std::string>>
-HttpStream::Impl::ReadLine(Instant aDeadline)
-{
-  while (true) {
-    const auto end = mLineBuffer.find('\n');
-    if (end != std::string::npos) {
-      std::string line = mLineBuffer.substr(0, end);
-      mLineBuffer.erase(0, end + 1);
-      return std::optional<std::string>(std::move(line));
-    }
-    if (mLineBuffer.size() > kMaxLineBytes) {
-      Close();
-      return Fail(ErrorCode::TooLarge, "line is too long");
-    }
-    auto piece = Read(aDeadline);
-    if (!piece) {
-      return std::move(piece).error();
-    }
-    if (!piece.value().has_value()) {
-      if (!mLineBuffer.empty()) {
-        return Fail(ErrorCode::Corrupt, "response ends within a line");
-      }
-      return std::optional<std::string>();
-    }
-    mLineBuffer += *piece.value();
-  }
-}
-
-// Leaves mConnection to a pending read, which releases it when it fails.
-void
-HttpStream::Impl::Cancel()
-{
-  mCancel = nullptr;
-  if (mConnection != nullptr) {
-    mConnection->mStream.close();
-  }
-}
-
-HttpStream::HttpStream(std::unique_ptr<Impl> aImpl)
-  : mImpl(std::move(aImpl))
-{
-}
-
-HttpStream::~HttpStream() = default;
-HttpStream::HttpStream(HttpStream&&) noexcept = default;
-HttpStream&
-HttpStream::operator=(HttpStream&&) noexcept = default;
-
-unsigned
-HttpStream::Status() const noexcept
-{
-  return mImpl->Status();
-}
-
-const HttpHeaders&
-HttpStream::Headers() const noexcept
-{
-  return mImpl->Headers();
-}
-
-bool
-HttpStream::EndsWithConnection() const noexcept
-{
-  return mImpl->EndsWithConnection();
-}
-
-Result<std::optional<std::string>>
-HttpStream::Read(Instant aDeadline)
-{
-  return mImpl->Read(aDeadline);
-}
-
-Result<std::optional<std::string>>
-HttpStream::ReadLine(Instant aDeadline)
-{
-  return mImpl->ReadLine(aDeadline);
-}
-
-void
-HttpStream::Cancel()
-{
-  mImpl->Cancel();
-}
-
 HttpClient::HttpClient(Loop& aLoop)
   : mImpl(std::make_shared<Impl>(aLoop))
 {
