Refuse requests with an unknown transfer coding

Cause: the parser accepts codings that it does not know and expects no body then, so that the body was read as the next request.

Anything but "chunked" alone is refused with 400, and the connection ends, as RFC 9112, 6.3 asks.

--- a/packages/runtime/src/http_server.cpp
+++ b/packages/runtime/src/http_server.cpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <atomic>
+#include <iterator>
 #include <optional>
 #include <tuple>
 #include <unordered_set>
@@ -82,6 +83,20 @@
   return 0;
 }
 
+// Returns whether the body of a request is coded in a way that hides its
+// length, or that is not understood here. The bytes after the head may then be
+// another request.
+bool
+HasUnknownCoding(const RequestParser& aParser)
+{
+  const auto& message = aParser.get();
+  const auto [first, last] =
+    message.equal_range(http::field::transfer_encoding);
+  const auto count = std::distance(first, last);
+  return count > 1 ||
+         (count == 1 && !beast::iequals(first->value(), "chunked"));
+}
+
 HttpRequest
 TakeRequest(RequestParser& aParser, BodyBuffer& aBody)
 {
@@ -315,7 +330,9 @@
   aStream.expires_after(aLimits.mReadTime);
   auto [ec, n] = http::async_read_header(aStream, aBuffer, aParser, kUseFiber);
   unsigned refusal = RefusalStatus(ec);
-  if (!ec && !aBody.Reserve(aParser.content_length().value_or(0))) {
+  if (!ec && HasUnknownCoding(aParser)) {
+    refusal = kBadRequest;
+  } else if (!ec && !aBody.Reserve(aParser.content_length().value_or(0))) {
     // The parser has checked the length against the limit.
     refusal = kUnavailable;
   } else if (!ec && aParser.get()[http::field::expect] == "100-continue") {
