Give the control plane a budget for messages of its own

Callers would have seen: while bodies of other callers filled the memory for messages, a daemon could not read a large configuration, and refused a new key with 401.

Cause: the budget that bounds all messages in progress was shared by the traffic and the control thread.

Callers' requests and answers have a quarter of the memory, and messages of the table service, stores and peers an eighth, so that neither can use up the other's part.

--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -31,8 +31,11 @@
 // Share of a server's rate limit that all daemons together use for requests
 // that they place without a home.
 constexpr double kDirectLimitShare = 0.125;
-// Share of the memory that messages in progress may take: a quarter.
-constexpr double kMessageBytesPerMb = 0.25 * 1e6;
+// Shares of the memory that messages in progress may take: a quarter for those
+// of callers, and an eighth for those of the table service, stores and peers,
+// which must be readable whatever callers and servers send.
+constexpr double kTrafficBytesPerMb = 0.25 * 1e6;
+constexpr double kControlBytesPerMb = 0.125 * 1e6;
 // Time to wait for addresses that are still taken: the process before may end
 // only when its stop time is over.
 constexpr Duration kAddressWait = 12s;
@@ -126,12 +129,12 @@
   , mCallerServer(mTraffic, HttpLimits())
 {
   if (mSettings.mMemoryMb > 0) {
-    const auto memory = std::make_shared<MemoryBudget>(
-      static_cast<std::size_t>(mSettings.mMemoryMb * kMessageBytesPerMb));
-    mControl.SetMessageMemory(memory);
-    mTraffic.SetMessageMemory(memory);
-  } else {
-    mControl.SetMessageMemory(mTraffic.MessageMemory());
+    const auto makeBudget = [&](double aBytesPerMb) {
+      return std::make_shared<MemoryBudget>(
+        static_cast<std::size_t>(mSettings.mMemoryMb * aBytesPerMb));
+    };
+    mTraffic.SetMessageMemory(makeBudget(kTrafficBytesPerMb));
+    mControl.SetMessageMemory(makeBudget(kControlBytesPerMb));
   }
   mGate.SetShare(0);
   mSiteFollower.AddMethods(mMethods);
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -64,8 +64,9 @@
     kMaxMegabytes,
     "0",
     false,
-    "Memory that the daemon may use in megabytes, 0 if unknown; bodies of "
-    "requests and answers in progress take up to a quarter of it." },
+    "Memory that the daemon may use in megabytes, 0 if unknown; callers' "
+    "requests and answers in progress take up to a quarter of it, those of "
+    "the table service, stores and peers up to an eighth." },
   SettingInfo{ "listen",
                "callers",
                Address,
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -70,6 +70,7 @@
   settings.mStore = Listen(*mGates.back());
   settings.mWeightsWithin = mWeightsWithin;
   settings.mStopTime = mStopTime;
+  settings.mMemoryMb = mMemoryMb;
   // A daemon may repeat some sends soon after its start.
   settings.mRetryWindow = 100ms;
   settings.mRetrySlack = 1000;
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -81,6 +81,8 @@
 
   // The setting weights.within of the daemons that start from now on.
   Duration mWeightsWithin = EntrySettings().mWeightsWithin;
+  // The setting daemon.memory_mb of the daemons that start from now on.
+  double mMemoryMb = 0;
   // The time that the daemons that start from now on have to stop.
   Duration mStopTime = EntrySettings().mStopTime;
   Loop mLoop;
