--- a/packages/runtime/tests/http_coding_test.cpp
+++ b/packages/runtime/tests/http_coding_test.cpp
@@ -82,10 +82,10 @@
     REQUIRE(port.has_value());
     server.Serve(handler);
     std::string answer;
+    std::string text = "POST /outer HTTP/1.1\r\nHost: h\r\n";
+    text.append(row.mHeaders).append("\r\n").append(body).append(inner);
     std::thread client([&] {
-      answer = Exchange(port.value(),
-                        std::string("POST /outer HTTP/1.1\r\nHost: h\r\n") +
-                          row.mHeaders + "\r\n" + body + inner);
+      answer = Exchange(port.value(), text);
       loop.Stop();
     });
     loop.Run();
