Bound the values and the nesting of JSON from outside

Callers would have seen: an answer of a store or a peer within the bound on its bytes, but made of very many values, takes some fifteen times its size once parsed; deep nesting goes through code that recurses on the small stack of a fiber.

Cause: only the bytes of such texts were bounded.

--- a/packages/platform/src/json_fields.cpp
+++ b/packages/platform/src/json_fields.cpp
@@ -1,5 +1,7 @@
 #include <bilberrytrail/platform/json_fields.h>
 
+#include <bilberrytrail/base/json_bounds.h>
+
 #include <limits>
 
 namespace bilberrytrail {
@@ -34,6 +36,9 @@
 Result<Json>
 ParseJson(std::string_view aText)
 {
+  if (!FitsJsonBounds(aText)) {
+    return Fail(ErrorCode::TooLarge, "JSON has too many values or levels");
+  }
   auto json = Json::parse(aText, nullptr, false);
   if (json.is_discarded()) {
     return Fail(ErrorCode::Corrupt, "malformed JSON");
--- a/packages/runtime/src/rpc.cpp
+++ b/packages/runtime/src/rpc.cpp
@@ -1,5 +1,6 @@
 #include "rpc_codec.h"
 
+#include <bilberrytrail/base/json_bounds.h>
 #include <bilberrytrail/runtime/rpc.h>
 
 namespace bilberrytrail {
@@ -59,6 +60,10 @@
         failure = std::move(response).error();
         return std::string();
       }
+      if (!FitsJsonBounds(response.value())) {
+        failure = Fail(ErrorCode::TooLarge, "response has too many values");
+        return std::string();
+      }
       return std::move(response).value();
     });
   if (failure) {
@@ -73,6 +78,9 @@
 std::string
 RpcMethods::Serve(const std::string& aRequest) const
 {
+  if (!FitsJsonBounds(aRequest)) {
+    return {};
+  }
   return rpc_codec::Serve(
     aRequest, [this](const std::string& aName, const std::string& aParams) {
       const auto it = mMethods.find(aName);
--- a/packages/runtime/tests/rpc_test.cpp
+++ b/packages/runtime/tests/rpc_test.cpp
@@ -48,6 +48,31 @@
   CHECK(result.error().mCode == ErrorCode::Timeout);
 }
 
+// Guards against texts from a peer whose nesting overflows the stack of a
+// fiber.
+TEST_CASE("texts that are nested too deep are rejected on both sides")
+{
+  bool isCalled = false;
+  RpcMethods methods;
+  methods.Add("any", [&](const Json&) -> Result<Json> {
+    isCalled = true;
+    return Json::object();
+  });
+  const std::string deep = std::string(900, '[') + std::string(900, ']');
+  CHECK(methods
+          .Serve(R"({"jsonrpc":"2.0","id":1,"method":"call","params":)"
+                 R"({"method":"any","params":{"a":)" +
+                 deep + "}}}")
+          .empty());
+  CHECK_FALSE(isCalled);
+  const auto result = CallRpc(
+    "any", Json::object(), [&](const std::string&) -> Result<std::string> {
+      return R"({"jsonrpc":"2.0","id":1,"result":)" + deep + "}";
+    });
+  REQUIRE_FALSE(result.has_value());
+  CHECK(result.error().mCode == ErrorCode::TooLarge);
+}
+
 TEST_CASE("malformed requests do not get a result")
 {
   const RpcMethods methods = TestMethods();
