Skip interim responses, and give the writes of a call its deadline

Callers would have seen: a server's interim response in place of the final one, with a status below 200; and calls that last up to three times their timeout, as connecting and the writes of head and body had the whole of it each.

Cause: the client took the first head for the final one, and writes took a duration instead of the deadline of the exchange.

Interim responses are skipped like late ones to earlier requests, four in all, and each wait of an exchange ends at its one deadline.

--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -19,9 +19,10 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
-// Number of late responses to earlier requests that are dropped before the
-// connection is given up.
-constexpr int kMaxStaleResponses = 4;
+// Number of interim responses, and late ones to earlier requests, that are
+// skipped before the connection is given up.
+constexpr int kMaxSkippedResponses = 4;
+constexpr unsigned kFirstFinalStatus = 200;
 // After a failed write, time to read a response that the peer sent before it
 // stopped reading.
 constexpr Duration kEarlyResponseTimeout = 20ms;
@@ -32,6 +33,12 @@
   return HttpError{ aSent, CodeOf(aCode), aCode.message() };
 }
 
+HttpError
+ToError(const Error& aError)
+{
+  return HttpError{ SendState::MaybeSent, aError.mCode, aError.mMessage };
+}
+
 // Returns the body to send.
 std::string_view
 BodyOf(const HttpRequest& aRequest, const HttpCallOptions& aOptions)
@@ -203,24 +210,32 @@
     WriteMessage(connection->mStream,
                  SerializeMessage(ToMessage(aEndpoint, aRequest, body.size())),
                  body,
-                 aOptions.mTimeout);
+                 end);
   auto stream = std::make_unique<HttpStream::Impl>(
     mImpl, aEndpoint, std::move(connection), aOptions.mCancel);
   if (writeError) {
     stream->ForbidReuse();
   }
   const auto echo = FindHeader(aRequest.mHeaders, aOptions.mEchoHeader);
-  for (int n = 0; n <= kMaxStaleResponses; ++n) {
-    const Duration left = std::max<Duration>(end - MonotonicNow(), 1ms);
-    const auto code = stream->ReadHead(
-      writeError ? std::min(left, kEarlyResponseTimeout) : left);
+  const auto headDeadline =
+    writeError ? std::min(end, MonotonicNow() + kEarlyResponseTimeout) : end;
+  bool isFirst = true;
+  for (int n = 0; n <= kMaxSkippedResponses; ++n) {
+    const auto code = stream->ReadHead(headDeadline);
     if (code) {
       return MakeError(SendState::MaybeSent, writeError ? writeError : code);
     }
+    if (stream->Status() < kFirstFinalStatus) {
+      if (auto ok = stream->SkipResponse(end); !ok) {
+        return ToError(ok.error());
+      }
+      continue;
+    }
     const auto value = FindHeader(stream->Headers(), aOptions.mEchoHeader);
     // A response without the header is accepted only as the first one on a new
     // connection.
-    const bool isOwn = value.empty() ? !isReused && n == 0 : value == echo;
+    const bool isOwn = value.empty() ? !isReused && isFirst : value == echo;
+    isFirst = false;
     if (aOptions.mEchoHeader.empty() || isOwn) {
       stream->ReleaseWhenDone();
       return HttpStream(std::move(stream));
@@ -233,7 +248,7 @@
   }
   return HttpError{ SendState::MaybeSent,
                     ErrorCode::Corrupt,
-                    "too many responses to other requests" };
+                    "too many responses that are not the final one" };
 }
 
 bool
@@ -288,16 +303,14 @@
   while (true) {
     auto piece = stream.Read(end);
     if (!piece) {
-      auto& error = piece.error();
-      return HttpError{ SendState::MaybeSent, error.mCode, error.mMessage };
+      return ToError(piece.error());
     }
     if (!piece.value().has_value()) {
       response.mBody = body.Take();
       return response;
     }
     if (auto ok = body.Append(*piece.value()); !ok) {
-      auto& error = ok.error();
-      return HttpError{ SendState::MaybeSent, error.mCode, error.mMessage };
+      return ToError(ok.error());
     }
   }
 }
--- a/packages/runtime/src/http_client_impl.h
+++ b/packages/runtime/src/http_client_impl.h
@@ -103,7 +103,7 @@
   [[nodiscard]] const HttpHeaders& Headers() const noexcept { return mHeaders; }
   [[nodiscard]] bool EndsWithConnection() const { return mParser->need_eof(); }
 
-  boost::beast::error_code ReadHead(Duration aTimeout);
+  boost::beast::error_code ReadHead(Instant aDeadline);
   // Reads and drops this response, and prepares to read the next one on the
   // connection.
   Result<void> SkipResponse(Instant aDeadline);
--- a/packages/runtime/src/http_responder_impl.cpp
+++ b/packages/runtime/src/http_responder_impl.cpp
@@ -141,7 +141,7 @@
   head.erase(http::field::transfer_encoding);
   head.content_length(aResponse.mBody.size());
   return Finish(WriteMessage(
-    mStream, SerializeMessage(head), aResponse.mBody, mLimits.mWriteTime));
+    mStream, SerializeMessage(head), aResponse.mBody, WriteDeadline()));
 }
 
 void
@@ -163,10 +163,10 @@
 HttpResponderImpl::Write(std::string_view aText)
 {
   if (mHead.empty()) {
-    return WriteAll(mStream, aText, mLimits.mWriteTime);
+    return WriteAll(mStream, aText, WriteDeadline());
   }
   const std::string text = std::exchange(mHead, {}).append(aText);
-  return WriteAll(mStream, text, mLimits.mWriteTime);
+  return WriteAll(mStream, text, WriteDeadline());
 }
 
 Result<void>
--- a/packages/runtime/src/http_responder_impl.h
+++ b/packages/runtime/src/http_responder_impl.h
@@ -46,6 +46,10 @@
                const HttpHeaders& aHeaders);
   // Stores the head of a chunked response in mHead for the next write.
   void PrepareHead(unsigned aStatus, const HttpHeaders& aHeaders);
+  [[nodiscard]] Instant WriteDeadline() const
+  {
+    return MonotonicNow() + mLimits.mWriteTime;
+  }
   // Writes the head if it is still pending, and then the text.
   boost::beast::error_code Write(std::string_view aText);
   Result<void> CheckWrite(const boost::beast::error_code& aCode);
--- a/packages/runtime/src/http_stream.cpp
+++ b/packages/runtime/src/http_stream.cpp
@@ -97,9 +97,9 @@
 }
 
 beast::error_code
-HttpStream::Impl::ReadHead(Duration aTimeout)
+HttpStream::Impl::ReadHead(Instant aDeadline)
 {
-  mConnection->mStream.expires_after(aTimeout);
+  mConnection->mStream.expires_at(aDeadline);
   const auto [ec, n] = http::async_read_header(
     mConnection->mStream, mConnection->mBuffer, *mParser, kUseFiber);
   if (ec) {
--- a/packages/runtime/src/socket_write.h
+++ b/packages/runtime/src/socket_write.h
@@ -17,12 +17,12 @@
 
 // Writes all of the text from the calling fiber. Most texts fit into the
 // socket's send buffer and are written directly, without a timer and without
-// suspending the fiber. Otherwise the fiber waits up to aTimeout for the
-// remainder to be written.
+// suspending the fiber. Otherwise the fiber waits for the remainder to be
+// written, until the deadline.
 [[nodiscard]] inline boost::beast::error_code
 WriteAll(boost::beast::tcp_stream& aStream,
          std::string_view aText,
-         Duration aTimeout)
+         Instant aDeadline)
 {
   boost::beast::error_code ec;
   auto& socket = aStream.socket();
@@ -39,7 +39,7 @@
   aText.remove_prefix(n);
   ec.clear();
   if (!aText.empty()) {
-    aStream.expires_after(aTimeout);
+    aStream.expires_at(aDeadline);
     std::size_t rest = 0;
     std::tie(ec, rest) = boost::asio::async_write(
       aStream,
@@ -49,19 +49,19 @@
   return ec;
 }
 
-// Writes a head and a body. A large body is not copied.
+// Writes a head and a body until the deadline. A large body is not copied.
 [[nodiscard]] inline boost::beast::error_code
 WriteMessage(boost::beast::tcp_stream& aStream,
              std::string aHead,
              std::string_view aBody,
-             Duration aTimeout)
+             Instant aDeadline)
 {
   constexpr std::size_t kMaxCopiedBytes = 16 * 1024;
   if (aBody.size() <= kMaxCopiedBytes) {
-    return WriteAll(aStream, aHead.append(aBody), aTimeout);
+    return WriteAll(aStream, aHead.append(aBody), aDeadline);
   }
-  const auto ec = WriteAll(aStream, aHead, aTimeout);
-  return ec ? ec : WriteAll(aStream, aBody, aTimeout);
+  const auto ec = WriteAll(aStream, aHead, aDeadline);
+  return ec ? ec : WriteAll(aStream, aBody, aDeadline);
 }
 
 // Returns the HTTP/1.1 wire format of a message.
--- a/packages/runtime/tests/http_exchange_test.cpp
+++ b/packages/runtime/tests/http_exchange_test.cpp
@@ -372,3 +372,27 @@
     loop.Run();
   }
 }
+
+// Guards against interim answers that reach callers in place of the final one.
+TEST_CASE("interim responses are skipped, a few of them")
+{
+  const std::string interim = "HTTP/1.1 103 Early\r\nX-Id: a\r\n\r\n";
+  struct Row
+  {
+    std::string mResponse;
+    std::string mBody;
+  };
+  for (const Row& row :
+       { Row{ interim + Response("a", "one"), "one" },
+         Row{ interim + interim + Response("a", "one"), "one" },
+         // The first final response needs no id.
+         Row{ interim + "HTTP/1.1 200 OK\r\nContent-Length: "
+                        "3\r\n\r\none",
+              "one" },
+         Row{ interim + interim + interim + interim + interim +
+                Response("a", "one"),
+              "-" } }) {
+    ScriptedPeer peer({ row.mResponse });
+    CHECK(Exchange(peer.Address(), { "a" }) == std::vector{ row.mBody });
+  }
+}
