Count heads, fields and unparsed bytes against the memory budget

Callers would have seen: many connections that send heads without end, or thousands of tiny fields, filled the memory of a daemon beside the budget for bodies; and a read that fails at once, since its buffer is full, left its fiber scheduled twice, after which the loop never ended.

Cause: receive buffers of up to 80 KiB a connection and the records of fields, which take many times their bytes, were not counted. A wait that completes before its fiber is suspended scheduled the fiber all the same.

Receive buffers allocate within the budget, the fields of requests and responses hold their share of it, and requests without room are refused as not run. Connections that wait for their next message free large buffers.

--- a/packages/runtime/include/bilberrytrail/runtime/memory_budget.h
+++ b/packages/runtime/include/bilberrytrail/runtime/memory_budget.h
@@ -24,13 +24,11 @@
   [[nodiscard]] std::size_t UsedBytes() const noexcept { return mUsedBytes; }
   [[nodiscard]] std::size_t LimitBytes() const noexcept { return mLimitBytes; }
 
-private:
-  friend class MemoryHold;
-
   // Changes the bytes that one message holds. Returns false, and changes
   // nothing, when the limit does not allow it.
   [[nodiscard]] bool Change(std::size_t aFrom, std::size_t aTo) noexcept;
 
+private:
   const std::size_t mLimitBytes;
   std::atomic<std::size_t> mUsedBytes = 0;
 };
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -140,8 +140,7 @@
                       ErrorCode::InvalidInput,
                       "not an IP number: " + aEndpoint.mHost };
   }
-  auto connection =
-    std::make_unique<HttpConnection>(mLoop.Internals().Context());
+  auto connection = std::make_unique<HttpConnection>(mLoop);
   connection->mStream.expires_after(
     std::min(aOptions.mConnectTimeout, aOptions.mTimeout));
   if (aOptions.mCancel != nullptr) {
@@ -166,6 +165,7 @@
 {
   auto& idle = mIdle[aEndpoint];
   aConnection->mStream.expires_never();
+  ShrinkIdle(aConnection->mBuffer);
   if (idle.size() < kMaxIdlePerEndpoint && aConnection->mBuffer.size() == 0) {
     idle.push_back(std::move(aConnection));
   }
--- a/packages/runtime/src/http_client_impl.h
+++ b/packages/runtime/src/http_client_impl.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "loop_impl.h"
+#include "message_memory.h"
 
 #include <bilberrytrail/runtime/http_client.h>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -28,13 +28,14 @@
 // that was out of reach would get it late.
 struct HttpConnection
 {
-  explicit HttpConnection(boost::asio::io_context& aContext)
-    : mStream(aContext)
+  explicit HttpConnection(Loop& aLoop)
+    : mStream(aLoop.Internals().Context())
+    , mBuffer(kMaxUnparsedBytes, BudgetAllocator<char>(aLoop.MessageMemory()))
   {
   }
 
   boost::beast::tcp_stream mStream;
-  boost::beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
+  ReceiveBuffer mBuffer;
   // The connection has already been used for an earlier exchange.
   bool mIsReused = false;
   Duration mAckTimeout{ 0 };
@@ -89,6 +90,7 @@
     , mEndpoint(std::move(aEndpoint))
     , mConnection(std::move(aConnection))
     , mCancel(aCancel)
+    , mHeadMemory(mClient->Memory())
   {
     StartResponse();
     if (mCancel != nullptr) {
@@ -133,6 +135,8 @@
   bool mReusable = true;
   unsigned mStatus = 0;
   HttpHeaders mHeaders;
+  // Memory of the headers.
+  MemoryHold mHeadMemory;
   std::string mLineBuffer;
 };
 
--- a/packages/runtime/src/http_server.cpp
+++ b/packages/runtime/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_responder_impl.h"
 #include "loop_impl.h"
+#include "message_memory.h"
 #include "socket_state.h"
 #include "use_fiber.h"
 
@@ -7,7 +8,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -83,6 +83,16 @@
   return 0;
 }
 
+// Returns the same after a read into a buffer, which overflows also when there
+// is no memory for it.
+unsigned
+RefusalOf(const beast::error_code& aCode, const ReceiveBuffer& aBuffer)
+{
+  const bool hasNoMemory = aCode == http::error::buffer_overflow &&
+                           aBuffer.size() < aBuffer.max_size();
+  return hasNoMemory ? kUnavailable : RefusalStatus(aCode);
+}
+
 // Returns whether the body of a request is coded in a way that hides its
 // length, or that is not understood here. The bytes after the head may then be
 // another request.
@@ -143,23 +153,24 @@
   // Reads and handles one request. Returns false when the connection is to be
   // closed.
   bool ServeRequest(beast::tcp_stream& aStream,
-                    beast::flat_buffer& aBuffer,
+                    ReceiveBuffer& aBuffer,
                     const HttpLimits& aLimits);
   // Reads one request, within one time limit. Returns false when the connection
   // is to be closed.
   bool ReadRequest(beast::tcp_stream& aStream,
-                   beast::flat_buffer& aBuffer,
+                   ReceiveBuffer& aBuffer,
                    const HttpLimits& aLimits,
                    RequestParser& aParser,
+                   MemoryHold& aHead,
                    BodyBuffer& aBody);
   // Reads the body, within the time limit that is set. Returns why it could not
   // be read, and the status of the refusal to send, 0 for none.
   std::pair<beast::error_code, unsigned> ReadBody(beast::tcp_stream& aStream,
-                                                  beast::flat_buffer& aBuffer,
+                                                  ReceiveBuffer& aBuffer,
                                                   RequestParser& aParser,
                                                   BodyBuffer& aBody);
   bool AwaitRequest(beast::tcp_stream& aStream,
-                    const beast::flat_buffer& aBuffer,
+                    const ReceiveBuffer& aBuffer,
                     Duration aIdleTime);
   void RefuseRequest(beast::tcp_stream& aStream, unsigned aStatus);
   bool HandleRequest(beast::tcp_stream& aStream,
@@ -272,7 +283,8 @@
   aSocket.set_option(tcp::no_delay(true), ec);
   beast::tcp_stream stream(std::move(aSocket));
   const HttpLimits limits = mLimits;
-  beast::flat_buffer buf(limits.mHeaderBytes + kMaxUnparsedBytes);
+  ReceiveBuffer buf(limits.mHeaderBytes + kMaxUnparsedBytes,
+                    BudgetAllocator<char>(mLoop.MessageMemory()));
   const auto firstWait = mStopped ? kLastRequestTimeout : limits.mIdleTime;
   bool open = AwaitRequest(stream, buf, firstWait);
   while (open) {
@@ -285,21 +297,25 @@
 
 bool
 HttpServer::Impl::ServeRequest(beast::tcp_stream& aStream,
-                               beast::flat_buffer& aBuffer,
+                               ReceiveBuffer& aBuffer,
                                const HttpLimits& aLimits)
 {
   const ActiveRequestGuard active(mActive);
   RequestParser parser;
   parser.header_limit(static_cast<std::uint32_t>(aLimits.mHeaderBytes));
   parser.body_limit(aLimits.mBodyBytes);
+  MemoryHold head(mLoop.MessageMemory());
   BodyBuffer body(mLoop.MessageMemory(), aLimits.mBodyBytes);
-  return ReadRequest(aStream, aBuffer, aLimits, parser, body) &&
-         HandleRequest(aStream, parser, body);
+  const bool goesOn =
+    ReadRequest(aStream, aBuffer, aLimits, parser, head, body) &&
+    HandleRequest(aStream, parser, body);
+  ShrinkIdle(aBuffer);
+  return goesOn;
 }
 
 bool
 HttpServer::Impl::AwaitRequest(beast::tcp_stream& aStream,
-                               const beast::flat_buffer& aBuffer,
+                               const ReceiveBuffer& aBuffer,
                                Duration aIdleTime)
 {
   if (aBuffer.size() > 0) {
@@ -322,17 +338,19 @@
 
 bool
 HttpServer::Impl::ReadRequest(beast::tcp_stream& aStream,
-                              beast::flat_buffer& aBuffer,
+                              ReceiveBuffer& aBuffer,
                               const HttpLimits& aLimits,
                               RequestParser& aParser,
+                              MemoryHold& aHead,
                               BodyBuffer& aBody)
 {
   aStream.expires_after(aLimits.mReadTime);
   auto [ec, n] = http::async_read_header(aStream, aBuffer, aParser, kUseFiber);
-  unsigned refusal = RefusalStatus(ec);
+  unsigned refusal = RefusalOf(ec, aBuffer);
   if (!ec && HasUnknownCoding(aParser)) {
     refusal = kBadRequest;
-  } else if (!ec && !aBody.Reserve(aParser.content_length().value_or(0))) {
+  } else if (!ec && (!aHead.Resize(MemoryOf(aParser.get())) ||
+                     !aBody.Reserve(aParser.content_length().value_or(0)))) {
     // The parser has checked the length against the limit.
     refusal = kUnavailable;
   } else if (!ec && aParser.get()[http::field::expect] == "100-continue") {
@@ -350,7 +368,7 @@
 
 std::pair<beast::error_code, unsigned>
 HttpServer::Impl::ReadBody(beast::tcp_stream& aStream,
-                           beast::flat_buffer& aBuffer,
+                           ReceiveBuffer& aBuffer,
                            RequestParser& aParser,
                            BodyBuffer& aBody)
 {
@@ -362,7 +380,7 @@
     const auto [ec, n] =
       http::async_read_some(aStream, aBuffer, aParser, kUseFiber);
     if (ec && ec != http::error::need_buffer) {
-      return { ec, RefusalStatus(ec) };
+      return { ec, RefusalOf(ec, aBuffer) };
     }
     if (!aBody.Append({ buf.data(), buf.size() - body.size })) {
       return { {}, kUnavailable };
--- a/packages/runtime/src/http_stream.cpp
+++ b/packages/runtime/src/http_stream.cpp
@@ -106,6 +106,10 @@
     Close();
     return ec;
   }
+  if (!mHeadMemory.Resize(MemoryOf(mParser->get()))) {
+    Close();
+    return http::error::buffer_overflow;
+  }
   mStatus = mParser->get().result_int();
   for (const auto& field : mParser->get()) {
     mHeaders.push_back(
--- a/packages/runtime/src/use_fiber.h
+++ b/packages/runtime/src/use_fiber.h
@@ -41,7 +41,12 @@
     }
     mResults = std::move(aResults);
     mDone = true;
-    boost::fibers::context::active()->schedule(mFiber);
+    // An operation that fails at once may complete before the fiber is
+    // suspended; scheduled then, it would run twice.
+    auto* active = boost::fibers::context::active();
+    if (active != mFiber) {
+      active->schedule(mFiber);
+    }
   }
 
   void Cancel() override
--- a/packages/runtime/tests/http_reset_test.cpp
+++ b/packages/runtime/tests/http_reset_test.cpp
@@ -8,7 +8,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
+#include <thread>
+#include <vector>
 
 using namespace bilberrytrail;
 
@@ -22,6 +26,8 @@
   CallTimesOut,
   OpenTimesOut,
   Cancels,
+  LoopStops,
+  Exits,
   IsKilled
 };
 
@@ -44,6 +50,10 @@
         (void)loop.Sleep(200ms);
         if (aHow == GiveUp::Cancels) {
           cancel.Cancel();
+        } else if (aHow == GiveUp::LoopStops) {
+          loop.Stop();
+        } else if (aHow == GiveUp::Exits) {
+          std::_Exit(0);
         }
       });
       CHECK_FALSE(client.Open(aPeer, request, options).has_value());
@@ -67,6 +77,8 @@
   for (const Row& row : { Row{ "a call times out", GiveUp::CallTimesOut },
                           Row{ "an open times out", GiveUp::OpenTimesOut },
                           Row{ "a caller cancels", GiveUp::Cancels },
+                          Row{ "the loop stops", GiveUp::LoopStops },
+                          Row{ "the process exits", GiveUp::Exits },
                           Row{ "the process is killed", GiveUp::IsKilled } }) {
     CAPTURE(std::string(row.mName));
     boost::asio::io_context context;
@@ -95,3 +107,48 @@
     CHECK(::waitpid(child, &status, 0) == child);
   }
 }
+
+// Guards against a request that is sent on while its process is suspended and
+// can't close the connection.
+TEST_CASE("the kernel gives a request up when its process is suspended")
+{
+  boost::asio::io_context context;
+  tcp::acceptor acceptor(context,
+                         { boost::asio::ip::address_v4::loopback(), 0 });
+  const Endpoint peer{ "127.0.0.1", acceptor.local_endpoint().port() };
+  const pid_t child = ::fork();
+  REQUIRE(child >= 0);
+  if (child == 0) {
+    acceptor.close();
+    Loop loop;
+    loop.Spawn([&] {
+      HttpClient client(loop);
+      // More than the buffers of both sockets hold.
+      const HttpRequest request{
+        "POST", "/order", {}, std::string(30'000'000, 'x')
+      };
+      (void)client.Call(peer, request, 600ms);
+    });
+    loop.Run();
+    ::_exit(0);
+  }
+  auto socket = acceptor.accept();
+  std::this_thread::sleep_for(200ms);
+  ::kill(child, SIGSTOP);
+  // The peer reads nothing until the time of the call is over.
+  std::this_thread::sleep_for(4s);
+  boost::system::error_code ec;
+  std::size_t bytes = 0;
+  const auto end = std::chrono::steady_clock::now() + 3s;
+  socket.non_blocking(true);
+  std::vector<char> buf(1 << 20);
+  while (std::chrono::steady_clock::now() < end &&
+         (!ec || ec == boost::asio::error::would_block)) {
+    bytes += socket.read_some(boost::asio::buffer(buf), ec);
+  }
+  CHECK(ec == boost::asio::error::connection_reset);
+  CHECK(bytes < 30'000'000);
+  ::kill(child, SIGKILL);
+  int status = 0;
+  CHECK(::waitpid(child, &status, 0) == child);
+}
