Free the slack of daemons that leave one window later

Users would have seen: when most daemons are lost while a service is in trouble, the rest repeat beyond the allowance (BUDGET).

Cause: the slack was divided by the number of daemons known now. Those that had left had used their part in the same window, and the others took it over at once. While the number was unknown, 16 were assumed whatever the size of the site.

Evidence: retry_meter_test.cpp, "the slack of daemons that leave", failed before in 3 of 4 rows: 70 and 75 retries in one window, 50 allowed.

The largest number within the last window counts, and 400 until one is known.

--- a/packages/entry/include/bilberrytrail/entry/retry_meter.h
+++ b/packages/entry/include/bilberrytrail/entry/retry_meter.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace bilberrytrail {
 
@@ -19,8 +20,8 @@
   Duration mWindow = 10s;
   // Share of the allowance that is used, since the daemons count independently.
   double mUsedShare = 0.8;
-  // Share that is used in the first window after the start: the process before
-  // may have used its own in the same window.
+  // Share that is used in the first window after the start: the processes
+  // before may have used their own in the same window.
   double mStartShare = 0.15;
 };
 
@@ -30,7 +31,8 @@
 // and an equal part of the slack. Retries are counted for somewhat longer than
 // the window, and requests for somewhat shorter, since counts are kept in
 // slices. A daemon that has just started takes a small share for one window,
-// and its slack grows meanwhile.
+// and its slack grows meanwhile. When daemons leave, the others take over their
+// part of the slack one window later.
 class RetryMeter
 {
 public:
@@ -45,7 +47,7 @@
   [[nodiscard]] double Allowance(const ServiceId& aService, Instant aNow);
 
   // Sets the number of daemons that share the slack; at least 1.
-  void SetDaemons(std::size_t aDaemons) noexcept;
+  void SetDaemons(std::size_t aDaemons, Instant aNow);
   // Counts the first send of a request.
   void AddRequest(const ServiceId& aService, Instant aNow);
   // Counts one retry and returns true, or returns false when none is allowed.
@@ -62,12 +64,17 @@
   using Slices = std::deque<Slice>;
 
   [[nodiscard]] Slice& Current(Slices& aSlices, Instant aNow) const;
+  // Returns the largest number of daemons within the last window.
+  [[nodiscard]] std::size_t Daemons(Instant aNow);
 
-  // Number of daemons assumed until it is known; more than small sites have.
-  static constexpr std::size_t kAssumedDaemons = 16;
+  // Number of daemons assumed until it is known; as many as sites have.
+  static constexpr std::size_t kAssumedDaemons = 400;
 
   RetryMeterSettings mSettings;
+  // Numbers of daemons, falling, each with the time until which it was known.
+  std::deque<std::pair<Instant, std::size_t>> mLeavingDaemons;
   std::size_t mDaemons = kAssumedDaemons;
+  bool mIsCountKnown = false;
   Instant mStartedAt;
   std::map<ServiceId, Slices> mServices;
 };
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -182,7 +182,7 @@
     mAvoided.Retain(view->mServers, MonotonicNow());
     if (mDaemons > 0) {
       mGate.SetSplitShare(kDirectLimitShare, mDaemons, mGatePhase);
-      mRetries.SetDaemons(mDaemons);
+      mRetries.SetDaemons(mDaemons, MonotonicNow());
       mCache.SetDaemons(mDaemons);
     }
   }
--- a/packages/entry/src/retry_meter.cpp
+++ b/packages/entry/src/retry_meter.cpp
@@ -12,9 +12,27 @@
 } // namespace
 
 void
-RetryMeter::SetDaemons(std::size_t aDaemons) noexcept
+RetryMeter::SetDaemons(std::size_t aDaemons, Instant aNow)
 {
-  mDaemons = std::max<std::size_t>(aDaemons, 1);
+  const auto daemons = std::max<std::size_t>(aDaemons, 1);
+  while (!mLeavingDaemons.empty() && mLeavingDaemons.back().second <= daemons) {
+    mLeavingDaemons.pop_back();
+  }
+  if (mIsCountKnown && daemons < mDaemons) {
+    mLeavingDaemons.emplace_back(aNow, mDaemons);
+  }
+  mDaemons = daemons;
+  mIsCountKnown = true;
+}
+
+std::size_t
+RetryMeter::Daemons(Instant aNow)
+{
+  while (!mLeavingDaemons.empty() &&
+         mLeavingDaemons.front().first + mSettings.mWindow <= aNow) {
+    mLeavingDaemons.pop_front();
+  }
+  return mLeavingDaemons.empty() ? mDaemons : mLeavingDaemons.front().second;
 }
 
 RetryMeter::Slice&
@@ -48,7 +66,8 @@
   }
   const double age = std::clamp(
     ToMillis(aNow - mStartedAt) / ToMillis(mSettings.mWindow), 0.0, 1.0);
-  const double slack = age * mSettings.mSlack / static_cast<double>(mDaemons);
+  const double slack =
+    age * mSettings.mSlack / static_cast<double>(Daemons(aNow));
   const double share = age < 1 ? mSettings.mStartShare : mSettings.mUsedShare;
   return share * (mSettings.mRatio * requests + slack) - retries;
 }
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -174,7 +174,7 @@
                      mCrashes,
                      mAvoided,
                      &mPlacer });
-  mRetries.SetDaemons(1);
+  mRetries.SetDaemons(1, MonotonicNow());
   (void)mPool.Update(mServers, MonotonicNow());
   if (aLeavesAfter) {
     mLoop.Spawn([&] {
