--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -20,15 +20,16 @@
   endif()
 endfunction()
 
-# Adds the doctest program test_NAME from tests/*.cpp of the current folder.
+# Adds the doctest program test_NAME from tests/*.cpp of the current folder, and
+# a test that runs it with the arguments after ARGS.
 function(bilberrytrail_tests NAME)
-  cmake_parse_arguments(TESTS "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(TESTS "" "" "DEPENDS;ARGS" ${ARGN})
   file(GLOB tests CONFIGURE_DEPENDS tests/*.cpp)
   if(tests AND BILBERRYTRAIL_TESTS)
     add_executable(test_${NAME} ${tests} ${CMAKE_SOURCE_DIR}/cmake/doctest_main.cpp)
     target_link_libraries(test_${NAME} PRIVATE ${TESTS_DEPENDS})
     target_compile_definitions(test_${NAME} PRIVATE
                                BILBERRYTRAIL_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-    add_test(NAME ${NAME} COMMAND test_${NAME})
+    add_test(NAME ${NAME} COMMAND test_${NAME} ${TESTS_ARGS})
   endif()
 endfunction()
--- a/standins/tests/fleet_crashing_request_test.cpp
+++ b/standins/tests/fleet_crashing_request_test.cpp
@@ -79,19 +79,6 @@
   int mRunning = 0;
 };
 
-std::vector<Instant>
-Sorted(const FleetSite& aSite,
-       const std::vector<Instant>& (FleetServer::*aTimes)() const noexcept)
-{
-  std::vector<Instant> times;
-  for (const auto& it : aSite.mServers) {
-    const auto& own = ((*it).*aTimes)();
-    times.insert(times.end(), own.begin(), own.end());
-  }
-  std::ranges::sort(times);
-  return times;
-}
-
 } // namespace
 
 // Guards against a request that crashes each server that runs it, and that is
@@ -124,8 +111,8 @@
         (void)site.mLoop.Sleep(kReadTime);
       }
       traffic.Run(4s);
-      const auto crashes = Sorted(site, &FleetServer::Crashes);
-      const auto arrivals = Sorted(site, &FleetServer::DeadlyArrivals);
+      const auto crashes = site.Times(&FleetServer::Crashes);
+      const auto arrivals = site.Times(&FleetServer::DeadlyArrivals);
       CAPTURE(crashes.size());
       REQUIRE(crashes.size() >= kCrashes);
       const auto late =
--- a/standins/tests/fleet_endless_answer_test.cpp
+++ b/standins/tests/fleet_endless_answer_test.cpp
@@ -45,6 +45,16 @@
   bool mIsRefused;
 };
 
+RawServer::Script
+ScriptOf(const Endless& aRow)
+{
+  return [&aRow](const std::string& /*aHead*/) {
+    return RawAnswer{
+      aRow.mBytes, RawEnd::Close, {}, aRow.mRepeated, aRow.mPause
+    };
+  };
+}
+
 // Replaces one of the two servers of a service by one whose answers have no
 // end, and waits until requests reach it.
 void
@@ -90,11 +100,7 @@
   constexpr int kRequests = 4;
   for (const auto& row : rows) {
     CAPTURE(std::string(row.mName));
-    RawServer server([&row](const std::string& /*aHead*/) {
-      return RawAnswer{
-        row.mBytes, RawEnd::Close, {}, row.mRepeated, row.mPause
-      };
-    });
+    RawServer server(ScriptOf(row));
     FleetSite site;
     site.Run(1, [&] {
       UseEndless(site, server, row);
@@ -135,11 +141,7 @@
   constexpr int kRequests = 30;
   for (const auto& row : rows) {
     CAPTURE(std::string(row.mName));
-    RawServer server([&row](const std::string& /*aHead*/) {
-      return RawAnswer{
-        row.mBytes, RawEnd::Close, {}, row.mRepeated, row.mPause
-      };
-    });
+    RawServer server(ScriptOf(row));
     FleetSite site;
     site.Run(1, [&] {
       UseEndless(site, server, row);
--- a/standins/tests/fleet_part_test.cpp
+++ b/standins/tests/fleet_part_test.cpp
@@ -89,24 +89,11 @@
   }
 }
 
-std::vector<Instant>
-Sorted(const FleetSite& aSite,
-       const std::vector<Instant>& (FleetServer::*aTimes)() const noexcept)
-{
-  std::vector<Instant> times;
-  for (const auto& it : aSite.mServers) {
-    const auto& own = ((*it).*aTimes)();
-    times.insert(times.end(), own.begin(), own.end());
-  }
-  std::ranges::sort(times);
-  return times;
-}
-
 void
 CheckArrivals(const FleetSite& aSite)
 {
-  const auto crashes = Sorted(aSite, &FleetServer::Crashes);
-  const auto arrivals = Sorted(aSite, &FleetServer::DeadlyArrivals);
+  const auto crashes = aSite.Times(&FleetServer::Crashes);
+  const auto arrivals = aSite.Times(&FleetServer::DeadlyArrivals);
   CAPTURE(crashes.size());
   CAPTURE(arrivals.size());
   CHECK(crashes.size() >= 3);
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -4,6 +4,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -236,6 +237,19 @@
   return response ? response.value().mStatus : 0;
 }
 
+std::vector<Instant>
+FleetSite::Times(const std::vector<Instant>& (FleetServer::*aTimes)()
+                   const noexcept) const
+{
+  std::vector<Instant> times;
+  for (const auto& it : mServers) {
+    const auto& own = ((*it).*aTimes)();
+    times.insert(times.end(), own.begin(), own.end());
+  }
+  std::ranges::sort(times);
+  return times;
+}
+
 std::string
 FleetSite::Runs() const
 {
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -78,6 +78,9 @@
   // Waits up to 15 s, which bounds a hung test only.
   [[nodiscard]] bool Await(const std::function<bool()>& aHolds);
   [[nodiscard]] std::string Runs() const;
+  // Returns the times that all servers recorded, in order.
+  [[nodiscard]] std::vector<Instant> Times(
+    const std::vector<Instant>& (FleetServer::*aTimes)() const noexcept) const;
 
   // The setting weights.within of the daemons that start from now on.
   Duration mWeightsWithin = EntrySettings().mWeightsWithin;
