Pass on a promise that a request has not run only when it is known

Callers would have seen: an order answered 503 by a server that did not say that it had not run it.

Cause: all final answers of servers were passed on, whatever their status.

Evidence: request_flow_test.cpp, "a status that promises not run", failed before in 4 of 7 rows.

--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -106,6 +106,8 @@
   [[nodiscard]] double Work() const noexcept;
   // Returns the rank of the request; 0 is the most urgent.
   [[nodiscard]] unsigned Rank() const noexcept;
+  // Returns whether the request may run more than once.
+  [[nodiscard]] bool IsIdempotent() const noexcept;
   [[nodiscard]] bool MayRetry() const noexcept;
   [[nodiscard]] bool TryRetry();
   [[nodiscard]] Duration TimeLeft() const noexcept;
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -4,6 +4,7 @@
 #include <bilberrytrail/runtime/memory_budget.h>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 
 // Sends of a request, retries, and the answers that are relayed.
@@ -55,6 +56,15 @@
   return SendOutcome::Abandoned;
 }
 
+// Returns whether callers take the status for a promise that the request has
+// not run and never will. A server that makes it says so in a header as well.
+bool
+PromisesNotRun(unsigned aStatus)
+{
+  constexpr std::array kStatuses{ 408U, 421U, 429U, 503U };
+  return std::ranges::find(kStatuses, aStatus) != kStatuses.end();
+}
+
 // Streaming routes answer with events; only a content type tells otherwise.
 bool
 IsEventStream(const AnswerHead& aHead)
@@ -96,14 +106,18 @@
   }
 }
 
+bool
+RequestRun::IsIdempotent() const noexcept
+{
+  return mRoute->mKind == RequestKind::Idempotent || mRoute->mResumable;
+}
+
 bool
 RequestRun::MayRetry() const noexcept
 {
-  const bool isIdempotent =
-    mRoute->mKind == RequestKind::Idempotent || mRoute->mResumable;
   // A stream whose events have no ids can't be resumed after them.
   const bool isLost = mStreamHasBegun && mEvents.LastId().empty();
-  return isIdempotent && !isLost && mRuns < mRoute->mMaxAttempts;
+  return IsIdempotent() && !isLost && mRuns < mRoute->mMaxAttempts;
 }
 
 bool
@@ -334,6 +348,11 @@
       { { "request", mRequest.mId }, { "runs", mRuns }, { "status", status } });
     return Next::Send;
   }
+  if (!IsIdempotent() && PromisesNotRun(status)) {
+    Refuse(RefusalReason::ServerFailed,
+           "The server turned the request away, but may have run it.");
+    return Next::Done;
+  }
   mFirstAt = MonotonicNow();
   if (mSink.SendWhole(aAnswer.Head(), body.Take())) {
     NoteDone(status);
--- a/packages/entry/tests/request_flow_test.cpp
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -446,3 +446,38 @@
           std::optional<unsigned>(hasOwn ? 9 : 2));
   }
 }
+
+// Guards against a server's 503 without its statement that it has not run the
+// request: callers send an order once more after it.
+TEST_CASE("a status that promises not run is passed on only when that is safe")
+{
+  struct Row
+  {
+    RequestKind mKind;
+    unsigned mStatus;
+    bool mIsPassedOn;
+  };
+  using enum RequestKind;
+  for (const Row& row : { Row{ NonIdempotent, 503, false },
+                          Row{ NonIdempotent, 429, false },
+                          Row{ NonIdempotent, 408, false },
+                          Row{ NonIdempotent, 500, true },
+                          Row{ NonIdempotent, 404, true },
+                          Row{ Streaming, 503, false },
+                          Row{ Idempotent, 503, true } }) {
+    CAPTURE(row.mStatus);
+    FlowFixture fixture;
+    auto& route = fixture.mConfig.mRoutes.front();
+    route.mKind = row.mKind;
+    route.mMaxAttempts = 1;
+    fixture.mBackend.mScript = { Answering(row.mStatus, "no") };
+    fixture.Run();
+    CHECK(fixture.mSink.mFinalCount == 1);
+    CHECK(fixture.mSink.mRefusal.has_value() != row.mIsPassedOn);
+    if (fixture.mSink.mRefusal) {
+      CHECK(fixture.mSink.mRefusal->GetDisposition() == Disposition::Unknown);
+    } else {
+      CHECK(fixture.mSink.mStatus == row.mStatus);
+    }
+  }
+}
