Test bounds of single messages beside a large memory budget

Most were hidden since the memory budget ends such messages as well, only later; the test of earlier suspects had no more requests at a death than answer for it.

The tests that were there have a large budget now, and new rows and cases ask for the rest.

--- a/packages/entry/tests/answer_end_test.cpp
+++ b/packages/entry/tests/answer_end_test.cpp
@@ -1,5 +1,7 @@
 #include "request_flow_fixture.h"
 
+#include <bilberrytrail/runtime/memory_budget.h>
+
 #include <doctest/doctest.h>
 
 using namespace bilberrytrail;
@@ -65,6 +67,33 @@
   }
 }
 
+// Guards against unfinished events, of one stream or of many, that fill the
+// memory.
+TEST_CASE("a stream whose event is too large for the memory is broken off")
+{
+  struct Row
+  {
+    std::size_t mEventBytes;
+    std::size_t mBudgetBytes;
+    bool mIsComplete;
+  };
+  for (const Row& row : { Row{ 200'000, 2'000'000, true },
+                          Row{ 200'000, 200'000, false },
+                          Row{ 2'000'000, 1'000'000'000, false } }) {
+    CAPTURE(row.mEventBytes);
+    FlowFixture fixture;
+    SetStreaming(fixture, 1);
+    fixture.mLoop.SetMessageMemory(
+      std::make_shared<MemoryBudget>(row.mBudgetBytes));
+    fixture.mBackend.mScript = { Answering(
+      { EventText(1), "data: " + std::string(row.mEventBytes, 'x'), "\n\n" },
+      false) };
+    fixture.Run();
+    CHECK(IsComplete(fixture.mSink) == row.mIsComplete);
+    CHECK(fixture.mLoop.MessageMemory()->UsedBytes() == 0);
+  }
+}
+
 // Guards against the same end at a retry and at a resumption, where the events
 // of earlier servers must not stand in for those of this one.
 TEST_CASE("a resumed stream that ends with its connection has another event")
--- a/packages/entry/tests/request_flow_test.cpp
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -1,5 +1,7 @@
 #include "request_flow_fixture.h"
 
+#include <bilberrytrail/runtime/memory_budget.h>
+
 #include <doctest/doctest.h>
 
 #include <set>
@@ -392,6 +394,9 @@
     auto& route = fixture.mConfig.mRoutes.front();
     route.mKind = row.mKind;
     route.mMaxAttempts = 1;
+    // Large enough not to end the answer before its own bounds do.
+    fixture.mLoop.SetMessageMemory(
+      std::make_shared<MemoryBudget>(1024 * 1024 * 1024));
     FakeSend send = Answering(200, "");
     send.mPieces = row.mPieces;
     send.mPieces.emplace_back(64 * 1024, 'x');
--- a/packages/entry/tests/request_quarantine_test.cpp
+++ b/packages/entry/tests/request_quarantine_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+
 using namespace bilberrytrail;
 
 namespace {
@@ -117,10 +119,9 @@
 {
   FlowFixture fixture;
   fixture.mBackend.mIsRefusing = true;
-  constexpr std::uint64_t kSends = 20;
   const auto start = MonotonicNow();
-  const auto breakAll = [&](std::uint64_t aFirst) {
-    for (std::uint64_t n = aFirst; n < kSends; ++n) {
+  const auto breakAll = [&](std::uint64_t aFirst, std::uint64_t aEnd) {
+    for (std::uint64_t n = aFirst; n < aEnd; ++n) {
       fixture.mCrashes.OnBroken(fixture.mServers.front(),
                                 { {}, PartKey(n), start + n * 1ms });
     }
@@ -128,20 +129,29 @@
     ++fixture.mServers.front().mStartedAtMs;
   };
   fixture.mLoop.Spawn([&] {
-    breakAll(0);
+    breakAll(0, 20);
     CHECK_FALSE(fixture.mRequests.IsSuspect(PartKey(11)));
     CHECK(fixture.mRequests.IsSuspect(PartKey(12)));
     CHECK(fixture.mRequests.size() == 8);
     // The request that was sent first this time was suspect before.
     fixture.mCrashes.OnBroken(fixture.mServers.front(),
                               { {}, PartKey(12), start });
-    breakAll(13);
+    breakAll(13, 20);
     fixture.mRequests.AnswerWentOn(std::vector{ PartKey(13) }, MonotonicNow());
     for (const auto& it : fixture.mRequests.Recent(MonotonicNow())) {
       if (it.mPart != PartKey(13)) {
         CHECK(it.mDeaths.size() == 2);
       }
     }
+    // It answers for a third death, although others were sent last.
+    fixture.mCrashes.OnBroken(fixture.mServers.front(),
+                              { {}, PartKey(12), start });
+    breakAll(100, 120);
+    CHECK_FALSE(fixture.mRequests.IsSuspect(PartKey(111)));
+    CHECK(fixture.mRequests.IsSuspect(PartKey(112)));
+    const std::array suspect{ PartKey(12) };
+    CHECK(fixture.mRequests.QuarantineTime(
+      suspect, MonotonicNow() + PartQuarantineSettings().mClearTime));
     fixture.mLoop.Stop();
   });
   fixture.mLoop.Run();
--- a/packages/entry/tests/retry_meter_test.cpp
+++ b/packages/entry/tests/retry_meter_test.cpp
@@ -147,6 +147,18 @@
   CHECK(meter.Allowance(kService, At(70500ms)) == doctest::Approx(4));
 }
 
+// Guards against retries for requests that no user counts in the same window.
+TEST_CASE("requests older than the window allow no retries")
+{
+  RetryMeter meter(Settings(), At(-20s));
+  meter.SetDaemons(400, At(-20s));
+  for (int n = 0; n < 100; ++n) {
+    meter.AddRequest(kService, At(400ms));
+  }
+  CHECK(meter.Allowance(kService, At(9900ms)) > 16);
+  CHECK(meter.Allowance(kService, At(10410ms)) < 1);
+}
+
 // Guards against slack that is handed out twice within one window: that of
 // daemons that have left, by them and by the others, and that of a daemon that
 // does not know how many there are.
--- a/packages/runtime/tests/memory_budget_test.cpp
+++ b/packages/runtime/tests/memory_budget_test.cpp
@@ -1,3 +1,5 @@
+#include "endless_peer.h"
+
 #include <bilberrytrail/runtime/http_client.h>
 #include <bilberrytrail/runtime/http_server.h>
 #include <bilberrytrail/runtime/loop.h>
@@ -198,6 +200,8 @@
     { "short", begin + "\r\n", 8, true },
     { "many fields", begin + fields + "\r\n", 8, std::nullopt },
     { "unfinished", begin + "X: " + std::string(15 * 1024, 'x'), 60, false },
+    // Its body is refused before it is read.
+    { "long body", begin + "Content-Length: 900000\r\n\r\n", 1, false },
   };
   for (const auto& row : rows) {
     CAPTURE(std::string(row.mName));
@@ -248,3 +252,27 @@
     CHECK(budget->UsedBytes() == 0);
   }
 }
+
+// Guards against peers whose fields fill the memory of their caller.
+TEST_CASE("fields of answers count against the budget")
+{
+  for (const bool isLarge : { false, true }) {
+    CAPTURE(isLarge);
+    std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+    while (isLarge && head.size() < 7 * 1024) {
+      head += "a:b\r\n";
+    }
+    EndlessPeer peer(head + "\r\n", "x", 1ms);
+    Loop loop;
+    const auto budget = std::make_shared<MemoryBudget>(kMegabyte / 4);
+    loop.SetMessageMemory(budget);
+    loop.Spawn([&] {
+      HttpClient client(loop);
+      CHECK(client.Open(peer.Address(), HttpRequest(), 5s).has_value() !=
+            isLarge);
+      loop.Stop();
+    });
+    loop.Run();
+    CHECK(budget->UsedBytes() == 0);
+  }
+}
