Use the number of daemons as soon as it is known

Users would have seen: on a quiet site, repeats beyond the allowance after daemons have joined, since those that were there first kept the slack that the others took as well (BUDGET); and a daemon that had just started repeated next to nothing, so that callers were refused.

Cause: the traffic thread took over the number of daemons only together with a new view, that is with the next change of the configuration or the servers. Since 400 daemons are assumed until the number is known, the second half got worse.

The number is compared at each request and used at once, for the shares of rate limits and of uploads too, which had the same delay.

--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -167,7 +167,7 @@
 }
 
 // Returns the view in force, after updating the state of the traffic thread
-// from a new one. Called on the traffic thread.
+// from a new one, and from the number of daemons. Called on the traffic thread.
 std::shared_ptr<const SiteView>
 EntryDaemon::Impl::UpdateView()
 {
@@ -180,11 +180,13 @@
     mPlacement.Ledger().SetServers(view->mServers, MonotonicNow());
     mLimits.Retain(view->mServers, MonotonicNow());
     mAvoided.Retain(view->mServers, MonotonicNow());
-    if (mDaemons > 0) {
-      mGate.SetSplitShare(kDirectLimitShare, mDaemons, mGatePhase);
-      mRetries.SetDaemons(mDaemons, MonotonicNow());
-      mCache.SetDaemons(mDaemons);
-    }
+  }
+  const std::size_t daemons = mDaemons;
+  if (daemons > 0 && daemons != mSharingDaemons) {
+    mSharingDaemons = daemons;
+    mGate.SetSplitShare(kDirectLimitShare, daemons, mGatePhase);
+    mRetries.SetDaemons(daemons, MonotonicNow());
+    mCache.SetDaemons(daemons);
   }
   return view;
 }
--- a/packages/entry/src/entry_daemon_impl.h
+++ b/packages/entry/src/entry_daemon_impl.h
@@ -92,6 +92,9 @@
   HistogramRegistry mHistograms;
   CounterRegistry mCounters;
   std::shared_ptr<const SiteView> mCurrentView;
+  // Number of daemons by which limits and allowances are divided; 0 while
+  // unknown.
+  std::size_t mSharingDaemons = 0;
   RequestFlow mFlow;
   std::unique_ptr<HttpHandler> mCallerHandler;
   HttpServer mCallerServer;
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -72,10 +72,8 @@
   settings.mWeightsWithin = mWeightsWithin;
   settings.mStopTime = mStopTime;
   settings.mMemoryMb = mMemoryMb;
-  // A daemon may repeat some sends soon after its start, when it takes its part
-  // of the slack for that of a daemon of the largest sites.
-  settings.mRetryWindow = 100ms;
-  settings.mRetrySlack = 25'000;
+  settings.mRetryWindow = mRetryWindow;
+  settings.mRetrySlack = mRetrySlack;
   std::vector<std::unique_ptr<HttpServer>> probes;
   for (auto* it : { &settings.mCallers,
                     &settings.mReadiness,
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -86,6 +86,11 @@
   Duration mWeightsWithin = EntrySettings().mWeightsWithin;
   // The setting daemon.memory_mb of the daemons that start from now on.
   double mMemoryMb = 0;
+  // The settings of the retry allowance of the daemons that start from now on.
+  // They may repeat some sends soon after their start, when they take their
+  // part of the slack for that of a daemon of the largest sites.
+  Duration mRetryWindow = 100ms;
+  double mRetrySlack = 25'000;
   // The time that the daemons that start from now on have to stop.
   Duration mStopTime = EntrySettings().mStopTime;
   Loop mLoop;
