Tell how late a configuration is in force, by which way, and what that rests on

From the logs nobody could tell how late a daemon put a configuration in force after the table's change, whether it came from the table service, the relay or another daemon, how old the evidence was on which refusals rest, whether the control loop was late, or what a relay's replies cost.

- 2001 names the way, the daemon, the delay by the table service's own clock (TableClock) and the age of the evidence.
- 2032 tells of a loop that resumes its fibers late, 2033 what a relay's replies cost by kind, 2034 and 2035 when the evidence about a table is old and renewed.
- Metrics config_delay, evidence_age, loop_delay, relay_reply, relay_replies and relay_reply_bytes.

No logic changes.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -117,6 +117,10 @@
   PartCleared,
   ServerSaidLeaving,
   ServerPaused,
+  LoopLate,
+  RelayServed,
+  EvidenceOld,
+  EvidenceRenewed,
   LogLinesDropped
 };
 
--- a/packages/base/include/bilberrytrail/base/series.h
+++ b/packages/base/include/bilberrytrail/base/series.h
@@ -53,17 +53,27 @@
   // Between the daemon that received the request and the home of the server.
   Forward,
   // In the backend server, to the end of the answer.
-  Backend
+  Backend,
+  // From a change of the configuration in the table service until it was in
+  // force here. The class names the way on which it came.
+  ConfigDelay,
+  // Time since the newest evidence that the followed tables have no change that
+  // this daemon lacks. The class names the table.
+  EvidenceAge,
+  // By which a loop resumed a fiber later than due. The class names the loop.
+  LoopDelay,
+  // To build a reply to a daemon that follows this one. The class names the
+  // kind of the reply.
+  RelayReply
 };
 
 template<>
 struct EnumNames<Measure>
 {
-  static constexpr std::array<std::string_view, 5> kNames{ "first_token",
-                                                           "total",
-                                                           "queue_wait",
-                                                           "forward",
-                                                           "backend" };
+  static constexpr std::array<std::string_view, 9> kNames{
+    "first_token",  "total",        "queue_wait", "forward",    "backend",
+    "config_delay", "evidence_age", "loop_delay", "relay_reply"
+  };
 };
 
 // Events and amounts that are counted.
@@ -81,17 +91,25 @@
   RecomputedTokens,
   ImportedBytes,
   ExportedBytes,
-  RefusedTokens
+  RefusedTokens,
+  // Replies to daemons that follow this one, and their bytes; the class names
+  // the kind of the replies.
+  RelayReplies,
+  RelayReplyBytes
 };
 
 template<>
 struct EnumNames<Counter>
 {
-  static constexpr std::array<std::string_view, 13> kNames{
-    "requests",      "answered",          "refused_not_run", "refused_unknown",
-    "incomplete",    "retries",           "hedges",          "resumes",
-    "prompt_tokens", "recomputed_tokens", "imported_bytes",  "exported_bytes",
-    "refused_tokens"
+  static constexpr std::array<std::string_view, 15> kNames{
+    "requests",         "answered",
+    "refused_not_run",  "refused_unknown",
+    "incomplete",       "retries",
+    "hedges",           "resumes",
+    "prompt_tokens",    "recomputed_tokens",
+    "imported_bytes",   "exported_bytes",
+    "refused_tokens",   "relay_replies",
+    "relay_reply_bytes"
   };
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -401,7 +401,10 @@
                 Info,
                 "site_config_in_force",
                 "This daemon now serves configuration `config` of the "
-                "table platform.",
+                "table platform. It came by `way`, from `daemon` if not from "
+                "the table service; `late` is the time since the table service "
+                "was first read with it, if known, and `evidence` that since "
+                "which changes could be missing before.",
                 "Nothing." },
   LogEventInfo{ SiteRowUnreadable,
                 2002,
@@ -618,6 +621,38 @@
                 "A backend server refused a request and wants none from this "
                 "daemon; `for` is the time that it named.",
                 "Find out why the server is short of capacity." },
+  LogEventInfo{ LoopLate,
+                2032,
+                Warning,
+                "loop_late",
+                "A thread of this daemon resumed its work up to `late` after "
+                "it was due; what it reads and sends is late by as much.",
+                "Check the processor time of this VM and the number of its "
+                "callers." },
+  LogEventInfo{ RelayServed,
+                2033,
+                Info,
+                "relay_served",
+                "Replies to the daemons that follow this one since the last "
+                "such line, by `kind`: their number, bytes and the time that "
+                "it took to build them.",
+                "Nothing." },
+  LogEventInfo{ EvidenceOld,
+                2034,
+                Warning,
+                "evidence_old",
+                "What this daemon has of a table may lack changes of the last "
+                "`age`: no answer shows more. `way` and `daemon` name where "
+                "the newest evidence came from.",
+                "Check the network path from this VM to the table service and "
+                "to other daemons, and its processor time." },
+  LogEventInfo{ EvidenceRenewed,
+                2035,
+                Info,
+                "evidence_renewed",
+                "This daemon is known to have all changes of a table up to "
+                "`age` ago again, after up to `longest`.",
+                "Nothing." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/site_feed.h
+++ b/packages/entry/include/bilberrytrail/entry/site_feed.h
@@ -5,6 +5,7 @@
 #include <bilberrytrail/entry/server_record.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -76,6 +77,9 @@
 {
   std::vector<SiteRow> mRows;
   TableVersion mVersion;
+  // Time on the table service's clock, in milliseconds, at which it was first
+  // read with these rows, as far as known.
+  std::optional<std::uint64_t> mTableMs = std::nullopt;
 };
 
 // Reads the tables and their changes. The error code NotFound means that the
--- a/packages/entry/include/bilberrytrail/entry/site_replica.h
+++ b/packages/entry/include/bilberrytrail/entry/site_replica.h
@@ -26,6 +26,10 @@
 
   // Returns the version of a table's replica; 0 before the first read.
   [[nodiscard]] TableVersion Version(SiteTable aTable) const noexcept;
+  // Returns when the table service was first read with this version of the
+  // table, by its own clock in milliseconds; nothing when it is not known.
+  [[nodiscard]] std::optional<std::uint64_t> TableMs(
+    SiteTable aTable) const noexcept;
   // Returns the rows in force, including lapsed rows of servers.
   [[nodiscard]] std::vector<SiteRow> Rows(SiteTable aTable) const;
   // Returns a whole table for another daemon, without lapsed rows.
@@ -57,6 +61,8 @@
   {
     std::map<std::string, SiteRow> mRows;
     TableVersion mVersion;
+    // When the table service was first read with this version, by its clock.
+    std::optional<std::uint64_t> mTableMs;
     // The newest removals, oldest first: key and version.
     std::deque<std::pair<std::string, TableVersion>> mRemovals;
     // All removals after this version are in mRemovals.
--- /dev/null
+++ b/packages/entry/include/bilberrytrail/entry/table_clock.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <bilberrytrail/base/time.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace bilberrytrail {
+
+// Compares the table service's clock, which its responses name in milliseconds,
+// with this process's clock. Both are steady. A response was written between
+// the times at which its request was sent and it was read, so that each one
+// narrows the range of their difference.
+//
+//   clock.Observe(rows.mTableMs, sentAt, BootNow());
+//   auto late = clock.Since(changedAtMs, BootNow());
+class TableClock
+{
+public:
+  // Takes in the time that a response names. One that contradicts the earlier
+  // ones replaces them: the table service has another clock.
+  void Observe(std::uint64_t aTableMs, Instant aSentAt, Instant aReadAt);
+
+  // Returns the time since aTableMs, at least 0; nothing before the first
+  // response.
+  [[nodiscard]] std::optional<Duration> Since(std::uint64_t aTableMs,
+                                              Instant aNow) const;
+
+private:
+  // This process's clock less that of the table service.
+  struct Range
+  {
+    Duration mLeast{};
+    Duration mMost{};
+  };
+
+  std::optional<Range> mDifference;
+};
+
+} // namespace bilberrytrail
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -73,12 +73,15 @@
   , mReader(aPlatform.MakeReader())
   , mOrders(aPlatform.MakeOrders(mControl))
   , mCacheEvents(aPlatform.MakeCacheEvents(mControl))
+  , mHistograms(kMaxSeries)
+  , mCounters(kMaxSeries)
+  , mMetrics(mHistograms, mCounters)
   , mSelf{ mSettings.mName,
            mSettings.mPeers,
            mSettings.mZone,
            mSettings.mLinkMbps }
   , mPeers(mControl, *mTable, mSelf, StableHash64(mSettings.mName.Text()))
-  , mSiteFollower(mControl, *mFeed, *mReader, mPeers, mViews)
+  , mSiteFollower(mControl, *mFeed, *mReader, mPeers, mViews, mMetrics)
   , mStoreFollower(mControl, *mCacheEvents, mViews, *this, MakeLogId(mSelf))
   , mNotifier(mControl,
               mPeers,
@@ -90,7 +93,8 @@
                    mStoreFollower,
                    mNotifier,
                    *this,
-                   RelayChoice(mSelf))
+                   RelayChoice(mSelf),
+                   mMetrics)
   , mRolloutRunner(mControl,
                    mSettings,
                    *mTable,
@@ -98,6 +102,7 @@
                    mPeers,
                    mNotifier,
                    mViews)
+  , mControlWatch(mControl, mMetrics, "control")
   , mReadinessServer(mControl, HttpLimits())
   , mPeerServer(mControl, PeerLimits())
   , mMetricsServer(mControl, HttpLimits())
@@ -122,8 +127,7 @@
                mLimits,
                mParts,
                mRequests)
-  , mHistograms(kMaxSeries)
-  , mCounters(kMaxSeries)
+  , mTrafficWatch(mTraffic, mMetrics, "traffic")
   , mFlow(MakeFlowContext())
   , mCallerHandler(aPlatform.MakeCallerHandler(mFlow))
   , mCallerServer(mTraffic, HttpLimits())
@@ -224,6 +228,8 @@
   mControl.Spawn([this] { mPeers.Run(); });
   mControl.Spawn([this] { mRolloutRunner.Run(); });
   mControl.Spawn([this] { ForwardSettings(); });
+  mControl.Spawn([this] { mControlWatch.Run(); });
+  mTraffic.Spawn([this] { mTrafficWatch.Run(); });
   mThreads.emplace_back([this] { mControl.Run(); });
   mThreads.emplace_back([this] { mTraffic.Run(); });
   LogLine(LogEvent::DaemonStarted,
--- a/packages/entry/src/entry_daemon_impl.h
+++ b/packages/entry/src/entry_daemon_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "function_handler.h"
+#include "loop_watch.h"
 #include "peer_directory.h"
 #include "placement_service.h"
 #include "relay_follower.h"
@@ -53,6 +54,9 @@
   std::unique_ptr<SiteReader> mReader;
   std::unique_ptr<OrderPort> mOrders;
   std::unique_ptr<CacheEventPort> mCacheEvents;
+  HistogramRegistry mHistograms;
+  CounterRegistry mCounters;
+  SiteMetrics mMetrics;
   SiteViewHolder mViews;
   const PeerAddress mSelf;
   PeerDirectory mPeers;
@@ -61,6 +65,7 @@
   LoadingNotifier mNotifier;
   RelayFollower mRelayFollower;
   RolloutRunner mRolloutRunner;
+  LoopWatch mControlWatch;
   RpcMethods mMethods;
   HttpServer mReadinessServer;
   HttpServer mPeerServer;
@@ -89,12 +94,11 @@
   RetryMeter mRetries;
   CacheDirectory mCache;
   PlacementService mPlacement;
-  HistogramRegistry mHistograms;
-  CounterRegistry mCounters;
   std::shared_ptr<const SiteView> mCurrentView;
   // Number of daemons by which limits and allowances are divided; 0 while
   // unknown.
   std::size_t mSharingDaemons = 0;
+  LoopWatch mTrafficWatch;
   RequestFlow mFlow;
   std::unique_ptr<HttpHandler> mCallerHandler;
   HttpServer mCallerServer;
--- a/packages/entry/src/peer_replicas.cpp
+++ b/packages/entry/src/peer_replicas.cpp
@@ -37,10 +37,14 @@
   for (const auto& it : aRows.mRows.mRows) {
     rows.push_back(ToJson(it));
   }
-  return { { "whole", aRows.mIsWhole },
-           { "version", aRows.mRows.mVersion.Number() },
-           { "era", aRows.mRows.mVersion.Era() },
-           { "rows", std::move(rows) } };
+  Json json{ { "whole", aRows.mIsWhole },
+             { "version", aRows.mRows.mVersion.Number() },
+             { "era", aRows.mRows.mVersion.Era() },
+             { "rows", std::move(rows) } };
+  if (aRows.mRows.mTableMs) {
+    json["table_ms"] = *aRows.mRows.mTableMs;
+  }
+  return json;
 }
 
 Result<SiteRow>
@@ -71,6 +75,9 @@
   const auto number = fields.Unsigned("version");
   const auto era = ReadEra(fields, "era");
   rows.mRows.mVersion = { number, era };
+  if (fields.Has("table_ms")) {
+    rows.mRows.mTableMs = fields.Unsigned("table_ms");
+  }
   rows.mRows.mRows = ReadListField(fields, "rows", ReadRow);
   for (auto& it : rows.mRows.mRows) {
     it.mVersion = { it.mVersion.Number(), era };
--- a/packages/entry/src/relay_follower.cpp
+++ b/packages/entry/src/relay_follower.cpp
@@ -21,6 +21,9 @@
 constexpr Duration kDirectTime = 2s;
 constexpr Duration kServingTime = 3s;
 
+// Replies of which one is measured.
+constexpr std::size_t kAnswersPerSample = 16;
+
 bool
 IsWithin(const std::optional<Instant>& aSince, Duration aTime, Instant aNow)
 {
@@ -46,14 +49,6 @@
   return Checked(fields, query);
 }
 
-Json
-ToJson(const RelayReply& aReply)
-{
-  return { { "image", ToJson(aReply.mReplica) },
-           { "cache", ToJson(aReply.mCache) },
-           { "loading", ToJson(aReply.mLoading) } };
-}
-
 Result<RelayReply>
 ReadRelayReply(const Json& aJson)
 {
@@ -71,7 +66,8 @@
                              StoreFollower& aStores,
                              LoadingNotifier& aNotifier,
                              CacheSink& aSink,
-                             RelayChoice aChoice)
+                             RelayChoice aChoice,
+                             SiteMetrics& aMetrics)
   : mLoop(aLoop)
   , mPeers(aPeers)
   , mSite(aSite)
@@ -80,6 +76,7 @@
   , mSink(aSink)
   , mClient(aLoop)
   , mChoice(std::move(aChoice))
+  , mMetrics(aMetrics)
 {
 }
 
@@ -179,7 +176,7 @@
     LogLine(LogEvent::RelayFollowed, { { "daemon", aRelay.mName } });
     mRelay = aRelay.mName;
   }
-  mSite.ApplyReplica(aRelay, aReply.mReplica, aSentAt);
+  mSite.ApplyReplica(SiteWay::Relay, aRelay, aReply.mReplica, aSentAt);
   if (IsServing(MonotonicNow())) {
     // Another daemon has queried this one meanwhile, so this one follows the
     // stores directly.
@@ -199,9 +196,18 @@
   }
   mQueriedAt = MonotonicNow();
   SetDirect(true, *mQueriedAt);
-  return ToJson(RelayReply{ mSite.AnswerQuery(query.value().mReplica),
-                            mStores.PageAt(query.value().mCache),
-                            mNotifier.Loading(*mQueriedAt) });
+  const auto begin = MonotonicNow();
+  auto site = ToJson(mSite.AnswerQuery(query.value().mReplica));
+  const auto middle = MonotonicNow();
+  auto cache = ToJson(mStores.PageAt(query.value().mCache));
+  const auto end = MonotonicNow();
+  if (++mAnswers % kAnswersPerSample == 0) {
+    mMetrics.OnReply(RelayReplyKind::Site, site.dump().size(), middle - begin);
+    mMetrics.OnReply(RelayReplyKind::Cache, cache.dump().size(), end - middle);
+  }
+  return Json{ { "image", std::move(site) },
+               { "cache", std::move(cache) },
+               { "loading", ToJson(mNotifier.Loading(*mQueriedAt)) } };
 }
 
 void
--- a/packages/entry/src/relay_follower.h
+++ b/packages/entry/src/relay_follower.h
@@ -30,8 +30,6 @@
 ToJson(const RelayQuery& aQuery);
 [[nodiscard]] Result<RelayQuery>
 ReadRelayQuery(const Json& aJson);
-[[nodiscard]] Json
-ToJson(const RelayReply& aReply);
 [[nodiscard]] Result<RelayReply>
 ReadRelayReply(const Json& aJson);
 
@@ -50,7 +48,8 @@
                 StoreFollower& aStores,
                 LoadingNotifier& aNotifier,
                 CacheSink& aSink,
-                RelayChoice aChoice);
+                RelayChoice aChoice,
+                SiteMetrics& aMetrics);
 
   // Queries the relay until the loop stops.
   void Run();
@@ -78,6 +77,8 @@
   CacheSink& mSink;
   HttpClient mClient;
   RelayChoice mChoice;
+  SiteMetrics& mMetrics;
+  std::size_t mAnswers = 0;
   CacheCursor mCursor;
   // The relay that answered last; empty while this daemon follows directly.
   DaemonId mRelay;
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -27,6 +27,10 @@
 // Daemons queried in one round.
 constexpr std::size_t kPeersPerQuery = 2;
 constexpr Duration kExpiryPeriod = 200ms;
+// Time between two samples of the age of the evidence.
+constexpr Duration kEvidencePeriod = 1s;
+// Time between two lines of the log about replies.
+constexpr int kSamplesPerLog = 5;
 
 } // namespace
 
@@ -40,11 +44,13 @@
                            SiteFeed& aFeed,
                            const SiteReader& aReader,
                            PeerDirectory& aPeers,
-                           SiteViewHolder& aViews)
+                           SiteViewHolder& aViews,
+                           SiteMetrics& aMetrics)
   : mLoop(aLoop)
   , mFeed(aFeed)
   , mPeers(aPeers)
   , mViews(aViews)
+  , mMetrics(aMetrics)
   , mClient(aLoop)
   , mAssembler(aReader)
   , mWakeUps{ Event(aLoop), Event(aLoop) }
@@ -58,6 +64,7 @@
     mLoop.Spawn([this, table] { Follow(table); });
   }
   mLoop.Spawn([this] { WatchExpiry(); });
+  mLoop.Spawn([this] { WatchEvidence(); });
 }
 
 void
@@ -126,17 +133,22 @@
     return false;
   }
   OnContact(aTable);
+  if (rows.value().mTableMs) {
+    mClock.Observe(*rows.value().mTableMs, sentAt, BootNow());
+  }
   const ReplicaRows read{ mustReadAll, std::move(rows).value() };
   const bool changed = ApplyRows(aTable, read, MonotonicNow());
   // An answer without changes comes at the end of the wait; it may be read much
   // later, as after the process was frozen.
   const bool hasWaited = !mustReadAll && read.mRows.mRows.empty();
   aMode = ReadMode::Wait;
+  const Source source{ SiteWay::Table, {} };
   if (changed) {
-    Publish();
+    Publish(source);
   }
   if (aTable == SiteTable::Operator) {
-    SetComplete(hasWaited ? std::min(sentAt + wait, BootNow()) : sentAt);
+    SetComplete(hasWaited ? std::min(sentAt + wait, BootNow()) : sentAt,
+                source);
   }
   if (changed) {
     (void)mLoop.Sleep(kChangePause);
@@ -184,7 +196,7 @@
   for (const auto& peer : mPeers.PickOthers(kPeersPerQuery)) {
     const auto sentAt = BootNow();
     if (const auto reply = QueryPeer(peer)) {
-      ApplyReplica(peer, reply.value(), sentAt);
+      ApplyReplica(SiteWay::Peer, peer, reply.value(), sentAt);
     }
   }
   mIsQueryingPeers = false;
@@ -202,7 +214,8 @@
 }
 
 void
-SiteFollower::ApplyReplica(const PeerAddress& aPeer,
+SiteFollower::ApplyReplica(SiteWay aWay,
+                           const PeerAddress& aPeer,
                            const ReplicaReply& aReply,
                            Instant aSentAt)
 {
@@ -226,11 +239,12 @@
         { "operator_version", mReplica.Version(SiteTable::Operator).Number() },
         { "servers_version", mReplica.Version(SiteTable::Servers).Number() } });
   }
+  const Source source{ aWay, aPeer.mName };
   if (changed) {
-    Publish();
+    Publish(source);
   }
   if (aReply.mLag) {
-    SetComplete(aSentAt - *aReply.mLag);
+    SetComplete(aSentAt - *aReply.mLag, source);
   }
 }
 
@@ -280,16 +294,83 @@
   while (mLoop.Sleep(kExpiryPeriod)) {
     if (mReplica.NextExpiry() && mReplica.Expire(MonotonicNow())) {
       LogLine(LogEvent::SiteServersChanged, { { "cause", "lapsed" } });
-      Publish();
+      Publish({});
     }
   }
 }
 
 void
-SiteFollower::Publish()
+SiteFollower::SetComplete(Instant aAt, const Source& aSource)
+{
+  if (!mViews.IsDoubted(MonotonicNow()) && aAt > mCompleteAt) {
+    mCompleteAt = aAt;
+    mCompleteBy = aSource;
+  }
+}
+
+// Samples the age of the evidence, and logs when it becomes old and new again.
+void
+SiteFollower::WatchEvidence()
+{
+  std::optional<Duration> longest;
+  for (int n = 1; mLoop.Sleep(kEvidencePeriod); ++n) {
+    if (n % kSamplesPerLog == 0) {
+      mMetrics.LogReplies();
+    }
+    if (!mReplica.Version(SiteTable::Operator).IsKnown()) {
+      continue;
+    }
+    const auto age = BootNow() - mCompleteAt;
+    mMetrics.OnEvidenceAge(SiteTable::Operator, age);
+    if (age > SiteViewHolder::kFreshTime) {
+      if (!longest) {
+        LogLine(LogEvent::EvidenceOld,
+                { { "table", SiteTable::Operator },
+                  { "age", age },
+                  { "way", mCompleteBy.mWay },
+                  { "daemon", mCompleteBy.mDaemon } });
+      }
+      longest = age;
+    } else if (longest) {
+      LogLine(LogEvent::EvidenceRenewed,
+              { { "table", SiteTable::Operator },
+                { "age", age },
+                { "longest", *longest },
+                { "way", mCompleteBy.mWay },
+                { "daemon", mCompleteBy.mDaemon } });
+      longest.reset();
+    }
+  }
+}
+
+void
+SiteFollower::OnConfigInForce(const SiteConfig& aConfig, const Source& aSource)
+{
+  const auto tableMs = mReplica.TableMs(SiteTable::Operator);
+  const auto late = tableMs ? mClock.Since(*tableMs, BootNow()) : std::nullopt;
+  if (late) {
+    mMetrics.OnConfig(aSource.mWay, *late);
+  }
+  LogLine(LogEvent::SiteConfigInForce,
+          { { "config", aConfig.mVersion },
+            { "routes", aConfig.mRoutes.size() },
+            { "accounts", aConfig.mAccounts.size() },
+            { "stores", aConfig.mStores.size() },
+            { "way", aSource.mWay },
+            { "daemon", aSource.mDaemon },
+            { "late", late ? std::to_string(ToMillis(*late)) : "unknown" },
+            { "evidence", BootNow() - mCompleteAt } });
+}
+
+void
+SiteFollower::Publish(const Source& aSource)
 {
   const auto before = mViews.Load();
   auto view = mAssembler.Assemble(mReplica, mCompleteAt);
+  if (view->mConfig != nullptr &&
+      (before == nullptr || before->mConfig != view->mConfig)) {
+    OnConfigInForce(*view->mConfig, aSource);
+  }
   if (before == nullptr || before->mServers.size() != view->mServers.size()) {
     LogLine(
       LogEvent::SiteServersChanged,
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -2,8 +2,10 @@
 
 #include "peer_directory.h"
 #include "peer_replicas.h"
+#include "site_metrics.h"
 
 #include <bilberrytrail/entry/site_view.h>
+#include <bilberrytrail/entry/table_clock.h>
 #include <bilberrytrail/runtime/http_client.h>
 #include <bilberrytrail/runtime/loop.h>
 #include <bilberrytrail/runtime/rpc.h>
@@ -72,7 +74,8 @@
                SiteFeed& aFeed,
                const SiteReader& aReader,
                PeerDirectory& aPeers,
-               SiteViewHolder& aViews);
+               SiteViewHolder& aViews,
+               SiteMetrics& aMetrics);
 
   // Longest wait for changes in one call while other daemons rely on this one.
   static constexpr Duration kServingWait = 700ms;
@@ -87,7 +90,8 @@
   // Returns the rows that another daemon lacks.
   [[nodiscard]] ReplicaReply AnswerQuery(const ReplicaQuery& aQuery) const;
   // Applies another daemon's reply to a query sent at aSentAt.
-  void ApplyReplica(const PeerAddress& aPeer,
+  void ApplyReplica(SiteWay aWay,
+                    const PeerAddress& aPeer,
                     const ReplicaReply& aReply,
                     Instant aSentAt);
   // Adds the RPC method for the replicas.
@@ -105,8 +109,17 @@
     Wait
   };
 
+  // Where the newest rows came from.
+  struct Source
+  {
+    SiteWay mWay = SiteWay::Table;
+    // Empty for the table service.
+    DaemonId mDaemon;
+  };
+
   void Follow(SiteTable aTable);
   void WatchExpiry();
+  void WatchEvidence();
   bool ReadOnce(SiteTable aTable, ReadMode& aMode);
   void OnContact(SiteTable aTable);
   void OnOutage(SiteTable aTable, const CallError& aError);
@@ -114,24 +127,24 @@
   Result<ReplicaReply> QueryPeer(const PeerAddress& aPeer);
   // Records that the operator's rows lack no change made before a time on the
   // boot clock, unless a restored table may lack some.
-  void SetComplete(Instant aAt) noexcept
-  {
-    if (!mViews.IsDoubted(MonotonicNow())) {
-      mCompleteAt = std::max(mCompleteAt, aAt);
-    }
-  }
+  void SetComplete(Instant aAt, const Source& aSource);
   bool ApplyRows(SiteTable aTable, const ReplicaRows& aRows, Instant aNow);
-  void Publish();
+  void Publish(const Source& aSource);
+  void OnConfigInForce(const SiteConfig& aConfig, const Source& aSource);
 
   Loop& mLoop;
   SiteFeed& mFeed;
   PeerDirectory& mPeers;
   SiteViewHolder& mViews;
+  SiteMetrics& mMetrics;
   HttpClient mClient;
+  TableClock mClock;
   SiteReplica mReplica;
   SiteAssembler mAssembler;
   // The operator's rows lack no change made before this time on the boot clock.
   Instant mCompleteAt;
+  // Where mCompleteAt came from.
+  Source mCompleteBy;
   bool mIsOutage = false;
   bool mIsQueryingPeers = false;
   bool mIsDirect = true;
--- /dev/null
+++ b/packages/entry/src/site_metrics.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <bilberrytrail/base/counter_registry.h>
+#include <bilberrytrail/base/enum_names.h>
+#include <bilberrytrail/base/histogram_registry.h>
+#include <bilberrytrail/entry/site_feed.h>
+
+#include <array>
+#include <mutex>
+#include <string_view>
+
+namespace bilberrytrail {
+
+// Ways on which rows of the tables come to this daemon.
+enum class SiteWay : unsigned char
+{
+  // From the table service.
+  Table,
+  // From the relay of the availability zone.
+  Relay,
+  // From any other daemon, while the table service does not answer.
+  Peer
+};
+
+template<>
+struct EnumNames<SiteWay>
+{
+  static constexpr std::array<std::string_view, 3> kNames{ "table",
+                                                           "relay",
+                                                           "peer" };
+};
+
+// Kinds of replies to the daemons that follow this one.
+enum class RelayReplyKind : unsigned char
+{
+  // Rows of the tables and what else must be in time.
+  Site,
+  // Cache changes of the stores.
+  Cache
+};
+
+template<>
+struct EnumNames<RelayReplyKind>
+{
+  static constexpr std::array<std::string_view, 2> kNames{ "site", "cache" };
+};
+
+// Records how the state of the site gets to this daemon and on from it.
+// Thread-safe.
+class SiteMetrics
+{
+public:
+  SiteMetrics(HistogramRegistry& aTimes, CounterRegistry& aCounts)
+    : mTimes(aTimes)
+    , mCounts(aCounts)
+  {
+  }
+
+  // Records the time from a change of the configuration until it was in force.
+  void OnConfig(SiteWay aWay, Duration aDelay);
+  // Records the time since the newest evidence about a table.
+  void OnEvidenceAge(SiteTable aTable, Duration aAge);
+  void OnLoopDelay(std::string_view aLoop, Duration aDelay);
+  // Records a reply of so many bytes and the time that it took to build it.
+  void OnReply(RelayReplyKind aKind, std::size_t aBytes, Duration aTime);
+
+  // Logs the replies since the last call, if there were any.
+  void LogReplies();
+
+private:
+  struct Replies
+  {
+    std::size_t mCount = 0;
+    std::size_t mBytes = 0;
+    Duration mTime{};
+  };
+
+  HistogramRegistry& mTimes;
+  CounterRegistry& mCounts;
+  std::mutex mMutex;
+  // Since the last LogReplies.
+  std::array<Replies, EnumCount<RelayReplyKind>()> mReplies;
+};
+
+} // namespace bilberrytrail
--- a/packages/entry/src/site_replica.cpp
+++ b/packages/entry/src/site_replica.cpp
@@ -24,6 +24,12 @@
   return TableOf(aTable).mVersion;
 }
 
+std::optional<std::uint64_t>
+SiteReplica::TableMs(SiteTable aTable) const noexcept
+{
+  return TableOf(aTable).mTableMs;
+}
+
 std::vector<SiteRow>
 SiteReplica::Rows(SiteTable aTable) const
 {
@@ -44,6 +50,7 @@
 {
   SiteRows rows;
   rows.mVersion = TableOf(aTable).mVersion;
+  rows.mTableMs = TableOf(aTable).mTableMs;
   for (const auto& [key, row] : TableOf(aTable).mRows) {
     rows.mRows.push_back(row);
   }
@@ -58,7 +65,7 @@
       aVersion.Era() != table.mVersion.Era()) {
     return std::nullopt;
   }
-  SiteRows rows{ {}, table.mVersion };
+  SiteRows rows{ {}, table.mVersion, table.mTableMs };
   for (const auto& [key, row] : table.mRows) {
     if (row.mVersion > aVersion) {
       rows.mRows.push_back(row);
@@ -132,7 +139,7 @@
   if (table.mVersion.IsKnown() && isNewEra && aTable == SiteTable::Servers) {
     mReachableSince = aNow;
   }
-  SiteRows changes{ {}, aRows.mVersion };
+  SiteRows changes{ {}, aRows.mVersion, aRows.mTableMs };
   std::set<std::string_view> present;
   for (const auto& it : aRows.mRows) {
     if (!it.mRemoved) {
@@ -176,7 +183,10 @@
     mLapsed.erase(row.mKey);
     changed = true;
   }
-  table.mVersion = std::max(table.mVersion, aChanges.mVersion);
+  if (aChanges.mVersion > table.mVersion) {
+    table.mVersion = aChanges.mVersion;
+    table.mTableMs = aChanges.mTableMs;
+  }
   return changed;
 }
 
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -56,11 +56,6 @@
       aConfig.mVersion <= mOperator.mConfig->mVersion) {
     return;
   }
-  LogLine(LogEvent::SiteConfigInForce,
-          { { "config", aConfig.mVersion },
-            { "routes", aConfig.mRoutes.size() },
-            { "accounts", aConfig.mAccounts.size() },
-            { "stores", aConfig.mStores.size() } });
   mOperator.mRoutes = std::make_shared<const RouteTable>(aConfig.mRoutes);
   mOperator.mAccounts = std::make_shared<const AccountKeys>(aConfig.mAccounts);
   mOperator.mConfig = std::make_shared<const SiteConfig>(std::move(aConfig));
