Reproduce relays that fail one after the other, in virtual time

57 daemons of a zone, three of them on wide links, follow one relay on simulated VMs: each call takes processor time and link as measured (76 us and 0.13 us a byte to answer an RPC, 0.155 us a byte to read the answer). Once the 49 stores have some thousand events a second, the relay's replies come after their 300 ms, its zone asks the next daemons, and each of these begins to follow all stores.

The calls between daemons go through PeerTransport, so that the test can carry them. No logic changes.

--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -80,15 +80,24 @@
            mSettings.mPeers,
            mSettings.mZone,
            mSettings.mLinkMbps }
+  , mTransport(mControl)
   , mPeers(mControl, *mTable, mSelf, StableHash64(mSettings.mName.Text()))
-  , mSiteFollower(mControl, *mFeed, *mReader, mPeers, mViews, mMetrics)
+  , mSiteFollower(mControl,
+                  *mFeed,
+                  *mReader,
+                  mPeers,
+                  mTransport,
+                  mViews,
+                  mMetrics)
   , mStoreFollower(mControl, *mCacheEvents, mViews, *this, MakeLogId(mSelf))
   , mNotifier(mControl,
               mPeers,
+              mTransport,
               mSelf.mName,
               [this](const auto& aServers) { ForwardLoading(aServers); })
   , mRelayFollower(mControl,
                    mPeers,
+                   mTransport,
                    mSiteFollower,
                    mStoreFollower,
                    mNotifier,
--- a/packages/entry/src/entry_daemon_impl.h
+++ b/packages/entry/src/entry_daemon_impl.h
@@ -59,6 +59,7 @@
   SiteMetrics mMetrics;
   SiteViewHolder mViews;
   const PeerAddress mSelf;
+  HttpPeerTransport mTransport;
   PeerDirectory mPeers;
   SiteFollower mSiteFollower;
   StoreFollower mStoreFollower;
--- a/packages/entry/src/loading_notifier.cpp
+++ b/packages/entry/src/loading_notifier.cpp
@@ -35,13 +35,14 @@
 
 LoadingNotifier::LoadingNotifier(Loop& aLoop,
                                  PeerDirectory& aPeers,
+                                 PeerTransport& aTransport,
                                  DaemonId aSelf,
                                  Sink aSink)
   : mLoop(aLoop)
   , mPeers(aPeers)
   , mSelf(std::move(aSelf))
   , mSink(std::move(aSink))
-  , mClient(aLoop)
+  , mTransport(aTransport)
 {
 }
 
@@ -98,7 +99,7 @@
 LoadingNotifier::SendTo(const PeerAddress& aPeer, const Json& aParams)
 {
   const auto reply =
-    CallPeer(mClient, aPeer, kLoadingMethod, aParams, kCallTimeout);
+    CallPeer(mTransport, aPeer, kLoadingMethod, aParams, kCallTimeout);
   auto& relay = RelayOf(aPeer.mZone);
   if (reply) {
     relay.OnAnswer(aPeer.mName);
--- a/packages/entry/src/loading_notifier.h
+++ b/packages/entry/src/loading_notifier.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "peer_transport.h"
 #include "relay_choice.h"
 
 #include <bilberrytrail/platform/json_fields.h>
-#include <bilberrytrail/runtime/http_client.h>
 #include <bilberrytrail/runtime/loop.h>
 #include <bilberrytrail/runtime/rpc.h>
 
@@ -33,6 +33,7 @@
 
   LoadingNotifier(Loop& aLoop,
                   PeerDirectory& aPeers,
+                  PeerTransport& aTransport,
                   DaemonId aSelf,
                   Sink aSink);
 
@@ -55,7 +56,7 @@
   PeerDirectory& mPeers;
   const DaemonId mSelf;
   const Sink mSink;
-  HttpClient mClient;
+  PeerTransport& mTransport;
   std::map<ZoneId, RelayChoice> mRelays;
   std::set<ServerId> mServers;
   Instant mReceivedAt;
--- a/packages/entry/src/relay_follower.cpp
+++ b/packages/entry/src/relay_follower.cpp
@@ -62,6 +62,7 @@
 
 RelayFollower::RelayFollower(Loop& aLoop,
                              PeerDirectory& aPeers,
+                             PeerTransport& aTransport,
                              SiteFollower& aSite,
                              StoreFollower& aStores,
                              LoadingNotifier& aNotifier,
@@ -74,7 +75,7 @@
   , mStores(aStores)
   , mNotifier(aNotifier)
   , mSink(aSink)
-  , mClient(aLoop)
+  , mTransport(aTransport)
   , mChoice(std::move(aChoice))
   , mMetrics(aMetrics)
 {
@@ -160,7 +161,7 @@
 {
   const RelayQuery query{ mSite.Versions(), mCursor };
   const auto reply =
-    CallPeer(mClient, aRelay, kRelayMethod, ToJson(query), kQueryTimeout);
+    CallPeer(mTransport, aRelay, kRelayMethod, ToJson(query), kQueryTimeout);
   if (!reply) {
     return reply.error();
   }
--- a/packages/entry/src/relay_follower.h
+++ b/packages/entry/src/relay_follower.h
@@ -2,6 +2,7 @@
 
 #include "cache_page_codec.h"
 #include "loading_notifier.h"
+#include "peer_transport.h"
 #include "relay_choice.h"
 #include "store_follower.h"
 
@@ -44,6 +45,7 @@
 public:
   RelayFollower(Loop& aLoop,
                 PeerDirectory& aPeers,
+                PeerTransport& aTransport,
                 SiteFollower& aSite,
                 StoreFollower& aStores,
                 LoadingNotifier& aNotifier,
@@ -75,7 +77,7 @@
   StoreFollower& mStores;
   LoadingNotifier& mNotifier;
   CacheSink& mSink;
-  HttpClient mClient;
+  PeerTransport& mTransport;
   RelayChoice mChoice;
   SiteMetrics& mMetrics;
   std::size_t mAnswers = 0;
--- a/packages/entry/src/site_follower.cpp
+++ b/packages/entry/src/site_follower.cpp
@@ -44,6 +44,7 @@
                            SiteFeed& aFeed,
                            const SiteReader& aReader,
                            PeerDirectory& aPeers,
+                           PeerTransport& aTransport,
                            SiteViewHolder& aViews,
                            SiteMetrics& aMetrics)
   : mLoop(aLoop)
@@ -51,7 +52,7 @@
   , mPeers(aPeers)
   , mViews(aViews)
   , mMetrics(aMetrics)
-  , mClient(aLoop)
+  , mTransport(aTransport)
   , mAssembler(aReader)
   , mWakeUps{ Event(aLoop), Event(aLoop) }
 {
@@ -205,8 +206,8 @@
 Result<ReplicaReply>
 SiteFollower::QueryPeer(const PeerAddress& aPeer)
 {
-  const auto reply =
-    CallPeer(mClient, aPeer, kReplicaMethod, ToJson(Versions()), kPeerTimeout);
+  const auto reply = CallPeer(
+    mTransport, aPeer, kReplicaMethod, ToJson(Versions()), kPeerTimeout);
   if (!reply) {
     return reply.error();
   }
--- a/packages/entry/src/site_follower.h
+++ b/packages/entry/src/site_follower.h
@@ -2,11 +2,11 @@
 
 #include "peer_directory.h"
 #include "peer_replicas.h"
+#include "peer_transport.h"
 #include "site_metrics.h"
 
 #include <bilberrytrail/entry/site_view.h>
 #include <bilberrytrail/entry/table_clock.h>
-#include <bilberrytrail/runtime/http_client.h>
 #include <bilberrytrail/runtime/loop.h>
 #include <bilberrytrail/runtime/rpc.h>
 
@@ -74,6 +74,7 @@
                SiteFeed& aFeed,
                const SiteReader& aReader,
                PeerDirectory& aPeers,
+               PeerTransport& aTransport,
                SiteViewHolder& aViews,
                SiteMetrics& aMetrics);
 
@@ -137,7 +138,7 @@
   PeerDirectory& mPeers;
   SiteViewHolder& mViews;
   SiteMetrics& mMetrics;
-  HttpClient mClient;
+  PeerTransport& mTransport;
   TableClock mClock;
   SiteReplica mReplica;
   SiteAssembler mAssembler;
--- a/packages/entry/tests/peer_call_test.cpp
+++ b/packages/entry/tests/peer_call_test.cpp
@@ -27,9 +27,9 @@
   });
   Loop loop;
   loop.Spawn([&] {
-    HttpClient client(loop);
+    HttpPeerTransport transport(loop);
     CHECK_FALSE(
-      CallPeer(client, peer, "any", Json::object(), 200ms).has_value());
+      CallPeer(transport, peer, "any", Json::object(), 200ms).has_value());
     loop.Stop();
   });
   loop.Run();
--- /dev/null
+++ b/tests/relays/simulated_network.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "simulated_vm.h"
+
+#include <bilberrytrail/base/endpoint.h>
+#include <bilberrytrail/base/error.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "peer_transport.h"
+
+namespace bilberrytrail::relays {
+
+// A daemon as others call it.
+struct SimulatedPeer
+{
+  SimulatedVm* mVm = nullptr;
+  // Handles a call; may suspend the fiber.
+  std::function<Result<std::string>(const std::string& aPath,
+                                    const std::string& aBody)>
+    mServe;
+  // Returns the bytes of replies that the daemon has built so far, except those
+  // of RPC methods, which are built for each call.
+  std::function<std::size_t()> mBuiltBytes;
+  bool mIsStopped = false;
+};
+
+// A call between daemons that failed.
+struct FailedCall
+{
+  Endpoint mFrom;
+  Endpoint mTo;
+};
+
+// Carries the calls between the daemons of one loop. Each call takes processor
+// time and a part of the link of both VMs, as calls do that were measured.
+class SimulatedNetwork
+{
+public:
+  explicit SimulatedNetwork(Loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  // Adds a daemon.
+  void Add(const Endpoint& aDaemon, SimulatedPeer aPeer)
+  {
+    mPeers[aDaemon.mPort] = std::move(aPeer);
+  }
+  void Stop(const Endpoint& aDaemon)
+  {
+    mPeers[aDaemon.mPort].mIsStopped = true;
+  }
+
+  [[nodiscard]] Result<std::string> Call(const Endpoint& aFrom,
+                                         const Endpoint& aTo,
+                                         const std::string& aPath,
+                                         std::string aBody,
+                                         Duration aTimeout);
+
+  // Calls received by each daemon, by its port.
+  std::map<std::uint16_t, std::size_t> mReceived;
+  std::vector<FailedCall> mFailed;
+
+private:
+  // Returns the reply, as it leaves the called daemon's VM.
+  [[nodiscard]] Result<std::string> Serve(SimulatedPeer& aPeer,
+                                          const std::string& aPath,
+                                          const std::string& aBody);
+
+  Loop& mLoop;
+  std::map<std::uint16_t, SimulatedPeer> mPeers;
+};
+
+// The calls of one daemon.
+class SimulatedTransport final : public PeerTransport
+{
+public:
+  SimulatedTransport(SimulatedNetwork& aNetwork, Endpoint aSelf)
+    : mNetwork(aNetwork)
+    , mSelf(std::move(aSelf))
+  {
+  }
+
+  [[nodiscard]] Result<std::string> Call(const Endpoint& aDaemon,
+                                         const std::string& aPath,
+                                         std::string aBody,
+                                         Duration aTimeout) override
+  {
+    return mNetwork.Call(mSelf, aDaemon, aPath, std::move(aBody), aTimeout);
+  }
+
+private:
+  SimulatedNetwork& mNetwork;
+  const Endpoint mSelf;
+};
+
+} // namespace bilberrytrail::relays
