Give the beginning of an answer and its progress limits of their own

Users saw: daemons on narrow links or without processor time put a configuration in force up to 14 s late, and again and again logged "response is not complete in time" for the operator's table.

Cause: a call had one limit for all of its answer. A wait for changes that returned a configuration shortly before its end left a few hundred milliseconds to receive it, and a daemon that was late itself gave up answers that had arrived, and asked again.

AnswerLimits has a limit until the answer begins, which shows that the peer is alive, one between two parts, counted from when the next part is read, and one for the whole.

--- a/packages/base/include/bilberrytrail/base/call.h
+++ b/packages/base/include/bilberrytrail/base/call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <bilberrytrail/base/error.h>
+#include <bilberrytrail/base/time.h>
 
 namespace bilberrytrail {
 
@@ -23,6 +24,26 @@
                                                            "unknown" };
 };
 
+// Longest times for which a call waits for its answer. A large answer on a slow
+// link takes long, so that it has a limit of its own, and one on its progress:
+// whether the receiver answers at all is known from the beginning.
+struct AnswerLimits
+{
+  // Until the answer begins.
+  Duration mBegin{};
+  // Between two parts of the answer, each time from when the next part is read:
+  // a caller that was held up does not take its own delay for the sender's.
+  Duration mSilence{};
+  // Until the end of the answer.
+  Duration mWhole{};
+
+  // Returns limits for a call whose answer is small.
+  [[nodiscard]] static constexpr AnswerLimits Within(Duration aTime) noexcept
+  {
+    return { aTime, aTime, aTime };
+  }
+};
+
 // A failed call: its disposition and the reason.
 struct CallError
 {
--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bilberrytrail/base/call.h>
 #include <bilberrytrail/base/endpoint.h>
 #include <bilberrytrail/runtime/fwd.h>
 #include <bilberrytrail/runtime/http.h>
@@ -123,6 +124,12 @@
     const HttpRequest& aRequest,
     Duration aTimeout,
     std::size_t aMaxBodyBytes = kMaxWholeBodyBytes);
+  // The same with limits for the parts of the answer.
+  [[nodiscard]] Result<HttpResponse, HttpError> Call(
+    const Endpoint& aEndpoint,
+    const HttpRequest& aRequest,
+    const AnswerLimits& aLimits,
+    std::size_t aMaxBodyBytes = kMaxWholeBodyBytes);
   // Sends a request and reads the head of the response within the timeout.
   [[nodiscard]] Result<HttpStream, HttpError> Open(const Endpoint& aEndpoint,
                                                    const HttpRequest& aRequest,
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -8,6 +8,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <tuple>
 
 namespace bilberrytrail {
@@ -284,13 +285,23 @@
                  Duration aTimeout,
                  std::size_t aMaxBodyBytes)
 {
-  const auto end = MonotonicNow() + aTimeout;
+  return Call(
+    aEndpoint, aRequest, AnswerLimits::Within(aTimeout), aMaxBodyBytes);
+}
+
+Result<HttpResponse, HttpError>
+HttpClient::Call(const Endpoint& aEndpoint,
+                 const HttpRequest& aRequest,
+                 const AnswerLimits& aLimits,
+                 std::size_t aMaxBodyBytes)
+{
+  const auto end = MonotonicNow() + aLimits.mWhole;
   HttpCallOptions options;
-  options.mTimeout = aTimeout;
-  options.mConnectTimeout = aTimeout;
+  options.mTimeout = aLimits.mBegin;
+  options.mConnectTimeout = aLimits.mBegin;
   // After the timeout the kernel no longer sends the request either, even if
   // the process is suspended then and can't close the connection.
-  options.mAckTimeout = aTimeout;
+  options.mAckTimeout = aLimits.mBegin;
   auto opened = Open(aEndpoint, aRequest, options);
   if (!opened) {
     return std::move(opened).error();
@@ -301,7 +312,7 @@
   response.mHeaders = stream.Headers();
   BodyBuffer body(mImpl->Memory(), aMaxBodyBytes);
   while (true) {
-    auto piece = stream.Read(end);
+    auto piece = stream.Read(std::min(end, MonotonicNow() + aLimits.mSilence));
     if (!piece) {
       return ToError(piece.error());
     }
