--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -121,6 +121,7 @@
   RelayServed,
   EvidenceOld,
   EvidenceRenewed,
+  CachePageUnreadable,
   LogLinesDropped
 };
 
--- a/packages/base/include/bilberrytrail/base/series.h
+++ b/packages/base/include/bilberrytrail/base/series.h
@@ -62,9 +62,9 @@
   EvidenceAge,
   // By which a loop resumed a fiber later than due. The class names the loop.
   LoopDelay,
-  // To build a reply to a daemon that follows this one. The class names the
+  // To build a reply to the daemons that follow this one. The class names the
   // kind of the reply.
-  RelayReply
+  RelayBuild
 };
 
 template<>
@@ -72,7 +72,7 @@
 {
   static constexpr std::array<std::string_view, 9> kNames{
     "first_token",  "total",        "queue_wait", "forward",    "backend",
-    "config_delay", "evidence_age", "loop_delay", "relay_reply"
+    "config_delay", "evidence_age", "loop_delay", "relay_build"
   };
 };
 
@@ -92,24 +92,33 @@
   ImportedBytes,
   ExportedBytes,
   RefusedTokens,
-  // Replies to daemons that follow this one, and their bytes; the class names
-  // the kind of the replies.
+  // Replies to the daemons that follow this one, and their bytes; the class
+  // names the kind of the replies. One that was built serves many replies.
   RelayReplies,
-  RelayReplyBytes
+  RelayReplyBytes,
+  RelayBuiltBytes
 };
 
 template<>
 struct EnumNames<Counter>
 {
-  static constexpr std::array<std::string_view, 15> kNames{
-    "requests",         "answered",
-    "refused_not_run",  "refused_unknown",
-    "incomplete",       "retries",
-    "hedges",           "resumes",
-    "prompt_tokens",    "recomputed_tokens",
-    "imported_bytes",   "exported_bytes",
-    "refused_tokens",   "relay_replies",
-    "relay_reply_bytes"
+  static constexpr std::array<std::string_view, 16> kNames{
+    "requests",
+    "answered",
+    "refused_not_run",
+    "refused_unknown",
+    "incomplete",
+    "retries",
+    "hedges",
+    "resumes",
+    "prompt_tokens",
+    "recomputed_tokens",
+    "imported_bytes",
+    "exported_bytes",
+    "refused_tokens",
+    "relay_replies",
+    "relay_reply_bytes",
+    "relay_built_bytes"
   };
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -634,8 +634,8 @@
                 Info,
                 "relay_served",
                 "Replies to the daemons that follow this one since the last "
-                "such line, by `kind`: their number, bytes and the time that "
-                "it took to build them.",
+                "such line, by `kind`: their number and bytes, and how many "
+                "were built, of how many bytes, in what time.",
                 "Nothing." },
   LogEventInfo{ EvidenceOld,
                 2034,
@@ -653,6 +653,14 @@
                 "This daemon is known to have all changes of a table up to "
                 "`age` ago again, after up to `longest`.",
                 "Nothing." },
+  LogEventInfo{ CachePageUnreadable,
+                2036,
+                Warning,
+                "cache_page_unreadable",
+                "What another daemon answered about the stores cannot be "
+                "parsed and is ignored.",
+                "Expected while two versions of the daemon run during an "
+                "upgrade; otherwise report it." },
   LogEventInfo{ LogLinesDropped,
                 2012,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/cache_change_log.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_change_log.h
@@ -39,6 +39,18 @@
   CacheChangeKind mKind = CacheChangeKind::Added;
   std::string mSalt;
   std::string mPart;
+  // Life of the store, and number of its event; that of the next event for
+  // Cleared. These are the same whichever daemon passes the change on.
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mNumber = 0;
+};
+
+// What a daemon has of a store: all events before mNext of its life mEpoch.
+struct CachePosition
+{
+  StoreId mStore;
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mNext = 0;
 };
 
 // A position in the cache change log of one daemon.
@@ -48,6 +60,8 @@
   std::uint64_t mLog = 0;
   // Number of the next change to read.
   std::uint64_t mNext = 0;
+
+  bool operator==(const CacheCursor&) const = default;
 };
 
 // Time since a store last answered.
@@ -60,12 +74,13 @@
 // The cache changes from a cursor on.
 struct CachePage
 {
-  // The log was read from its beginning: all earlier changes are void.
-  bool mIsReset = false;
   // Cursor of the next page.
   CacheCursor mCursor;
   // There are more changes than fit into a page.
   bool mHasMore = false;
+  // Stores of which all earlier changes are void; mNext is the number of the
+  // first event that may follow.
+  std::vector<CachePosition> mResets;
   std::vector<CacheChange> mChanges;
   // The stores that answer, with the time since their last answer.
   std::vector<StoreAge> mStoreAges;
@@ -73,19 +88,26 @@
   std::optional<std::uint64_t> mServersClockMs;
 };
 
-// The numbered cache changes of all stores that this daemon follows, for itself
-// and for the daemons that use it as their relay. Only the newest are kept: a
-// reader that starts later misses parts, which costs a computation, but never
-// sees a part that is not there.
+// The cache changes of all stores, as this daemon learns them from the stores
+// or from another daemon, for itself and for the daemons that follow it.
+//
+// The numbers of the stores' own events say what a daemon has. A daemon that
+// changes its relay, or begins to follow the stores itself, therefore continues
+// where it was and reads only what it lacks. Only the newest changes are kept:
+// a reader that is further behind begins anew with some stores, which costs
+// computations, but never sees a part that is not there.
 //
 //   log.OnEvents(store, port.ReadEvents(endpoint, log.Next(store)), now);
 //   directory.Apply(log.PageAt(cursor, now), now);
+//
+// All times are on the boot clock: after a suspension it is not known what the
+// stores hold.
 class CacheChangeLog
 {
 public:
   // Changes kept, a few megabytes at most.
   static constexpr std::size_t kMaxChanges = 32'768;
-  // Changes in a page, about a hundred kilobytes.
+  // Changes in a page, about sixty kilobytes.
   static constexpr std::size_t kMaxPageChanges = 2048;
 
   // aId identifies this process among those of all daemons; not 0.
@@ -96,39 +118,70 @@
 
   // Returns the sequence number to read the store's events from.
   [[nodiscard]] std::uint64_t Next(const StoreId& aStore) const noexcept;
-  // Returns the page that begins at the cursor.
+  // Returns what this daemon has of each store.
+  [[nodiscard]] std::vector<CachePosition> Positions() const;
+  // Returns the page that begins at the cursor. When the log does not know the
+  // cursor, it begins with the first change, and all stores are reset.
   [[nodiscard]] CachePage PageAt(const CacheCursor& aCursor,
                                  Instant aNow) const;
-
+  // Returns whether the changes from a cursor on are known.
+  [[nodiscard]] bool Knows(const CacheCursor& aCursor) const noexcept;
+  // Returns an empty page with the cursor of the first change that a reader
+  // with these positions lacks, and the stores with which it must begin anew.
+  [[nodiscard]] CachePage ResumeAt(
+    std::span<const CachePosition> aPositions) const;
+  // Returns whether changes are kept for other daemons.
+  [[nodiscard]] bool IsKept() const noexcept { return mIsKept; }
+
+  // Sets whether changes are kept for other daemons.
+  void SetKept(bool aIsKept) noexcept { mIsKept = aIsKept; }
+  // Drops the changes before the cursor, unless they are kept.
+  void Trim(const CacheCursor& aCursor);
   // Sets the list of stores.
   void SetStores(std::span<const CacheStore> aStores);
   void OnEvents(const StoreId& aStore,
                 const CacheEvents& aEvents,
                 Instant aNow);
-  // Records that a store did not answer or is no longer followed, so that its
-  // content is unknown.
+  // Takes in a page of another daemon's log. Changes that this daemon has are
+  // skipped.
+  void OnPage(const CachePage& aPage, Instant aNow);
+  // Records that a store did not answer, so that what it holds is not known
+  // until it answers again.
   void OnUnavailable(const StoreId& aStore);
 
 private:
   struct Store
   {
-    Endpoint mEndpoint;
+    // Nothing until the store is listed.
+    std::optional<Endpoint> mEndpoint;
     std::uint64_t mEpoch = 0;
     std::uint64_t mNext = 0;
+    // All events from this number on are in the log, or were lost.
+    std::uint64_t mFrom = 0;
     std::optional<Instant> mAnsweredAt;
-    // Changes of the store were logged after its last Cleared.
-    bool mHasLoggedParts = false;
   };
 
   void Add(CacheChange aChange);
-  void Clear(const StoreId& aId, Store& aStore);
+  void DropFirst();
+  void Clear(const StoreId& aId,
+             Store& aStore,
+             std::uint64_t aEpoch,
+             std::uint64_t aNext);
+  void OnChange(const CacheChange& aChange);
+  // Returns whether a change belongs to the present life of its store.
+  [[nodiscard]] bool IsCurrent(const CacheChange& aChange) const;
+  [[nodiscard]] std::uint64_t End() const noexcept
+  {
+    return mFirst + mChanges.size();
+  }
 
   const std::uint64_t mId;
+  bool mIsKept = true;
   std::map<StoreId, Store> mStores;
   std::deque<CacheChange> mChanges;
   // Number of the first entry of mChanges.
   std::uint64_t mFirst = 1;
-  // Servers' clock minus this process's monotonic clock.
+  // Servers' clock minus this process's boot clock.
   std::optional<std::int64_t> mClockOffsetMs;
 };
 
--- a/packages/entry/include/bilberrytrail/entry/cache_directory.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_directory.h
@@ -19,7 +19,8 @@
 // changes of the daemon that follows them. Soft state: a missing entry costs a
 // computation. A store that has not answered within kFreshTime is not used,
 // since it may have restarted: an entry from before the restart could name a
-// part that is still being written.
+// part that is still being written. All times are on the boot clock, since a
+// store may restart while this VM is suspended.
 class CacheDirectory
 {
 public:
@@ -98,7 +99,7 @@
   // The managed stores, as input of rendezvous hashing.
   std::vector<HomeCandidate> mCandidates;
   std::size_t mDaemons = 1;
-  // Servers' clock minus this process's monotonic clock.
+  // Servers' clock minus this process's boot clock.
   std::optional<std::int64_t> mClockOffsetMs;
 };
 
--- a/packages/entry/include/bilberrytrail/entry/cache_events.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_events.h
@@ -26,6 +26,8 @@
   bool mAdded = true;
   std::string mSalt;
   std::string mPart;
+  // Sequence number among the events of the store's life.
+  std::uint64_t mNumber = 0;
 };
 
 // Events of one store from a sequence number on.
--- a/packages/entry/include/bilberrytrail/entry/entry_settings.h
+++ b/packages/entry/include/bilberrytrail/entry/entry_settings.h
@@ -28,6 +28,8 @@
   Endpoint mCallers;
   Endpoint mReadiness;
   Endpoint mPeers;
+  // Port at mPeers for what other daemons may be given late.
+  std::uint16_t mBulkPort = 0;
   Endpoint mMetrics;
   // Address of the table service.
   Endpoint mStore;
--- a/packages/entry/include/bilberrytrail/entry/site_feed.h
+++ b/packages/entry/include/bilberrytrail/entry/site_feed.h
@@ -90,14 +90,16 @@
   virtual ~SiteFeed() = default;
 
   // Reads all rows of a table.
-  [[nodiscard]] virtual CallResult<SiteRows> ReadAll(SiteTable aTable,
-                                                     Duration aTimeout) = 0;
+  [[nodiscard]] virtual CallResult<SiteRows> ReadAll(
+    SiteTable aTable,
+    const AnswerLimits& aLimits) = 0;
   // Returns the changes after a version as soon as there are any, or none after
   // aWait. Fails with NotFound when the table service answers in another era.
-  [[nodiscard]] virtual CallResult<SiteRows> ReadChanges(SiteTable aTable,
-                                                         TableVersion aAfter,
-                                                         Duration aWait,
-                                                         Duration aTimeout) = 0;
+  [[nodiscard]] virtual CallResult<SiteRows> ReadChanges(
+    SiteTable aTable,
+    TableVersion aAfter,
+    Duration aWait,
+    const AnswerLimits& aLimits) = 0;
 };
 
 // Content of a row; an Error when it cannot be parsed.
--- a/packages/entry/include/bilberrytrail/entry/site_replica.h
+++ b/packages/entry/include/bilberrytrail/entry/site_replica.h
@@ -26,6 +26,9 @@
 
   // Returns the version of a table's replica; 0 before the first read.
   [[nodiscard]] TableVersion Version(SiteTable aTable) const noexcept;
+  // Returns the version of the last change of a table's rows: a replica of this
+  // version or a later one has them all.
+  [[nodiscard]] TableVersion Changed(SiteTable aTable) const noexcept;
   // Returns when the table service was first read with this version of the
   // table, by its own clock in milliseconds; nothing when it is not known.
   [[nodiscard]] std::optional<std::uint64_t> TableMs(
@@ -61,6 +64,7 @@
   {
     std::map<std::string, SiteRow> mRows;
     TableVersion mVersion;
+    TableVersion mChanged;
     // When the table service was first read with this version, by its clock.
     std::optional<std::uint64_t> mTableMs;
     // The newest removals, oldest first: key and version.
--- a/packages/entry/include/bilberrytrail/entry/table_clock.h
+++ b/packages/entry/include/bilberrytrail/entry/table_clock.h
@@ -21,6 +21,9 @@
   // ones replaces them: the table service has another clock.
   void Observe(std::uint64_t aTableMs, Instant aSentAt, Instant aReadAt);
 
+  // Returns the earliest time of this process's clock at which the table
+  // service's clock may have shown aTableMs; nothing before the first response.
+  [[nodiscard]] std::optional<Instant> EarliestAt(std::uint64_t aTableMs) const;
   // Returns the time since aTableMs, at least 0; nothing before the first
   // response.
   [[nodiscard]] std::optional<Duration> Since(std::uint64_t aTableMs,
--- a/packages/entry/src/cache_change_log.cpp
+++ b/packages/entry/src/cache_change_log.cpp
@@ -11,41 +11,146 @@
   return it == mStores.end() ? 0 : it->second.mNext;
 }
 
+std::vector<CachePosition>
+CacheChangeLog::Positions() const
+{
+  std::vector<CachePosition> positions;
+  for (const auto& [id, store] : mStores) {
+    if (store.mEpoch != 0) {
+      positions.push_back({ id, store.mEpoch, store.mNext });
+    }
+  }
+  return positions;
+}
+
+bool
+CacheChangeLog::Knows(const CacheCursor& aCursor) const noexcept
+{
+  return aCursor.mLog == mId && aCursor.mNext >= mFirst &&
+         aCursor.mNext <= End();
+}
+
+bool
+CacheChangeLog::IsCurrent(const CacheChange& aChange) const
+{
+  const auto it = mStores.find(aChange.mStore);
+  return it != mStores.end() && it->second.mEpoch == aChange.mEpoch;
+}
+
+CachePage
+CacheChangeLog::ResumeAt(std::span<const CachePosition> aPositions) const
+{
+  CachePage page;
+  // Number of the first event that the reader lacks.
+  std::map<StoreId, std::uint64_t> lacked;
+  for (const auto& [id, store] : mStores) {
+    if (store.mEpoch == 0) {
+      continue;
+    }
+    const auto it = std::ranges::find(aPositions, id, &CachePosition::mStore);
+    const bool continues = it != aPositions.end() &&
+                           it->mEpoch == store.mEpoch &&
+                           it->mNext >= store.mFrom;
+    lacked[id] = continues ? it->mNext : 0;
+    if (!continues) {
+      page.mResets.push_back({ id, store.mEpoch, store.mFrom });
+    }
+  }
+  auto begin = mFirst;
+  for (const auto& it : mChanges) {
+    if (it.mKind != CacheChangeKind::Cleared && IsCurrent(it) &&
+        it.mNumber >= lacked[it.mStore]) {
+      break;
+    }
+    ++begin;
+  }
+  page.mCursor = { mId, begin };
+  page.mHasMore = begin < End();
+  return page;
+}
+
+CachePage
+CacheChangeLog::PageAt(const CacheCursor& aCursor, Instant aNow) const
+{
+  CachePage page;
+  auto begin = aCursor.mNext;
+  if (!Knows(aCursor)) {
+    page.mResets = ResumeAt({}).mResets;
+    begin = mFirst;
+  }
+  const auto count = std::min<std::uint64_t>(End() - begin, kMaxPageChanges);
+  for (auto n = begin; n < begin + count; ++n) {
+    const auto& change = mChanges[n - mFirst];
+    if (IsCurrent(change)) {
+      page.mChanges.push_back(change);
+    }
+  }
+  page.mCursor = { mId, begin + count };
+  page.mHasMore = begin + count < End();
+  for (const auto& [id, store] : mStores) {
+    if (store.mAnsweredAt) {
+      page.mStoreAges.push_back({ id, aNow - *store.mAnsweredAt });
+    }
+  }
+  if (mClockOffsetMs) {
+    page.mServersClockMs = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(WholeMillis(aNow) + *mClockOffsetMs, 0));
+  }
+  return page;
+}
+
+void
+CacheChangeLog::DropFirst()
+{
+  const auto& first = mChanges.front();
+  const auto it = mStores.find(first.mStore);
+  if (first.mKind != CacheChangeKind::Cleared && it != mStores.end() &&
+      it->second.mEpoch == first.mEpoch) {
+    it->second.mFrom = std::max(it->second.mFrom, first.mNumber + 1);
+  }
+  mChanges.pop_front();
+  ++mFirst;
+}
+
 void
 CacheChangeLog::Add(CacheChange aChange)
 {
   mChanges.push_back(std::move(aChange));
   if (mChanges.size() > kMaxChanges) {
-    mChanges.pop_front();
-    ++mFirst;
+    DropFirst();
   }
 }
 
 void
-CacheChangeLog::Clear(const StoreId& aId, Store& aStore)
+CacheChangeLog::Trim(const CacheCursor& aCursor)
 {
-  if (aStore.mHasLoggedParts) {
-    Add({ aId, CacheChangeKind::Cleared, {}, {} });
-    aStore.mHasLoggedParts = false;
+  while (!mIsKept && !mChanges.empty() && mFirst < aCursor.mNext) {
+    DropFirst();
   }
 }
 
+void
+CacheChangeLog::Clear(const StoreId& aId,
+                      Store& aStore,
+                      std::uint64_t aEpoch,
+                      std::uint64_t aNext)
+{
+  aStore.mEpoch = aEpoch;
+  aStore.mNext = aNext;
+  aStore.mFrom = aNext;
+  Add({ aId, CacheChangeKind::Cleared, {}, {}, aEpoch, aNext });
+}
+
 void
 CacheChangeLog::SetStores(std::span<const CacheStore> aStores)
 {
-  for (auto it = mStores.begin(); it != mStores.end();) {
-    const bool isListed =
-      std::ranges::any_of(aStores, [&](const CacheStore& aStore) {
-        return aStore.mName == it->first &&
-               aStore.mEndpoint == it->second.mEndpoint;
-      });
-    if (isListed) {
-      ++it;
-      continue;
-    }
-    Clear(it->first, it->second);
-    it = mStores.erase(it);
-  }
+  std::erase_if(mStores, [&](const auto& aEntry) {
+    return std::ranges::none_of(aStores, [&](const CacheStore& aStore) {
+      return aStore.mName == aEntry.first &&
+             aStore.mEndpoint ==
+               aEntry.second.mEndpoint.value_or(aStore.mEndpoint);
+    });
+  });
   for (const auto& it : aStores) {
     mStores[it.mName].mEndpoint = it.mEndpoint;
   }
@@ -61,70 +166,83 @@
     return;
   }
   auto& store = it->second;
-  if (store.mEpoch != aEvents.mEpoch || aEvents.mLost) {
-    Clear(aStore, store);
-  }
-  const bool isNewEpoch = store.mEpoch != aEvents.mEpoch && store.mNext != 0;
-  store.mEpoch = aEvents.mEpoch;
-  if (isNewEpoch) {
+  const bool isNewEpoch = store.mEpoch != aEvents.mEpoch;
+  if (isNewEpoch && store.mNext != 0) {
     // The sequence number belonged to the old epoch: read from the start.
-    store.mNext = 0;
+    Clear(aStore, store, aEvents.mEpoch, 0);
     store.mAnsweredAt.reset();
     return;
   }
-  store.mNext = aEvents.mNext;
+  if (isNewEpoch || aEvents.mLost) {
+    const auto first =
+      aEvents.mEvents.empty() ? aEvents.mNext : aEvents.mEvents.front().mNumber;
+    Clear(aStore, store, aEvents.mEpoch, aEvents.mLost ? first : 0);
+  }
   store.mAnsweredAt = aNow;
   if (aEvents.mClockMs) {
     mClockOffsetMs =
       static_cast<std::int64_t>(*aEvents.mClockMs) - WholeMillis(aNow);
   }
   for (const auto& event : aEvents.mEvents) {
-    store.mHasLoggedParts = true;
-    Add({ aStore,
-          event.mAdded ? CacheChangeKind::Added : CacheChangeKind::Removed,
-          event.mSalt,
-          event.mPart });
+    OnChange({ aStore,
+               event.mAdded ? CacheChangeKind::Added : CacheChangeKind::Removed,
+               event.mSalt,
+               event.mPart,
+               aEvents.mEpoch,
+               event.mNumber });
   }
+  store.mNext = std::max(store.mNext, aEvents.mNext);
 }
 
+// Adds a change that this daemon does not have yet.
 void
-CacheChangeLog::OnUnavailable(const StoreId& aStore)
+CacheChangeLog::OnChange(const CacheChange& aChange)
 {
-  const auto it = mStores.find(aStore);
-  if (it == mStores.end()) {
+  auto& store = mStores[aChange.mStore];
+  const bool isNewEpoch = store.mEpoch != aChange.mEpoch;
+  if (aChange.mKind == CacheChangeKind::Cleared) {
+    if (isNewEpoch || aChange.mNumber > store.mNext) {
+      Clear(aChange.mStore, store, aChange.mEpoch, aChange.mNumber);
+    }
     return;
   }
-  auto& store = it->second;
-  Clear(aStore, store);
-  store.mAnsweredAt.reset();
-  store.mNext = 0;
-  store.mEpoch = 0;
+  if (isNewEpoch) {
+    Clear(aChange.mStore, store, aChange.mEpoch, aChange.mNumber);
+  }
+  if (aChange.mNumber >= store.mNext) {
+    store.mNext = aChange.mNumber + 1;
+    Add(aChange);
+  }
 }
 
-CachePage
-CacheChangeLog::PageAt(const CacheCursor& aCursor, Instant aNow) const
+void
+CacheChangeLog::OnPage(const CachePage& aPage, Instant aNow)
 {
-  CachePage page;
-  const auto end = mFirst + mChanges.size();
-  page.mIsReset =
-    aCursor.mLog != mId || aCursor.mNext < mFirst || aCursor.mNext > end;
-  const auto begin = page.mIsReset ? mFirst : aCursor.mNext;
-  const auto count = std::min<std::uint64_t>(end - begin, kMaxPageChanges);
-  for (auto n = begin; n < begin + count; ++n) {
-    page.mChanges.push_back(mChanges[n - mFirst]);
+  for (const auto& it : aPage.mResets) {
+    Clear(it.mStore, mStores[it.mStore], it.mEpoch, it.mNext);
   }
-  page.mCursor = { mId, begin + count };
-  page.mHasMore = begin + count < end;
-  for (const auto& [id, store] : mStores) {
-    if (store.mAnsweredAt) {
-      page.mStoreAges.push_back({ id, aNow - *store.mAnsweredAt });
-    }
+  for (const auto& it : aPage.mChanges) {
+    OnChange(it);
   }
-  if (mClockOffsetMs) {
-    page.mServersClockMs = static_cast<std::uint64_t>(
-      std::max<std::int64_t>(WholeMillis(aNow) + *mClockOffsetMs, 0));
+  for (auto& [id, store] : mStores) {
+    store.mAnsweredAt.reset();
+  }
+  for (const auto& it : aPage.mStoreAges) {
+    mStores[it.mStore].mAnsweredAt = aNow - it.mAge;
+  }
+  if (aPage.mServersClockMs) {
+    mClockOffsetMs =
+      static_cast<std::int64_t>(*aPage.mServersClockMs) - WholeMillis(aNow);
+  }
+}
+
+void
+CacheChangeLog::OnUnavailable(const StoreId& aStore)
+{
+  const auto it = mStores.find(aStore);
+  if (it != mStores.end()) {
+    it->second.mAnsweredAt.reset();
   }
-  return page;
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/src/cache_directory.cpp
+++ b/packages/entry/src/cache_directory.cpp
@@ -48,11 +48,10 @@
 void
 CacheDirectory::Apply(const CachePage& aPage, Instant aNow)
 {
-  if (aPage.mIsReset) {
-    for (auto& [id, store] : mStores) {
-      store.mParts.clear();
-      store.mPending.clear();
-    }
+  for (const auto& it : aPage.mResets) {
+    auto& store = mStores[it.mStore];
+    store.mParts.clear();
+    store.mPending.clear();
   }
   for (const auto& it : aPage.mChanges) {
     auto& store = mStores[it.mStore];
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "await_address.h"
 #include "entry_daemon_impl.h"
+#include "peer_call.h"
 
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/log.h>
@@ -32,10 +33,14 @@
 // that they place without a home.
 constexpr double kDirectLimitShare = 0.125;
 // Shares of the memory that messages in progress may take: a quarter for those
-// of callers, and an eighth for those of the table service, stores and peers,
-// which must be readable whatever callers and servers send.
+// of callers, an eighth for those of the table service and peers, which must be
+// readable whatever callers and servers send, and an eighth for those of the
+// stores and about them.
 constexpr double kTrafficBytesPerMb = 0.25 * 1e6;
 constexpr double kControlBytesPerMb = 0.125 * 1e6;
+constexpr double kBulkBytesPerMb = 0.125 * 1e6;
+// Longer than a wait for changes, so that a view without changes stays fresh.
+constexpr Duration kFreshTime = 3200ms;
 // Time to wait for addresses that are still taken: the process before may end
 // only when its stop time is over.
 constexpr Duration kAddressWait = 12s;
@@ -51,6 +56,17 @@
   return limits;
 }
 
+// Returns the response to another daemon's query.
+HttpResponse
+ToResponse(Result<std::string> aAnswer)
+{
+  constexpr unsigned kConflict = 409;
+  if (!aAnswer) {
+    return { kConflict, {}, aAnswer.error().mMessage };
+  }
+  return { 200, {}, std::move(aAnswer).value() };
+}
+
 // Returns an identifier that differs from those of all other daemons and of
 // earlier processes of this one.
 std::uint64_t
@@ -72,38 +88,42 @@
   , mTable(aPlatform.MakeTable(mControl, mSettings.mStore))
   , mReader(aPlatform.MakeReader())
   , mOrders(aPlatform.MakeOrders(mControl))
-  , mCacheEvents(aPlatform.MakeCacheEvents(mControl))
   , mHistograms(kMaxSeries)
   , mCounters(kMaxSeries)
   , mMetrics(mHistograms, mCounters)
   , mSelf{ mSettings.mName,
            mSettings.mPeers,
            mSettings.mZone,
-           mSettings.mLinkMbps }
+           mSettings.mLinkMbps,
+           Endpoint{ mSettings.mPeers.mHost, mSettings.mBulkPort } }
+  , mState(mControl, *mReader, mViews, mMetrics)
   , mTransport(mControl)
   , mPeers(mControl, *mTable, mSelf, StableHash64(mSettings.mName.Text()))
-  , mSiteFollower(mControl,
-                  *mFeed,
-                  *mReader,
-                  mPeers,
-                  mTransport,
-                  mViews,
-                  mMetrics)
-  , mStoreFollower(mControl, *mCacheEvents, mViews, *this, MakeLogId(mSelf))
   , mNotifier(mControl,
               mPeers,
               mTransport,
               mSelf.mName,
               [this](const auto& aServers) { ForwardLoading(aServers); })
+  , mPeerReader(mControl, mTransport, mState, mNotifier)
+  , mTableFollower(mControl, *mFeed, mPeers, mPeerReader, mState)
+  , mSiteServer(mControl, mState, mNotifier, mMetrics)
+  , mBulkTransport(mBulk)
+  , mCacheEvents(aPlatform.MakeCacheEvents(mBulk))
+  , mStoreFollower(mBulk, *mCacheEvents, mViews, *this, MakeLogId(mSelf))
+  , mCacheFollower(mBulk, mBulkTransport, mStoreFollower)
+  , mCacheServer(mStoreFollower, mMetrics, mSettings.mLinkMbps)
+  , mBulkServer(mBulk, PeerLimits())
+  , mBulkHandler(
+      [this](const HttpRequest& aRequest) { return ServeBulk(aRequest); })
+  , mControlWatch(mControl, mMetrics, "control")
   , mRelayFollower(mControl,
                    mPeers,
-                   mTransport,
-                   mSiteFollower,
-                   mStoreFollower,
-                   mNotifier,
-                   *this,
-                   RelayChoice(mSelf),
-                   mMetrics)
+                   mTableFollower,
+                   mPeerReader,
+                   mSiteServer,
+                   mCacheFollower,
+                   mControlWatch,
+                   RelayChoice(mSelf))
   , mRolloutRunner(mControl,
                    mSettings,
                    *mTable,
@@ -111,7 +131,6 @@
                    mPeers,
                    mNotifier,
                    mViews)
-  , mControlWatch(mControl, mMetrics, "control")
   , mReadinessServer(mControl, HttpLimits())
   , mPeerServer(mControl, PeerLimits())
   , mMetricsServer(mControl, HttpLimits())
@@ -148,9 +167,9 @@
     };
     mTraffic.SetMessageMemory(makeBudget(kTrafficBytesPerMb));
     mControl.SetMessageMemory(makeBudget(kControlBytesPerMb));
+    mBulk.SetMessageMemory(makeBudget(kBulkBytesPerMb));
   }
   mGate.SetShare(0);
-  mSiteFollower.AddMethods(mMethods);
   mRelayFollower.AddMethods(mMethods);
   mNotifier.AddMethods(mMethods);
 }
@@ -168,7 +187,7 @@
     mCounters,
     mSettings.mWeightsWithin,
     [this] { return UpdateView(); },
-    [this] { return mViews.IsFresh(MonotonicNow()); },
+    [this] { return IsViewFresh(); },
     mLimits,
     mGate,
     mParts,
@@ -211,6 +230,7 @@
   for (const auto& [server, endpoint] :
        { std::pair{ &mReadinessServer, mSettings.mReadiness },
          std::pair{ &mPeerServer, mSettings.mPeers },
+         std::pair{ &mBulkServer, *mSelf.mBulk },
          std::pair{ &mMetricsServer, mSettings.mMetrics },
          std::pair{ &mCallerServer, mSettings.mCallers } }) {
     const auto listen = [it = server, &to = endpoint]() -> Result<void> {
@@ -229,10 +249,12 @@
   }
   mReadinessServer.Serve(mReadinessHandler);
   mPeerServer.Serve(mPeerHandler);
+  mBulkServer.Serve(mBulkHandler);
   mMetricsServer.Serve(mMetricsHandler);
   mCallerServer.Serve(*mCallerHandler);
-  mSiteFollower.Start();
-  mStoreFollower.Start();
+  mState.Start();
+  mTableFollower.Start();
+  mCacheFollower.Start();
   mControl.Spawn([this] { mRelayFollower.Run(); });
   mControl.Spawn([this] { mPeers.Run(); });
   mControl.Spawn([this] { mRolloutRunner.Run(); });
@@ -241,6 +263,7 @@
   mTraffic.Spawn([this] { mTrafficWatch.Run(); });
   mThreads.emplace_back([this] { mControl.Run(); });
   mThreads.emplace_back([this] { mTraffic.Run(); });
+  mThreads.emplace_back([this] { mBulk.Run(); });
   LogLine(LogEvent::DaemonStarted,
           { { "daemon", mSettings.mName },
             { "zone", mSettings.mZone },
@@ -249,6 +272,14 @@
   return Ok();
 }
 
+bool
+EntryDaemon::Impl::IsViewFresh() const
+{
+  const auto now = BootNow();
+  return !mViews.IsDoubted(now) &&
+         now - mViews.CompleteAt(SiteTable::Operator) <= kFreshTime;
+}
+
 bool
 EntryDaemon::Impl::IsReady() const
 {
@@ -347,7 +378,7 @@
 void
 EntryDaemon::Impl::OnPage(CachePage aPage)
 {
-  const auto now = MonotonicNow();
+  const auto now = BootNow();
   mTraffic.Post(
     [this, page = std::move(aPage), now] { mCache.Apply(page, now); });
 }
@@ -376,7 +407,24 @@
 HttpResponse
 EntryDaemon::Impl::ServePeer(const HttpRequest& aRequest)
 {
-  return { 200, {}, mMethods.Serve(aRequest.mBody) };
+  if (aRequest.mTarget == kRpcPath) {
+    HttpResponse response{ 200, {}, mMethods.Serve(aRequest.mBody) };
+    mMetrics.OnReply(RelayReplyKind::Rpc, response.mBody.size());
+    return response;
+  }
+  if (aRequest.mTarget == kRowsPath) {
+    return ToResponse(mSiteServer.AnswerRows(aRequest.mBody));
+  }
+  return { 404, {}, "no such path" };
+}
+
+HttpResponse
+EntryDaemon::Impl::ServeBulk(const HttpRequest& aRequest)
+{
+  if (aRequest.mTarget != kCachePath) {
+    return { 404, {}, "no such path" };
+  }
+  return ToResponse(mCacheServer.Answer(aRequest.mBody));
 }
 
 void
@@ -406,6 +454,7 @@
   LogLine(LogEvent::DrainBegun,
           { { "running", mCallerServer.ActiveRequests() } });
   mRolloutRunner.Leave();
+  mRelayFollower.Leave();
   mTraffic.Post([this] { mCallerServer.CloseAfterAnswers(); });
   (void)mControl.Sleep(kBalancerLeaveTime);
   mTraffic.Post([this] { mCallerServer.StopAccepting(); });
@@ -418,6 +467,7 @@
   LogLine(LogEvent::DrainDone,
           { { "running", mCallerServer.ActiveRequests() } });
   mTraffic.Stop();
+  mBulk.Stop();
   mControl.Stop();
 }
 
--- a/packages/entry/src/entry_daemon_impl.h
+++ b/packages/entry/src/entry_daemon_impl.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "cache_server.h"
 #include "function_handler.h"
 #include "loop_watch.h"
 #include "peer_directory.h"
 #include "placement_service.h"
 #include "relay_follower.h"
 #include "rollout_runner.h"
-#include "site_follower.h"
 
 #include <bilberrytrail/entry/entry_daemon.h>
 
@@ -32,6 +32,8 @@
 private:
   [[nodiscard]] FlowContext MakeFlowContext();
   [[nodiscard]] bool IsReady() const;
+  // Returns whether what the view lacks can be taken not to exist.
+  [[nodiscard]] bool IsViewFresh() const;
   std::shared_ptr<const SiteView> UpdateView();
   void ForwardLoading(const std::set<ServerId>& aServers);
   void OnStores(std::vector<CacheStore> aStores) override;
@@ -44,6 +46,7 @@
   HttpResponse ServeReadiness(const HttpRequest& aRequest) const;
   HttpResponse ServeMetrics(const HttpRequest& aRequest) const;
   HttpResponse ServePeer(const HttpRequest& aRequest);
+  HttpResponse ServeBulk(const HttpRequest& aRequest);
 
   const EntrySettings mSettings;
   EntryPlatform& mPlatform;
@@ -53,20 +56,31 @@
   std::unique_ptr<TableService> mTable;
   std::unique_ptr<SiteReader> mReader;
   std::unique_ptr<OrderPort> mOrders;
-  std::unique_ptr<CacheEventPort> mCacheEvents;
   HistogramRegistry mHistograms;
   CounterRegistry mCounters;
   SiteMetrics mMetrics;
   SiteViewHolder mViews;
   const PeerAddress mSelf;
+  SiteState mState;
   HttpPeerTransport mTransport;
   PeerDirectory mPeers;
-  SiteFollower mSiteFollower;
-  StoreFollower mStoreFollower;
   LoadingNotifier mNotifier;
+  PeerSiteReader mPeerReader;
+  TableFollower mTableFollower;
+  SiteServer mSiteServer;
+  // Used on the bulk thread, on which nothing depends that must be in time.
+  Loop mBulk;
+  HttpPeerTransport mBulkTransport;
+  std::unique_ptr<CacheEventPort> mCacheEvents;
+  StoreFollower mStoreFollower;
+  CacheFollower mCacheFollower;
+  CacheServer mCacheServer;
+  HttpServer mBulkServer;
+  FunctionHandler mBulkHandler;
+  // Used on the control thread.
+  LoopWatch mControlWatch;
   RelayFollower mRelayFollower;
   RolloutRunner mRolloutRunner;
-  LoopWatch mControlWatch;
   RpcMethods mMethods;
   HttpServer mReadinessServer;
   HttpServer mPeerServer;
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -20,6 +20,7 @@
 constexpr double kMaxRepeats = 1e6;
 constexpr double kMaxMbps = 1e7;
 constexpr double kMaxMegabytes = 1e6;
+constexpr double kMaxPort = 65'535;
 
 constexpr std::array kTable{
   SettingInfo{ "daemon",
@@ -91,6 +92,15 @@
                "",
                true,
                "Address for other daemons." },
+  SettingInfo{ "listen",
+               "bulk_port",
+               Number,
+               0,
+               kMaxPort,
+               "0",
+               false,
+               "Port for what other daemons may be given late, at the address "
+               "for other daemons; 0 for the port after that one." },
   SettingInfo{ "listen",
                "metrics",
                Address,
@@ -192,6 +202,9 @@
     [](auto& aTo, const auto& aValue) {
       aTo.mPeers = std::get<Endpoint>(aValue);
     },
+    [](auto& aTo, const auto& aValue) {
+      aTo.mBulkPort = static_cast<std::uint16_t>(std::get<double>(aValue));
+    },
     [](auto& aTo, const auto& aValue) {
       aTo.mMetrics = std::get<Endpoint>(aValue);
     },
@@ -291,6 +304,10 @@
   if (!mFaults.empty()) {
     return Fail(ErrorCode::InvalidInput, mFaults);
   }
+  if (mSettings.mBulkPort == 0) {
+    mSettings.mBulkPort =
+      static_cast<std::uint16_t>(mSettings.mPeers.mPort + 1U);
+  }
   return mSettings;
 }
 
--- a/packages/entry/src/loading_notifier.cpp
+++ b/packages/entry/src/loading_notifier.cpp
@@ -82,13 +82,13 @@
 void
 LoadingNotifier::Publish(const std::set<ServerId>& aServers)
 {
-  const auto now = MonotonicNow();
+  const auto now = BootNow();
   const bool isNew = aServers != Loading(now);
   if (!isNew && (aServers.empty() || now < mPublishedAt + kRepeatPeriod)) {
     return;
   }
   mPublishedAt = now;
-  ApplyLoading(aServers);
+  ApplyLoading(aServers, now);
   const Json params{ { "servers", ToJson(aServers) } };
   for (const auto& it : Recipients(now)) {
     mLoop.Spawn([this, it, params] { SendTo(it, params); });
@@ -107,15 +107,21 @@
   }
   LogLine(LogEvent::NoticeNotTaken,
           { { "daemon", aPeer.mName }, { "reason", reply.error().mMessage } });
-  relay.OnFailure(aPeer.mName, MonotonicNow());
+  relay.OnFailure(aPeer.mName, BootNow());
 }
 
 void
-LoadingNotifier::ApplyLoading(std::set<ServerId> aServers)
+LoadingNotifier::ApplyLoading(std::set<ServerId> aServers, Instant aAt)
 {
+  if (aAt < mReceivedAt) {
+    return;
+  }
+  const bool isQuiet = mServers.empty() && aServers.empty();
   mServers = std::move(aServers);
-  mReceivedAt = MonotonicNow();
-  mSink(mServers);
+  mReceivedAt = aAt;
+  if (!isQuiet) {
+    mSink(mServers);
+  }
 }
 
 void
@@ -128,7 +134,7 @@
                  if (auto ok = fields.Check(); !ok) {
                    return std::move(ok).error();
                  }
-                 ApplyLoading(std::move(servers));
+                 ApplyLoading(std::move(servers), BootNow());
                  return Json::object();
                });
 }
--- a/packages/entry/src/loading_notifier.h
+++ b/packages/entry/src/loading_notifier.h
@@ -37,13 +37,17 @@
                   DaemonId aSelf,
                   Sink aSink);
 
-  // Returns the servers that are loading, as far as known.
+  // Returns the servers that are loading, as far as known. All times are on the
+  // boot clock.
   [[nodiscard]] std::set<ServerId> Loading(Instant aNow) const;
+  // Returns the time since the holder was heard.
+  [[nodiscard]] Duration Age(Instant aNow) const { return aNow - mReceivedAt; }
 
   // Notifies the other daemons; called by the lease holder.
   void Publish(const std::set<ServerId>& aServers);
-  // Applies a notification or a relay's reply.
-  void ApplyLoading(std::set<ServerId> aServers);
+  // Applies a notification that is of the time aAt, unless a newer one was
+  // applied.
+  void ApplyLoading(std::set<ServerId> aServers, Instant aAt);
   // Adds the RPC method of this notification.
   void AddMethods(RpcMethods& aMethods);
 
--- a/packages/entry/src/loop_watch.cpp
+++ b/packages/entry/src/loop_watch.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr Duration kPeriod = 250ms;
-// Shorter delays are measured, and not logged.
-constexpr Duration kLoggedDelay = 200ms;
+// Shorter delays are measured only.
+constexpr Duration kLateDelay = 200ms;
 // Time between two lines of the log.
 constexpr Duration kLogPeriod = 2s;
 
@@ -24,21 +24,24 @@
     if (!mLoop.Sleep(kPeriod)) {
       return;
     }
-    const auto now = MonotonicNow();
-    OnDelay(now - due, now);
+    OnDelay(MonotonicNow() - due);
   }
 }
 
 void
-LoopWatch::OnDelay(Duration aDelay, Instant aNow)
+LoopWatch::OnDelay(Duration aDelay)
 {
+  const auto now = BootNow();
+  if (aDelay >= kLateDelay) {
+    mLateAt = now;
+  }
   mMetrics.OnLoopDelay(mName, aDelay);
   mLongest = std::max(mLongest, aDelay);
-  const bool mayLog = !mLoggedAt || aNow >= *mLoggedAt + kLogPeriod;
-  if (mLongest >= kLoggedDelay && mayLog) {
+  const bool mayLog = !mLoggedAt || now >= *mLoggedAt + kLogPeriod;
+  if (mLongest >= kLateDelay && mayLog) {
     LogLine(LogEvent::LoopLate, { { "loop", mName }, { "late", mLongest } });
     mLongest = Duration(0);
-    mLoggedAt = aNow;
+    mLoggedAt = now;
   }
 }
 
--- a/packages/entry/src/loop_watch.h
+++ b/packages/entry/src/loop_watch.h
@@ -25,9 +25,15 @@
 
   // Measures until the loop stops.
   void Run();
+  // Returns whether the loop was late enough to matter at a time on the boot
+  // clock or later.
+  [[nodiscard]] bool WasLateSince(Instant aTime) const
+  {
+    return mLateAt && *mLateAt >= aTime;
+  }
 
 private:
-  void OnDelay(Duration aDelay, Instant aNow);
+  void OnDelay(Duration aDelay);
 
   Loop& mLoop;
   SiteMetrics& mMetrics;
@@ -35,6 +41,8 @@
   // Longest delay since the last line of the log.
   Duration mLongest{};
   std::optional<Instant> mLoggedAt;
+  // When it was late last, on the boot clock.
+  std::optional<Instant> mLateAt;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/peer_call.cpp
+++ b/packages/entry/src/peer_call.cpp
@@ -10,7 +10,8 @@
          Duration aTimeout)
 {
   return CallRpc(std::string(aMethod), aParams, [&](const std::string& aText) {
-    return aTransport.Call(aPeer.mEndpoint, kRpcPath, aText, aTimeout);
+    return aTransport.Call(
+      aPeer.mEndpoint, kRpcPath, aText, AnswerLimits::Within(aTimeout));
   });
 }
 
--- a/packages/entry/src/peer_directory.cpp
+++ b/packages/entry/src/peer_directory.cpp
@@ -25,8 +25,12 @@
 std::string
 ToRowText(const PeerAddress& aPeer)
 {
-  return ToText(aPeer.mEndpoint) + " " + aPeer.mZone.Text() + " " +
-         std::to_string(aPeer.mLinkMbps);
+  auto text = ToText(aPeer.mEndpoint) + " " + aPeer.mZone.Text() + " " +
+              std::to_string(aPeer.mLinkMbps);
+  if (aPeer.mBulk) {
+    text += " " + ToText(*aPeer.mBulk);
+  }
+  return text;
 }
 
 Result<PeerAddress>
@@ -36,7 +40,8 @@
   std::string address;
   std::string zone;
   PeerAddress peer;
-  text >> address >> zone >> peer.mLinkMbps;
+  std::string bulk;
+  text >> address >> zone >> peer.mLinkMbps >> bulk;
   auto endpoint = ParseEndpoint(address);
   if (!endpoint) {
     return std::move(endpoint).error();
@@ -44,6 +49,9 @@
   peer.mName = aName;
   peer.mEndpoint = endpoint.value();
   peer.mZone = ZoneId(std::move(zone));
+  if (auto bulkEndpoint = ParseEndpoint(bulk)) {
+    peer.mBulk = std::move(bulkEndpoint).value();
+  }
   return peer;
 }
 
@@ -102,7 +110,7 @@
 bool
 PeerDirectory::ReadPeers()
 {
-  const auto start = MonotonicNow();
+  const auto start = BootNow();
   const auto rows =
     mTable.Scan(std::string(kRowPrefix), kMaxDaemons, kCallTimeout);
   if (!rows) {
--- a/packages/entry/src/peer_directory.h
+++ b/packages/entry/src/peer_directory.h
@@ -20,6 +20,8 @@
   ZoneId mZone;
   // Link speed of its VM in megabits per second; 0 if its row has none.
   double mLinkMbps = 0;
+  // Where it answers queries for cache changes; nothing if its row has none.
+  std::optional<Endpoint> mBulk;
 };
 
 // Formats a daemon's row.
@@ -47,7 +49,7 @@
   }
   // Returns whether the rows have been read at least once.
   [[nodiscard]] bool IsComplete() const noexcept { return mReadAt.has_value(); }
-  // Returns when the last successful read of the rows began.
+  // Returns when the last successful read of the rows began, on the boot clock.
   [[nodiscard]] std::optional<Instant> ReadAt() const noexcept
   {
     return mReadAt;
--- a/packages/entry/src/peer_replicas.cpp
+++ b/packages/entry/src/peer_replicas.cpp
@@ -1,7 +1,12 @@
 #include "peer_replicas.h"
 
+#include "cbor.h"
+
 #include <bilberrytrail/base/base64.h>
 #include <bilberrytrail/platform/json_read.h>
+#include <bilberrytrail/runtime/deflate.h>
+
+#include <cmath>
 
 namespace bilberrytrail {
 
@@ -9,33 +14,91 @@
 
 // A longer lag is not sent, and rejected when read.
 constexpr Duration kMaxLag = 3600s;
+// Largest rows of a table, encoded and not compressed.
+constexpr std::size_t kMaxRowsBytes = 16 * 1024 * 1024;
+// Bytes of a row besides its key and value.
+constexpr std::size_t kRowBytes = 40;
 
-// Returns an era; builds that do not know eras omit the field.
-std::uint64_t
-ReadEra(JsonFields& aFields, std::string_view aName)
+// Writes and reads the value of a row: as Base64 in a text, as it is in CBOR.
+class ValueForm
 {
-  return aFields.Has(aName) ? aFields.Unsigned(aName) : 0;
-}
+public:
+  virtual ~ValueForm() = default;
+
+  [[nodiscard]] virtual Json Write(const std::string& aValue) const = 0;
+  // Marks the field as bad when it holds no value.
+  [[nodiscard]] virtual std::string Read(JsonFields& aFields,
+                                         const Json& aRow) const = 0;
+};
+
+constexpr std::string_view kValue = "value";
+
+class Base64Form final : public ValueForm
+{
+public:
+  [[nodiscard]] Json Write(const std::string& aValue) const override
+  {
+    return ToBase64(aValue);
+  }
+  [[nodiscard]] std::string Read(JsonFields& aFields,
+                                 const Json& /*aRow*/) const override
+  {
+    auto value = FromBase64(aFields.Text(kValue));
+    if (!value) {
+      aFields.Reject(kValue);
+      return {};
+    }
+    return std::move(value).value();
+  }
+};
+
+class BinaryForm final : public ValueForm
+{
+public:
+  [[nodiscard]] Json Write(const std::string& aValue) const override
+  {
+    return ToBinary(aValue);
+  }
+  [[nodiscard]] std::string Read(JsonFields& aFields,
+                                 const Json& aRow) const override
+  {
+    return ReadBinary(aFields, aRow, kValue);
+  }
+};
 
 // The era of a row is that of its table.
 Json
-ToJson(const SiteRow& aRow)
+RowToJson(const SiteRow& aRow, const ValueForm& aForm)
 {
   Json json{ { "key", aRow.mKey }, { "version", aRow.mVersion.Number() } };
   if (aRow.mRemoved) {
     json["removed"] = true;
   } else {
-    json["value"] = ToBase64(aRow.mValue);
+    json[std::string(kValue)] = aForm.Write(aRow.mValue);
   }
   return json;
 }
 
+Result<SiteRow>
+ReadRow(const Json& aJson, std::uint64_t aEra, const ValueForm& aForm)
+{
+  JsonFields fields(aJson);
+  SiteRow row;
+  row.mKey = fields.Text("key");
+  row.mVersion = { fields.Unsigned("version"), aEra };
+  row.mRemoved = fields.Has("removed") && fields.Flag("removed");
+  if (!row.mRemoved) {
+    row.mValue = aForm.Read(fields, aJson);
+  }
+  return Checked(fields, std::move(row));
+}
+
 Json
-ToJson(const ReplicaRows& aRows)
+RowsToJson(const ReplicaRows& aRows, const ValueForm& aForm)
 {
   auto rows = Json::array();
   for (const auto& it : aRows.mRows.mRows) {
-    rows.push_back(ToJson(it));
+    rows.push_back(RowToJson(it, aForm));
   }
   Json json{ { "whole", aRows.mIsWhole },
              { "version", aRows.mRows.mVersion.Number() },
@@ -47,66 +110,26 @@
   return json;
 }
 
-Result<SiteRow>
-ReadRow(const Json& aJson)
-{
-  JsonFields fields(aJson);
-  SiteRow row;
-  row.mKey = fields.Text("key");
-  row.mVersion = fields.Unsigned("version");
-  row.mRemoved = fields.Has("removed") && fields.Flag("removed");
-  if (row.mRemoved) {
-    return Checked(fields, std::move(row));
-  }
-  auto value = FromBase64(fields.Text("value"));
-  if (!value) {
-    return std::move(value).error();
-  }
-  row.mValue = std::move(value).value();
-  return Checked(fields, std::move(row));
-}
-
 Result<ReplicaRows>
-ReadRows(const Json& aJson)
+ReadRows(const Json& aJson, const ValueForm& aForm)
 {
   JsonFields fields(aJson);
   ReplicaRows rows;
   rows.mIsWhole = fields.Flag("whole");
   const auto number = fields.Unsigned("version");
-  const auto era = ReadEra(fields, "era");
+  const auto era = fields.Unsigned("era");
   rows.mRows.mVersion = { number, era };
   if (fields.Has("table_ms")) {
     rows.mRows.mTableMs = fields.Unsigned("table_ms");
   }
-  rows.mRows.mRows = ReadListField(fields, "rows", ReadRow);
-  for (auto& it : rows.mRows.mRows) {
-    it.mVersion = { it.mVersion.Number(), era };
-  }
+  rows.mRows.mRows = ReadListField(fields, "rows", [&](const Json& aRow) {
+    return ReadRow(aRow, era, aForm);
+  });
   return Checked(fields, std::move(rows));
 }
 
-std::optional<ReplicaRows>
-ReadOptionalRows(JsonFields& aFields, std::string_view aName)
-{
-  if (!aFields.Has(aName)) {
-    return std::nullopt;
-  }
-  return ReadObjectField(aFields, aName, ReadRows);
-}
-
-// Reads a lag. One that cannot be added to a time is rejected.
-Duration
-ReadLag(JsonFields& aFields)
-{
-  const double lag = aFields.Real("lag_ms");
-  if (lag >= 0 && lag <= ToMillis(kMaxLag)) {
-    return FromMillis(lag);
-  }
-  aFields.Reject("lag_ms");
-  return Duration(0);
-}
+} // namespace
 
-// Returns the rows of a table that the requester lacks.
 std::optional<ReplicaRows>
 RowsSince(SiteTable aTable, TableVersion aVersion, const SiteReplica& aReplica)
 {
@@ -119,74 +142,98 @@
   return ReplicaRows{ true, aReplica.Export(aTable) };
 }
 
-} // namespace
+std::size_t
+BytesOf(const ReplicaRows& aRows) noexcept
+{
+  std::size_t bytes = 0;
+  for (const auto& it : aRows.mRows.mRows) {
+    bytes += kRowBytes + it.mKey.size() + it.mValue.size();
+  }
+  return bytes;
+}
 
 Json
-ToJson(const ReplicaQuery& aQuery)
+ToJson(const ReplicaRows& aRows)
 {
-  return { { "operator", aQuery.mOperatorVersion.Number() },
-           { "operator_era", aQuery.mOperatorVersion.Era() },
-           { "servers", aQuery.mServersVersion.Number() },
-           { "servers_era", aQuery.mServersVersion.Era() } };
+  return RowsToJson(aRows, Base64Form());
 }
 
-Result<ReplicaQuery>
-ReadReplicaQuery(const Json& aJson)
+Result<ReplicaRows>
+ReadReplicaRows(const Json& aJson)
 {
-  JsonFields fields(aJson);
-  ReplicaQuery query;
-  query.mOperatorVersion = { fields.Unsigned("operator"),
-                             ReadEra(fields, "operator_era") };
-  query.mServersVersion = { fields.Unsigned("servers"),
-                            ReadEra(fields, "servers_era") };
-  return Checked(fields, query);
+  return ReadRows(aJson, Base64Form());
 }
 
-Json
-ToJson(const ReplicaReply& aReply)
+std::string
+EncodeRowsQuery(const RowsQuery& aQuery)
 {
-  Json json{ { "in_reach", aReply.mIsTableReachable },
-             { "age_ms", ToMillis(aReply.mAge) } };
-  if (aReply.mLag && *aReply.mLag <= kMaxLag) {
-    json["lag_ms"] = ToMillis(*aReply.mLag);
-  }
-  if (aReply.mOperator) {
-    json["operator"] = ToJson(*aReply.mOperator);
+  return WriteCbor({ { "table", ToName(aQuery.mTable) },
+                     { "number", aQuery.mAfter.Number() },
+                     { "era", aQuery.mAfter.Era() } });
+}
+
+Result<RowsQuery>
+DecodeRowsQuery(std::string_view aBytes)
+{
+  const auto json = ReadCbor(aBytes);
+  if (!json) {
+    return json.error();
   }
-  if (aReply.mServers) {
-    json["servers"] = ToJson(*aReply.mServers);
+  JsonFields fields(json.value());
+  RowsQuery query;
+  query.mTable = ReadEnumField<SiteTable>(fields, "table");
+  const auto number = fields.Unsigned("number");
+  query.mAfter = { number, fields.Unsigned("era") };
+  return Checked(fields, query);
+}
+
+std::string
+EncodeRows(const ReplicaRows& aRows)
+{
+  return Deflate(WriteCbor(RowsToJson(aRows, BinaryForm())));
+}
+
+std::string
+EncodeRowsReply(std::optional<Duration> aLag, std::string_view aEncodedRows)
+{
+  Json json{ { "rows", ToBinary(aEncodedRows) } };
+  if (aLag && *aLag <= kMaxLag) {
+    json["lag_ms"] = ToMillis(*aLag);
   }
-  return json;
+  return WriteCbor(json);
 }
 
-Result<ReplicaReply>
-ReadReplicaReply(const Json& aJson)
+Result<RowsReply>
+DecodeRowsReply(std::string_view aBytes)
 {
-  JsonFields fields(aJson);
-  ReplicaReply reply;
-  reply.mIsTableReachable = fields.Flag("in_reach");
-  reply.mAge = FromMillis(fields.Real("age_ms"));
-  // Builds that do not know the lag omit the field.
+  const auto json = ReadCbor(aBytes);
+  if (!json) {
+    return json.error();
+  }
+  JsonFields fields(json.value());
+  RowsReply reply;
   if (fields.Has("lag_ms")) {
-    reply.mLag = ReadLag(fields);
+    const double lag = fields.Real("lag_ms");
+    if (!std::isfinite(lag) || lag < 0 || lag > ToMillis(kMaxLag)) {
+      return Fail(ErrorCode::Corrupt, "lag is out of range");
+    }
+    reply.mLag = FromMillis(lag);
+  }
+  const auto encoded =
+    Inflate(ReadBinary(fields, json.value(), "rows"), kMaxRowsBytes);
+  if (!encoded) {
+    return encoded.error();
   }
-  reply.mOperator = ReadOptionalRows(fields, "operator");
-  reply.mServers = ReadOptionalRows(fields, "servers");
+  const auto rows = ReadCbor(encoded.value());
+  if (!rows) {
+    return rows.error();
+  }
+  auto read = ReadRows(rows.value(), BinaryForm());
+  if (!read) {
+    return std::move(read).error();
+  }
+  reply.mRows = std::move(read).value();
   return Checked(fields, std::move(reply));
 }
 
-ReplicaReply
-AnswerReplicaQuery(const ReplicaQuery& aQuery,
-                   const SiteReplica& aReplica,
-                   bool aIsTableReachable,
-                   Duration aAge,
-                   std::optional<Duration> aLag)
-{
-  return { aIsTableReachable,
-           aAge,
-           aLag,
-           RowsSince(SiteTable::Operator, aQuery.mOperatorVersion, aReplica),
-           RowsSince(SiteTable::Servers, aQuery.mServersVersion, aReplica) };
-}
-
 } // namespace bilberrytrail
--- a/packages/entry/src/peer_replicas.h
+++ b/packages/entry/src/peer_replicas.h
@@ -1,25 +1,16 @@
 #pragma once
 
-#include <bilberrytrail/base/ids.h>
 #include <bilberrytrail/entry/site_replica.h>
-#include <bilberrytrail/runtime/rpc.h>
+#include <bilberrytrail/platform/json_fields.h>
 
-#include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace bilberrytrail {
 
-// RPC method by which a daemon requests another's replica of the tables.
-inline constexpr std::string_view kReplicaMethod = "site.image";
-
-// Request for newer rows to another daemon, as while the table service does not
-// answer.
-struct ReplicaQuery
-{
-  // Versions of the requester's replicas.
-  TableVersion mOperatorVersion;
-  TableVersion mServersVersion;
-};
+// Path at which a daemon answers queries for rows, whatever their size.
+inline constexpr const char* kRowsPath = "/site-rows";
 
 // Rows of a table for another daemon.
 struct ReplicaRows
@@ -30,36 +21,47 @@
   SiteRows mRows;
 };
 
-// The tables of which the other daemon has a newer replica.
-struct ReplicaReply
+// Query for the rows of a table after a version.
+struct RowsQuery
+{
+  SiteTable mTable = SiteTable::Operator;
+  TableVersion mAfter;
+};
+
+// Answer to a RowsQuery.
+struct RowsReply
 {
-  // The table service answered that daemon's last call.
-  bool mIsTableReachable = false;
-  // Time since that daemon's replica was confirmed.
-  Duration mAge{};
-  // Time for which that daemon's rows of the operator's table may have lacked
-  // changes; nothing when it is unknown.
+  // Time for which the rows may have lacked changes; nothing when it is
+  // unknown.
   std::optional<Duration> mLag;
-  std::optional<ReplicaRows> mOperator;
-  std::optional<ReplicaRows> mServers;
+  ReplicaRows mRows;
 };
 
-[[nodiscard]] Json
-ToJson(const ReplicaQuery& aQuery);
-[[nodiscard]] Result<ReplicaQuery>
-ReadReplicaQuery(const Json& aJson);
+// Returns the rows of a table that a requester lacks; nothing if there are
+// none.
+[[nodiscard]] std::optional<ReplicaRows>
+RowsSince(SiteTable aTable, TableVersion aVersion, const SiteReplica& aReplica);
+// Returns the bytes that rows have at least, in any form.
+[[nodiscard]] std::size_t
+BytesOf(const ReplicaRows& aRows) noexcept;
+
 // Row values are encoded as Base64, since they may be any bytes.
 [[nodiscard]] Json
-ToJson(const ReplicaReply& aReply);
-[[nodiscard]] Result<ReplicaReply>
-ReadReplicaReply(const Json& aJson);
+ToJson(const ReplicaRows& aRows);
+[[nodiscard]] Result<ReplicaRows>
+ReadReplicaRows(const Json& aJson);
 
-// Returns the reply to a query.
-[[nodiscard]] ReplicaReply
-AnswerReplicaQuery(const ReplicaQuery& aQuery,
-                   const SiteReplica& aReplica,
-                   bool aIsTableReachable,
-                   Duration aAge,
-                   std::optional<Duration> aLag = std::nullopt);
+[[nodiscard]] std::string
+EncodeRowsQuery(const RowsQuery& aQuery);
+// These fail with Corrupt when the bytes cannot be parsed.
+[[nodiscard]] Result<RowsQuery>
+DecodeRowsQuery(std::string_view aBytes);
+// Encodes rows, compressed. The result serves all daemons that lack the same.
+[[nodiscard]] std::string
+EncodeRows(const ReplicaRows& aRows);
+[[nodiscard]] std::string
+EncodeRowsReply(std::optional<Duration> aLag, std::string_view aEncodedRows);
+[[nodiscard]] Result<RowsReply>
+DecodeRowsReply(std::string_view aBytes);
 
 } // namespace bilberrytrail
--- a/packages/entry/src/peer_transport.cpp
+++ b/packages/entry/src/peer_transport.cpp
@@ -6,11 +6,11 @@
 HttpPeerTransport::Call(const Endpoint& aDaemon,
                         const std::string& aPath,
                         std::string aBody,
-                        Duration aTimeout)
+                        const AnswerLimits& aLimits)
 {
   constexpr unsigned kSuccess = 200;
   auto response =
-    mClient.Call(aDaemon, { "POST", aPath, {}, std::move(aBody) }, aTimeout);
+    mClient.Call(aDaemon, { "POST", aPath, {}, std::move(aBody) }, aLimits);
   if (!response) {
     return Fail(response.error().mCode, response.error().mMessage);
   }
--- a/packages/entry/src/peer_transport.h
+++ b/packages/entry/src/peer_transport.h
@@ -17,10 +17,11 @@
   // Posts a body to a path of another daemon and returns the body of its
   // answer. Fails with the transport's error, or with Refused when the daemon
   // answers with another status than 200.
-  [[nodiscard]] virtual Result<std::string> Call(const Endpoint& aDaemon,
-                                                 const std::string& aPath,
-                                                 std::string aBody,
-                                                 Duration aTimeout) = 0;
+  [[nodiscard]] virtual Result<std::string> Call(
+    const Endpoint& aDaemon,
+    const std::string& aPath,
+    std::string aBody,
+    const AnswerLimits& aLimits) = 0;
 };
 
 // Calls over HTTP.
@@ -35,7 +36,7 @@
   [[nodiscard]] Result<std::string> Call(const Endpoint& aDaemon,
                                          const std::string& aPath,
                                          std::string aBody,
-                                         Duration aTimeout) override;
+                                         const AnswerLimits& aLimits) override;
 
 private:
   HttpClient mClient;
--- a/packages/entry/src/placement_codec.cpp
+++ b/packages/entry/src/placement_codec.cpp
@@ -1,3 +1,4 @@
+#include "cbor.h"
 #include "part_report_codec.h"
 
 #include <bilberrytrail/platform/json_read.h>
@@ -16,50 +17,14 @@
 // An older observation of a rate limit is not sent, and rejected when read.
 constexpr Duration kMaxLimitAge = 3600s;
 
-// Deepest nesting of arrays and objects in a datagram.
+// Deepest nesting and most values of a datagram.
 constexpr std::size_t kMaxDepth = 16;
-
-// Rejects deeply nested values, which would exhaust the stack of the fiber that
-// parses them. Keeps nothing of the values.
-class DepthCheck : public nlohmann::json_sax<Json>
-{
-public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return Enter(); }
-  bool key(string_t&) override { return true; }
-  bool end_object() override { return Leave(); }
-  bool start_array(std::size_t) override { return Enter(); }
-  bool end_array() override { return Leave(); }
-  bool parse_error(std::size_t,
-                   const std::string&,
-                   const nlohmann::detail::exception&) override
-  {
-    return false;
-  }
-
-private:
-  bool Enter() { return ++mDepth <= kMaxDepth; }
-  bool Leave()
-  {
-    --mDepth;
-    return true;
-  }
-
-  std::size_t mDepth = 0;
-};
+constexpr std::size_t kMaxValues = 64 * 1024;
 
 std::string
 Pack(char aKind, const Json& aJson)
 {
-  std::string bytes(1, aKind);
-  Json::to_cbor(aJson, bytes);
-  return bytes;
+  return aKind + WriteCbor(aJson);
 }
 
 Result<Json>
@@ -70,24 +35,11 @@
                 std::string("placement datagram does not begin with '") +
                   aKind + "': got " + std::to_string(aBytes.size()) + " bytes");
   }
-  Json json;
-  try {
-    DepthCheck check;
-    if (!Json::sax_parse(aBytes.begin() + 1,
-                         aBytes.end(),
-                         &check,
-                         Json::input_format_t::cbor)) {
-      return Fail(ErrorCode::Corrupt,
-                  "placement datagram is malformed or nested more than " +
-                    std::to_string(kMaxDepth) + " deep");
-    }
-    json = Json::from_cbor(aBytes.begin() + 1, aBytes.end(), true, false);
-  } catch (const Json::exception& exception) {
-    // The parser throws on sizes that exceed any memory, although the last
-    // argument disables exceptions.
-    return Fail(ErrorCode::Corrupt, exception.what());
+  auto json = ReadCbor(aBytes.substr(1), { kMaxDepth, kMaxValues });
+  if (!json) {
+    return json;
   }
-  if (!json.is_object()) {
+  if (!json.value().is_object()) {
     return Fail(ErrorCode::Corrupt,
                 "placement datagram is not a CBOR object: got " +
                   std::to_string(aBytes.size()) + " bytes");
--- a/packages/entry/src/placement_service.cpp
+++ b/packages/entry/src/placement_service.cpp
@@ -102,8 +102,8 @@
   std::map<PlacementGroup, Instant> since;
   for (const auto& group : mMap->GroupsOf(mSelf.mDaemon)) {
     const auto known = mFirstHomeSince.find(group);
-    since.emplace(
-      group, known == mFirstHomeSince.end() ? MonotonicNow() : known->second);
+    since.emplace(group,
+                  known == mFirstHomeSince.end() ? BootNow() : known->second);
   }
   mFirstHomeSince = std::move(since);
 }
@@ -125,7 +125,7 @@
 {
   const auto now = MonotonicNow();
   return mLedger.HandleRequest(
-    aClient, aRequest, now, LimitShareFor(aRequest.mGroup, now));
+    aClient, aRequest, now, LimitShareFor(aRequest.mGroup, BootNow()));
 }
 
 std::vector<LimitReport>
--- a/packages/entry/src/placement_service.h
+++ b/packages/entry/src/placement_service.h
@@ -67,7 +67,8 @@
     const PlacementCandidate& aHome,
     const PlacementRequest& aRequest);
   // Returns the share of the servers' rate limits that this daemon may use as a
-  // home of the group.
+  // home of the group. The time is on the boot clock, since lists and homes
+  // change while this VM is suspended, too.
   [[nodiscard]] double LimitShareFor(const PlacementGroup& aGroup,
                                      Instant aNow) const;
   [[nodiscard]] PlacementReply HandleRequest(const PlacementClientId& aClient,
--- a/packages/entry/src/relay_choice.cpp
+++ b/packages/entry/src/relay_choice.cpp
@@ -19,6 +19,35 @@
   return it != mBackOffs.end() && aNow < it->second.mUntil;
 }
 
+bool
+RelayChoice::IsGone(const DaemonId& aPeer) const
+{
+  const auto it = mBackOffs.find(aPeer);
+  return it != mBackOffs.end() && it->second.mTime >= kGoneBackOff;
+}
+
+std::vector<const PeerAddress*>
+RelayChoice::Candidates(std::span<const PeerAddress> aPeers) const
+{
+  auto order = Ranked(aPeers);
+  // Those that count as gone are asked again now and then, too.
+  std::size_t present = 0;
+  const auto end = std::ranges::find_if(order, [&](const PeerAddress* aPeer) {
+    present += IsGone(aPeer->mName) ? 0 : 1;
+    return present > kRelays;
+  });
+  order.erase(end, order.end());
+  return order;
+}
+
+bool
+RelayChoice::IsCandidate(std::span<const PeerAddress> aPeers) const
+{
+  return std::ranges::any_of(Candidates(aPeers), [&](const PeerAddress* aPeer) {
+    return aPeer->mName == mSelf;
+  });
+}
+
 // Ordered by rendezvous hashing, daemons with fast links first.
 std::vector<const PeerAddress*>
 RelayChoice::Ranked(std::span<const PeerAddress> aPeers) const
@@ -58,7 +87,7 @@
 std::optional<PeerAddress>
 RelayChoice::Pick(std::span<const PeerAddress> aPeers, Instant aNow) const
 {
-  for (const auto* peer : Ranked(aPeers)) {
+  for (const auto* peer : Candidates(aPeers)) {
     if (peer->mName == mSelf) {
       return std::nullopt;
     }
--- a/packages/entry/src/relay_choice.h
+++ b/packages/entry/src/relay_choice.h
@@ -30,10 +30,17 @@
   static constexpr double kMinLinkShare = 0.5;
   // Daemons of zones up to this size follow directly.
   static constexpr std::size_t kDirectDaemons = 5;
+  // Daemons of a zone that may be relays at a time, so that the failure of one
+  // never makes more and more others follow the tables and stores. When none of
+  // them answers, a daemon follows the tables directly.
+  static constexpr std::size_t kRelays = 3;
   // Shortest and longest back-off after a failure; it doubles with each failure
   // in a row.
   static constexpr Duration kMinBackOff = 2s;
   static constexpr Duration kMaxBackOff = 60s;
+  // A daemon with such a back-off counts as gone: the next one takes its place
+  // among the possible relays.
+  static constexpr Duration kGoneBackOff = 8s;
 
   // aZone is the zone to choose a daemon of.
   RelayChoice(DaemonId aSelf, ZoneId aZone)
@@ -52,6 +59,13 @@
     std::span<const PeerAddress> aPeers,
     Instant aNow) const;
 
+  // Returns whether this daemon is one of the possible relays of its zone.
+  [[nodiscard]] bool IsCandidate(std::span<const PeerAddress> aPeers) const;
+  // Returns whether its zone is large enough for relays.
+  [[nodiscard]] bool HasRelays(std::span<const PeerAddress> aPeers) const
+  {
+    return !Ranked(aPeers).empty();
+  }
   // Returns whether this daemon is the preferred relay of its zone.
   [[nodiscard]] bool IsFirst(std::span<const PeerAddress> aPeers) const;
 
@@ -66,11 +80,15 @@
     Instant mUntil;
   };
 
-  // Returns the possible relays, best first; none in a zone that follows
+  // Returns all daemons of the zone, best first; none in a zone that follows
   // directly.
   [[nodiscard]] std::vector<const PeerAddress*> Ranked(
     std::span<const PeerAddress> aPeers) const;
+  // Returns the possible relays, best first.
+  [[nodiscard]] std::vector<const PeerAddress*> Candidates(
+    std::span<const PeerAddress> aPeers) const;
   [[nodiscard]] bool IsBackingOff(const DaemonId& aPeer, Instant aNow) const;
+  [[nodiscard]] bool IsGone(const DaemonId& aPeer) const;
 
   const DaemonId mSelf;
   const ZoneId mZone;
--- a/packages/entry/src/relay_follower.cpp
+++ b/packages/entry/src/relay_follower.cpp
@@ -1,28 +1,26 @@
 #include "relay_follower.h"
 
-#include "peer_call.h"
-
 #include <bilberrytrail/base/log.h>
-#include <bilberrytrail/platform/json_read.h>
 
 namespace bilberrytrail {
 
 namespace {
 
-// Time between two queries to the relay; it bounds the delay of changes.
-constexpr Duration kQueryPeriod = 300ms;
-// A call within an availability zone takes a few milliseconds.
-constexpr Duration kQueryTimeout = 300ms;
-// A relay whose replica was confirmed longer ago is not used. A daemon that
-// serves as a relay gets an answer each SiteFollower::kServingWait.
-constexpr Duration kMaxReplicaAge = 1200ms;
+// Time between two looks for a relay while there is none.
+constexpr Duration kLookPeriod = 300ms;
+// Longest wait for something new in one query, and time for the answer behind
+// it, which is small and takes a few milliseconds within a zone.
+constexpr Duration kNoticeWait = 700ms;
+constexpr Duration kNoticeMargin = 300ms;
+// Shortest time between two queries.
+constexpr Duration kQueryGap = 50ms;
 // Time for which this daemon follows directly after a failed query to its
-// relay, and after the last query of another daemon.
+// relay, and after the last query of a daemon that relies on it.
 constexpr Duration kDirectTime = 2s;
 constexpr Duration kServingTime = 3s;
-
-// Replies of which one is measured.
-constexpr std::size_t kAnswersPerSample = 16;
+// Failures in a row of a daemon that was late itself, from which on they count
+// as the relay's.
+constexpr unsigned kMaxLateFailures = 3;
 
 bool
 IsWithin(const std::optional<Instant>& aSince, Duration aTime, Instant aNow)
@@ -32,189 +30,188 @@
 
 } // namespace
 
-Json
-ToJson(const RelayQuery& aQuery)
-{
-  return { { "image", ToJson(aQuery.mReplica) },
-           { "cache", ToJson(aQuery.mCache) } };
-}
-
-Result<RelayQuery>
-ReadRelayQuery(const Json& aJson)
-{
-  JsonFields fields(aJson);
-  RelayQuery query;
-  query.mReplica = ReadObjectField(fields, "image", ReadReplicaQuery);
-  query.mCache = ReadObjectField(fields, "cache", ReadCacheCursor);
-  return Checked(fields, query);
-}
-
-Result<RelayReply>
-ReadRelayReply(const Json& aJson)
-{
-  JsonFields fields(aJson);
-  RelayReply reply;
-  reply.mReplica = ReadObjectField(fields, "image", ReadReplicaReply);
-  reply.mCache = ReadObjectField(fields, "cache", ReadCachePage);
-  reply.mLoading = ReadServerIds(fields, "loading");
-  return Checked(fields, std::move(reply));
-}
-
 RelayFollower::RelayFollower(Loop& aLoop,
                              PeerDirectory& aPeers,
-                             PeerTransport& aTransport,
-                             SiteFollower& aSite,
-                             StoreFollower& aStores,
-                             LoadingNotifier& aNotifier,
-                             CacheSink& aSink,
-                             RelayChoice aChoice,
-                             SiteMetrics& aMetrics)
+                             TableFollower& aTables,
+                             PeerSiteReader& aReader,
+                             SiteServer& aServer,
+                             CacheFollower& aCache,
+                             const LoopWatch& aWatch,
+                             RelayChoice aChoice)
   : mLoop(aLoop)
   , mPeers(aPeers)
-  , mSite(aSite)
-  , mStores(aStores)
-  , mNotifier(aNotifier)
-  , mSink(aSink)
-  , mTransport(aTransport)
+  , mTables(aTables)
+  , mReader(aReader)
+  , mServer(aServer)
+  , mCache(aCache)
+  , mWatch(aWatch)
   , mChoice(std::move(aChoice))
-  , mMetrics(aMetrics)
 {
 }
 
 bool
 RelayFollower::IsServing(Instant aNow) const
 {
-  return IsWithin(mQueriedAt, kServingTime, aNow) || !mPeers.IsComplete() ||
-         mChoice.IsFirst(mPeers.All());
+  return IsWithin(mAskedAt, kServingTime, aNow) || mRole.mIsFirst;
+}
+
+bool
+RelayFollower::MayServe() const
+{
+  return !mIsLeaving && mRole.mIsCandidate;
 }
 
 void
-RelayFollower::SetDirect(bool aIsServing, Instant aNow)
+RelayFollower::UpdateRole()
 {
-  const bool isDirect = aIsServing || !mHasRelay;
-  mSite.SetDirect(isDirect || IsWithin(mFailedAt, kDirectTime, aNow),
-                  aIsServing);
-  mStores.SetDirect(isDirect);
-  if (isDirect) {
-    // The next relay is read from the start of its change log.
-    mCursor = CacheCursor();
+  if (mPeers.IsComplete()) {
+    const auto& peers = mPeers.All();
+    mRole = { mChoice.HasRelays(peers),
+              mChoice.IsCandidate(peers),
+              mChoice.IsFirst(peers) };
   }
 }
 
 void
-RelayFollower::LeaveRelay(bool aIsServing)
+RelayFollower::Update(Instant aNow)
 {
-  if (!mRelay.IsEmpty()) {
+  const bool isServing = IsServing(aNow);
+  mTables.SetDirect(isServing || !mHasRelay ||
+                      IsWithin(mFailedAt, kDirectTime, aNow),
+                    isServing);
+  if (mPeers.IsComplete()) {
+    mCache.SetKept(mRole.mIsCandidate);
+    mCache.SetDirect(!mRole.mZoneHasRelays ||
+                     (isServing && mRole.mIsCandidate));
+  }
+}
+
+void
+RelayFollower::SetRelay(const PeerAddress* aRelay)
+{
+  const auto name = aRelay == nullptr ? DaemonId() : aRelay->mName;
+  if (name == mRelay) {
+    return;
+  }
+  if (aRelay == nullptr) {
     LogLine(LogEvent::RelayLeft,
-            { { "daemon", mRelay }, { "serving", aIsServing } });
-    mRelay = DaemonId();
+            { { "daemon", mRelay }, { "serving", IsServing(BootNow()) } });
+  } else {
+    LogLine(LogEvent::RelayFollowed, { { "daemon", name } });
   }
+  mRelay = name;
+  mCache.SetRelay(aRelay == nullptr ? std::nullopt : aRelay->mBulk);
 }
 
 void
 RelayFollower::Run()
 {
-  while (mLoop.Sleep(kQueryPeriod)) {
-    const auto now = MonotonicNow();
+  while (!mLoop.IsStopping()) {
+    const auto now = BootNow();
+    UpdateRole();
     const auto relay = mChoice.Pick(mPeers.All(), now);
-    const bool isServing = IsServing(now);
-    mHasRelay = relay && !isServing;
-    SetDirect(isServing, now);
-    if (!mHasRelay) {
-      LeaveRelay(isServing);
-      continue;
-    }
-    while (QueryRelay(*relay)) {
+    mHasRelay = relay && !IsServing(now);
+    Update(now);
+    if (mHasRelay) {
+      AskRelay(*relay);
+      (void)mLoop.Sleep(kQueryGap);
+    } else {
+      SetRelay(nullptr);
+      (void)mLoop.Sleep(kLookPeriod);
     }
-    const auto after = MonotonicNow();
-    SetDirect(IsServing(after), after);
   }
 }
 
-bool
-RelayFollower::QueryRelay(const PeerAddress& aRelay)
+void
+RelayFollower::AskRelay(const PeerAddress& aRelay)
 {
   const auto sentAt = BootNow();
-  const auto reply = Call(aRelay);
-  const auto now = MonotonicNow();
-  const bool isUsable = reply && reply.value().mReplica.mIsTableReachable &&
-                        reply.value().mReplica.mAge <= kMaxReplicaAge;
-  if (!isUsable) {
-    LogLine(
-      LogEvent::RelayFailed,
-      { { "daemon", aRelay.mName },
-        { "reason",
-          reply ? "its replica is too old, or its table service unreachable"
-                : reply.error().mMessage },
-        { "age", reply ? reply.value().mReplica.mAge : Duration(0) } });
-    mChoice.OnFailure(aRelay.mName, now);
-    mFailedAt = now;
-    return false;
+  const auto notice =
+    mReader.Ask(SiteWay::Relay, aRelay, kNoticeWait, kNoticeMargin);
+  const auto& lag =
+    notice ? notice.value()
+               .mTables[static_cast<std::size_t>(SiteTable::Operator)]
+               .mLag
+           : std::optional<Duration>();
+  const bool isUsable = notice && notice.value().mIsTableReachable && lag &&
+                        *lag <= SiteServer::kMaxLag;
+  if (isUsable) {
+    OnAnswer(aRelay);
+  } else if (!mLoop.IsStopping()) {
+    OnFailure(aRelay, notice, sentAt);
   }
-  mChoice.OnAnswer(aRelay.mName);
-  ApplyReply(aRelay, reply.value(), sentAt);
-  return reply.value().mCache.mHasMore && !mLoop.IsStopping();
+  Update(BootNow());
 }
 
-Result<RelayReply>
-RelayFollower::Call(const PeerAddress& aRelay)
+void
+RelayFollower::OnAnswer(const PeerAddress& aRelay)
 {
-  const RelayQuery query{ mSite.Versions(), mCursor };
-  const auto reply =
-    CallPeer(mTransport, aRelay, kRelayMethod, ToJson(query), kQueryTimeout);
-  if (!reply) {
-    return reply.error();
+  mLateFailures = 0;
+  mChoice.OnAnswer(aRelay.mName);
+  if (!IsServing(BootNow())) {
+    SetRelay(&aRelay);
   }
-  return ReadRelayReply(reply.value());
 }
 
 void
-RelayFollower::ApplyReply(const PeerAddress& aRelay,
-                          const RelayReply& aReply,
-                          Instant aSentAt)
+RelayFollower::OnFailure(const PeerAddress& aRelay,
+                         const Result<SiteNotice>& aNotice,
+                         Instant aSentAt)
 {
-  if (mRelay != aRelay.mName) {
-    LogLine(LogEvent::RelayFollowed, { { "daemon", aRelay.mName } });
-    mRelay = aRelay.mName;
-  }
-  mSite.ApplyReplica(SiteWay::Relay, aRelay, aReply.mReplica, aSentAt);
-  if (IsServing(MonotonicNow())) {
-    // Another daemon has queried this one meanwhile, so this one follows the
-    // stores directly.
+  // A daemon that reads late cannot tell a late answer from its own delay, and
+  // would be late at the next relay as well.
+  const bool isOwnDelay =
+    !aNotice && aNotice.error().mCode == ErrorCode::Timeout &&
+    mWatch.WasLateSince(aSentAt) && ++mLateFailures < kMaxLateFailures;
+  LogLine(
+    LogEvent::RelayFailed,
+    { { "daemon", aRelay.mName },
+      { "reason",
+        aNotice ? "its replica is too old, or its table service unreachable"
+                : aNotice.error().mMessage },
+      { "own_delay", isOwnDelay } });
+  if (isOwnDelay) {
     return;
   }
-  mCursor = aReply.mCache.mCursor;
-  mSink.OnPage(aReply.mCache);
-  mNotifier.ApplyLoading(aReply.mLoading);
+  mLateFailures = 0;
+  const auto now = BootNow();
+  mChoice.OnFailure(aRelay.mName, now);
+  mFailedAt = now;
 }
 
 Result<Json>
 RelayFollower::Answer(const Json& aParams)
 {
-  const auto query = ReadRelayQuery(aParams);
+  const auto query = ReadNoticeQuery(aParams);
   if (!query) {
     return query.error();
   }
-  mQueriedAt = MonotonicNow();
-  SetDirect(true, *mQueriedAt);
-  const auto begin = MonotonicNow();
-  auto site = ToJson(mSite.AnswerQuery(query.value().mReplica));
-  const auto middle = MonotonicNow();
-  auto cache = ToJson(mStores.PageAt(query.value().mCache));
-  const auto end = MonotonicNow();
-  if (++mAnswers % kAnswersPerSample == 0) {
-    mMetrics.OnReply(RelayReplyKind::Site, site.dump().size(), middle - begin);
-    mMetrics.OnReply(RelayReplyKind::Cache, cache.dump().size(), end - middle);
+  if (!query.value().mFollows) {
+    return ToJson(mServer.Answer(query.value(), [] { return true; }));
+  }
+  if (!MayServe()) {
+    return Fail(ErrorCode::Refused, "not a relay of its zone, or stopping");
+  }
+  mAskedAt = BootNow();
+  Update(*mAskedAt);
+  auto notice = mServer.Answer(query.value(), [this] { return MayServe(); });
+  if (!MayServe()) {
+    return Fail(ErrorCode::Refused, "stopping");
   }
-  return Json{ { "image", std::move(site) },
-               { "cache", std::move(cache) },
-               { "loading", ToJson(mNotifier.Loading(*mQueriedAt)) } };
+  return ToJson(notice);
+}
+
+void
+RelayFollower::Leave()
+{
+  mIsLeaving = true;
+  mServer.WakeAll();
 }
 
 void
 RelayFollower::AddMethods(RpcMethods& aMethods)
 {
-  aMethods.Add(std::string(kRelayMethod),
+  aMethods.Add(std::string(kNoticeMethod),
                [this](const Json& aParams) { return Answer(aParams); });
 }
 
--- a/packages/entry/src/relay_follower.h
+++ b/packages/entry/src/relay_follower.h
@@ -1,92 +1,86 @@
 #pragma once
 
-#include "cache_page_codec.h"
-#include "loading_notifier.h"
-#include "peer_transport.h"
+#include "cache_follower.h"
+#include "loop_watch.h"
+#include "peer_site_reader.h"
 #include "relay_choice.h"
-#include "store_follower.h"
+#include "site_server.h"
+#include "table_follower.h"
 
 namespace bilberrytrail {
 
-// RPC method by which a daemon queries its relay.
-inline constexpr std::string_view kRelayMethod = "site.news";
-
-// Query of a daemon to its relay.
-struct RelayQuery
-{
-  ReplicaQuery mReplica;
-  CacheCursor mCache;
-};
-
-// Changes since the query's versions and cursor.
-struct RelayReply
-{
-  ReplicaReply mReplica;
-  CachePage mCache;
-  // Servers that are loading weights.
-  std::set<ServerId> mLoading;
-};
-
-[[nodiscard]] Json
-ToJson(const RelayQuery& aQuery);
-[[nodiscard]] Result<RelayQuery>
-ReadRelayQuery(const Json& aJson);
-[[nodiscard]] Result<RelayReply>
-ReadRelayReply(const Json& aJson);
-
-// Follows the tables and stores through a relay, which is another daemon of the
-// zone, and decides when this daemon follows them directly instead:
+// Follows what is new at the site through a relay, which is another daemon of
+// the zone, and decides when this daemon follows the tables directly instead:
+//
+// - while there is no relay to ask, as at its start,
+// - while others rely on this daemon,
+// - at once when the relay does not answer, or its rows may lack changes.
 //
-// - while there is no relay to query, as at its start,
-// - while others query it,
-// - at once when the relay does not answer or its replica is too old.
+// The stores are followed directly only by daemons on which others rely, and in
+// zones without relays: a daemon without a relay goes without what the stores
+// hold.
 class RelayFollower
 {
 public:
   RelayFollower(Loop& aLoop,
                 PeerDirectory& aPeers,
-                PeerTransport& aTransport,
-                SiteFollower& aSite,
-                StoreFollower& aStores,
-                LoadingNotifier& aNotifier,
-                CacheSink& aSink,
-                RelayChoice aChoice,
-                SiteMetrics& aMetrics);
+                TableFollower& aTables,
+                PeerSiteReader& aReader,
+                SiteServer& aServer,
+                CacheFollower& aCache,
+                const LoopWatch& aWatch,
+                RelayChoice aChoice);
 
-  // Queries the relay until the loop stops.
+  // Asks the relay until the loop stops.
   void Run();
-  // Adds the RPC method of this query.
+  // Adds the RPC method by which other daemons ask this one.
   void AddMethods(RpcMethods& aMethods);
+  // Sends the daemons that rely on this one to the next relay, before it stops.
+  void Leave();
 
 private:
-  // Returns whether the relay has more changes.
-  bool QueryRelay(const PeerAddress& aRelay);
-  Result<RelayReply> Call(const PeerAddress& aRelay);
-  void ApplyReply(const PeerAddress& aRelay,
-                  const RelayReply& aReply,
-                  Instant aSentAt);
-  void SetDirect(bool aIsServing, Instant aNow);
+  void AskRelay(const PeerAddress& aRelay);
+  void OnAnswer(const PeerAddress& aRelay);
+  void OnFailure(const PeerAddress& aRelay,
+                 const Result<SiteNotice>& aNotice,
+                 Instant aSentAt);
+  // What this daemon is among the possible relays of its zone, as far as known.
+  struct Role
+  {
+    bool mZoneHasRelays = false;
+    bool mIsCandidate = true;
+    bool mIsFirst = true;
+  };
+
+  void UpdateRole();
+  // Updates how this daemon follows the site.
+  void Update(Instant aNow);
   // Returns whether others rely on this daemon, or will once they have started.
   [[nodiscard]] bool IsServing(Instant aNow) const;
-  void LeaveRelay(bool aIsServing);
+  // Returns whether this daemon may be asked by others that rely on it.
+  [[nodiscard]] bool MayServe() const;
+  void SetRelay(const PeerAddress* aRelay);
   Result<Json> Answer(const Json& aParams);
 
   Loop& mLoop;
   PeerDirectory& mPeers;
-  SiteFollower& mSite;
-  StoreFollower& mStores;
-  LoadingNotifier& mNotifier;
-  CacheSink& mSink;
-  PeerTransport& mTransport;
+  TableFollower& mTables;
+  PeerSiteReader& mReader;
+  SiteServer& mServer;
+  CacheFollower& mCache;
+  const LoopWatch& mWatch;
   RelayChoice mChoice;
-  SiteMetrics& mMetrics;
-  std::size_t mAnswers = 0;
-  CacheCursor mCursor;
+  Role mRole;
   // The relay that answered last; empty while this daemon follows directly.
   DaemonId mRelay;
-  std::optional<Instant> mFailedAt;
+  // There is a relay to ask.
   bool mHasRelay = false;
-  std::optional<Instant> mQueriedAt;
+  bool mIsLeaving = false;
+  std::optional<Instant> mFailedAt;
+  // When another daemon that relies on this one last asked.
+  std::optional<Instant> mAskedAt;
+  // Failures in a row while this daemon itself was late.
+  unsigned mLateFailures = 0;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -98,7 +98,7 @@
       query.mAffinity = StableHash64(part->mId);
       query.mSharedTokens = static_cast<double>(prompt.SharedTokens());
       query.mMissWork = mContext.mCache.MissWork(
-        prompt, CacheSalt(query.mNewestVersion), MonotonicNow());
+        prompt, CacheSalt(query.mNewestVersion), BootNow());
     }
   }
   return query;
@@ -320,7 +320,7 @@
     call.mCacheSalt = CacheSalt(mChoice.mWeightVersion);
     call.mPriority = Rank();
     const auto* service = mView->FindService(mService);
-    const auto now = MonotonicNow();
+    const auto now = BootNow();
     call.mCache =
       mContext.mCache.Plan(*mRequest.mPrompt,
                            call.mCacheSalt,
--- a/packages/entry/src/rollout_runner.h
+++ b/packages/entry/src/rollout_runner.h
@@ -2,7 +2,7 @@
 
 #include "loading_notifier.h"
 #include "peer_directory.h"
-#include "site_follower.h"
+#include "site_view_holder.h"
 
 #include <bilberrytrail/entry/entry_platform.h>
 #include <bilberrytrail/entry/entry_settings.h>
--- a/packages/entry/src/site_metrics.cpp
+++ b/packages/entry/src/site_metrics.cpp
@@ -35,17 +35,28 @@
 }
 
 void
-SiteMetrics::OnReply(RelayReplyKind aKind, std::size_t aBytes, Duration aTime)
+SiteMetrics::OnReply(RelayReplyKind aKind, std::size_t aBytes)
 {
   const auto labels = Labels(ToName(aKind));
-  mTimes.Record(labels, Measure::RelayReply, aTime);
   mCounts.Add(labels, Counter::RelayReplies);
   mCounts.Add(labels, Counter::RelayReplyBytes, aBytes);
   const std::lock_guard lock(mMutex);
-  auto& replies = mReplies[static_cast<std::size_t>(aKind)];
+  auto& replies = RepliesOf(aKind);
   ++replies.mCount;
   replies.mBytes += aBytes;
-  replies.mTime += aTime;
+}
+
+void
+SiteMetrics::OnBuilt(RelayReplyKind aKind, std::size_t aBytes, Duration aTime)
+{
+  const auto labels = Labels(ToName(aKind));
+  mTimes.Record(labels, Measure::RelayBuild, aTime);
+  mCounts.Add(labels, Counter::RelayBuiltBytes, aBytes);
+  const std::lock_guard lock(mMutex);
+  auto& replies = RepliesOf(aKind);
+  ++replies.mBuilt;
+  replies.mBuiltBytes += aBytes;
+  replies.mBuildTime += aTime;
 }
 
 void
@@ -53,13 +64,15 @@
 {
   const std::lock_guard lock(mMutex);
   for (const auto kind : AllOf<RelayReplyKind>()) {
-    auto& replies = mReplies[static_cast<std::size_t>(kind)];
+    auto& replies = RepliesOf(kind);
     if (replies.mCount > 0) {
       LogLine(LogEvent::RelayServed,
               { { "kind", kind },
                 { "replies", replies.mCount },
                 { "bytes", replies.mBytes },
-                { "time", replies.mTime } });
+                { "built", replies.mBuilt },
+                { "built_bytes", replies.mBuiltBytes },
+                { "build_time", replies.mBuildTime } });
       replies = Replies();
     }
   }
--- a/packages/entry/src/site_metrics.h
+++ b/packages/entry/src/site_metrics.h
@@ -33,8 +33,10 @@
 // Kinds of replies to the daemons that follow this one.
 enum class RelayReplyKind : unsigned char
 {
-  // Rows of the tables and what else must be in time.
-  Site,
+  // Answers of RPC methods, which are small.
+  Rpc,
+  // Rows of the tables.
+  Rows,
   // Cache changes of the stores.
   Cache
 };
@@ -42,7 +44,9 @@
 template<>
 struct EnumNames<RelayReplyKind>
 {
-  static constexpr std::array<std::string_view, 2> kNames{ "site", "cache" };
+  static constexpr std::array<std::string_view, 3> kNames{ "rpc",
+                                                           "rows",
+                                                           "cache" };
 };
 
 // Records how the state of the site gets to this daemon and on from it.
@@ -61,8 +65,10 @@
   // Records the time since the newest evidence about a table.
   void OnEvidenceAge(SiteTable aTable, Duration aAge);
   void OnLoopDelay(std::string_view aLoop, Duration aDelay);
-  // Records a reply of so many bytes and the time that it took to build it.
-  void OnReply(RelayReplyKind aKind, std::size_t aBytes, Duration aTime);
+  // Records a reply of so many bytes that was sent.
+  void OnReply(RelayReplyKind aKind, std::size_t aBytes);
+  // Records that such bytes were built, in a time, for one or more replies.
+  void OnBuilt(RelayReplyKind aKind, std::size_t aBytes, Duration aTime);
 
   // Logs the replies since the last call, if there were any.
   void LogReplies();
@@ -72,9 +78,16 @@
   {
     std::size_t mCount = 0;
     std::size_t mBytes = 0;
-    Duration mTime{};
+    std::size_t mBuilt = 0;
+    std::size_t mBuiltBytes = 0;
+    Duration mBuildTime{};
   };
 
+  [[nodiscard]] Replies& RepliesOf(RelayReplyKind aKind)
+  {
+    return mReplies[static_cast<std::size_t>(aKind)];
+  }
+
   HistogramRegistry& mTimes;
   CounterRegistry& mCounts;
   std::mutex mMutex;
--- a/packages/entry/src/site_replica.cpp
+++ b/packages/entry/src/site_replica.cpp
@@ -24,6 +24,12 @@
   return TableOf(aTable).mVersion;
 }
 
+TableVersion
+SiteReplica::Changed(SiteTable aTable) const noexcept
+{
+  return TableOf(aTable).mChanged;
+}
+
 std::optional<std::uint64_t>
 SiteReplica::TableMs(SiteTable aTable) const noexcept
 {
@@ -175,6 +181,7 @@
     if (it != table.mRows.end() && it->second.mVersion >= row.mVersion) {
       continue;
     }
+    table.mChanged = std::max(table.mChanged, aChanges.mVersion);
     if (row.mRemoved) {
       changed = Remove(aTable, row.mKey, row.mVersion, aNow) || changed;
       continue;
--- a/packages/entry/src/store_follower.cpp
+++ b/packages/entry/src/store_follower.cpp
@@ -43,17 +43,23 @@
 void
 StoreFollower::SetDirect(bool aIsDirect) noexcept
 {
-  if (aIsDirect && !mIsDirect) {
-    // Pages of a relay no longer hold.
-    mPublished = CacheCursor();
-  }
   mIsDirect = aIsDirect;
 }
 
+void
+StoreFollower::OnRelayPage(CachePage aPage,
+                           const std::vector<CachePosition>& aResets,
+                           Duration aSince)
+{
+  aPage.mResets.insert(aPage.mResets.end(), aResets.begin(), aResets.end());
+  mLog.OnPage(aPage, BootNow() - aSince);
+  Publish();
+}
+
 CachePage
 StoreFollower::PageAt(const CacheCursor& aCursor) const
 {
-  return mLog.PageAt(aCursor, MonotonicNow());
+  return mLog.PageAt(aCursor, BootNow());
 }
 
 void
@@ -103,7 +109,7 @@
       aStore.mEndpoint, mLog.Next(aStore.mName), kEventWait, kEventTimeout);
     if (events) {
       isReachable = true;
-      mLog.OnEvents(aStore.mName, events.value(), MonotonicNow());
+      mLog.OnEvents(aStore.mName, events.value(), BootNow());
       Publish();
       (void)mLoop.Sleep(kEventPause);
       continue;
@@ -118,19 +124,22 @@
     Publish();
     (void)mLoop.Sleep(kEventRetryPause);
   }
-  mLog.OnUnavailable(aStore.mName);
+  if (mIsDirect) {
+    mLog.OnUnavailable(aStore.mName);
+  }
   mFollowed.erase({ aStore.mName, ToText(aStore.mEndpoint) });
 }
 
 void
 StoreFollower::Publish()
 {
-  while (mIsDirect) {
+  while (true) {
     auto page = PageAt(mPublished);
     mPublished = page.mCursor;
     const bool hasMore = page.mHasMore;
     mSink.OnPage(std::move(page));
     if (!hasMore) {
+      mLog.Trim(mPublished);
       return;
     }
   }
--- a/packages/entry/src/store_follower.h
+++ b/packages/entry/src/store_follower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "site_follower.h"
+#include "site_view_holder.h"
 
 #include <bilberrytrail/entry/cache_change_log.h>
 #include <bilberrytrail/runtime/loop.h>
@@ -20,8 +20,8 @@
   virtual void OnPage(CachePage aPage) = 0;
 };
 
-// Follows the events of each configured store while this daemon follows
-// directly, and keeps the cache change log for the daemons that query it.
+// Follows the events of each configured store while this daemon follows them
+// directly, and keeps the cache change log, which is also fed by the relay.
 class StoreFollower
 {
 public:
@@ -35,8 +35,31 @@
   void Start();
   // Sets whether this daemon follows the stores directly.
   void SetDirect(bool aIsDirect) noexcept;
-  // Returns the cache changes from a requester's cursor on.
+  [[nodiscard]] bool IsDirect() const noexcept { return mIsDirect; }
+  // Sets whether changes are kept for other daemons.
+  void SetKept(bool aIsKept) noexcept { mLog.SetKept(aIsKept); }
+  [[nodiscard]] bool IsKept() const noexcept { return mLog.IsKept(); }
+  // Takes in a page of the relay, which it encoded so long ago, and stores with
+  // which to begin anew.
+  void OnRelayPage(CachePage aPage,
+                   const std::vector<CachePosition>& aResets,
+                   Duration aSince);
+
+  // These are those of the log.
   [[nodiscard]] CachePage PageAt(const CacheCursor& aCursor) const;
+  [[nodiscard]] bool Knows(const CacheCursor& aCursor) const noexcept
+  {
+    return mLog.Knows(aCursor);
+  }
+  [[nodiscard]] CachePage ResumeAt(
+    const std::vector<CachePosition>& aPositions) const
+  {
+    return mLog.ResumeAt(aPositions);
+  }
+  [[nodiscard]] std::vector<CachePosition> Positions() const
+  {
+    return mLog.Positions();
+  }
 
 private:
   using Followed = std::pair<StoreId, std::string>;
--- a/packages/entry/src/table_clock.cpp
+++ b/packages/entry/src/table_clock.cpp
@@ -29,6 +29,15 @@
   mDifference = both.mLeast <= both.mMost ? both : seen;
 }
 
+std::optional<Instant>
+TableClock::EarliestAt(std::uint64_t aTableMs) const
+{
+  if (!mDifference) {
+    return std::nullopt;
+  }
+  return Instant(ToDuration(aTableMs) + mDifference->mLeast);
+}
+
 std::optional<Duration>
 TableClock::Since(std::uint64_t aTableMs, Instant aNow) const
 {
--- /dev/null
+++ b/packages/entry/src/table_follower.cpp
@@ -0,0 +1,211 @@
+#include "table_follower.h"
+
+#include <algorithm>
+
+namespace bilberrytrail {
+
+namespace {
+
+// Longest wait for changes in one call. A dead connection is detected
+// kCallMargin later.
+constexpr Duration kChangeWait = 2500ms;
+constexpr Duration kCallMargin = 600ms;
+// The margin while other daemons rely on this one.
+constexpr Duration kServingCallMargin = 300ms;
+constexpr Duration kReadTimeout = 1500ms;
+// Longest pause within an answer, and longest time to receive a whole one: a
+// large configuration takes long on a narrow link.
+constexpr Duration kAnswerSilence = 600ms;
+constexpr Duration kAnswerTime = 6s;
+// Pause after a call that returned changes, to batch those of one moment.
+constexpr Duration kChangePause = 80ms;
+// Pause after a failed call, in which other daemons are queried, and the
+// maximum number of such pauses between two calls.
+constexpr Duration kRetryPause = 250ms;
+constexpr unsigned kMaxPauses = 4;
+// Time after which a fiber checks again without a wake-up.
+constexpr Duration kIndirectPause = 1s;
+constexpr Duration kPeerTimeout = 400ms;
+// Daemons queried in one round.
+constexpr std::size_t kPeersPerQuery = 2;
+// Time between two looks for overdue evidence.
+constexpr Duration kOverduePeriod = 250ms;
+// Evidence is overdue after the longest wait on the way on which this daemon
+// follows, with all margins.
+constexpr Duration kOverdue = 2s;
+constexpr Duration kOverdueWait = 3200ms;
+
+} // namespace
+
+TableFollower::TableFollower(Loop& aLoop,
+                             SiteFeed& aFeed,
+                             PeerDirectory& aPeers,
+                             PeerSiteReader& aReader,
+                             SiteState& aState)
+  : mLoop(aLoop)
+  , mFeed(aFeed)
+  , mPeers(aPeers)
+  , mReader(aReader)
+  , mState(aState)
+  , mWakeUps{ Event(aLoop), Event(aLoop) }
+{
+}
+
+void
+TableFollower::Start()
+{
+  for (const auto table : AllOf<SiteTable>()) {
+    mLoop.Spawn([this, table] { Follow(table); });
+  }
+  mLoop.Spawn([this] { WatchOverdue(); });
+}
+
+void
+TableFollower::SetDirect(bool aIsDirect, bool aIsServing)
+{
+  const bool startsDirect = aIsDirect && !mIsDirect;
+  mIsDirect = aIsDirect;
+  mIsServing = aIsServing;
+  if (startsDirect) {
+    for (auto& it : mWakeUps) {
+      it.Notify();
+    }
+  }
+}
+
+void
+TableFollower::Follow(SiteTable aTable)
+{
+  auto mode = ReadMode::All;
+  unsigned pauses = 1;
+  while (!mLoop.IsStopping()) {
+    if (!mIsDirect) {
+      (void)mWakeUps[static_cast<std::size_t>(aTable)].Wait(kIndirectPause);
+      if (mState.Version(aTable).IsKnown()) {
+        // The answer tells at once what this daemon lacks.
+        mode = ReadMode::Changes;
+      }
+      continue;
+    }
+    const auto outcome = ReadOnce(aTable, mode);
+    if (outcome != ReadOutcome::Failed) {
+      mode = outcome == ReadOutcome::Unknown ? ReadMode::All : ReadMode::Wait;
+      pauses = 1;
+      if (outcome == ReadOutcome::Changed) {
+        (void)mLoop.Sleep(kChangePause);
+      }
+      continue;
+    }
+    mode = mode == ReadMode::Wait ? ReadMode::Changes : mode;
+    for (unsigned n = 0; n < pauses && mIsDirect; ++n) {
+      QueryPeers();
+      (void)mLoop.Sleep(kRetryPause);
+    }
+    pauses = std::min(pauses * 2, kMaxPauses);
+  }
+}
+
+Duration
+TableFollower::LongestWait() const noexcept
+{
+  return mIsServing ? kServingWait : kChangeWait;
+}
+
+CallResult<SiteRows>
+TableFollower::Read(SiteTable aTable, ReadMode aMode)
+{
+  if (aMode == ReadMode::All) {
+    return mFeed.ReadAll(aTable, { kReadTimeout, kAnswerSilence, kAnswerTime });
+  }
+  const bool waits = aMode == ReadMode::Wait;
+  const auto wait = waits ? LongestWait() : Duration(0);
+  const auto margin = mIsServing ? kServingCallMargin : kCallMargin;
+  const auto begin = waits ? wait + margin : kReadTimeout;
+  return mFeed.ReadChanges(aTable,
+                           mState.Version(aTable),
+                           wait,
+                           { begin, kAnswerSilence, begin + kAnswerTime });
+}
+
+TableFollower::ReadOutcome
+TableFollower::ReadOnce(SiteTable aTable, ReadMode aMode)
+{
+  const bool mustReadAll = aMode == ReadMode::All;
+  const auto wait = aMode == ReadMode::Wait ? LongestWait() : Duration(0);
+  const auto sentAt = BootNow();
+  auto rows = Read(aTable, aMode);
+  if (!rows) {
+    if (rows.error().mError.mCode == ErrorCode::NotFound) {
+      return ReadOutcome::Unknown;
+    }
+    mState.OnTableFailure(aTable, rows.error());
+    return ReadOutcome::Failed;
+  }
+  // Changes may be overtaken by those of another daemon, whole tables are not.
+  if (mustReadAll && rows.value().mVersion < mState.Version(aTable)) {
+    mState.OnTableFailure(aTable,
+                          FailCall(CallDisposition::NotRun,
+                                   ErrorCode::Corrupt,
+                                   "rows are older than this daemon's"));
+    return ReadOutcome::Failed;
+  }
+  // An answer without changes comes at the end of the wait; it may be read much
+  // later, as after the process was frozen.
+  const bool isEmpty = rows.value().mRows.empty();
+  const bool hasWaited = !mustReadAll && isEmpty && BootNow() >= sentAt + wait;
+  mState.OnTableRows(aTable,
+                     { mustReadAll, std::move(rows).value() },
+                     sentAt,
+                     hasWaited ? sentAt + wait : sentAt);
+  return isEmpty ? ReadOutcome::Unchanged : ReadOutcome::Changed;
+}
+
+void
+TableFollower::Check(SiteTable aTable)
+{
+  if (!mState.Version(aTable).IsKnown()) {
+    return;
+  }
+  auto outcome = ReadOnce(aTable, ReadMode::Changes);
+  if (outcome == ReadOutcome::Unknown) {
+    outcome = ReadOnce(aTable, ReadMode::All);
+  }
+  if (outcome == ReadOutcome::Failed) {
+    QueryPeers();
+  }
+}
+
+bool
+TableFollower::IsOverdue(SiteTable aTable) const
+{
+  const bool mayWaitLong = mIsDirect && !mIsServing;
+  return mState.Version(aTable).IsKnown() && !mState.HasOutage(aTable) &&
+         mState.Lag(aTable) > (mayWaitLong ? kOverdueWait : kOverdue);
+}
+
+void
+TableFollower::WatchOverdue()
+{
+  while (mLoop.Sleep(kOverduePeriod)) {
+    for (const auto table : AllOf<SiteTable>()) {
+      if (IsOverdue(table)) {
+        Check(table);
+      }
+    }
+  }
+}
+
+void
+TableFollower::QueryPeers()
+{
+  if (mIsQueryingPeers) {
+    return;
+  }
+  mIsQueryingPeers = true;
+  for (const auto& peer : mPeers.PickOthers(kPeersPerQuery)) {
+    (void)mReader.Ask(SiteWay::Peer, peer, Duration(0), kPeerTimeout);
+  }
+  mIsQueryingPeers = false;
+}
+
+} // namespace bilberrytrail
--- /dev/null
+++ b/packages/entry/src/table_follower.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "peer_directory.h"
+#include "peer_site_reader.h"
+#include "site_state.h"
+
+#include <bilberrytrail/runtime/loop.h>
+
+#include <array>
+#include <optional>
+
+namespace bilberrytrail {
+
+// Follows the operator's and the servers' tables while this daemon follows them
+// directly, and asks other daemons while the table service does not answer. A
+// table of which the evidence is overdue is read once more, whichever way it is
+// followed on.
+class TableFollower
+{
+public:
+  TableFollower(Loop& aLoop,
+                SiteFeed& aFeed,
+                PeerDirectory& aPeers,
+                PeerSiteReader& aReader,
+                SiteState& aState);
+
+  // Longest wait for changes in one call while other daemons rely on this one.
+  static constexpr Duration kServingWait = 700ms;
+
+  // Starts the fibers that follow the tables.
+  void Start();
+  // Sets whether this daemon follows the tables directly, and whether others
+  // rely on it.
+  void SetDirect(bool aIsDirect, bool aIsServing);
+  // Reads the changes of a table by now, beside any wait for changes. Returns
+  // when they are read, or can't be.
+  void Check(SiteTable aTable);
+
+private:
+  // What the next call reads.
+  enum class ReadMode : unsigned char
+  {
+    All,
+    // What has changed by now: after a failed call, the answer tells at once
+    // whether the table service is in another era.
+    Changes,
+    // The next changes.
+    Wait
+  };
+
+  void Follow(SiteTable aTable);
+  void WatchOverdue();
+  [[nodiscard]] bool IsOverdue(SiteTable aTable) const;
+  // What a call returned.
+  enum class ReadOutcome : unsigned char
+  {
+    Failed,
+    // All rows must be read.
+    Unknown,
+    Unchanged,
+    Changed
+  };
+
+  ReadOutcome ReadOnce(SiteTable aTable, ReadMode aMode);
+  [[nodiscard]] CallResult<SiteRows> Read(SiteTable aTable, ReadMode aMode);
+  [[nodiscard]] Duration LongestWait() const noexcept;
+  void QueryPeers();
+
+  Loop& mLoop;
+  SiteFeed& mFeed;
+  PeerDirectory& mPeers;
+  PeerSiteReader& mReader;
+  SiteState& mState;
+  bool mIsQueryingPeers = false;
+  bool mIsDirect = true;
+  // Initially true: others may rely on this daemon once it has started.
+  bool mIsServing = true;
+  // Wake the fibers of the tables when this daemon begins to follow directly.
+  std::array<Event, EnumCount<SiteTable>()> mWakeUps;
+};
+
+} // namespace bilberrytrail
--- a/packages/runtime/src/loop.cpp
+++ b/packages/runtime/src/loop.cpp
@@ -131,11 +131,16 @@
   }
   const auto wait = std::make_shared<FiberWait<>>(*this);
   aSlot = wait;
-  mTimers.emplace(mNow + aDuration, wait);
+  const auto end = mNow + aDuration;
+  mTimers.emplace(end, wait);
   (void)wait->Await();
   aSlot.reset();
-  std::erase_if(mTimers,
-                [&](const auto& aTimer) { return aTimer.second == wait; });
+  const auto [first, last] = mTimers.equal_range(end);
+  const auto it = std::find_if(
+    first, last, [&](const auto& aTimer) { return aTimer.second == wait; });
+  if (it != last) {
+    mTimers.erase(it);
+  }
 }
 
 void
