Refuse unknown routes and keys by evidence of the time of the request

Users saw: 404 for a path of a route that had been acknowledged 4.5 s before (their record), where 503 with the time to come back was due.

Cause: a view counted as confirmed from when an answer was read, by a clock that stands still while the VM is suspended. An answer read late made an old view fresh for another 3.2 s, errors added up from table to relay to daemon, and the bound knew nothing of the site's own.

Now a 404 or 401 needs evidence that is younger than three quarters of the time within which the operator's changes must be in force (config.within, from the platform) before the arrival of the request. While there is none, the table service is asked, once for all that wait, for 250 ms at most; what comes with its answer is used; without it, or during an outage that is known, the caller gets 503 with the time to come back. Evidence that is overdue, as after a suspension, is asked for before any request. A daemon whose evidence is late although no call has failed says that it is not ready.

--- a/packages/entry/include/bilberrytrail/entry/entry_settings.h
+++ b/packages/entry/include/bilberrytrail/entry/entry_settings.h
@@ -33,6 +33,9 @@
   Endpoint mMetrics;
   // Address of the table service.
   Endpoint mStore;
+  // Time from the acknowledgement of a configuration until each daemon must
+  // have it in force.
+  Duration mConfigWithin = 2s;
   // Longest time between SIGTERM and the end of the process.
   Duration mStopTime = 8s;
   // Retry budget of all daemons together.
--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -35,9 +35,13 @@
   Duration mWeightsWithin;
   // Returns the current view; null before the first one.
   std::function<std::shared_ptr<const SiteView>()> mView;
-  // Returns whether the view was confirmed recently enough that a route or key
-  // that it lacks can be taken not to exist.
-  std::function<bool()> mIsViewFresh;
+  // Time from the acknowledgement of a configuration until it must be in force.
+  Duration mConfigWithin;
+  // Returns whether the view, as it is when this returns, lacks no change of
+  // the configuration made before a time on the boot clock. While that is not
+  // known, suspends the calling fiber for an answer that shows it, for the
+  // given time at most.
+  std::function<bool(Instant, Duration)> mAwaitEvidence;
   // Rate limits that the servers name, and the pace of the requests that this
   // daemon sends to such servers without a home.
   ServerLimits& mLimits;
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -39,8 +39,9 @@
 constexpr double kTrafficBytesPerMb = 0.25 * 1e6;
 constexpr double kControlBytesPerMb = 0.125 * 1e6;
 constexpr double kBulkBytesPerMb = 0.125 * 1e6;
-// Longer than a wait for changes, so that a view without changes stays fresh.
-constexpr Duration kFreshTime = 3200ms;
+// Evidence about a table that is older without a failed call is late: longer
+// than the longest wait for changes, and the check behind it.
+constexpr Duration kLateEvidence = 4200ms;
 // Time to wait for addresses that are still taken: the process before may end
 // only when its stop time is over.
 constexpr Duration kAddressWait = 12s;
@@ -140,6 +141,7 @@
       [this](const HttpRequest& aRequest) { return ServePeer(aRequest); })
   , mMetricsHandler(
       [this](const HttpRequest& aRequest) { return ServeMetrics(aRequest); })
+  , mEvidence(mControl, mTraffic, mTableFollower, mViews)
   , mBackend(aPlatform.MakeBackend(mTraffic))
   , mGate(mLimits)
   , mGatePhase(Random(MakeLogId(mSelf)).Unit())
@@ -187,7 +189,10 @@
     mCounters,
     mSettings.mWeightsWithin,
     [this] { return UpdateView(); },
-    [this] { return IsViewFresh(); },
+    mSettings.mConfigWithin,
+    [this](Instant aNeeded, Duration aWait) {
+      return mEvidence.Await(aNeeded, aWait);
+    },
     mLimits,
     mGate,
     mParts,
@@ -273,11 +278,12 @@
 }
 
 bool
-EntryDaemon::Impl::IsViewFresh() const
+EntryDaemon::Impl::IsLate() const
 {
-  const auto now = BootNow();
-  return !mViews.IsDoubted(now) &&
-         now - mViews.CompleteAt(SiteTable::Operator) <= kFreshTime;
+  return std::ranges::any_of(AllOf<SiteTable>(), [this](SiteTable aTable) {
+    return !mViews.HasOutage(aTable) &&
+           BootNow() - mViews.CompleteAt(aTable) > kLateEvidence;
+  });
 }
 
 bool
@@ -285,7 +291,7 @@
 {
   const auto view = mViews.Load();
   return !mIsDraining && view != nullptr && view->mConfig != nullptr &&
-         view->mHasReadServers;
+         view->mHasReadServers && !IsLate();
 }
 
 // Forwards the number of daemons, the placement map and the limits to the
@@ -304,7 +310,7 @@
     if (IsReady() != wasReady) {
       wasReady = !wasReady;
       LogLine(wasReady ? LogEvent::DaemonReady : LogEvent::DaemonNotReady,
-              { { "draining", mIsDraining.load() } });
+              { { "draining", mIsDraining.load() }, { "late", IsLate() } });
     }
     const auto view = mViews.Load();
     if (view == nullptr || view->mConfig == nullptr ||
--- a/packages/entry/src/entry_daemon_impl.h
+++ b/packages/entry/src/entry_daemon_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cache_server.h"
+#include "evidence_gate.h"
 #include "function_handler.h"
 #include "loop_watch.h"
 #include "peer_directory.h"
@@ -32,8 +33,9 @@
 private:
   [[nodiscard]] FlowContext MakeFlowContext();
   [[nodiscard]] bool IsReady() const;
-  // Returns whether what the view lacks can be taken not to exist.
-  [[nodiscard]] bool IsViewFresh() const;
+  // Returns whether evidence about a table is overdue although no call for it
+  // has failed: this daemon can't keep up, or was suspended.
+  [[nodiscard]] bool IsLate() const;
   std::shared_ptr<const SiteView> UpdateView();
   void ForwardLoading(const std::set<ServerId>& aServers);
   void OnStores(std::vector<CacheStore> aStores) override;
@@ -96,6 +98,7 @@
   std::optional<Instant> mListReadAt;
   // Used on the traffic thread.
   Loop mTraffic;
+  EvidenceGate mEvidence;
   std::unique_ptr<BackendPort> mBackend;
   ServerLimits mLimits;
   // Paces requests that this daemon places itself.
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -117,6 +117,15 @@
                "",
                true,
                "Address of the platform's table service." },
+  SettingInfo{ "config",
+               "within",
+               Time,
+               500 * kMicrosInMilli,
+               60 * kMicrosInSecond,
+               "2s",
+               false,
+               "Time from the acknowledgement of a configuration until each "
+               "daemon must have it in force." },
   SettingInfo{ "stop",
                "time",
                Time,
@@ -211,6 +220,9 @@
     [](auto& aTo, const auto& aValue) {
       aTo.mStore = std::get<Endpoint>(aValue);
     },
+    [](auto& aTo, const auto& aValue) {
+      aTo.mConfigWithin = std::get<Duration>(aValue);
+    },
     [](auto& aTo, const auto& aValue) {
       aTo.mStopTime = std::get<Duration>(aValue);
     },
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -4,9 +4,26 @@
 
 namespace bilberrytrail {
 
+namespace {
+
+// Longest wait for evidence before a refusal that rests on it, and before any
+// request when the evidence is overdue.
+constexpr Duration kEvidenceWait = 250ms;
+// Evidence is overdue after the longest wait for changes with its margins, as
+// when the VM was suspended.
+constexpr Duration kOverdueEvidence = 3200ms;
+// Share of the time within which a configuration must be in force that the
+// evidence of a refusal may be old.
+constexpr double kEvidenceShare = 0.75;
+
+} // namespace
+
 void
 RequestRun::Run()
 {
+  // Without an answer the view serves on: the table service may be away.
+  (void)mContext.mAwaitEvidence(mArrivedAtBoot - kOverdueEvidence,
+                                kEvidenceWait);
   mView = mContext.mView();
   if (mView == nullptr || mView->mConfig == nullptr) {
     RefuseUnknownSite("This daemon has no configuration yet.");
@@ -24,18 +41,44 @@
   SendUntilAnswered();
 }
 
+// Returns whether the view can be relied on for what it lacks, and takes the
+// newest one.
 bool
-RequestRun::FindRoute()
+RequestRun::AwaitEvidence()
+{
+  const auto age = std::chrono::duration_cast<Duration>(mContext.mConfigWithin *
+                                                        kEvidenceShare);
+  const bool isKnown =
+    mContext.mAwaitEvidence(mArrivedAtBoot - age, kEvidenceWait);
+  mView = mContext.mView();
+  return isKnown;
+}
+
+bool
+RequestRun::LookUpRoute()
 {
   mRoute = mView->mRoutes->Find(mRequest.mHost, mRequest.mPassedOn.mTarget);
   const RouteTarget* target =
     mRoute == nullptr ? nullptr
                       : PickTarget(*mRoute, StableHash64(mRequest.mId.Text()));
-  if (target != nullptr) {
-    mService = target->mService;
+  if (target == nullptr) {
+    return false;
+  }
+  mService = target->mService;
+  return true;
+}
+
+bool
+RequestRun::FindRoute()
+{
+  if (LookUpRoute()) {
+    return true;
+  }
+  const bool isKnown = AwaitEvidence();
+  if (LookUpRoute()) {
     return true;
   }
-  if (mContext.mIsViewFresh()) {
+  if (isKnown) {
     Refuse(RefusalReason::NoRoute, "No route leads to this path.");
   } else {
     RefuseUnknownSite("The configuration may be older than this route.");
@@ -44,16 +87,30 @@
 }
 
 bool
-RequestRun::FindAccount()
+RequestRun::LookUpAccount()
 {
   if (mRoute->mAnonymous || mView->mAccounts->IsEmpty()) {
     return true;
   }
   mAccount = mView->mAccounts->Find(mRequest.mKey);
-  if (mAccount != nullptr) {
+  return mAccount != nullptr;
+}
+
+bool
+RequestRun::FindAccount()
+{
+  if (LookUpAccount()) {
+    return true;
+  }
+  const bool isKnown = AwaitEvidence();
+  // The route may be another one in a newer view.
+  if (!FindRoute()) {
+    return false;
+  }
+  if (LookUpAccount()) {
     return true;
   }
-  if (mContext.mIsViewFresh()) {
+  if (isKnown) {
     Refuse(RefusalReason::Unauthorized, "No client account has this key.");
   } else {
     RefuseUnknownSite("The configuration may be older than this key.");
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -24,6 +24,7 @@
     , mRequest(aRequest)
     , mSink(aSink)
     , mArrivedAt(MonotonicNow())
+    , mArrivedAtBoot(BootNow())
     , mDeadline(mArrivedAt)
   {
   }
@@ -50,6 +51,9 @@
 
   bool FindRoute();
   bool FindAccount();
+  bool LookUpRoute();
+  bool LookUpAccount();
+  bool AwaitEvidence();
   bool SetDeadline();
   void SendUntilAnswered();
   Next SendOnce();
@@ -147,6 +151,7 @@
   const CallerRequest& mRequest;
   CallerSink& mSink;
   const Instant mArrivedAt;
+  const Instant mArrivedAtBoot;
   Instant mDeadline;
   // The view in force when the request arrived; its route and account hold
   // until the request has ended.
--- /dev/null
+++ b/packages/entry/tests/followed_tables.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "table_follower.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace bilberrytrail {
+
+// A table service whose configuration changes, and of which the answers are
+// read some time after they were written.
+class LateFeed final : public SiteFeed
+{
+public:
+  explicit LateFeed(Loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  void PutConfig()
+  {
+    ++mConfig;
+    mPutAt = MonotonicNow();
+  }
+
+  CallResult<SiteRows> ReadAll(SiteTable aTable,
+                               const AnswerLimits& aLimits) override
+  {
+    return ReadChanges(aTable, {}, 0ms, aLimits);
+  }
+  CallResult<SiteRows> ReadChanges(SiteTable aTable,
+                                   TableVersion aAfter,
+                                   Duration aWait,
+                                   const AnswerLimits& /*aLimits*/) override
+  {
+    ++mCalls;
+    if (mIsDown) {
+      (void)mLoop.Sleep(100ms);
+      return FailCall(CallDisposition::Unknown, ErrorCode::Unavailable, "down");
+    }
+    const auto end = MonotonicNow() + aWait;
+    while (Answer(aTable, aAfter).mRows.empty() && MonotonicNow() < end &&
+           mLoop.Sleep(10ms)) {
+    }
+    auto rows = Answer(aTable, aAfter);
+    (void)mLoop.Sleep(mReadDelay);
+    return rows;
+  }
+
+  // Time between the writing and the reading of an answer.
+  Duration mReadDelay{};
+  bool mIsDown = false;
+  std::uint64_t mConfig = 1;
+  Instant mPutAt;
+  std::size_t mCalls = 0;
+
+private:
+  [[nodiscard]] SiteRows Answer(SiteTable aTable, TableVersion aAfter) const
+  {
+    SiteRows rows{ {}, mConfig, std::nullopt };
+    if (aTable == SiteTable::Operator && aAfter < TableVersion(mConfig)) {
+      rows.mRows.push_back({ "config", std::to_string(mConfig), mConfig });
+    }
+    return rows;
+  }
+
+  Loop& mLoop;
+};
+
+class NumberReader final : public SiteReader
+{
+public:
+  ParsedSiteRow Read(SiteTable /*aTable*/, const SiteRow& aRow) const override
+  {
+    SiteConfig config;
+    config.mVersion = std::stoull(aRow.mValue);
+    return config;
+  }
+};
+
+class NoTable final : public TableService
+{
+public:
+  CallResult<std::optional<TableRow>> Read(const std::string& /*aKey*/,
+                                           Duration /*aTimeout*/) override
+  {
+    return FailCall(CallDisposition::NotRun, ErrorCode::Unavailable, "");
+  }
+  CallResult<std::vector<TableRow>> Scan(const std::string& /*aPrefix*/,
+                                         std::size_t /*aLimit*/,
+                                         Duration /*aTimeout*/) override
+  {
+    return FailCall(CallDisposition::NotRun, ErrorCode::Unavailable, "");
+  }
+  CallResult<CommitOutcome> Commit(const std::vector<TableWrite>& /*aWrites*/,
+                                   Duration /*aTimeout*/) override
+  {
+    return FailCall(CallDisposition::NotRun, ErrorCode::Unavailable, "");
+  }
+};
+
+class NoTransport final : public PeerTransport
+{
+public:
+  Result<std::string> Call(const Endpoint& /*aDaemon*/,
+                           const std::string& /*aPath*/,
+                           std::string /*aBody*/,
+                           const AnswerLimits& /*aLimits*/) override
+  {
+    return Fail(ErrorCode::Unavailable, "no other daemon");
+  }
+};
+
+// A daemon that follows the tables directly, in virtual time.
+struct FollowedTables
+{
+  Loop mLoop{ LoopTime::Virtual };
+  LateFeed mFeed{ mLoop };
+  NumberReader mReader;
+  NoTable mTable;
+  NoTransport mTransport;
+  HistogramRegistry mTimes{ 8 };
+  CounterRegistry mCounts{ 8 };
+  SiteMetrics mMetrics{ mTimes, mCounts };
+  SiteViewHolder mViews;
+  SiteState mState{ mLoop, mReader, mViews, mMetrics };
+  PeerDirectory mPeers{ mLoop, mTable, {}, 1 };
+  LoadingNotifier mNotifier{ mLoop,
+                             mPeers,
+                             mTransport,
+                             DaemonId("d"),
+                             [](const auto&) {} };
+  PeerSiteReader mPeerReader{ mLoop, mTransport, mState, mNotifier };
+  TableFollower mTables{ mLoop, mFeed, mPeers, mPeerReader, mState };
+
+  void Run(const std::function<void()>& aBody)
+  {
+    mLoop.Spawn([&] {
+      mState.Start();
+      mTables.SetDirect(true, false);
+      mTables.Start();
+      (void)mLoop.Sleep(1s);
+      aBody();
+      mLoop.Stop();
+    });
+    mLoop.Run();
+  }
+  [[nodiscard]] std::uint64_t Config() const
+  {
+    const auto view = mViews.Load();
+    return view == nullptr || view->mConfig == nullptr
+             ? 0
+             : view->mConfig->mVersion;
+  }
+  [[nodiscard]] Duration Lag() const { return mState.Lag(SiteTable::Operator); }
+};
+
+} // namespace bilberrytrail
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -148,11 +148,7 @@
 void
 FlowFixture::Run(std::optional<Duration> aLeavesAfter)
 {
-  auto view = std::make_shared<SiteView>();
-  view->mConfig = std::make_shared<const SiteConfig>(mConfig);
-  view->mRoutes = std::make_shared<const RouteTable>(mConfig.mRoutes);
-  view->mAccounts = std::make_shared<const AccountKeys>(mConfig.mAccounts);
-  view->mServers = mServers;
+  mView = MakeView(mConfig);
   RequestFlow flow({ mLoop,
                      mBackend,
                      mPool,
@@ -162,11 +158,14 @@
                      mCounts,
                      10s,
                      [&]() -> std::shared_ptr<const SiteView> {
-                       auto current = std::make_shared<SiteView>(*view);
+                       auto current = std::make_shared<SiteView>(*mView);
                        current->mWeights = mWeights;
                        return mHasView ? current : nullptr;
                      },
-                     [&] { return mIsFresh; },
+                     mConfigWithin,
+                     [&](Instant aNeeded, Duration aWait) {
+                       return AwaitEvidence(aNeeded, aWait);
+                     },
                      mLimits,
                      mGate,
                      mParts,
@@ -200,6 +199,32 @@
   mLoop.Run();
 }
 
+std::shared_ptr<const SiteView>
+FlowFixture::MakeView(const SiteConfig& aConfig) const
+{
+  auto view = std::make_shared<SiteView>();
+  view->mConfig = std::make_shared<const SiteConfig>(aConfig);
+  view->mRoutes = std::make_shared<const RouteTable>(aConfig.mRoutes);
+  view->mAccounts = std::make_shared<const AccountKeys>(aConfig.mAccounts);
+  view->mServers = mServers;
+  return view;
+}
+
+bool
+FlowFixture::AwaitEvidence(Instant aNeeded, Duration aWait)
+{
+  mNeededEvidence.push_back(aNeeded);
+  if (mEvidenceTime > aWait) {
+    (void)mLoop.Sleep(aWait);
+    return false;
+  }
+  (void)mLoop.Sleep(mEvidenceTime);
+  if (mConfigWithEvidence) {
+    mView = MakeView(*mConfigWithEvidence);
+  }
+  return mIsFresh;
+}
+
 std::string
 EventText(int aId)
 {
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -174,7 +174,14 @@
   std::vector<ServerRecord> mServers;
   WeightHistory mWeights;
   bool mHasView = true;
+  Duration mConfigWithin = 2s;
+  // Whether evidence shows what is in force, the time that it takes, and a
+  // configuration that comes with it.
   bool mIsFresh = true;
+  Duration mEvidenceTime{};
+  std::optional<SiteConfig> mConfigWithEvidence;
+  // The times for which evidence was asked for.
+  std::vector<Instant> mNeededEvidence;
   CallerRequest mRequest;
   FakeSink mSink;
   FakePlacer mPlacer;
@@ -183,6 +190,13 @@
   // The daemon stops after this time.
   std::optional<Duration> mEndsAllAfter;
   Duration mElapsed{};
+
+private:
+  [[nodiscard]] std::shared_ptr<const SiteView> MakeView(
+    const SiteConfig& aConfig) const;
+  bool AwaitEvidence(Instant aNeeded, Duration aWait);
+
+  std::shared_ptr<const SiteView> mView;
 };
 
 // Returns the text of an event with this id.
