Read a store on from where it said

Callers saw: a fifth more shared parts read again on small sites, and twice the bytes between zones.

Cause: the number behind the last event was sent to a store as the place to continue. This platform's stores name the last event's own number; the one behind it was never given out, so that the store answered with all its events and said that some were lost.

Where to continue is the store's own word. The numbers of events only say what is known; a daemon that has them from another one continues at the last, which the store may tell again.

--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -38,7 +38,7 @@
       events.mEvents.push_back({ true,
                                  "account/3/abcdef012345",
                                  std::to_string(1'000'000 + i * 7),
-                                 events.mNext++ });
+                                 ++events.mNext });
     }
     log.OnEvents(stores[n].mName, events, kNow);
   }
--- a/packages/entry/include/bilberrytrail/entry/cache_change_log.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_change_log.h
@@ -39,13 +39,15 @@
   CacheChangeKind mKind = CacheChangeKind::Added;
   std::string mSalt;
   std::string mPart;
-  // Life of the store, and number of its event; that of the next event for
-  // Cleared. These are the same whichever daemon passes the change on.
+  // Life of the store, and number of its event; for Cleared, that of the first
+  // event that may follow. These are the same whichever daemon passes the
+  // change on.
   std::uint64_t mEpoch = 0;
   std::uint64_t mNumber = 0;
 };
 
-// What a daemon has of a store: all events before mNext of its life mEpoch.
+// What a daemon has of a store: all events with numbers below mNext of its life
+// mEpoch.
 struct CachePosition
 {
   StoreId mStore;
@@ -116,7 +118,9 @@
   {
   }
 
-  // Returns the sequence number to read the store's events from.
+  // Returns from where to read the store's events, as the store counts. After
+  // changes that another daemon passed on, the store may tell the last of them
+  // again.
   [[nodiscard]] std::uint64_t Next(const StoreId& aStore) const noexcept;
   // Returns what this daemon has of each store.
   [[nodiscard]] std::vector<CachePosition> Positions() const;
@@ -155,7 +159,10 @@
     // Nothing until the store is listed.
     std::optional<Endpoint> mEndpoint;
     std::uint64_t mEpoch = 0;
+    // Events with lower numbers are known, or were lost.
     std::uint64_t mNext = 0;
+    // Where the store continues: its own word, which need not be mNext.
+    std::uint64_t mReadFrom = 0;
     // All events from this number on are in the log, or were lost.
     std::uint64_t mFrom = 0;
     std::optional<Instant> mAnsweredAt;
--- a/packages/entry/src/cache_change_log.cpp
+++ b/packages/entry/src/cache_change_log.cpp
@@ -8,7 +8,7 @@
 CacheChangeLog::Next(const StoreId& aStore) const noexcept
 {
   const auto it = mStores.find(aStore);
-  return it == mStores.end() ? 0 : it->second.mNext;
+  return it == mStores.end() ? 0 : it->second.mReadFrom;
 }
 
 std::vector<CachePosition>
@@ -137,6 +137,7 @@
 {
   aStore.mEpoch = aEpoch;
   aStore.mNext = aNext;
+  aStore.mReadFrom = aNext > 0 ? aNext - 1 : 0;
   aStore.mFrom = aNext;
   Add({ aId, CacheChangeKind::Cleared, {}, {}, aEpoch, aNext });
 }
@@ -167,7 +168,7 @@
   }
   auto& store = it->second;
   const bool isNewEpoch = store.mEpoch != aEvents.mEpoch;
-  if (isNewEpoch && store.mNext != 0) {
+  if (isNewEpoch && store.mReadFrom != 0) {
     // The sequence number belonged to the old epoch: read from the start.
     Clear(aStore, store, aEvents.mEpoch, 0);
     store.mAnsweredAt.reset();
@@ -191,7 +192,7 @@
                aEvents.mEpoch,
                event.mNumber });
   }
-  store.mNext = std::max(store.mNext, aEvents.mNext);
+  store.mReadFrom = aEvents.mNext;
 }
 
 // Adds a change that this daemon does not have yet.
@@ -211,6 +212,7 @@
   }
   if (aChange.mNumber >= store.mNext) {
     store.mNext = aChange.mNumber + 1;
+    store.mReadFrom = aChange.mNumber;
     Add(aChange);
   }
 }
