Date the end of a server's limit by the request that showed it

Servers would have seen: more than the limit that they had just named, from homes that were told of its end by a daemon without processor time.

Cause: an answer that names no limit counted as news of the time at which it was read. The same trust as in configurations that are in force late: what was asked for earlier says nothing about what came after.

Evidence: the second row of the test failed before.

The end of a limit is as old as the request whose answer shows it; a limit that was named elsewhere since then stays. Naming a limit is dated by when it was read, which errs on the side of the server.

--- a/packages/entry/include/bilberrytrail/entry/server_limits.h
+++ b/packages/entry/include/bilberrytrail/entry/server_limits.h
@@ -16,6 +16,8 @@
   // Requests per second from all daemons together; 0 when the server no longer
   // names a limit.
   double mPerSecond = 0;
+  // The latest time at which the server may have named the limit, and the
+  // earliest at which it no longer did.
   Instant mAt;
 };
 
--- a/packages/entry/src/server_limits.cpp
+++ b/packages/entry/src/server_limits.cpp
@@ -55,7 +55,8 @@
   const auto it = mEntries.find(aServer);
   if (it != mEntries.end() && it->second.mLast.mPerSecond > 0 &&
       aSentAt > it->second.mLast.mAt) {
-    Apply({ aServer, 0, aNow }, aNow);
+    // What other daemons have been told since the request counts.
+    Apply({ aServer, 0, aSentAt }, aNow);
   }
 }
 
--- a/packages/entry/tests/server_limits_test.cpp
+++ b/packages/entry/tests/server_limits_test.cpp
@@ -97,6 +97,26 @@
   CHECK(unaware.Recent(At(1s)).empty());
 }
 
+// Guards against a server that gets more than the limit that it named, since a
+// daemon without processor time has read late that it named none before.
+TEST_CASE("the end of a limit is as old as the request whose answer shows it")
+{
+  struct Row
+  {
+    Duration mNamedElsewhere;
+    double mExpected;
+  };
+  for (const Row& row : { Row{ 2500ms, 0 }, Row{ 5s, 4 } }) {
+    CAPTURE(row.mNamedElsewhere.count());
+    ServerLimits limits;
+    limits.Observe(kServer, 2, At(0s), At(1s));
+    limits.Observe(kServer, std::nullopt, At(3s), At(8s));
+    const LimitObservation named{ kServer, 4, At(row.mNamedElsewhere) };
+    limits.Merge({ &named, 1 }, At(9s));
+    CHECK(LimitOf(limits) == row.mExpected);
+  }
+}
+
 TEST_CASE("the end of a limit is passed on for a while")
 {
   ServerLimits limits;
