Date what a store holds by when it was asked

Servers would have read parts from a store by what it held before a restart, so that a part could be read while it was still being written.

Cause: what a daemon knows of a store is used for 1.1 s, which is shorter than any restart. It was dated by when the store's answer, or the relay's, was read. On a VM without processor time, or on a slow link, that is up to 5 s after it was written.

An answer is dated by the servers' clock, which it names, compared with this process's clock (RemoteClock, TableClock before); without it by when it was asked for, or by the end of the wait when it has no events. A relay's page is dated by when it was asked for, less the time since it was encoded.

--- a/packages/entry/include/bilberrytrail/entry/cache_change_log.h
+++ b/packages/entry/include/bilberrytrail/entry/cache_change_log.h
@@ -99,7 +99,7 @@
 // a reader that is further behind begins anew with some stores, which costs
 // computations, but never sees a part that is not there.
 //
-//   log.OnEvents(store, port.ReadEvents(endpoint, log.Next(store)), now);
+//   log.OnEvents(store, port.ReadEvents(endpoint, log.Next(store)), sentAt);
 //   directory.Apply(log.PageAt(cursor, now), now);
 //
 // All times are on the boot clock: after a suspension it is not known what the
@@ -143,12 +143,14 @@
   void Trim(const CacheCursor& aCursor);
   // Sets the list of stores.
   void SetStores(std::span<const CacheStore> aStores);
+  // Takes in what a store answered. aShownAt is the latest time at which the
+  // answer was certainly true, which may be long before it is read.
   void OnEvents(const StoreId& aStore,
                 const CacheEvents& aEvents,
-                Instant aNow);
-  // Takes in a page of another daemon's log. Changes that this daemon has are
-  // skipped.
-  void OnPage(const CachePage& aPage, Instant aNow);
+                Instant aShownAt);
+  // Takes in a page of another daemon's log, written at aEarliest or later and
+  // at aLatest or earlier. Changes that this daemon has are skipped.
+  void OnPage(const CachePage& aPage, Instant aEarliest, Instant aLatest);
   // Records that a store did not answer, so that what it holds is not known
   // until it answers again.
   void OnUnavailable(const StoreId& aStore);
--- a/packages/entry/src/cache_change_log.cpp
+++ b/packages/entry/src/cache_change_log.cpp
@@ -160,7 +160,7 @@
 void
 CacheChangeLog::OnEvents(const StoreId& aStore,
                          const CacheEvents& aEvents,
-                         Instant aNow)
+                         Instant aShownAt)
 {
   const auto it = mStores.find(aStore);
   if (it == mStores.end()) {
@@ -179,10 +179,10 @@
       aEvents.mEvents.empty() ? aEvents.mNext : aEvents.mEvents.front().mNumber;
     Clear(aStore, store, aEvents.mEpoch, aEvents.mLost ? first : 0);
   }
-  store.mAnsweredAt = aNow;
+  store.mAnsweredAt = aShownAt;
   if (aEvents.mClockMs) {
     mClockOffsetMs =
-      static_cast<std::int64_t>(*aEvents.mClockMs) - WholeMillis(aNow);
+      static_cast<std::int64_t>(*aEvents.mClockMs) - WholeMillis(aShownAt);
   }
   for (const auto& event : aEvents.mEvents) {
     OnChange({ aStore,
@@ -218,7 +218,9 @@
 }
 
 void
-CacheChangeLog::OnPage(const CachePage& aPage, Instant aNow)
+CacheChangeLog::OnPage(const CachePage& aPage,
+                       Instant aEarliest,
+                       Instant aLatest)
 {
   for (const auto& it : aPage.mResets) {
     Clear(it.mStore, mStores[it.mStore], it.mEpoch, it.mNext);
@@ -230,11 +232,11 @@
     store.mAnsweredAt.reset();
   }
   for (const auto& it : aPage.mStoreAges) {
-    mStores[it.mStore].mAnsweredAt = aNow - it.mAge;
+    mStores[it.mStore].mAnsweredAt = aEarliest - it.mAge;
   }
   if (aPage.mServersClockMs) {
     mClockOffsetMs =
-      static_cast<std::int64_t>(*aPage.mServersClockMs) - WholeMillis(aNow);
+      static_cast<std::int64_t>(*aPage.mServersClockMs) - WholeMillis(aLatest);
   }
 }
 
--- a/packages/entry/src/cache_follower.cpp
+++ b/packages/entry/src/cache_follower.cpp
@@ -65,6 +65,7 @@
 bool
 CacheFollower::QueryRelay(const Endpoint& aRelay)
 {
+  const auto sentAt = BootNow();
   const auto reply = Call(aRelay);
   if (!reply || reply.value().mPage.empty()) {
     return false;
@@ -81,9 +82,12 @@
   }
   mCursor = page.value().mCursor;
   mCursorOf = aRelay;
-  mStores.OnRelayPage(
-    std::move(page).value(), reply.value().mResets, reply.value().mSince);
-  return page.value().mHasMore && !mLoop.IsStopping();
+  const bool hasMore = page.value().mHasMore;
+  mStores.OnRelayReply(std::move(page).value(),
+                       reply.value().mResets,
+                       reply.value().mSince,
+                       sentAt);
+  return hasMore && !mLoop.IsStopping();
 }
 
 Result<CacheReply>
--- a/packages/entry/src/table_clock.cpp
+++ b/packages/entry/src/remote_clock.cpp
@@ -1,4 +1,4 @@
-#include <bilberrytrail/entry/table_clock.h>
+#include <bilberrytrail/entry/remote_clock.h>
 
 #include <algorithm>
 
@@ -7,17 +7,17 @@
 namespace {
 
 Duration
-ToDuration(std::uint64_t aTableMs)
+ToDuration(std::uint64_t aRemoteMs)
 {
-  return std::chrono::milliseconds(static_cast<std::int64_t>(aTableMs));
+  return std::chrono::milliseconds(static_cast<std::int64_t>(aRemoteMs));
 }
 
 } // namespace
 
 void
-TableClock::Observe(std::uint64_t aTableMs, Instant aSentAt, Instant aReadAt)
+RemoteClock::Observe(std::uint64_t aRemoteMs, Instant aSentAt, Instant aReadAt)
 {
-  const auto time = ToDuration(aTableMs);
+  const auto time = ToDuration(aRemoteMs);
   const Range seen{ aSentAt.time_since_epoch() - time,
                     aReadAt.time_since_epoch() - time };
   if (!mDifference) {
@@ -30,22 +30,22 @@
 }
 
 std::optional<Instant>
-TableClock::EarliestAt(std::uint64_t aTableMs) const
+RemoteClock::EarliestAt(std::uint64_t aRemoteMs) const
 {
   if (!mDifference) {
     return std::nullopt;
   }
-  return Instant(ToDuration(aTableMs) + mDifference->mLeast);
+  return Instant(ToDuration(aRemoteMs) + mDifference->mLeast);
 }
 
 std::optional<Duration>
-TableClock::Since(std::uint64_t aTableMs, Instant aNow) const
+RemoteClock::Since(std::uint64_t aRemoteMs, Instant aNow) const
 {
   if (!mDifference) {
     return std::nullopt;
   }
   const auto middle = (mDifference->mLeast + mDifference->mMost) / 2;
-  const auto since = aNow.time_since_epoch() - middle - ToDuration(aTableMs);
+  const auto since = aNow.time_since_epoch() - middle - ToDuration(aRemoteMs);
   return std::max(since, Duration(0));
 }
 
--- a/packages/entry/src/site_state.h
+++ b/packages/entry/src/site_state.h
@@ -5,7 +5,7 @@
 #include "site_metrics.h"
 #include "site_view_holder.h"
 
-#include <bilberrytrail/entry/table_clock.h>
+#include <bilberrytrail/entry/remote_clock.h>
 
 #include <array>
 #include <optional>
@@ -109,7 +109,7 @@
   SiteMetrics& mMetrics;
   SiteReplica mReplica;
   SiteAssembler mAssembler;
-  TableClock mClock;
+  RemoteClock mClock;
   std::array<Evidence, EnumCount<SiteTable>()> mEvidence;
   ChangeSignal mRowsChanged;
   ChangeSignal mEvidenceRenewed;
--- a/packages/entry/src/store_follower.cpp
+++ b/packages/entry/src/store_follower.cpp
@@ -47,12 +47,13 @@
 }
 
 void
-StoreFollower::OnRelayPage(CachePage aPage,
-                           const std::vector<CachePosition>& aResets,
-                           Duration aSince)
+StoreFollower::OnRelayReply(CachePage aPage,
+                            const std::vector<CachePosition>& aResets,
+                            Duration aSince,
+                            Instant aSentAt)
 {
   aPage.mResets.insert(aPage.mResets.end(), aResets.begin(), aResets.end());
-  mLog.OnPage(aPage, BootNow() - aSince);
+  mLog.OnPage(aPage, aSentAt - aSince, BootNow() - aSince);
   Publish();
 }
 
@@ -98,6 +99,22 @@
   });
 }
 
+Instant
+StoreFollower::ShownAt(const CacheEvents& aEvents, Instant aSentAt)
+{
+  const auto readAt = BootNow();
+  // An answer without events comes at the end of the wait.
+  const bool hasWaited =
+    aEvents.mEvents.empty() && readAt >= aSentAt + kEventWait;
+  auto shownAt = hasWaited ? aSentAt + kEventWait : aSentAt;
+  if (const auto clockMs = aEvents.mClockMs) {
+    mServersClock.Observe(*clockMs, aSentAt, readAt);
+    shownAt =
+      std::max(shownAt, mServersClock.EarliestAt(*clockMs).value_or(shownAt));
+  }
+  return shownAt;
+}
+
 // Ends when the store is no longer listed or this daemon no longer follows
 // directly.
 void
@@ -105,11 +122,13 @@
 {
   bool isReachable = true;
   while (!mLoop.IsStopping() && mIsDirect && IsListed(aStore)) {
+    const auto sentAt = BootNow();
     const auto events = mPort.ReadEvents(
       aStore.mEndpoint, mLog.Next(aStore.mName), kEventWait, kEventTimeout);
     if (events) {
       isReachable = true;
-      mLog.OnEvents(aStore.mName, events.value(), BootNow());
+      mLog.OnEvents(
+        aStore.mName, events.value(), ShownAt(events.value(), sentAt));
       Publish();
       (void)mLoop.Sleep(kEventPause);
       continue;
--- a/packages/entry/src/store_follower.h
+++ b/packages/entry/src/store_follower.h
@@ -3,6 +3,7 @@
 #include "site_view_holder.h"
 
 #include <bilberrytrail/entry/cache_change_log.h>
+#include <bilberrytrail/entry/remote_clock.h>
 #include <bilberrytrail/runtime/loop.h>
 
 #include <functional>
@@ -39,11 +40,11 @@
   // Sets whether changes are kept for other daemons.
   void SetKept(bool aIsKept) noexcept { mLog.SetKept(aIsKept); }
   [[nodiscard]] bool IsKept() const noexcept { return mLog.IsKept(); }
-  // Takes in a page of the relay, which it encoded so long ago, and stores with
-  // which to begin anew.
-  void OnRelayPage(CachePage aPage,
-                   const std::vector<CachePosition>& aResets,
-                   Duration aSince);
+  // Takes in the relay's answer to a query that was sent at aSentAt.
+  void OnRelayReply(CachePage aPage,
+                    const std::vector<CachePosition>& aResets,
+                    Duration aSince,
+                    Instant aSentAt);
 
   // These are those of the log.
   [[nodiscard]] CachePage PageAt(const CacheCursor& aCursor) const;
@@ -67,6 +68,9 @@
   void WatchStores();
   void UpdateStores();
   void Follow(const CacheStore& aStore);
+  // Returns the latest time at which the answer to a call that was sent at
+  // aSentAt was certainly true.
+  [[nodiscard]] Instant ShownAt(const CacheEvents& aEvents, Instant aSentAt);
   [[nodiscard]] bool IsListed(const CacheStore& aStore) const;
   void Publish();
 
@@ -75,6 +79,7 @@
   const SiteViewHolder& mViews;
   CacheSink& mSink;
   CacheChangeLog mLog;
+  RemoteClock mServersClock;
   // Position in mLog up to which the sink has the changes.
   CacheCursor mPublished;
   std::shared_ptr<const SiteConfig> mConfig;
--- a/packages/entry/tests/cache_change_log_test.cpp
+++ b/packages/entry/tests/cache_change_log_test.cpp
@@ -100,7 +100,7 @@
   {
     mCursor = aPage.mCursor;
     mRead += aPage.mChanges.size();
-    mLog.OnPage(aPage, aNow);
+    mLog.OnPage(aPage, aNow, aNow);
   }
   // Returns the changes of this daemon's own log.
   [[nodiscard]] std::string Own(Instant aNow) const
--- a/packages/entry/tests/table_clock_test.cpp
+++ b/packages/entry/tests/remote_clock_test.cpp
@@ -1,4 +1,4 @@
-#include <bilberrytrail/entry/table_clock.h>
+#include <bilberrytrail/entry/remote_clock.h>
 
 #include <doctest/doctest.h>
 
@@ -17,11 +17,11 @@
 
 } // namespace
 
-TEST_CASE("responses narrow the difference to the table service's clock")
+TEST_CASE("responses narrow the difference to another clock")
 {
   struct Response
   {
-    std::uint64_t mTableMs;
+    std::uint64_t mRemoteMs;
     Duration mSentAt;
     Duration mReadAt;
   };
@@ -29,7 +29,7 @@
   {
     const char* mName;
     std::vector<Response> mResponses;
-    // Time since 5000 ms on the table service's clock, at 10 s.
+    // Time since 5000 ms on the other clock, at 10 s.
     std::optional<Duration> mSince;
   };
   const Row rows[] = {
@@ -48,9 +48,9 @@
   };
   for (const auto& row : rows) {
     CAPTURE(row.mName);
-    TableClock clock;
+    RemoteClock clock;
     for (const auto& it : row.mResponses) {
-      clock.Observe(it.mTableMs, At(it.mSentAt), At(it.mReadAt));
+      clock.Observe(it.mRemoteMs, At(it.mSentAt), At(it.mReadAt));
     }
     CHECK(clock.Since(5000, At(10s)) == row.mSince);
   }
