Leave stores that were not heard of for long out of a page

Daemons behind a relay whose VM had been suspended for over an hour would have gone without cache changes, until a store answered the relay: an age of over an hour was sent, but rejected when read, and the whole page with it. Found by reading; the test failed before.

--- a/packages/entry/src/cache_page_codec.cpp
+++ b/packages/entry/src/cache_page_codec.cpp
@@ -292,8 +292,10 @@
   }
   auto ages = Json::array();
   for (const auto& it : aPage.mStoreAges) {
-    ages.push_back(stores.Number(it.mStore.Text()));
-    ages.push_back(ToMillis(it.mAge));
+    if (IsAge(ToMillis(it.mAge))) {
+      ages.push_back(stores.Number(it.mStore.Text()));
+      ages.push_back(ToMillis(it.mAge));
+    }
   }
   Json json{ { "cursor", ToJson(aPage.mCursor) }, { "more", aPage.mHasMore },
              { "resets", ToJson(aPage.mResets) }, { "stores", stores.Texts() },
--- a/packages/entry/tests/cache_change_log_test.cpp
+++ b/packages/entry/tests/cache_change_log_test.cpp
@@ -431,6 +431,18 @@
   CHECK(reply.value().mResets.size() == 1);
 }
 
+// Guards against a page that no daemon can read, since a store in it was not
+// heard of for hours, as after the relay was suspended.
+TEST_CASE("a store that was not heard of for long is left out of a page")
+{
+  auto log = LogOfOne();
+  log.OnEvents(kStore, Added(7, 2, { "a" }), At(0s));
+  const auto read = DecodeCachePage(EncodeCachePage(log.PageAt({}, At(7200s))));
+  REQUIRE(read.has_value());
+  CHECK(read.value().mChanges.size() == 2);
+  CHECK(read.value().mStoreAges.empty());
+}
+
 TEST_CASE("malformed cache pages are rejected")
 {
   auto log = LogOfOne();
