--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -1,10 +1,8 @@
 #include "await_address.h"
 #include "entry_daemon_impl.h"
-#include "peer_call.h"
 
 #include <bilberrytrail/base/digest.h>
 #include <bilberrytrail/base/log.h>
-#include <bilberrytrail/base/metrics_text.h>
 #include <bilberrytrail/base/random.h>
 #include <bilberrytrail/runtime/memory_budget.h>
 
@@ -45,7 +43,6 @@
 // Time to wait for addresses that are still taken: the process before may end
 // only when its stop time is over.
 constexpr Duration kAddressWait = 12s;
-constexpr const char* kMetricsPath = "/metrics";
 
 // Limits of requests between daemons; a replica of the tables is the largest
 // body.
@@ -57,17 +54,6 @@
   return limits;
 }
 
-// Returns the response to another daemon's query.
-HttpResponse
-ToResponse(Result<std::string> aAnswer)
-{
-  constexpr unsigned kConflict = 409;
-  if (!aAnswer) {
-    return { kConflict, {}, aAnswer.error().mMessage };
-  }
-  return { 200, {}, std::move(aAnswer).value() };
-}
-
 // Returns an identifier that differs from those of all other daemons and of
 // earlier processes of this one.
 std::uint64_t
@@ -389,50 +375,6 @@
     [this, page = std::move(aPage), now] { mCache.Apply(page, now); });
 }
 
-HttpResponse
-EntryDaemon::Impl::ServeReadiness(const HttpRequest& aRequest) const
-{
-  if (aRequest.mTarget != mPlatform.ReadinessPath()) {
-    return { 404, {}, "no such path" };
-  }
-  return IsReady() ? HttpResponse{ 200, {}, "ready" }
-                   : HttpResponse{ 503, {}, "not ready" };
-}
-
-HttpResponse
-EntryDaemon::Impl::ServeMetrics(const HttpRequest& aRequest) const
-{
-  if (aRequest.mTarget != kMetricsPath) {
-    return { 404, {}, "no such path" };
-  }
-  const auto times = mHistograms.Snapshot();
-  const auto counts = mCounters.Snapshot();
-  return { 200, {}, RenderMetricsText(times, counts) };
-}
-
-HttpResponse
-EntryDaemon::Impl::ServePeer(const HttpRequest& aRequest)
-{
-  if (aRequest.mTarget == kRpcPath) {
-    HttpResponse response{ 200, {}, mMethods.Serve(aRequest.mBody) };
-    mMetrics.OnReply(RelayReplyKind::Rpc, response.mBody.size());
-    return response;
-  }
-  if (aRequest.mTarget == kRowsPath) {
-    return ToResponse(mSiteServer.AnswerRows(aRequest.mBody));
-  }
-  return { 404, {}, "no such path" };
-}
-
-HttpResponse
-EntryDaemon::Impl::ServeBulk(const HttpRequest& aRequest)
-{
-  if (aRequest.mTarget != kCachePath) {
-    return { 404, {}, "no such path" };
-  }
-  return ToResponse(mCacheServer.Answer(aRequest.mBody));
-}
-
 void
 EntryDaemon::Impl::Drain()
 {
