--- a/tests/relays/relay_fleet_test.cpp
+++ b/tests/relays/relay_fleet_test.cpp
@@ -139,9 +139,9 @@
       ChangeConfig(fleet, row.mChangeGap);
       fleet.RunFor(kAllWithin);
       CheckDelays(fleet);
-      for (const auto& [daemon, count] : fleet.FailedCalls()) {
-        CAPTURE(daemon);
-        CHECK(count == 0);
+      for (const auto& failed : fleet.FailedCalls()) {
+        CAPTURE(failed.first);
+        CHECK(failed.second == 0);
       }
       CHECK(fleet.StoreFollowers().size() <= row.mMostStoreFollowers);
     });
