Test the evidence of a daemon behind a relay

The dating of what a relay names was covered by no test: "evidence from a relay is never newer than the changes that it lacks", with answers of the table service and of the relay that are read 1.5 s late, small rows and rows of their own.

--- a/packages/entry/tests/followed_tables.h
+++ b/packages/entry/tests/followed_tables.h
@@ -50,6 +50,8 @@
 
   // Time between the writing and the reading of an answer.
   Duration mReadDelay{};
+  // Bytes of a configuration's row beside its version.
+  std::size_t mConfigBytes = 0;
   bool mIsDown = false;
   std::uint64_t mConfig = 1;
   Instant mPutAt;
@@ -60,7 +62,10 @@
   {
     SiteRows rows{ {}, mConfig, std::nullopt };
     if (aTable == SiteTable::Operator && aAfter < TableVersion(mConfig)) {
-      rows.mRows.push_back({ "config", std::to_string(mConfig), mConfig });
+      rows.mRows.push_back(
+        { "config",
+          std::to_string(mConfig) + std::string(mConfigBytes, ' '),
+          mConfig });
     }
     return rows;
   }
