--- a/tests/relays/relay_fleet_test.cpp
+++ b/tests/relays/relay_fleet_test.cpp
@@ -86,6 +86,15 @@
         aFleet.LeaveOut(relay);
         aFleet.At(relay).mVm.FreezeUntil(MonotonicNow() + 6s);
       } },
+    { "the relay has stopped",
+      1500,
+      12'000,
+      kChangeGap,
+      [](SimulatedFleet& aFleet) {
+        const auto relay = aFleet.MostQueried();
+        aFleet.LeaveOut(relay);
+        aFleet.Stop(relay);
+      } },
     { "the table service turns the relay away",
       1500,
       12'000,
--- a/tests/relays/simulated_fleet.h
+++ b/tests/relays/simulated_fleet.h
@@ -44,6 +44,11 @@
   void Forget();
   // Leaves a daemon out of what is watched, as long as it is disturbed.
   void LeaveOut(std::size_t aNumber) { mLeftOut.insert(aNumber); }
+  // Makes a daemon refuse the connections of others.
+  void Stop(std::size_t aNumber)
+  {
+    mNetwork.Stop(mNodes[aNumber]->Self().mEndpoint);
+  }
 
   Loop mLoop{ LoopTime::Virtual };
   SimulatedSite mSite;
--- a/tests/relays/simulated_network.h
+++ b/tests/relays/simulated_network.h
@@ -52,6 +52,7 @@
   {
     mPeers[aDaemon.mPort] = std::move(aPeer);
   }
+  // Makes a daemon refuse connections, as one whose process has ended.
   void Stop(const Endpoint& aDaemon)
   {
     mPeers[aDaemon.mPort].mIsStopped = true;
--- a/tests/relays/simulated_site.cpp
+++ b/tests/relays/simulated_site.cpp
@@ -147,7 +147,6 @@
                            Duration aWait,
                            const AnswerLimits& aLimits)
 {
-  ++mSite.mTableCalls;
   const auto start = MonotonicNow();
   const auto begin = start + aLimits.mBegin;
   mVm.Compute(kCallWork);
--- a/tests/relays/simulated_site.h
+++ b/tests/relays/simulated_site.h
@@ -41,8 +41,6 @@
   // Returns the events of a store from a number on.
   [[nodiscard]] CacheEvents EventsFrom(const Endpoint& aStore,
                                        std::uint64_t aSince) const;
-  // Calls to the tables since the start.
-  std::size_t mTableCalls = 0;
   // Calls for events that are in progress at each store.
   std::map<std::uint16_t, std::size_t> mEventCalls;
 
--- a/tests/relays/simulated_vm.cpp
+++ b/tests/relays/simulated_vm.cpp
@@ -20,7 +20,6 @@
   if (IsFrozen()) {
     (void)mLoop.Sleep(mFrozenUntil - MonotonicNow());
   }
-  mUsed += aWork;
   mProcessor.Use(std::chrono::duration_cast<Duration>(aWork / mShare));
 }
 
--- a/tests/relays/simulated_vm.h
+++ b/tests/relays/simulated_vm.h
@@ -47,8 +47,6 @@
   // The VM neither computes nor answers until then.
   void FreezeUntil(Instant aTime) { mFrozenUntil = aTime; }
   [[nodiscard]] bool IsFrozen() const { return MonotonicNow() < mFrozenUntil; }
-  // Processor time that was used, of a whole core.
-  [[nodiscard]] Duration Used() const noexcept { return mUsed; }
 
 private:
   Loop& mLoop;
@@ -57,7 +55,6 @@
   SimulatedQueue mProcessor;
   SimulatedQueue mLink;
   Instant mFrozenUntil;
-  Duration mUsed{};
 };
 
 } // namespace bilberrytrail::relays
