--- a/tests/relays/simulated_network.cpp
+++ b/tests/relays/simulated_network.cpp
@@ -63,7 +63,7 @@
 SimulatedNetwork::Call(const Endpoint& aFrom,
                        const Endpoint& aTo,
                        const std::string& aPath,
-                       std::string aBody,
+                       const std::string& aBody,
                        const AnswerLimits& aLimits)
 {
   struct Exchange
--- a/tests/relays/simulated_network.h
+++ b/tests/relays/simulated_network.h
@@ -61,7 +61,7 @@
   [[nodiscard]] Result<std::string> Call(const Endpoint& aFrom,
                                          const Endpoint& aTo,
                                          const std::string& aPath,
-                                         std::string aBody,
+                                         const std::string& aBody,
                                          const AnswerLimits& aLimits);
 
   // Calls received by each daemon, by its port.
@@ -93,7 +93,7 @@
                                          std::string aBody,
                                          const AnswerLimits& aLimits) override
   {
-    return mNetwork.Call(mSelf, aDaemon, aPath, std::move(aBody), aLimits);
+    return mNetwork.Call(mSelf, aDaemon, aPath, aBody, aLimits);
   }
 
 private:
