Let the system pick the port for cache changes unless it is named

Operators whose settings name the port behind that for other daemons, as for metrics, would have had daemons that do not start after the upgrade: "cannot listen on 127.0.0.1:15082: Address already in use". No settings name the new port, and its default was the next one.

The test of the settings failed before.

Without a port in the settings the system picks one, after all others are bound, and the daemon's row names it. A relay that has restarted may thus have another port: its followers compare the port, too, not the name alone. Tests with whole daemons name none any more.

--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -82,7 +82,7 @@
            mSettings.mPeers,
            mSettings.mZone,
            mSettings.mLinkMbps,
-           Endpoint{ mSettings.mPeers.mHost, mSettings.mBulkPort } }
+           std::nullopt }
   , mState(mControl, *mReader, mViews, mMetrics)
   , mTransport(mControl)
   , mPeers(mControl, *mTable, mSelf, StableHash64(mSettings.mName.Text()))
@@ -221,7 +221,6 @@
   for (const auto& [server, endpoint] :
        { std::pair{ &mReadinessServer, mSettings.mReadiness },
          std::pair{ &mPeerServer, mSettings.mPeers },
-         std::pair{ &mBulkServer, *mSelf.mBulk },
          std::pair{ &mMetricsServer, mSettings.mMetrics },
          std::pair{ &mCallerServer, mSettings.mCallers } }) {
     const auto listen = [it = server, &to = endpoint]() -> Result<void> {
@@ -234,6 +233,19 @@
       return ok;
     }
   }
+  // The last one, so that a port that the system picks is none of the others.
+  const auto listenBulk = [this]() -> Result<void> {
+    const auto& host = mSettings.mPeers.mHost;
+    const auto port = mBulkServer.Listen({ host, mSettings.mBulkPort });
+    if (!port) {
+      return port.error();
+    }
+    mPeers.SetBulk({ host, port.value() });
+    return Ok();
+  };
+  if (auto ok = AwaitAddress(listenBulk, end); !ok) {
+    return ok;
+  }
   const auto bind = [this] { return mPlacement.Start(mSettings.mPeers); };
   if (auto ok = AwaitAddress(bind, end); !ok) {
     return ok;
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -100,7 +100,7 @@
                "0",
                false,
                "Port for what other daemons may be given late, at the address "
-               "for other daemons; 0 for the port after that one." },
+               "for other daemons; 0 for any free one." },
   SettingInfo{ "listen",
                "metrics",
                Address,
@@ -316,10 +316,6 @@
   if (!mFaults.empty()) {
     return Fail(ErrorCode::InvalidInput, mFaults);
   }
-  if (mSettings.mBulkPort == 0) {
-    mSettings.mBulkPort =
-      static_cast<std::uint16_t>(mSettings.mPeers.mPort + 1U);
-  }
   return mSettings;
 }
 
--- a/packages/entry/src/peer_directory.h
+++ b/packages/entry/src/peer_directory.h
@@ -63,6 +63,9 @@
   // Tells the era of the table service. In a later one the rows known so far
   // stay until all daemons have had time to write theirs again.
   void SetEra(std::uint64_t aEra);
+  // Sets where this daemon answers queries for cache changes. Called before it
+  // registers.
+  void SetBulk(Endpoint aBulk) { mSelf.mBulk = std::move(aBulk); }
   // Registers this daemon, then reads the other rows until the loop stops.
   void Run();
 
@@ -77,7 +80,7 @@
 
   Loop& mLoop;
   TableService& mTable;
-  const PeerAddress mSelf;
+  PeerAddress mSelf;
   Random mRandom;
   std::vector<PeerAddress> mPeers;
   std::optional<Instant> mReadAt;
--- a/packages/entry/src/relay_follower.cpp
+++ b/packages/entry/src/relay_follower.cpp
@@ -89,6 +89,12 @@
 void
 RelayFollower::SetRelay(const PeerAddress* aRelay)
 {
+  // A relay that has restarted may have another port.
+  const auto bulk = aRelay == nullptr ? std::nullopt : aRelay->mBulk;
+  if (bulk != mRelayBulk) {
+    mRelayBulk = bulk;
+    mCache.SetRelay(bulk);
+  }
   const auto name = aRelay == nullptr ? DaemonId() : aRelay->mName;
   if (name == mRelay) {
     return;
@@ -100,7 +106,6 @@
     LogLine(LogEvent::RelayFollowed, { { "daemon", name } });
   }
   mRelay = name;
-  mCache.SetRelay(aRelay == nullptr ? std::nullopt : aRelay->mBulk);
 }
 
 void
--- a/packages/entry/src/relay_follower.h
+++ b/packages/entry/src/relay_follower.h
@@ -73,6 +73,8 @@
   Role mRole;
   // The relay that answered last; empty while this daemon follows directly.
   DaemonId mRelay;
+  // Where it answers queries for cache changes.
+  std::optional<Endpoint> mRelayBulk;
   // There is a relay to ask.
   bool mHasRelay = false;
   bool mIsLeaving = false;
--- a/packages/entry/tests/entry_settings_test.cpp
+++ b/packages/entry/tests/entry_settings_test.cpp
@@ -49,6 +49,17 @@
   CHECK(wide.value().mLinkMbps == 1000);
 }
 
+// Guards against a daemon that does not start, since a port that its settings
+// do not name is one that they name for something else.
+TEST_CASE("the port for cache changes is any free one unless it is named")
+{
+  CHECK(ParseEntrySettings(kText, "a.ini").value().mBulkPort == 0);
+  const auto named = ParseEntrySettings(
+    std::string(kText) + "[listen]\nbulk_port = 84\n", "a.ini");
+  REQUIRE(named.has_value());
+  CHECK(named.value().mBulkPort == 84);
+}
+
 TEST_CASE("every fault in the settings is reported")
 {
   struct Row
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -74,19 +74,16 @@
   settings.mMemoryMb = mMemoryMb;
   settings.mRetryWindow = mRetryWindow;
   settings.mRetrySlack = mRetrySlack;
-  Endpoint bulk;
   std::vector<std::unique_ptr<HttpServer>> probes;
   for (auto* it : { &settings.mCallers,
                     &settings.mReadiness,
                     &settings.mPeers,
-                    &bulk,
                     &settings.mMetrics }) {
     probes.push_back(std::make_unique<HttpServer>(mLoop, HttpLimits()));
     const auto port = probes.back()->Listen({ OwnAddress(), 0 });
     REQUIRE(port.has_value());
     *it = { OwnAddress(), port.value() };
   }
-  settings.mBulkPort = bulk.mPort;
   return settings;
 }
 
