Test that the view is looked at again after a wait for evidence

With that look taken out the test of a route or key that comes with the evidence stayed green: the simulated table gave the newer configuration at the wait before any request already. It comes with the second wait now, and the edit fails all 6 checks of the test.

--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -219,7 +219,9 @@
     return false;
   }
   (void)mLoop.Sleep(mEvidenceTime);
-  if (mConfigWithEvidence) {
+  // The first wait is that before any request, for which the view is new
+  // enough.
+  if (mConfigWithEvidence && mNeededEvidence.size() > 1) {
     mView = MakeView(*mConfigWithEvidence);
   }
   return mIsFresh;
