Bound what cold servers get, pace servers that recover, and evacuate zones

Cause: nothing read how long a server stays cold, nor the operator's request to evacuate an availability zone; a server that returned drew all that its place in the affinity order gives it. Change: ColdServers learns cold servers from rows, failed connections and other daemons; RateGate paces them as it does servers with a rate limit, by fixed parts of the operator's bound. RecoveryPace opens with answers in time. Servers of an evacuated zone are marked in the view.

--- a/packages/entry/include/bilberrytrail/entry/entry_settings.h
+++ b/packages/entry/include/bilberrytrail/entry/entry_settings.h
@@ -47,6 +47,13 @@
   // Time from the announcement of new weights to the last request that may
   // begin on older ones.
   Duration mWeightsWithin = 15s;
+  // Bound on the requests that all daemons together send to a cold server: in
+  // any second at most the rate that it takes times mColdOver, plus mColdSlack.
+  double mColdOver = 1;
+  double mColdSlack = 0;
+  // Time from the operator's request to evacuate an availability zone until its
+  // servers must get nothing new.
+  Duration mEvacuateWithin = 5s;
   // Optional settings that have their defaults because their value is invalid:
   // name and reason of each.
   std::vector<std::string> mDefaulted;
--- a/packages/entry/include/bilberrytrail/entry/placement_ledger.h
+++ b/packages/entry/include/bilberrytrail/entry/placement_ledger.h
@@ -23,10 +23,12 @@
 class PlacementLedger
 {
 public:
-  // aLimits holds the rate limits of the servers, and must outlive the ledger.
+  // aLimits holds the rate limits of the servers, and must outlive the ledger,
+  // as must aColds, which may be null.
   PlacementLedger(ZoneId aOwnZone,
                   const AdmissionSettings& aSettings,
-                  const ServerLimits& aLimits);
+                  const ServerLimits& aLimits,
+                  ColdServers* aColds = nullptr);
   ~PlacementLedger();
   PlacementLedger(const PlacementLedger&) = delete;
   PlacementLedger& operator=(const PlacementLedger&) = delete;
--- a/packages/entry/include/bilberrytrail/entry/rate_gate.h
+++ b/packages/entry/include/bilberrytrail/entry/rate_gate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bilberrytrail/entry/cold_servers.h>
 #include <bilberrytrail/entry/server_limits.h>
 
 #include <map>
@@ -8,7 +9,10 @@
 namespace bilberrytrail {
 
 // Paces the requests of one sender to servers that name a rate limit: at most
-// the sender's share of the limit, evenly spaced except for short bursts.
+// the sender's share of the limit, evenly spaced except for short bursts. Cold
+// servers are paced alike, without bursts and by parts of their bound: half of
+// it for a whole share, so that what stand-ins and daemons without a home send
+// at the same time fits into the rest.
 //
 // Senders that split a share evenly and don't see each other's requests could
 // all send at the same moment after a pause. Each of them therefore sends in
@@ -27,8 +31,10 @@
   // Length of a slot of a sender that uses a part of a share.
   static constexpr Duration kSlotTime = 1s;
 
-  explicit RateGate(const ServerLimits& aLimits)
+  // aColds may be null.
+  explicit RateGate(const ServerLimits& aLimits, ColdServers* aColds = nullptr)
     : mLimits(aLimits)
+    , mColds(aColds)
   {
   }
 
@@ -51,6 +57,9 @@
   void SetSplitShare(double aShare,
                      std::size_t aSenders,
                      double aPhase) noexcept;
+  // Records what an answer, or the lack of one, says about the server's start.
+  void NoteAnswer(const ServerId& aServer, Instant aNow);
+  void NoteLost(const ServerId& aServer, bool aIsRefused, Instant aNow);
   // Records that a request is sent to the server.
   void Take(const ServerId& aServer, Instant aNow);
   // Returns the Retry-After for a caller whose request the server does not take
@@ -67,17 +76,31 @@
     Instant mPromisedAt;
   };
 
-  // Returns the schedule of a server that names a limit. When it is a new one,
-  // drops those of servers that name none any more.
-  [[nodiscard]] Schedule& ScheduleOf(const ServerId& aServer);
-  // Returns the requests per second of this sender; 0 for none.
-  [[nodiscard]] double RateOf(const ServerLimit& aLimit) const noexcept;
+  // The limit that counts for a server.
+  struct Pace
+  {
+    // Requests per second of this sender; 0 for none.
+    double mPerSecond = 0;
+    // Requests per second that the server takes from all senders.
+    double mOfAll = 0;
+    Instant mSince;
+    // Time by which a request may be ahead of its even spacing.
+    Duration mBurst{};
+  };
+
+  // Returns nothing for a server without a limit; the lower one of two limits.
+  [[nodiscard]] std::optional<Pace> PaceOf(const ServerId& aServer,
+                                           Instant aNow) const;
+  // Returns the schedule of a server with a limit. When it is a new one, drops
+  // those of servers that have none any more.
+  [[nodiscard]] Schedule& ScheduleOf(const ServerId& aServer, Instant aNow);
   [[nodiscard]] Instant NextAt(const ServerId& aServer,
-                               const ServerLimit& aLimit) const;
+                               const Pace& aPace) const;
   // Returns the first time from aFrom on that is in a slot of this sender.
   [[nodiscard]] Instant InSlot(Instant aFrom, Duration aInterval) const;
 
   const ServerLimits& mLimits;
+  ColdServers* const mColds;
   double mShare = 1;
   // Set when the sender uses a part of a share.
   std::optional<double> mPhase;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -314,6 +314,8 @@
   // Updates the baseline and the delay from the time to the first bytes of an
   // answer.
   void NoteBegin(Server& aServer, const Send& aSend, Instant aNow);
+  // Tells the gate whether the server was reached.
+  void NoteReached(const ServerId& aServer, SendOutcome aOutcome, Instant aNow);
   std::optional<HealthChange> Fail(Server& aServer,
                                    SendOutcome aOutcome,
                                    Instant aNow);
@@ -333,6 +335,8 @@
   Duration mHoldTime{};
   std::uint64_t mLastTicket = 0;
   std::uint64_t mRoundRobin = 0;
+  // Servers that come later have started since.
+  bool mHasList = false;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/include/bilberrytrail/entry/server_record.h
+++ b/packages/entry/include/bilberrytrail/entry/server_record.h
@@ -23,9 +23,13 @@
   std::uint64_t mSlots = 1;
   // The server finishes its running requests and gets no new ones.
   bool mIsLeaving = false;
+  // The operator has the server's availability zone evacuated.
+  bool mIsEvacuated = false;
   // Start of this incarnation in Unix milliseconds; it differs after a restart
   // under the same name.
   std::uint64_t mStartedAtMs = 0;
+  // How much longer the server is cold, as of when its row was written.
+  Duration mColdLeft{};
   std::vector<LoadedModel> mModels;
 
   // Returns the loaded version of a model's weights; 0 if none is loaded.
--- a/packages/entry/include/bilberrytrail/entry/site_config.h
+++ b/packages/entry/include/bilberrytrail/entry/site_config.h
@@ -88,6 +88,10 @@
   std::uint64_t mCacheTokens = 0;
   // Bytes of KV cache per token.
   std::uint64_t mTokenBytes = 0;
+  // Requests per second that a cold server takes, 0 for no limit, and for how
+  // long a server is cold after its start.
+  double mColdPerSecond = 0;
+  Duration mColdTime{};
   std::vector<ModelId> mModels;
 };
 
@@ -123,6 +127,13 @@
   CallerLimits mLimits;
 };
 
+// A request of the operator that the servers of an availability zone get
+// nothing, until it is removed.
+struct ZoneEvacuation
+{
+  ZoneId mZone;
+};
+
 // The newest weights of a model, as the operator announced them.
 struct WeightTarget
 {
--- a/packages/entry/include/bilberrytrail/entry/site_feed.h
+++ b/packages/entry/include/bilberrytrail/entry/site_feed.h
@@ -104,7 +104,7 @@
 
 // Content of a row; an Error when it cannot be parsed.
 using ParsedSiteRow =
-  std::variant<Error, SiteConfig, WeightTarget, ServerRecord>;
+  std::variant<Error, SiteConfig, WeightTarget, ServerRecord, ZoneEvacuation>;
 
 // Parses the rows of the tables.
 class SiteReader
--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace bilberrytrail {
 
@@ -22,6 +23,8 @@
   // before.
   bool mHasReadServers = false;
   WeightHistory mWeights;
+  // Availability zones whose servers get nothing new.
+  std::set<ZoneId> mEvacuated;
   // Highest era of the followed tables.
   std::uint64_t mTableEra = 0;
 
--- /dev/null
+++ b/packages/entry/src/cold_servers.cpp
@@ -0,0 +1,190 @@
+#include <bilberrytrail/entry/cold_servers.h>
+
+#include <bilberrytrail/base/log.h>
+
+#include <algorithm>
+
+namespace bilberrytrail {
+
+namespace {
+
+// Connections broken off in a row after which a server may have ended: healthy
+// servers break off single ones.
+constexpr unsigned kBrokenToLose = 2;
+
+} // namespace
+
+const ColdBound*
+ColdServers::BoundOf(const Entry& aEntry) const
+{
+  const auto it = mBounds.find(aEntry.mService);
+  return it == mBounds.end() ? nullptr : &it->second;
+}
+
+const ColdBound*
+ColdServers::Find(const ServerId& aServer, Instant aNow) const
+{
+  const auto it = mEntries.find(aServer);
+  return it == mEntries.end() || !it->second.IsCold(aNow) ? nullptr
+                                                          : BoundOf(it->second);
+}
+
+Instant
+ColdServers::ColdSince(const ServerId& aServer) const
+{
+  const auto it = mEntries.find(aServer);
+  return it == mEntries.end() ? Instant() : it->second.mSince;
+}
+
+std::vector<ColdObservation>
+ColdServers::Recent(Instant aNow) const
+{
+  std::vector<ColdObservation> recent;
+  for (const auto& [id, entry] : mEntries) {
+    if (!entry.IsCold(aNow) || BoundOf(entry) == nullptr) {
+      continue;
+    }
+    recent.push_back(
+      { id,
+        entry.mIsLost ? std::nullopt : std::optional(entry.mUntil - aNow),
+        aNow });
+  }
+  // Those that others may not know from the table come first.
+  std::ranges::stable_partition(
+    recent, [](const ColdObservation& aSeen) { return !aSeen.mLeft; });
+  recent.resize(std::min(recent.size(), kMaxRecent));
+  return recent;
+}
+
+std::size_t
+ColdServers::Count(Instant aNow) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(mEntries, [&](const auto& aEntry) {
+      return aEntry.second.IsCold(aNow) && BoundOf(aEntry.second) != nullptr;
+    }));
+}
+
+void
+ColdServers::SetServices(std::span<const BackendService> aServices)
+{
+  mBounds.clear();
+  for (const auto& it : aServices) {
+    if (it.mColdPerSecond > 0 && it.mColdTime > Duration(0)) {
+      mBounds[it.mName] = { it.mColdPerSecond,
+                            it.mColdPerSecond * mOver + mSlack,
+                            it.mColdTime };
+    }
+  }
+}
+
+void
+ColdServers::Extend(const ServerId& aServer,
+                    Entry& aEntry,
+                    Instant aUntil,
+                    Instant aNow)
+{
+  if (aUntil <= aNow || aUntil <= aEntry.mUntil) {
+    return;
+  }
+  const bool wasCold = aEntry.IsCold(aNow);
+  aEntry.mUntil = aUntil;
+  if (!wasCold) {
+    aEntry.mSince = aNow;
+    LogLine(LogEvent::ServerCold,
+            { { "server", aServer }, { "for", aUntil - aNow } });
+  }
+}
+
+void
+ColdServers::Update(std::span<const ServerRecord> aServers, Instant aNow)
+{
+  std::map<ServerId, Entry> entries;
+  for (const auto& it : aServers) {
+    const auto known = mEntries.find(it.mId);
+    const bool isNew = known == mEntries.end();
+    auto& entry = entries[it.mId];
+    if (!isNew) {
+      entry = std::move(known->second);
+    }
+    const bool hasStarted = isNew || entry.mStartedAtMs != it.mStartedAtMs;
+    const bool isNews = hasStarted || entry.mListedLeft != it.mColdLeft;
+    const bool wasEvacuated = entry.mIsEvacuated;
+    entry.mService = it.mService;
+    entry.mStartedAtMs = it.mStartedAtMs;
+    entry.mListedLeft = it.mColdLeft;
+    entry.mIsEvacuated = it.mIsEvacuated;
+    const auto* bound = BoundOf(entry);
+    if (bound == nullptr) {
+      continue;
+    }
+    if (isNews) {
+      Extend(it.mId, entry, aNow + it.mColdLeft, aNow);
+    }
+    if (hasStarted && it.mColdLeft > Duration(0)) {
+      entry.mIsLost = false;
+    }
+    if (wasEvacuated || it.mIsEvacuated) {
+      Extend(it.mId, entry, aNow + bound->mTime, aNow);
+    }
+  }
+  mEntries = std::move(entries);
+}
+
+void
+ColdServers::Lose(const ServerId& aServer, Entry& aEntry, Instant aNow)
+{
+  if (!aEntry.IsCold(aNow)) {
+    aEntry.mSince = aNow;
+    LogLine(LogEvent::ServerCold,
+            { { "server", aServer }, { "for", Duration(0) } });
+  }
+  aEntry.mIsLost = true;
+}
+
+void
+ColdServers::OnLost(const ServerId& aServer, bool aIsRefused, Instant aNow)
+{
+  const auto it = mEntries.find(aServer);
+  if (it == mEntries.end() || BoundOf(it->second) == nullptr) {
+    return;
+  }
+  auto& entry = it->second;
+  if (aIsRefused || ++entry.mBroken >= kBrokenToLose) {
+    Lose(aServer, entry, aNow);
+  }
+}
+
+void
+ColdServers::OnAnswer(const ServerId& aServer, Instant aNow)
+{
+  const auto it = mEntries.find(aServer);
+  if (it == mEntries.end()) {
+    return;
+  }
+  auto& entry = it->second;
+  entry.mBroken = 0;
+  const auto* bound = BoundOf(entry);
+  if (entry.mIsLost && bound != nullptr) {
+    entry.mUntil = std::max(entry.mUntil, aNow + bound->mTime);
+    entry.mIsLost = false;
+  }
+}
+
+void
+ColdServers::Merge(std::span<const ColdObservation> aObservations, Instant aNow)
+{
+  for (const auto& it : aObservations) {
+    const auto known = mEntries.find(it.mServer);
+    if (known == mEntries.end() || BoundOf(known->second) == nullptr) {
+      continue;
+    }
+    if (it.mLeft) {
+      Extend(it.mServer, known->second, it.mAt + *it.mLeft, aNow);
+    } else if (!known->second.IsCold(aNow)) {
+      Lose(it.mServer, known->second, aNow);
+    }
+  }
+}
+
+} // namespace bilberrytrail
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -129,7 +129,8 @@
       [this](const HttpRequest& aRequest) { return ServeMetrics(aRequest); })
   , mEvidence(mControl, mTraffic, mTableFollower, mViews)
   , mBackend(aPlatform.MakeBackend(mTraffic))
-  , mGate(mLimits)
+  , mColds(mSettings.mColdOver, mSettings.mColdSlack)
+  , mGate(mLimits, &mColds)
   , mGatePhase(Random(MakeLogId(mSelf)).Unit())
   , mCrashes(mTraffic, *mBackend, mParts, mRequests)
   , mPool(mSettings.mZone, ServerPoolSettings(), &mGate, &mAvoided)
@@ -141,6 +142,7 @@
                mSelf.mName,
                MakeLogId(mSelf),
                mLimits,
+               mColds,
                mParts,
                mRequests)
   , mTrafficWatch(mTraffic, mMetrics, "traffic")
@@ -197,6 +199,10 @@
   auto view = mViews.Load();
   if (view != mCurrentView) {
     mCurrentView = view;
+    if (view->mConfig != nullptr) {
+      mColds.SetServices(view->mConfig->mServices);
+    }
+    mColds.Update(view->mServers, MonotonicNow());
     for (const auto& it : mPool.Update(view->mServers, MonotonicNow())) {
       mBackend->Forget(it);
     }
--- a/packages/entry/src/entry_daemon_impl.h
+++ b/packages/entry/src/entry_daemon_impl.h
@@ -101,6 +101,7 @@
   EvidenceGate mEvidence;
   std::unique_ptr<BackendPort> mBackend;
   ServerLimits mLimits;
+  ColdServers mColds;
   // Paces requests that this daemon places itself.
   RateGate mGate;
   const double mGatePhase;
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -21,6 +21,7 @@
 constexpr double kMaxMbps = 1e7;
 constexpr double kMaxMegabytes = 1e6;
 constexpr double kMaxPort = 65'535;
+constexpr double kMaxColdOver = 1000;
 
 constexpr std::array kTable{
   SettingInfo{ "daemon",
@@ -177,6 +178,33 @@
                false,
                "Time from the announcement of new weights to the last request "
                "that may begin on older ones." },
+  SettingInfo{ "cold",
+               "over",
+               Number,
+               1,
+               kMaxColdOver,
+               "1",
+               false,
+               "Multiple of the rate that a cold server takes which all "
+               "daemons together may send it in a second." },
+  SettingInfo{ "cold",
+               "slack",
+               Number,
+               0,
+               kMaxRepeats,
+               "0",
+               false,
+               "Requests that all daemons together may send a cold server in a "
+               "second in addition to that." },
+  SettingInfo{ "evacuation",
+               "within",
+               Time,
+               500 * kMicrosInMilli,
+               600 * kMicrosInSecond,
+               "5s",
+               false,
+               "Time from the request to evacuate an availability zone until "
+               "its servers must get nothing new." },
 };
 
 // Stores the value of one row of the table.
@@ -241,6 +269,15 @@
     [](auto& aTo, const auto& aValue) {
       aTo.mWeightsWithin = std::get<Duration>(aValue);
     },
+    [](auto& aTo, const auto& aValue) {
+      aTo.mColdOver = std::get<double>(aValue);
+    },
+    [](auto& aTo, const auto& aValue) {
+      aTo.mColdSlack = std::get<double>(aValue);
+    },
+    [](auto& aTo, const auto& aValue) {
+      aTo.mEvacuateWithin = std::get<Duration>(aValue);
+    },
   };
   return kSetters;
 }
--- a/packages/entry/src/placement_codec.cpp
+++ b/packages/entry/src/placement_codec.cpp
@@ -16,6 +16,8 @@
 constexpr char kReply = 'R';
 // An older observation of a rate limit is not sent, and rejected when read.
 constexpr Duration kMaxLimitAge = 3600s;
+// Longest time for which a server is said to be cold.
+constexpr Duration kMaxColdLeft = 3600s;
 
 // Deepest nesting and most values of a datagram.
 constexpr std::size_t kMaxDepth = 16;
@@ -201,6 +203,49 @@
            : std::vector<LimitReport>();
 }
 
+Json
+ToJson(const ColdReport& aReport)
+{
+  Json json{ { "server", aReport.mServer.Text() } };
+  if (aReport.mLeft) {
+    json["left_ms"] = ToMillis(*aReport.mLeft);
+  }
+  return json;
+}
+
+Result<ColdReport>
+ReadColdReport(const Json& aJson)
+{
+  JsonFields fields(aJson);
+  ColdReport report;
+  report.mServer = ServerId(fields.Text("server"));
+  if (fields.Has("left_ms")) {
+    const double left = fields.Real("left_ms");
+    if (left >= 0 && left <= ToMillis(kMaxColdLeft)) {
+      report.mLeft = FromMillis(left);
+    } else {
+      fields.Reject("left_ms");
+    }
+  }
+  return Checked(fields, std::move(report));
+}
+
+void
+AddColds(Json& aJson, const std::vector<ColdReport>& aColds)
+{
+  if (!aColds.empty()) {
+    aJson["colds"] = ToJsonList(
+      aColds, [](const ColdReport& aReport) { return ToJson(aReport); });
+  }
+}
+
+std::vector<ColdReport>
+ReadColds(JsonFields& aFields)
+{
+  return aFields.Has("colds") ? ReadListField(aFields, "colds", ReadColdReport)
+                              : std::vector<ColdReport>();
+}
+
 } // namespace
 
 std::string
@@ -217,6 +262,7 @@
     json["ask"] = ToJson(*aMessage.mRequest);
   }
   AddLimits(json, aMessage.mLimits);
+  AddColds(json, aMessage.mColds);
   AddPartReports(json, kPartsField, aMessage.mParts);
   AddPartReports(json, kWholeRequestsField, aMessage.mWholeRequests);
   return Pack(kMessage, json);
@@ -234,6 +280,7 @@
              { "time_ms", ToMillis(reply.mTime) },
              { "candidates", reply.mCandidates } };
   AddLimits(json, aAnswer.mLimits);
+  AddColds(json, aAnswer.mColds);
   AddPartReports(json, kPartsField, aAnswer.mParts);
   AddPartReports(json, kWholeRequestsField, aAnswer.mWholeRequests);
   return Pack(kReply, json);
@@ -255,6 +302,7 @@
     message.mRequest = ReadObjectField(fields, "ask", ReadRequest);
   }
   message.mLimits = ReadLimits(fields);
+  message.mColds = ReadColds(fields);
   message.mParts = ReadPartReports(fields, kPartsField);
   message.mWholeRequests = ReadPartReports(fields, kWholeRequestsField);
   return Checked(fields, std::move(message));
@@ -278,6 +326,7 @@
   reply.mTime = FromMillis(fields.Real("time_ms"));
   reply.mCandidates = fields.Unsigned("candidates");
   answer.mLimits = ReadLimits(fields);
+  answer.mColds = ReadColds(fields);
   answer.mParts = ReadPartReports(fields, kPartsField);
   answer.mWholeRequests = ReadPartReports(fields, kWholeRequestsField);
   return Checked(fields, std::move(answer));
--- a/packages/entry/src/placement_codec.h
+++ b/packages/entry/src/placement_codec.h
@@ -20,6 +20,14 @@
   Duration mAge{};
 };
 
+// What the sender knows of a cold server.
+struct ColdReport
+{
+  ServerId mServer;
+  // Time for which it stays cold; nothing while it is not known to run again.
+  std::optional<Duration> mLeft;
+};
+
 // The end of a server that was to answer a prompt with a part, as its sender
 // knows it.
 struct PartDeathReport
@@ -40,14 +48,15 @@
 };
 
 // A datagram from a daemon to a home: at most one placement request, reports on
-// earlier grants, observations of rate limits, and evidence against parts and
-// whole requests.
+// earlier grants, observations of rate limits and of cold servers, and evidence
+// against parts and whole requests.
 struct PlacementMessage
 {
   PlacementClientId mClient;
   std::optional<PlacementRequest> mRequest;
   std::vector<PlacementReport> mReports;
   std::vector<LimitReport> mLimits;
+  std::vector<ColdReport> mColds;
   std::vector<PartReport> mParts;
   std::vector<PartReport> mWholeRequests;
 };
@@ -58,6 +67,7 @@
 {
   PlacementReply mReply;
   std::vector<LimitReport> mLimits;
+  std::vector<ColdReport> mColds;
   std::vector<PartReport> mParts;
   std::vector<PartReport> mWholeRequests;
 };
--- a/packages/entry/src/placement_ledger.cpp
+++ b/packages/entry/src/placement_ledger.cpp
@@ -32,10 +32,11 @@
 
 PlacementLedger::PlacementLedger(ZoneId aOwnZone,
                                  const AdmissionSettings& aSettings,
-                                 const ServerLimits& aLimits)
+                                 const ServerLimits& aLimits,
+                                 ColdServers* aColds)
   : mOwnZone(std::move(aOwnZone))
   , mSettings(aSettings)
-  , mGate(aLimits)
+  , mGate(aLimits, aColds)
 {
 }
 
--- a/packages/entry/src/placement_service.cpp
+++ b/packages/entry/src/placement_service.cpp
@@ -67,15 +67,17 @@
                                    DaemonId aSelf,
                                    std::uint64_t aIncarnation,
                                    ServerLimits& aLimits,
+                                   ColdServers& aColds,
                                    PartQuarantine& aParts,
                                    PartQuarantine& aRequests)
   : mLoop(aLoop)
   , mSelf{ std::move(aSelf), aIncarnation }
   , mSocket(aLoop)
   , mLimits(aLimits)
+  , mColds(aColds)
   , mParts(aParts)
   , mRequests(aRequests)
-  , mLedger(std::move(aOwnZone), HomeAdmissionSettings(), aLimits)
+  , mLedger(std::move(aOwnZone), HomeAdmissionSettings(), aLimits, &aColds)
   , mRandom(aIncarnation)
 {
 }
@@ -151,12 +153,35 @@
   mLimits.Merge(observations, now);
 }
 
+std::vector<ColdReport>
+PlacementService::ColdReports() const
+{
+  std::vector<ColdReport> reports;
+  for (const auto& it : mColds.Recent(MonotonicNow())) {
+    reports.push_back({ it.mServer, it.mLeft });
+  }
+  return reports;
+}
+
+void
+PlacementService::MergeColds(const std::vector<ColdReport>& aReports)
+{
+  const auto now = MonotonicNow();
+  std::vector<ColdObservation> observations;
+  observations.reserve(aReports.size());
+  for (const auto& it : aReports) {
+    observations.push_back({ it.mServer, it.mLeft, now });
+  }
+  mColds.Merge(observations, now);
+}
+
 PlacementMessage
 PlacementService::MakeMessage() const
 {
   PlacementMessage message;
   message.mClient = mSelf;
   message.mLimits = LimitReports();
+  message.mColds = ColdReports();
   message.mParts = ReportsOf(mParts);
   message.mWholeRequests = ReportsOf(mRequests);
   return message;
@@ -393,10 +418,11 @@
               { "reason", message.error().mMessage } });
     return;
   }
-  const auto& [client, request, reports, limits, parts, requests] =
+  const auto& [client, request, reports, limits, colds, parts, requests] =
     message.value();
   const auto now = MonotonicNow();
   MergeLimits(limits);
+  MergeColds(colds);
   MergeReports(mParts, parts);
   MergeReports(mRequests, requests);
   for (const auto& it : reports) {
@@ -411,6 +437,7 @@
     mSocket.Send(aDatagram.mFrom,
                  Encode(PlacementAnswer{ HandleRequest(client, *request),
                                          LimitReports(),
+                                         ColdReports(),
                                          ReportsOf(mParts),
                                          ReportsOf(mRequests) }));
   }
@@ -427,6 +454,7 @@
     return;
   }
   MergeLimits(answer.value().mLimits);
+  MergeColds(answer.value().mColds);
   MergeReports(mParts, answer.value().mParts);
   MergeReports(mRequests, answer.value().mWholeRequests);
   const auto it = mPending.find(answer.value().mReply.mTicket);
--- a/packages/entry/src/placement_service.h
+++ b/packages/entry/src/placement_service.h
@@ -27,6 +27,7 @@
                    DaemonId aSelf,
                    std::uint64_t aIncarnation,
                    ServerLimits& aLimits,
+                   ColdServers& aColds,
                    PartQuarantine& aParts,
                    PartQuarantine& aRequests);
 
@@ -76,6 +77,9 @@
   // Returns the observations of rate limits to send to other daemons.
   [[nodiscard]] std::vector<LimitReport> LimitReports() const;
   void MergeLimits(const std::vector<LimitReport>& aReports);
+  // The same for the servers that are cold.
+  [[nodiscard]] std::vector<ColdReport> ColdReports() const;
+  void MergeColds(const std::vector<ColdReport>& aReports);
   // Returns a message without a request, with all that other daemons are told.
   [[nodiscard]] PlacementMessage MakeMessage() const;
   // Returns whether there is evidence that other daemons need.
@@ -100,6 +104,7 @@
   const PlacementClientId mSelf;
   DatagramSocket mSocket;
   ServerLimits& mLimits;
+  ColdServers& mColds;
   PartQuarantine& mParts;
   PartQuarantine& mRequests;
   PlacementLedger mLedger;
--- a/packages/entry/src/rate_gate.cpp
+++ b/packages/entry/src/rate_gate.cpp
@@ -8,6 +8,8 @@
 
 // Time by which a request may be ahead of its even spacing.
 constexpr Duration kBurstTime = 125ms;
+// Part of the bound of a cold server that a whole share may use.
+constexpr double kColdShare = 0.5;
 // Bound of the times that refused callers are told.
 constexpr Duration kMaxPromise = 10s;
 
@@ -29,23 +31,52 @@
   mPhase = aPhase;
 }
 
+std::optional<RateGate::Pace>
+RateGate::PaceOf(const ServerId& aServer, Instant aNow) const
+{
+  std::optional<Pace> pace;
+  if (const auto* limit = mLimits.Find(aServer)) {
+    pace = {
+      limit->mPerSecond * mShare, limit->mPerSecond, limit->mSince, kBurstTime
+    };
+  }
+  const auto* bound = mColds == nullptr ? nullptr : mColds->Find(aServer, aNow);
+  if (bound != nullptr) {
+    const double most = std::min(bound->mPerSecond, bound->mMost * kColdShare);
+    if (!pace || most < pace->mOfAll) {
+      pace = { most * mShare, most, mColds->ColdSince(aServer), Duration(0) };
+    }
+  }
+  return pace;
+}
+
+void
+RateGate::NoteAnswer(const ServerId& aServer, Instant aNow)
+{
+  if (mColds != nullptr) {
+    mColds->OnAnswer(aServer, aNow);
+  }
+}
+
+void
+RateGate::NoteLost(const ServerId& aServer, bool aIsRefused, Instant aNow)
+{
+  if (mColds != nullptr) {
+    mColds->OnLost(aServer, aIsRefused, aNow);
+  }
+}
+
 RateGate::Schedule&
-RateGate::ScheduleOf(const ServerId& aServer)
+RateGate::ScheduleOf(const ServerId& aServer, Instant aNow)
 {
   if (!mSchedules.contains(aServer)) {
-    std::erase_if(mSchedules, [this](const auto& aEntry) {
-      return mLimits.Find(aEntry.first) == nullptr;
+    std::erase_if(mSchedules, [&](const auto& aEntry) {
+      return !PaceOf(aEntry.first, aNow);
     });
   }
   return mSchedules[aServer];
 }
 
-double
-RateGate::RateOf(const ServerLimit& aLimit) const noexcept
-{
-  return aLimit.mPerSecond * mShare;
-}
-
 Instant
 RateGate::InSlot(Instant aFrom, Duration aInterval) const
 {
@@ -59,9 +90,9 @@
 }
 
 Instant
-RateGate::NextAt(const ServerId& aServer, const ServerLimit& aLimit) const
+RateGate::NextAt(const ServerId& aServer, const Pace& aPace) const
 {
-  const auto first = aLimit.mSince + IntervalOf(RateOf(aLimit));
+  const auto first = aPace.mSince + IntervalOf(aPace.mPerSecond);
   const auto it = mSchedules.find(aServer);
   return it == mSchedules.end() ? first : std::max(first, it->second.mNextAt);
 }
@@ -69,15 +100,15 @@
 std::optional<Duration>
 RateGate::WaitFor(const ServerId& aServer, Instant aNow) const
 {
-  const auto* limit = mLimits.Find(aServer);
-  if (limit == nullptr) {
+  const auto pace = PaceOf(aServer, aNow);
+  if (!pace) {
     return Duration(0);
   }
-  if (RateOf(*limit) <= 0) {
+  if (pace->mPerSecond <= 0) {
     return std::nullopt;
   }
-  const auto due = std::max(NextAt(aServer, *limit) - kBurstTime, aNow);
-  return InSlot(due, IntervalOf(RateOf(*limit))) - aNow;
+  const auto due = std::max(NextAt(aServer, *pace) - pace->mBurst, aNow);
+  return InSlot(due, IntervalOf(pace->mPerSecond)) - aNow;
 }
 
 bool
@@ -89,25 +120,25 @@
 void
 RateGate::Take(const ServerId& aServer, Instant aNow)
 {
-  const auto* limit = mLimits.Find(aServer);
-  if (limit != nullptr && RateOf(*limit) > 0) {
-    const auto next = std::max(NextAt(aServer, *limit), aNow);
-    ScheduleOf(aServer).mNextAt = next + IntervalOf(RateOf(*limit));
+  const auto pace = PaceOf(aServer, aNow);
+  if (pace && pace->mPerSecond > 0) {
+    const auto next = std::max(NextAt(aServer, *pace), aNow);
+    ScheduleOf(aServer, aNow).mNextAt = next + IntervalOf(pace->mPerSecond);
   }
 }
 
 Duration
 RateGate::PromiseReturn(const ServerId& aServer, Instant aNow)
 {
-  const auto* limit = mLimits.Find(aServer);
-  if (limit == nullptr) {
+  const auto pace = PaceOf(aServer, aNow);
+  if (!pace) {
     return Duration(0);
   }
   // A sender with no share of its own, or a part of one, names the server's own
   // rate: a home places the request by then.
-  const bool isHome = !mPhase && RateOf(*limit) > 0;
-  const auto interval = IntervalOf(isHome ? RateOf(*limit) : limit->mPerSecond);
-  auto& schedule = ScheduleOf(aServer);
+  const bool isHome = !mPhase && pace->mPerSecond > 0;
+  const auto interval = IntervalOf(isHome ? pace->mPerSecond : pace->mOfAll);
+  auto& schedule = ScheduleOf(aServer, aNow);
   const auto free =
     aNow + (isHome ? WaitFor(aServer, aNow).value_or(interval) : interval);
   const auto promised = std::max(
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -176,6 +176,7 @@
     std::ranges::find(mSendView->mServers, reply->mServer, &ServerRecord::mId);
   const bool isUsable = it != mSendView->mServers.end() &&
                         it->mService == mService && !it->mIsLeaving &&
+                        !it->mIsEvacuated &&
                         reply->mWeightVersion >= mQuery.mLeastVersion &&
                         std::ranges::find(mTried, it->mId) == mTried.end() &&
                         !mContext.mAvoided.Contains(it->mId, MonotonicNow());
@@ -222,6 +223,7 @@
 void
 RequestRun::RefuseLimited(Duration aRetryDelay)
 {
+  mContext.mCounts.Add(Labels(), Counter::RefusedLimited);
   Refuse(RefusalReason::QueueFull,
          "The servers of the service have reached their rate limits.",
          aRetryDelay);
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -56,6 +56,9 @@
     auto& server = mServers[it.mId];
     if (server == nullptr) {
       server = std::make_unique<Server>(mSettings);
+      if (mHasList) {
+        server->mPace.Start();
+      }
       server->mHash = StableHash64(it.mId.Text());
     }
     if (server->mRecord.mModels != it.mModels) {
@@ -63,6 +66,7 @@
     }
     server->mRecord = it;
   }
+  mHasList = mHasList || !aServers.empty();
   return gone;
 }
 
@@ -94,6 +98,7 @@
   // A server without the model has version 0 of it.
   const auto least = std::max<std::uint64_t>(aQuery.mLeastVersion, 1);
   return record.mService == aQuery.mService && !record.mIsLeaving &&
+         !record.mIsEvacuated &&
          (mAvoided == nullptr || !mAvoided->Contains(record.mId, aNow)) &&
          std::ranges::find(aQuery.mTried, record.mId) == aQuery.mTried.end() &&
          (!aQuery.mModel || aServer.VersionOf(*aQuery.mModel) >= least);
@@ -129,6 +134,7 @@
                    Candidates& aExcluded)
 {
   Candidates usable;
+  Candidates paced;
   for (const auto& [id, server] : mServers) {
     if (!IsEligible(aQuery, *server, aNow) ||
         (mGate != nullptr && !mGate->IsOpen(id, aNow))) {
@@ -141,9 +147,10 @@
       (server->mEjectedUntil && aNow < *server->mEjectedUntil) ||
       (server->mFullUntil && aNow < *server->mFullUntil) || isLoading ||
       IsSilent(*server, aQuery.mObjective, aNow);
-    (isExcluded ? aExcluded : usable).push_back(server.get());
+    const bool isPaced = !server->mPace.Allows(server->mWaiting.size());
+    (isExcluded ? aExcluded : isPaced ? paced : usable).push_back(server.get());
   }
-  return usable;
+  return usable.empty() ? paced : usable;
 }
 
 void
@@ -268,6 +275,9 @@
   }
   auto& server = *it->second;
   server.mLastReceivedAt = aNow;
+  if (mGate != nullptr) {
+    mGate->NoteAnswer(send->second.mServer, aNow);
+  }
   if (!send->second.mHasBegun) {
     send->second.mHasBegun = true;
     server.mWaiting.erase(aTicket);
@@ -279,6 +289,8 @@
 void
 ServerPool::NoteBegin(Server& aServer, const Send& aSend, Instant aNow)
 {
+  aServer.mPace.NoteBegun(aNow - aSend.mSentAt,
+                          aSend.mWorkTime + aSend.mBaselineTime);
   const auto beyond = aNow - aSend.mSentAt - aSend.mWorkTime;
   const auto excess = std::max(beyond - aSend.mBaselineTime, Duration(0));
   if (aSend.mIsPrompt) {
@@ -307,9 +319,37 @@
   aServer.mEjection = std::clamp(
     aServer.mEjection * 2, mSettings.mFirstEjection, mSettings.mMaxEjection);
   aServer.mEjectedUntil = aNow + aServer.mEjection;
+  aServer.mPace.Start();
   return HealthChange{ aServer.mRecord.mId, true, aOutcome, aServer.mEjection };
 }
 
+void
+ServerPool::NoteReached(const ServerId& aServer,
+                        SendOutcome aOutcome,
+                        Instant aNow)
+{
+  if (mGate == nullptr) {
+    return;
+  }
+  switch (aOutcome) {
+    case SendOutcome::Answered:
+    case SendOutcome::ServerError:
+    case SendOutcome::Full:
+    case SendOutcome::WrongVersion:
+      mGate->NoteAnswer(aServer, aNow);
+      return;
+    case SendOutcome::NoConnection:
+      mGate->NoteLost(aServer, true, aNow);
+      return;
+    case SendOutcome::Broken:
+      mGate->NoteLost(aServer, false, aNow);
+      return;
+    case SendOutcome::WrongServer:
+    case SendOutcome::Abandoned:
+      return;
+  }
+}
+
 std::optional<HealthChange>
 ServerPool::End(SendTicket aTicket, SendOutcome aOutcome, Instant aNow)
 {
@@ -340,6 +380,7 @@
   } else {
     server.mLoad.Remove(ended.mRank, ended.mWork, aNow);
   }
+  NoteReached(ended.mServer, aOutcome, aNow);
   switch (aOutcome) {
     case SendOutcome::Answered: {
       const bool wasEjected = server.mEjectedUntil.has_value();
@@ -352,6 +393,7 @@
                         : std::nullopt;
     }
     case SendOutcome::Full:
+      server.mPace.NoteRejected();
       server.mLastReceivedAt = aNow;
       server.mFullBackOff = std::clamp(server.mFullBackOff * 2,
                                        mSettings.mFirstFullBackOff,
@@ -367,6 +409,7 @@
     case SendOutcome::NoConnection:
     case SendOutcome::WrongServer:
     case SendOutcome::Broken:
+      server.mPace.NoteRejected();
       return Fail(server, aOutcome, aNow);
   }
   return std::nullopt;
--- a/packages/entry/src/server_pool_state.h
+++ b/packages/entry/src/server_pool_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bilberrytrail/entry/recovery_pace.h>
 #include <bilberrytrail/entry/server_pool.h>
 
 #include <bilberrytrail/base/random.h>
@@ -46,6 +47,7 @@
   Duration mFullBackOff{};
   std::optional<Instant> mFullUntil;
   std::optional<Instant> mLoadingUntil;
+  RecoveryPace mPace;
 
   // Returns a key for the prompt's shared parts under the weights that are
   // loaded.
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 #include <string_view>
+#include <utility>
 
 namespace bilberrytrail {
 
@@ -19,6 +20,21 @@
           !aRead.mIsLeaving);
 }
 
+void
+LogEvacuations(const std::set<ZoneId>& aBefore, const std::set<ZoneId>& aNow)
+{
+  for (const auto& it : aNow) {
+    if (!aBefore.contains(it)) {
+      LogLine(LogEvent::ZoneEvacuated, { { "zone", it } });
+    }
+  }
+  for (const auto& it : aBefore) {
+    if (!aNow.contains(it)) {
+      LogLine(LogEvent::ZoneReturned, { { "zone", it } });
+    }
+  }
+}
+
 } // namespace
 
 const BackendService*
@@ -73,6 +89,8 @@
       LogLine(LogEvent::WeightsNamed,
               { { "model", target->mModel }, { "weights", target->mVersion } });
     }
+  } else if (const auto* evacuation = std::get_if<ZoneEvacuation>(&parsed)) {
+    mOperator.mEvacuated.insert(evacuation->mZone);
   } else if (const auto* error = std::get_if<Error>(&parsed)) {
     ReportUnreadable(SiteTable::Operator, aRow, *error);
   }
@@ -115,7 +133,8 @@
     known.mVersion = aRow.mVersion;
   }
   if (!known.mRecord.mId.IsEmpty()) {
-    aView.mServers.push_back(known.mRecord);
+    auto& server = aView.mServers.emplace_back(known.mRecord);
+    server.mIsEvacuated = aView.mEvacuated.contains(server.mZone);
   }
 }
 
@@ -151,9 +170,11 @@
     // Weights found at the start may have been announced at any time before.
     const Instant at = mHasReadOperator ? aAbsentAt : Instant();
     mHasReadOperator = true;
+    const auto before = std::exchange(mOperator.mEvacuated, {});
     for (const auto& row : aReplica.Rows(SiteTable::Operator)) {
       ReadOperatorRow(row, at);
     }
+    LogEvacuations(before, mOperator.mEvacuated);
   }
   auto view = std::make_shared<SiteView>(mOperator);
   view->mHasReadServers = aReplica.Version(SiteTable::Servers).IsKnown();
--- a/packages/entry/tests/placement_codec_test.cpp
+++ b/packages/entry/tests/placement_codec_test.cpp
@@ -29,6 +29,8 @@
   message.mRequest = request;
   message.mLimits = { { ServerId("s1"), 1.5, 250ms },
                       { ServerId("s2"), 0, 0ms } };
+  message.mColds = { { ServerId("s3"), 2500ms },
+                     { ServerId("s4"), std::nullopt } };
   message.mParts = { { PartKey(9), 1, 2s, { { DeathId(7), 1s } } },
                      { PartKey(8), 0, std::nullopt, {} } };
   return message;
@@ -59,6 +61,7 @@
   reply.mOutcome = PlacementOutcome::Busy;
   reply.mTime = 250ms;
   answer.mLimits = Message().mLimits;
+  answer.mColds = Message().mColds;
   answer.mParts = Message().mParts;
   const auto again = DecodePlacementAnswer(Encode(answer));
   REQUIRE(again.has_value());
@@ -72,6 +75,12 @@
     CHECK(limits[0].mAge == 250ms);
     CHECK(limits[1].mPerSecond == 0);
   }
+  for (const auto& colds : { message.mColds, again.value().mColds }) {
+    REQUIRE(colds.size() == 2);
+    CHECK(colds[0].mServer == ServerId("s3"));
+    CHECK(colds[0].mLeft == 2500ms);
+    CHECK_FALSE(colds[1].mLeft);
+  }
   for (const auto& parts : { message.mParts, again.value().mParts }) {
     REQUIRE(parts.size() == 2);
     CHECK(parts[0].mPart == PartKey(9));
--- a/packages/entry/tests/placement_service_test.cpp
+++ b/packages/entry/tests/placement_service_test.cpp
@@ -52,6 +52,7 @@
                                            name,
                                            n + 1,
                                            mLimits.emplace_back(),
+                                           mColds.emplace_back(),
                                            mParts.emplace_back(),
                                            mRequests.emplace_back()));
     }
@@ -101,6 +102,7 @@
   Loop mLoop;
   // What each daemon knows of the servers' rate limits.
   std::deque<ServerLimits> mLimits;
+  std::deque<ColdServers> mColds;
   std::deque<PartQuarantine> mParts;
   std::deque<PartQuarantine> mRequests;
   std::vector<PlacementCandidate> mCandidates;
--- a/packages/entry/tests/site_view_test.cpp
+++ b/packages/entry/tests/site_view_test.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Parses "config N", "weights N", "server START" and "leaving START"; anything
-// else is unreadable.
+// Parses "config N", "weights N", "evacuate ZONE", "server START" and "leaving
+// START"; anything else is unreadable.
 class FakeReader final : public SiteReader
 {
 public:
@@ -23,9 +23,13 @@
     if (text.starts_with("weights ")) {
       return WeightTarget{ ModelId("m"), std::stoull(text.substr(8)) };
     }
+    if (text.starts_with("evacuate ")) {
+      return ZoneEvacuation{ ZoneId(text.substr(9)) };
+    }
     if (text.starts_with("server ") || text.starts_with("leaving ")) {
       ServerRecord record;
       record.mId = ServerId(aRow.mKey);
+      record.mZone = ZoneId("z1");
       record.mIsLeaving = text.starts_with("leaving ");
       record.mStartedAtMs = std::stoull(text.substr(text.find(' ') + 1));
       return record;
@@ -91,6 +95,26 @@
   CHECK(view->mServers.empty());
 }
 
+TEST_CASE("servers are evacuated while the operator's row of their zone exists")
+{
+  FakeReader reader;
+  SiteAssembler assembler(reader);
+  SiteReplica replica;
+  Put(replica, SiteTable::Servers, "s1", "server 1", 1);
+  Put(replica, SiteTable::Operator, "other", "evacuate z2", 2);
+  CHECK_FALSE(
+    assembler.Assemble(replica, At(0s))->mServers.front().mIsEvacuated);
+  Put(replica, SiteTable::Operator, "own", "evacuate z1", 3);
+  CHECK(assembler.Assemble(replica, At(1s))->mServers.front().mIsEvacuated);
+  // A server that starts meanwhile is evacuated, too.
+  Put(replica, SiteTable::Servers, "s1", "server 2", 4);
+  CHECK(assembler.Assemble(replica, At(2s))->mServers.front().mIsEvacuated);
+  (void)replica.Merge(
+    SiteTable::Operator, { { { "own", "", 5, true } }, 5 }, At(3s));
+  CHECK_FALSE(
+    assembler.Assemble(replica, At(3s))->mServers.front().mIsEvacuated);
+}
+
 TEST_CASE("a configuration with a lower number is not put in force")
 {
   FakeReader reader;
