Ask a server that loads weights whether it has finished

Cause: the table of servers shows new weights a heartbeat late; until then the server got nothing, and the next one was not ordered. Change: a server that accepted its order is asked at the time that loads take, and again until it has loaded; daemons then assume the newest weights there.

--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -234,7 +234,8 @@
                                   SendOutcome aOutcome,
                                   Instant aNow);
   // Sets which servers are loading weights, as announced by the daemon that
-  // orders the loading; it holds for mLoadingNoticeTime.
+  // orders the loading; it holds for mLoadingNoticeTime. A server that no
+  // longer is has the newest weights, until it denies that.
   void SetLoading(const std::set<ServerId>& aServers, Instant aNow);
   // Records that a server without room has weights older than the newest.
   void ExpectLoading(const ServerId& aServer, Instant aNow);
@@ -316,6 +317,7 @@
   void NoteBegin(Server& aServer, const Send& aSend, Instant aNow);
   // Tells the gate whether the server was reached.
   void NoteReached(const ServerId& aServer, SendOutcome aOutcome, Instant aNow);
+  void AssumeLoaded(Server& aServer);
   std::optional<HealthChange> Fail(Server& aServer,
                                    SendOutcome aOutcome,
                                    Instant aNow);
@@ -329,6 +331,8 @@
   // Sizes of the prompts that asked for a server, admitted or not, by kind of
   // request.
   std::map<std::uint64_t, AverageTokens> mSizes;
+  // Newest versions that requests named.
+  std::map<ModelId, std::uint64_t> mNewest;
   // Baselines by kind of request.
   std::map<std::uint64_t, BaselineTime> mBaseline;
   // Moving average of the time for which prompts hold memory.
--- a/packages/entry/include/bilberrytrail/entry/weight_rollout.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_rollout.h
@@ -75,6 +75,17 @@
   Duration mLoadTime = 2400ms;
   // An accepted order without a visible effect after this time is sent again.
   Duration mOrderTimeout = 8s;
+  // Time from an accepted order until the server is first asked whether it has
+  // loaded, before any load was seen to end; then a share of the average time
+  // of a load, at least mMinLoadCheck.
+  Duration mFirstLoadCheck = 700ms;
+  Duration mMinLoadCheck = 200ms;
+  double mLoadCheckShare = 0.9;
+  // Time until it is asked again.
+  Duration mLoadRecheck = 250ms;
+  // Time for which a server that said it has loaded is not ordered again while
+  // the table of servers does not show it.
+  Duration mTableLag = 3s;
   // Pause before the next order to a server after an order that was not
   // accepted.
   Duration mRetryPause = 700ms;
@@ -99,6 +110,9 @@
 // it compares the table of servers with the newest weights, so another daemon
 // can continue it without its state.
 //
+// A server that accepted its order is asked whether it has loaded, since the
+// table tells that late: the next server loads, and this one serves, at once.
+//
 // A server that was ordered and has not answered is asked whether it has begun.
 // If not, orders are executed late: they then hold up no other server, and all
 // servers are ordered early enough for the longest delay.
@@ -133,15 +147,23 @@
     const std::map<ModelId, std::uint64_t>& aWeights,
     Duration aTimeLeft,
     Instant aNow);
-  // Returns the orders without a reply whose servers are to be asked now
-  // whether they have begun.
+  // Returns the orders whose servers are to be asked now whether they have
+  // loaded or, without a reply, whether they have begun.
   [[nodiscard]] std::vector<WeightOrder> Checks(Instant aNow);
   // Records the outcome of an order or of a check.
   void OnOutcome(const WeightOrder& aOrder,
                  OrderOutcome aOutcome,
                  Instant aNow);
+  // Returns whether a server has accepted its order and not said more.
+  [[nodiscard]] bool IsAccepted(const ServerId& aServer) const;
   // Returns the orders sent to a server, for the log.
   [[nodiscard]] OrderReport ReportOf(const ServerId& aServer) const;
+  // Returns the average time from an accepted order until its server said that
+  // it has loaded; nothing before the first one.
+  [[nodiscard]] std::optional<Duration> LoadTime() const noexcept
+  {
+    return mMeanLoad;
+  }
   // Forgets all orders, when the lease is lost.
   void Clear() noexcept;
 
@@ -174,6 +196,7 @@
     Instant mUntil;
     std::optional<Instant> mCheckAt;
     std::optional<Instant> mBusySince;
+    Instant mAcceptedAt;
     std::size_t mAttempts = 0;
     std::optional<OrderOutcome> mLastOutcome;
     bool mIsListed = true;
@@ -215,12 +238,15 @@
     const std::map<ModelId, std::uint64_t>& aWeights,
     Instant aNow) const;
   [[nodiscard]] WeightOrder Record(const Candidate& aCandidate, Instant aNow);
+  // Records what a server that accepted its order says of it.
+  void OnLoadCheck(Entry& aEntry, OrderOutcome aOutcome, Instant aNow);
 
   const WeightRolloutSettings mSettings;
   std::map<ServerId, Entry> mOrders;
   Instant mLateUntil;
   // Number of servers that have sent no reply, at the last step.
   std::size_t mWithoutReply = 0;
+  std::optional<Duration> mMeanLoad;
 };
 
 // Decides when a daemon requests the lease of the rollout. Several candidates
--- a/packages/entry/src/rollout_runner.cpp
+++ b/packages/entry/src/rollout_runner.cpp
@@ -204,7 +204,7 @@
   mRollout.OnOutcome(aOrder, outcome, MonotonicNow());
 }
 
-// Asks a server that was ordered without a reply whether it has begun.
+// Asks a server that was ordered whether it has begun or loaded.
 void
 RolloutRunner::CheckOrder(const WeightOrder& aOrder)
 {
@@ -212,13 +212,15 @@
   const auto outcome =
     state ? OutcomeOf(aOrder, state.value()).value_or(OrderOutcome::NotBegun)
           : OrderOutcome::NotReached;
-  if (outcome == OrderOutcome::NotBegun) {
+  const bool isLost = !mRollout.IsAccepted(aOrder.mServer);
+  if (outcome == OrderOutcome::NotBegun && isLost) {
     LogLine(LogEvent::OrderNotBegun,
             { { "server", aOrder.mServer },
               { "model", aOrder.mModel },
               { "weights", aOrder.mVersion } });
   }
   mRollout.OnOutcome(aOrder, outcome, MonotonicNow());
+  mNotifier.Publish(mRollout.Loading(MonotonicNow()));
 }
 
 // The lease is checked after the server's state was read, as the last step
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -188,6 +188,10 @@
 std::optional<ChosenServer>
 ServerPool::Choose(const ServerQuery& aQuery, Instant aNow)
 {
+  if (aQuery.mModel) {
+    auto& newest = mNewest[*aQuery.mModel];
+    newest = std::max(newest, aQuery.mNewestVersion);
+  }
   Candidates excluded;
   auto usable = Usable(aQuery, aNow, excluded);
   if (usable.empty()) {
@@ -421,10 +425,29 @@
   for (const auto& [id, server] : mServers) {
     if (aServers.contains(id)) {
       server->mLoadingUntil = aNow + mSettings.mLoadingNoticeTime;
-    } else {
-      server->mLoadingUntil.reset();
+      continue;
+    }
+    const bool hasEnded =
+      server->mLoadingUntil && aNow < *server->mLoadingUntil;
+    server->mLoadingUntil.reset();
+    if (hasEnded) {
+      AssumeLoaded(*server);
+    }
+  }
+}
+
+// The list shows new weights late. A server that does not have them says so.
+void
+ServerPool::AssumeLoaded(Server& aServer)
+{
+  for (const auto& it : aServer.mRecord.mModels) {
+    const auto newest = mNewest.find(it.mModel);
+    if (newest != mNewest.end()) {
+      auto& observed = aServer.mObserved[it.mModel];
+      observed = std::max(observed, newest->second);
     }
   }
+  aServer.mFullUntil.reset();
 }
 
 void
--- a/packages/entry/src/weight_rollout.cpp
+++ b/packages/entry/src/weight_rollout.cpp
@@ -253,8 +253,9 @@
 {
   std::vector<WeightOrder> orders;
   for (auto& [server, entry] : mOrders) {
-    if (entry.mPhase == Phase::Lost && entry.mCheckAt &&
-        aNow >= *entry.mCheckAt) {
+    const bool isOpen =
+      entry.mPhase == Phase::Lost || entry.mPhase == Phase::Accepted;
+    if (isOpen && entry.mCheckAt && aNow >= *entry.mCheckAt) {
       entry.mCheckAt.reset();
       orders.push_back(entry.mOrder);
     }
@@ -262,6 +263,21 @@
   return orders;
 }
 
+void
+WeightRollout::OnLoadCheck(Entry& aEntry, OrderOutcome aOutcome, Instant aNow)
+{
+  if (aOutcome != OrderOutcome::AlreadyDone) {
+    aEntry.mCheckAt = aNow + mSettings.mLoadRecheck;
+    return;
+  }
+  constexpr double kWeight = 0.2;
+  const auto took = aNow - aEntry.mAcceptedAt;
+  const auto mean = mMeanLoad.value_or(took);
+  mMeanLoad = mean + FromMillis(kWeight * ToMillis(took - mean));
+  aEntry.mPhase = Phase::Paused;
+  aEntry.mUntil = aNow + mSettings.mTableLag;
+}
+
 void
 WeightRollout::OnOutcome(const WeightOrder& aOrder,
                          OrderOutcome aOutcome,
@@ -273,6 +289,10 @@
     return;
   }
   auto& entry = it->second;
+  if (entry.mPhase == Phase::Accepted) {
+    OnLoadCheck(entry, aOutcome, aNow);
+    return;
+  }
   entry.mLastOutcome = aOutcome;
   if (aOutcome != OrderOutcome::Busy) {
     entry.mBusySince.reset();
@@ -280,6 +300,12 @@
   switch (aOutcome) {
     case OrderOutcome::Accepted:
       entry.mPhase = Phase::Accepted;
+      entry.mAcceptedAt = aNow;
+      entry.mCheckAt =
+        aNow + (mMeanLoad ? std::max(FromMillis(mSettings.mLoadCheckShare *
+                                                ToMillis(*mMeanLoad)),
+                                     mSettings.mMinLoadCheck)
+                          : mSettings.mFirstLoadCheck);
       return;
     case OrderOutcome::Unknown:
       entry.mPhase = Phase::Lost;
@@ -318,6 +344,13 @@
   }
 }
 
+bool
+WeightRollout::IsAccepted(const ServerId& aServer) const
+{
+  const auto it = mOrders.find(aServer);
+  return it != mOrders.end() && it->second.mPhase == Phase::Accepted;
+}
+
 OrderReport
 WeightRollout::ReportOf(const ServerId& aServer) const
 {
