Learn from answers how fast the servers of a service read

Cause: estimates assumed 100 tokens a millisecond at all sites. Change: a weighted regression of the times to first events over the work.

--- a/packages/entry/include/bilberrytrail/entry/server_load.h
+++ b/packages/entry/include/bilberrytrail/entry/server_load.h
@@ -32,6 +32,8 @@
   // rank that arrives now.
   [[nodiscard]] double WorkAhead(unsigned aRank, Instant aNow) const noexcept;
 
+  // Changes the speed from aNow on.
+  void SetSpeed(double aSpeed, Instant aNow) noexcept;
   void Add(unsigned aRank, double aTokens, Instant aNow) noexcept;
   // Removes work that the server will not do.
   void Remove(unsigned aRank, double aTokens, Instant aNow) noexcept;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -3,6 +3,7 @@
 #include <bilberrytrail/entry/avoided_servers.h>
 #include <bilberrytrail/entry/backend_call.h>
 #include <bilberrytrail/entry/rate_gate.h>
+#include <bilberrytrail/entry/reading_speed.h>
 #include <bilberrytrail/entry/server_load.h>
 
 #include <cstddef>
@@ -155,7 +156,8 @@
   double mSilenceObjectives = 2.0;
   Duration mMinSilence = 300ms;
   Duration mMaxSilence = 1200ms;
-  // Tokens that a server is assumed to read per millisecond.
+  // Tokens that a server is assumed to read per millisecond, before its service
+  // has shown how fast it is.
   double mTokensPerMs = 100;
   // Work that a running stream causes, in tokens to read.
   double mRunningTokens = 150;
@@ -269,7 +271,10 @@
   [[nodiscard]] double WorkAheadOf(const Server& aServer,
                                    unsigned aRank,
                                    Instant aNow) const noexcept;
-  [[nodiscard]] Duration TimeOf(double aTokens) const noexcept;
+  // Returns the speed of a service's servers in tokens per millisecond.
+  [[nodiscard]] double SpeedOf(const ServiceId& aService) const;
+  [[nodiscard]] Duration TimeOf(const ServiceId& aService,
+                                double aTokens) const;
   // Returns the baseline for prompts of the query's kind, limited by
   // mBaselineObjectives.
   [[nodiscard]] Duration BaselineTimeOf(const ServerQuery& aQuery) const;
@@ -311,6 +316,7 @@
                                       const Server& aServer,
                                       ChoiceReason aReason,
                                       std::size_t aCandidates) const;
+  void NoteSpeed(Server& aServer, const Send& aSend, Instant aNow);
   // Updates the baseline and the delay from the time to the first bytes of an
   // answer.
   void NoteBegin(Server& aServer, const Send& aSend, Instant aNow);
@@ -331,6 +337,7 @@
   std::map<std::uint64_t, AverageTokens> mSizes;
   // Baselines by kind of request.
   std::map<std::uint64_t, BaselineTime> mBaseline;
+  std::map<ServiceId, ReadingSpeed> mSpeeds;
   // Moving average of the time for which prompts hold memory.
   Duration mHoldTime{};
   std::uint64_t mLastTicket = 0;
--- a/packages/entry/src/server_estimate.cpp
+++ b/packages/entry/src/server_estimate.cpp
@@ -13,10 +13,18 @@
          mSettings.mRunningTokens * static_cast<double>(aServer.mRunning);
 }
 
+double
+ServerPool::SpeedOf(const ServiceId& aService) const
+{
+  const auto it = mSpeeds.find(aService);
+  return it == mSpeeds.end() ? mSettings.mTokensPerMs
+                             : it->second.TokensPerMs();
+}
+
 Duration
-ServerPool::TimeOf(double aTokens) const noexcept
+ServerPool::TimeOf(const ServiceId& aService, double aTokens) const
 {
-  return FromMillis(aTokens / mSettings.mTokensPerMs);
+  return FromMillis(aTokens / SpeedOf(aService));
 }
 
 Duration
@@ -98,7 +106,7 @@
   }
   const double tokens = WorkAheadOf(aServer, aQuery.mRank, aNow) +
                         aQuery.mWork + MissAt(aQuery, aServer, aPlace);
-  return BaselineTimeOf(aQuery) + delay + TimeOf(tokens) +
+  return BaselineTimeOf(aQuery) + delay + TimeOf(aQuery.mService, tokens) +
          MemoryTime(aQuery, aServer);
 }
 
--- a/packages/entry/src/server_load.cpp
+++ b/packages/entry/src/server_load.cpp
@@ -38,6 +38,14 @@
   return work;
 }
 
+void
+ServerLoad::SetSpeed(double aSpeed, Instant aNow) noexcept
+{
+  mWork = LeftAt(aNow);
+  mAt = aNow;
+  mSpeed = aSpeed;
+}
+
 void
 ServerLoad::Add(unsigned aRank, double aTokens, Instant aNow) noexcept
 {
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -248,7 +248,8 @@
           aQuery.mServerMemory -
             std::accumulate(server.mMemory.begin(), server.mMemory.end(), 0.0));
       }
-      send.mWorkTime = TimeOf(WorkAheadOf(server, rank, aNow) + send.mWork);
+      send.mTokens = WorkAheadOf(server, rank, aNow) + send.mWork;
+      send.mWorkTime = TimeOf(aQuery.mService, send.mTokens);
       send.mWorkTime += MemoryTime(aQuery, server);
       send.mBaselineTime = BaselineTimeOf(aQuery);
       send.mKind = aQuery.mKind;
@@ -286,6 +287,20 @@
   }
 }
 
+// Only a pool that knows all work ahead of a prompt can tell the speed.
+void
+ServerPool::NoteSpeed(Server& aServer, const Send& aSend, Instant aNow)
+{
+  if (!mSettings.mSeesAllPrompts) {
+    return;
+  }
+  auto& speed =
+    mSpeeds.try_emplace(aServer.mRecord.mService, mSettings.mTokensPerMs)
+      .first->second;
+  speed.Note(aSend.mTokens, aNow - aSend.mSentAt);
+  aServer.mLoad.SetSpeed(speed.TokensPerMs(), aNow);
+}
+
 void
 ServerPool::NoteBegin(Server& aServer, const Send& aSend, Instant aNow)
 {
@@ -294,6 +309,7 @@
   const auto beyond = aNow - aSend.mSentAt - aSend.mWorkTime;
   const auto excess = std::max(beyond - aSend.mBaselineTime, Duration(0));
   if (aSend.mIsPrompt) {
+    NoteSpeed(aServer, aSend, aNow);
     mBaseline[aSend.mKind].Note(beyond);
   }
   const auto previous = DelayOf(aServer, aSend.mRank, aNow);
--- a/packages/entry/src/server_pool_state.h
+++ b/packages/entry/src/server_pool_state.h
@@ -67,6 +67,8 @@
 {
   ServerId mServer;
   double mWork = 0;
+  // Work until the first event, with what was ahead of it.
+  double mTokens = 0;
   // Expected time to the first event: for the work ahead of it and its own, and
   // the baseline beyond that work.
   Duration mWorkTime{};
