Admit prompts by rank, and keep places for callers who return

Cause: a prompt was refused by its own estimate alone, so that the most urgent, with the shortest objective, were refused most. Change: as the estimates of urgent prompts near their bound, less urgent ones are let in only where they would be early. A home tells refused callers times that its room bears, and lets those in first that return to theirs. Less urgent prompts leave a part of a server's memory free.

--- a/packages/entry/include/bilberrytrail/entry/placement_ledger.h
+++ b/packages/entry/include/bilberrytrail/entry/placement_ledger.h
@@ -2,6 +2,8 @@
 
 #include <bilberrytrail/entry/admission.h>
 #include <bilberrytrail/entry/placement.h>
+#include <bilberrytrail/entry/rank_admission.h>
+#include <bilberrytrail/entry/return_places.h>
 
 #include <map>
 #include <memory>
@@ -56,8 +58,20 @@
 private:
   using GrantId = std::pair<DaemonId, std::uint64_t>;
   struct Grant;
+  // The servers of a group, and who is let in to them.
+  struct Group
+  {
+    std::unique_ptr<ServerPool> mPool;
+    RankAdmission mAdmission;
+    ReturnPlaces mReturns;
+  };
 
-  [[nodiscard]] ServerPool& PoolOf(const PlacementGroup& aGroup, Instant aNow);
+  [[nodiscard]] Group& GroupOf(const PlacementGroup& aGroup, Instant aNow);
+  // Returns whether a prompt is let in, and counts it.
+  [[nodiscard]] bool Admits(Group& aGroup,
+                            const PlacementRequest& aRequest,
+                            const ChosenServer& aChoice,
+                            Instant aNow);
   // Ends the grants of other incarnations of the client's daemon.
   void DropOtherIncarnations(const PlacementClientId& aClient, Instant aNow);
   void Expire(Instant aNow);
@@ -72,7 +86,7 @@
   // pools of two groups.
   RateGate mGate;
   std::vector<ServerRecord> mServers;
-  std::map<PlacementGroup, std::unique_ptr<ServerPool>> mPools;
+  std::map<PlacementGroup, Group> mGroups;
   std::map<GrantId, Grant> mGrants;
   std::set<std::pair<Instant, GrantId>> mExpiries;
   std::map<DaemonId, std::uint64_t> mIncarnations;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -177,6 +177,9 @@
   // which shared parts they read recently. Otherwise the first server in
   // affinity order is assumed to keep them.
   bool mSeesAllPrompts = false;
+  // Share of a server's memory that prompts may fill which are not the most
+  // urgent: those that come later must not preempt them.
+  double mLessUrgentMemory = 0.85;
   // Weight of a new sample of the time for which a prompt holds memory.
   double mHoldWeight = 0.05;
   // Assumed least time of a request without a prompt.
--- a/packages/entry/src/placement_ledger.cpp
+++ b/packages/entry/src/placement_ledger.cpp
@@ -2,6 +2,8 @@
 
 #include <bilberrytrail/entry/placement_map.h>
 
+#include <bilberrytrail/base/random.h>
+
 #include <algorithm>
 
 namespace bilberrytrail {
@@ -13,6 +15,17 @@
 constexpr double kBeginTimeoutObjectives = 3.0;
 // Time by which a report may arrive late.
 constexpr Duration kReportDelayAllowance = 1s;
+// Multiple by which the load of a prompt counts that returns to its place.
+constexpr double kReturnLoad = 0.67;
+
+// Names the caller of a prompt: one that returns comes with another request,
+// perhaps at another daemon, for the same prompt.
+std::uint64_t
+CallerOf(const ServerQuery& aQuery)
+{
+  const auto size = static_cast<std::uint64_t>(aQuery.mMemory);
+  return Random(aQuery.mAffinity ^ Random(aQuery.mKind ^ size).Next()).Next();
+}
 
 } // namespace
 
@@ -47,7 +60,7 @@
                             Instant aNow)
 {
   mServers.assign(aServers.begin(), aServers.end());
-  for (const auto& [group, pool] : mPools) {
+  for (const auto& [group, state] : mGroups) {
     std::vector<ServerRecord> own;
     for (const auto& it : mServers) {
       if (it.mService == group.mService &&
@@ -55,30 +68,48 @@
         own.push_back(it);
       }
     }
-    (void)pool->Update(own, aNow);
+    (void)state.mPool->Update(own, aNow);
   }
 }
 
 void
 PlacementLedger::SetLoading(const std::set<ServerId>& aServers, Instant aNow)
 {
-  for (auto& [group, pool] : mPools) {
-    pool->SetLoading(aServers, aNow);
+  for (auto& [group, state] : mGroups) {
+    state.mPool->SetLoading(aServers, aNow);
   }
 }
 
-ServerPool&
-PlacementLedger::PoolOf(const PlacementGroup& aGroup, Instant aNow)
+PlacementLedger::Group&
+PlacementLedger::GroupOf(const PlacementGroup& aGroup, Instant aNow)
 {
-  auto& pool = mPools[aGroup];
-  if (pool == nullptr) {
+  auto& group = mGroups[aGroup];
+  if (group.mPool == nullptr) {
     ServerPoolSettings settings;
     settings.mSeesAllPrompts = true;
-    pool = std::make_unique<ServerPool>(mOwnZone, settings, &mGate);
+    group.mPool = std::make_unique<ServerPool>(mOwnZone, settings, &mGate);
     const auto servers = std::move(mServers);
     SetServers(servers, aNow);
   }
-  return *pool;
+  return group;
+}
+
+bool
+PlacementLedger::Admits(Group& aGroup,
+                        const PlacementRequest& aRequest,
+                        const ChosenServer& aChoice,
+                        Instant aNow)
+{
+  const auto& query = aRequest.mQuery;
+  if (!query.mModel || aRequest.mMustPlace) {
+    return true;
+  }
+  double load = ToMillis(aChoice.mAdmissionTime) /
+                (mSettings.mMaxObjectives * ToMillis(query.mObjective));
+  if (aGroup.mReturns.Take(CallerOf(query), aNow)) {
+    load *= kReturnLoad;
+  }
+  return aGroup.mAdmission.Admits(query.mRank, load, aNow);
 }
 
 void
@@ -117,7 +148,8 @@
   PlacementReply reply;
   reply.mTicket = aRequest.mTicket;
   DropOtherIncarnations(aClient, aNow);
-  auto& pool = PoolOf(aRequest.mGroup, aNow);
+  auto& group = GroupOf(aRequest.mGroup, aNow);
+  auto& pool = *group.mPool;
   const auto& query = aRequest.mQuery;
   const auto choice = pool.Choose(query, aNow);
   if (!choice) {
@@ -132,12 +164,18 @@
   reply.mReason = choice->mReason;
   reply.mTime = choice->mTime;
   reply.mCandidates = choice->mCandidates;
-  if (query.mModel && !aRequest.mMustPlace &&
-      RefusePrompt(choice->mAdmissionTime, query.mObjective, mSettings)) {
+  if (!Admits(group, aRequest, *choice, aNow)) {
     reply.mOutcome = PlacementOutcome::Busy;
-    reply.mTime = choice->mAdmissionTime;
+    reply.mTime = group.mReturns.Give(CallerOf(query),
+                                      query.mRank,
+                                      choice->mAdmissionTime,
+                                      aRequest.mTimeLeft,
+                                      aNow);
     return reply;
   }
+  if (query.mModel) {
+    group.mReturns.NoteGranted(aNow);
+  }
   reply.mOutcome = PlacementOutcome::Granted;
   mGate.Take(choice->mServer, aNow);
   const GrantId id(aClient.mDaemon, aRequest.mTicket);
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -1,6 +1,7 @@
 #include "request_run.h"
 
 #include <bilberrytrail/entry/admission.h>
+#include <bilberrytrail/entry/return_places.h>
 
 #include <bilberrytrail/base/digest.h>
 
@@ -156,9 +157,8 @@
     mChoice = ChosenServer();
     mChoice.mTime = reply->mTime;
     mChoice.mCandidates = reply->mCandidates;
-    const AdmissionSettings bounds;
     RefuseLate(
-      std::clamp(reply->mTime, bounds.mMinRetryAfter, bounds.mMaxRetryAfter));
+      std::clamp(reply->mTime, ReturnPlaces::kLeast, ReturnPlaces::kMost));
     return false;
   }
   if (reply->mOutcome == PlacementOutcome::Limited) {
--- a/packages/entry/src/server_estimate.cpp
+++ b/packages/entry/src/server_estimate.cpp
@@ -46,7 +46,9 @@
   for (std::size_t n = 0; n <= aQuery.mRank && n < kRanks; ++n) {
     used += aServer.mMemory[n];
   }
-  const double missing = used + aQuery.mMemory - aQuery.mServerMemory;
+  const double room =
+    aQuery.mServerMemory * (aQuery.mRank > 0 ? mSettings.mLessUrgentMemory : 1);
+  const double missing = used + aQuery.mMemory - room;
   if (aQuery.mServerMemory <= 0 || missing <= 0 || used <= 0) {
     return Duration(0);
   }
