Take neither a cut answer nor an odd status for an answer; tests and notes

Cause: after a failed write of a long request, the reset of its connection reads like an end in order, so that an early answer without a length passed as whole; a status below 100 was skipped like an interim one. Change: such an end is an error, and so is a status out of range.

--- a/packages/entry/src/return_places.cpp
+++ b/packages/entry/src/return_places.cpp
@@ -45,6 +45,11 @@
                    Duration aTimeLeft,
                    Instant aNow)
 {
+  // Repeating a request early must not push the places of others back.
+  const auto own = mPlaces.find(aCaller);
+  if (own != mPlaces.end() && aNow < own->second) {
+    return std::max(own->second - aNow, kLeast);
+  }
   const auto rank = std::min<std::size_t>(aRank, kRanks - 1);
   const auto most =
     std::clamp(FromMillis(ToMillis(aTimeLeft) * kTimeShare), kLeast, kMost);
--- a/packages/entry/tests/server_pool_test.cpp
+++ b/packages/entry/tests/server_pool_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <set>
 
@@ -368,6 +370,71 @@
   CHECK(pool.Choose(PromptQuery(7919), At(20s)));
 }
 
+TEST_CASE("a server whose loading has ended has the newest weights")
+{
+  ServerPool pool(kOwnZone, ServerPoolSettings());
+  (void)pool.Update(Servers(1, kEngines), At(0s));
+  auto query = PromptQuery(7919);
+  query.mNewestVersion = 2;
+  const auto version = [&](Instant aNow) {
+    return pool.Choose(query, aNow)->mWeightVersion;
+  };
+  CHECK(version(At(0s)) == 1);
+  pool.SetLoading({ ServerId("s0") }, At(0s));
+  pool.SetLoading({}, At(1s));
+  CHECK(version(At(1s)) == 2);
+  // It says otherwise: the order was not carried out.
+  pool.DenyVersion(ServerId("s0"), kModel, 2, 2);
+  CHECK(version(At(1s)) == 1);
+  // A notice that was not renewed does not tell that the loading has ended.
+  pool.SetLoading({ ServerId("s0") }, At(2s));
+  pool.SetLoading({}, At(2s + ServerPoolSettings().mLoadingNoticeTime));
+  CHECK(version(At(5s)) == 1);
+}
+
+// Load: all daemons have prompts for a server that has just started, while the
+// others of its group have room.
+TEST_CASE("a server that starts gets more as it answers in time")
+{
+  struct Row
+  {
+    Duration mAnswerTime;
+    std::size_t mLeast;
+    std::size_t mMost;
+  };
+  for (const Row& row : { Row{ 40ms, 17, 100 }, Row{ 600ms, 2, 4 } }) {
+    CAPTURE(row.mAnswerTime);
+    ServerPool pool(kOwnZone, ServerPoolSettings());
+    (void)pool.Update(Servers(1, kEngines), At(0s));
+    (void)pool.Update(Servers(2, kEngines), At(0s));
+    const ServerId started("s1");
+    std::size_t most = 0;
+    std::deque<std::pair<Instant, SendTicket>> sent;
+    for (Instant now = At(0s); now < At(3s); now += 5ms) {
+      while (!sent.empty() && sent.front().first <= now) {
+        pool.OnProgress(sent.front().second, now);
+        (void)pool.End(sent.front().second, SendOutcome::Answered, now);
+        sent.pop_front();
+      }
+      auto query = PromptQuery(0);
+      query.mWork = 200;
+      query.mMissWork = 0;
+      const auto choice = pool.Choose(query, now);
+      REQUIRE(choice);
+      const auto ticket = pool.Begin(choice->mServer, query, now);
+      if (choice->mServer == started) {
+        sent.emplace_back(now + row.mAnswerTime, ticket);
+        most = std::max(most, sent.size());
+      } else {
+        pool.OnProgress(ticket, now);
+        (void)pool.End(ticket, SendOutcome::Answered, now);
+      }
+    }
+    CHECK(most >= std::min<std::size_t>(row.mLeast, 3));
+    CHECK(most <= row.mMost);
+  }
+}
+
 // Long prompts queue one after another, while a server starts short prompts of
 // a more urgent rank at once: a burst of long prompts must not get the short
 // ones refused.
--- a/packages/entry/tests/weight_rollout_test.cpp
+++ b/packages/entry/tests/weight_rollout_test.cpp
@@ -157,6 +157,46 @@
   }
 }
 
+// Load: servers that stand by after they have loaded, until the table shows it,
+// are missing at the crest of the demand.
+TEST_CASE("a server that says it has loaded makes room for the next one")
+{
+  const WeightRolloutSettings settings;
+  const auto servers = Servers(12);
+  WeightRollout rollout(settings);
+  const auto first = rollout.Next(servers, kNewest, kTimeLeft, At(0s));
+  REQUIRE(first.size() == 2);
+  for (const auto& order : first) {
+    rollout.OnOutcome(order, OrderOutcome::Accepted, At(0s));
+  }
+  const auto checkAt = At(settings.mFirstLoadCheck);
+  CHECK(rollout.Checks(checkAt - 1ms).empty());
+  CHECK(rollout.Checks(checkAt).size() == 2);
+  // Without an answer, or one that it has finished, a server goes on to load.
+  rollout.OnOutcome(first[0], OrderOutcome::Busy, checkAt);
+  rollout.OnOutcome(first[1], OrderOutcome::NotReached, checkAt);
+  CHECK(rollout.Loading(checkAt).size() == 2);
+  CHECK(rollout.Next(servers, kNewest, kTimeLeft, checkAt).empty());
+  const auto again = checkAt + settings.mLoadRecheck;
+  CHECK(rollout.Checks(again).size() == 2);
+  rollout.OnOutcome(first[0], OrderOutcome::AlreadyDone, again);
+  CHECK(rollout.Loading(again) == std::set{ first[1].mServer });
+  CHECK(rollout.LoadTime() == again - At(0s));
+  const auto next = rollout.Next(servers, kNewest, kTimeLeft, again);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].mServer != first[0].mServer);
+  // Later ones are asked when loads usually end.
+  rollout.OnOutcome(next[0], OrderOutcome::Accepted, again);
+  CHECK(rollout.Checks(again + 800ms).size() == 1);
+  CHECK(rollout.Checks(again + 860ms).size() == 1);
+  // The table may not show it for a while.
+  CHECK(
+    std::ranges::none_of(rollout.Next(servers, kNewest, kTimeLeft, again + 2s),
+                         [&](const WeightOrder& aOrder) {
+                           return aOrder.mServer == first[0].mServer;
+                         }));
+}
+
 TEST_CASE("a newer version is ordered once the one in progress is loaded")
 {
   auto servers = Servers(1);
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -23,7 +23,9 @@
 // Number of interim responses, and late ones to earlier requests, that are
 // skipped before the connection is given up.
 constexpr int kMaxSkippedResponses = 4;
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 // After a failed write, time to read a response that the peer sent before it
 // stopped reading.
 constexpr Duration kEarlyResponseTimeout = 20ms;
@@ -215,7 +217,7 @@
   auto stream = std::make_unique<HttpStream::Impl>(
     mImpl, aEndpoint, std::move(connection), aOptions.mCancel);
   if (writeError) {
-    stream->ForbidReuse();
+    stream->NoteCutRequest();
   }
   const auto echo = FindHeader(aRequest.mHeaders, aOptions.mEchoHeader);
   const auto headDeadline =
@@ -226,6 +228,12 @@
     if (code) {
       return MakeError(SendState::MaybeSent, writeError ? writeError : code);
     }
+    if (stream->Status() < kFirstStatus || stream->Status() > kLastStatus) {
+      return HttpError{ SendState::MaybeSent,
+                        ErrorCode::Corrupt,
+                        "status of the response is out of range: " +
+                          std::to_string(stream->Status()) };
+    }
     if (stream->Status() < kFirstFinalStatus) {
       if (auto ok = stream->SkipResponse(end); !ok) {
         return ToError(ok.error());
--- a/packages/runtime/src/http_client_impl.h
+++ b/packages/runtime/src/http_client_impl.h
@@ -112,15 +112,17 @@
   Result<std::optional<std::string>> Read(Instant aDeadline);
   Result<std::optional<std::string>> ReadLine(Instant aDeadline);
   void Cancel();
-  // Prevents reuse of the connection, for a request that was not sent
-  // completely.
-  void ForbidReuse() noexcept { mReusable = false; }
+  // Notes that the request was not sent completely: the connection is not
+  // reused, and its end is no end of an answer.
+  void NoteCutRequest() noexcept { mIsRequestCut = true; }
   // Once the response has been read completely, returns the connection to the
   // client for reuse or closes it.
   void ReleaseWhenDone();
 
 private:
   void StartResponse();
+  // Returns what Read returns after the last piece of a body.
+  [[nodiscard]] Result<std::optional<std::string>> EndOfBody() const;
   void Detach();
   void Close();
 
@@ -132,7 +134,7 @@
     boost::beast::http::response_parser<boost::beast::http::buffer_body>>
     mParser;
   bool mSkipping = false;
-  bool mReusable = true;
+  bool mIsRequestCut = false;
   unsigned mStatus = 0;
   HttpHeaders mHeaders;
   // Memory of the headers.
--- a/packages/runtime/src/http_stream.cpp
+++ b/packages/runtime/src/http_stream.cpp
@@ -125,7 +125,7 @@
     return;
   }
   Detach();
-  if (mParser->keep_alive() && mReusable) {
+  if (mParser->keep_alive() && !mIsRequestCut) {
     const auto idle = AnnouncedIdleTime(FindHeader(mHeaders, "Keep-Alive"));
     mConnection->mUsableUntil =
       idle ? MonotonicNow() + *idle - kIdleMargin : Instant::max();
@@ -134,11 +134,24 @@
   mConnection.reset();
 }
 
+// After a failed write, a connection that the peer has reset reads as if the
+// peer had closed it in order.
+Result<std::optional<std::string>>
+HttpStream::Impl::EndOfBody() const
+{
+  if (mIsRequestCut && mParser->need_eof()) {
+    return Fail(ErrorCode::Unavailable,
+                "response cut: connection ended before the whole request was "
+                "sent");
+  }
+  return std::optional<std::string>();
+}
+
 Result<std::optional<std::string>>
 HttpStream::Impl::Read(Instant aDeadline)
 {
   if (mParser->is_done()) {
-    return std::optional<std::string>();
+    return EndOfBody();
   }
   if (mConnection == nullptr) {
     return Fail(ErrorCode::Unavailable, "connection is closed");
@@ -169,7 +182,7 @@
     }
     if (mParser->is_done()) {
       ReleaseWhenDone();
-      return std::optional<std::string>();
+      return EndOfBody();
     }
   }
 }
