--- a/packages/base/include/bilberrytrail/base/series.h
+++ b/packages/base/include/bilberrytrail/base/series.h
@@ -92,9 +92,6 @@
   ImportedBytes,
   ExportedBytes,
   RefusedTokens,
-  // Refusals since the servers take no more: by the rates that they name, or
-  // since they are cold.
-  RefusedLimited,
   // Replies to the daemons that follow this one, and their bytes; the class
   // names the kind of the replies. One that was built serves many replies.
   RelayReplies,
@@ -105,7 +102,7 @@
 template<>
 struct EnumNames<Counter>
 {
-  static constexpr std::array<std::string_view, 17> kNames{
+  static constexpr std::array<std::string_view, 16> kNames{
     "requests",
     "answered",
     "refused_not_run",
@@ -119,7 +116,6 @@
     "imported_bytes",
     "exported_bytes",
     "refused_tokens",
-    "refused_limited",
     "relay_replies",
     "relay_reply_bytes",
     "relay_built_bytes"
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -418,7 +418,9 @@
                 2003,
                 Info,
                 "site_servers_changed",
-                "The list of backend servers of the table platform changed.",
+                "The list of backend servers of the table platform changed, or "
+                "the operator began or ended the evacuation of an "
+                "availability zone; `cause` tells why.",
                 "Nothing." },
   LogEventInfo{ WeightsNamed,
                 2004,
@@ -539,31 +541,9 @@
                 "server_limit_changed",
                 "A backend server names another request rate limit, "
                 "`per_second`, that holds for all daemons together; 0 when "
-                "it names none any more.",
+                "it names none any more. With `cause=cold` it is cold, or may "
+                "be about to start again, and bears no more for a time.",
                 "Find out why the server is short of capacity." },
-  LogEventInfo{ ServerCold,
-                2037,
-                Info,
-                "server_cold",
-                "A backend server is cold `for` a time, or may be about to "
-                "start again; all daemons together send it no more than it "
-                "takes in this state.",
-                "Nothing for single events; otherwise find out why the server "
-                "restarts." },
-  LogEventInfo{ ZoneEvacuated,
-                2038,
-                Info,
-                "zone_evacuated",
-                "The operator has an availability zone evacuated: its backend "
-                "servers get nothing new.",
-                "Nothing." },
-  LogEventInfo{ ZoneReturned,
-                2039,
-                Info,
-                "zone_returned",
-                "The evacuation of an availability zone is over: its backend "
-                "servers get work again, at the pace of cold ones.",
-                "Nothing." },
   LogEventInfo{ OldWeightsCutOff,
                 2021,
                 Info,
--- a/packages/entry/src/cold_servers.cpp
+++ b/packages/entry/src/cold_servers.cpp
@@ -12,6 +12,15 @@
 // servers break off single ones.
 constexpr unsigned kBrokenToLose = 2;
 
+void
+LogCold(const ServerId& aServer, const ColdBound& aBound)
+{
+  LogLine(LogEvent::ServerLimitChanged,
+          { { "server", aServer },
+            { "per_second", std::to_string(aBound.mPerSecond) },
+            { "cause", "cold" } });
+}
+
 } // namespace
 
 const ColdBound*
@@ -91,8 +100,7 @@
   aEntry.mUntil = aUntil;
   if (!wasCold) {
     aEntry.mSince = aNow;
-    LogLine(LogEvent::ServerCold,
-            { { "server", aServer }, { "for", aUntil - aNow } });
+    LogCold(aServer, *BoundOf(aEntry));
   }
 }
 
@@ -136,8 +144,7 @@
 {
   if (!aEntry.IsCold(aNow)) {
     aEntry.mSince = aNow;
-    LogLine(LogEvent::ServerCold,
-            { { "server", aServer }, { "for", Duration(0) } });
+    LogCold(aServer, *BoundOf(aEntry));
   }
   aEntry.mIsLost = true;
 }
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -223,7 +223,6 @@
 void
 RequestRun::RefuseLimited(Duration aRetryDelay)
 {
-  mContext.mCounts.Add(Labels(), Counter::RefusedLimited);
   Refuse(RefusalReason::QueueFull,
          "The servers of the service have reached their rate limits.",
          aRetryDelay);
--- a/packages/entry/src/server_limits.cpp
+++ b/packages/entry/src/server_limits.cpp
@@ -111,7 +111,8 @@
   entry.mLimit.mPerSecond = aObservation.mPerSecond;
   LogLine(LogEvent::ServerLimitChanged,
           { { "server", aObservation.mServer },
-            { "per_second", std::to_string(aObservation.mPerSecond) } });
+            { "per_second", std::to_string(aObservation.mPerSecond) },
+            { "cause", "named" } });
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -23,14 +23,18 @@
 void
 LogEvacuations(const std::set<ZoneId>& aBefore, const std::set<ZoneId>& aNow)
 {
+  const auto log = [](const ZoneId& aZone, std::string_view aCause) {
+    LogLine(LogEvent::SiteServersChanged,
+            { { "cause", aCause }, { "zone", aZone } });
+  };
   for (const auto& it : aNow) {
     if (!aBefore.contains(it)) {
-      LogLine(LogEvent::ZoneEvacuated, { { "zone", it } });
+      log(it, "evacuated");
     }
   }
   for (const auto& it : aBefore) {
     if (!aNow.contains(it)) {
-      LogLine(LogEvent::ZoneReturned, { { "zone", it } });
+      log(it, "evacuation_ended");
     }
   }
 }
