--- a/packages/entry/include/bilberrytrail/entry/cold_servers.h
+++ b/packages/entry/include/bilberrytrail/entry/cold_servers.h
@@ -33,9 +33,11 @@
 // Which servers are cold, as far as this daemon knows: they tell it in the
 // table, and a server whose connections fail may be about to start again, so
 // that it counts as cold from then on until it has answered for the time that a
-// server is cold. A server of an evacuated availability zone counts as cold
-// until that time has passed since the evacuation. Servers of services without
-// a bound are never cold. Not thread-safe.
+// server is cold. Connections to a server that others reach fail for another
+// reason: it answers at once, and is not cold. A server of an evacuated
+// availability zone counts as cold until that time has passed since the
+// evacuation. Servers of services without a bound are never cold. Not
+// thread-safe.
 //
 //   colds.Update(view.mServers, now);
 //   colds.OnLost(server, now);
@@ -86,6 +88,8 @@
     bool mIsLost = false;
     // Connections that it broke off since its last answer.
     unsigned mBroken = 0;
+    std::optional<Instant> mAnsweredAt;
+    Instant mLostAt;
     Instant mSince;
     Instant mUntil;
 
--- a/packages/entry/src/cold_servers.cpp
+++ b/packages/entry/src/cold_servers.cpp
@@ -11,6 +11,11 @@
 // Connections broken off in a row after which a server may have ended: healthy
 // servers break off single ones.
 constexpr unsigned kBrokenToLose = 2;
+// A server that answered within this time before a connection failed has not
+// ended, as far as is known; nor has one that answers within kRestartTime after
+// it, which is shorter than any restart.
+constexpr Duration kAliveTime = 100ms;
+constexpr Duration kRestartTime = 300ms;
 
 void
 LogCold(const ServerId& aServer, const ColdBound& aBound)
@@ -142,10 +147,16 @@
 void
 ColdServers::Lose(const ServerId& aServer, Entry& aEntry, Instant aNow)
 {
+  if (aEntry.mAnsweredAt && aNow < *aEntry.mAnsweredAt + kAliveTime) {
+    return;
+  }
   if (!aEntry.IsCold(aNow)) {
     aEntry.mSince = aNow;
     LogCold(aServer, *BoundOf(aEntry));
   }
+  if (!aEntry.mIsLost) {
+    aEntry.mLostAt = aNow;
+  }
   aEntry.mIsLost = true;
 }
 
@@ -171,10 +182,14 @@
   }
   auto& entry = it->second;
   entry.mBroken = 0;
+  entry.mAnsweredAt = aNow;
   const auto* bound = BoundOf(entry);
-  if (entry.mIsLost && bound != nullptr) {
+  if (!entry.mIsLost || bound == nullptr) {
+    return;
+  }
+  entry.mIsLost = false;
+  if (aNow >= entry.mLostAt + kRestartTime) {
     entry.mUntil = std::max(entry.mUntil, aNow + bound->mTime);
-    entry.mIsLost = false;
   }
 }
 
--- a/packages/entry/src/rollout_runner.cpp
+++ b/packages/entry/src/rollout_runner.cpp
@@ -220,7 +220,10 @@
               { "weights", aOrder.mVersion } });
   }
   mRollout.OnOutcome(aOrder, outcome, MonotonicNow());
-  mNotifier.Publish(mRollout.Loading(MonotonicNow()));
+  // Another holder knows better by now which servers load.
+  if (mLease.EpochForOrder(BootNow())) {
+    mNotifier.Publish(mRollout.Loading(MonotonicNow()));
+  }
 }
 
 // The lease is checked after the server's state was read, as the last step
--- a/packages/entry/tests/cold_servers_test.cpp
+++ b/packages/entry/tests/cold_servers_test.cpp
@@ -139,6 +139,11 @@
     { { { 0s, Refused } }, 60s, true },
     { { { 0s, Refused }, { 4s, Answered } }, 6900ms, true },
     { { { 0s, Refused }, { 4s, Answered } }, 7100ms, false },
+    // It answers others: only the way to it failed.
+    { { { 0s, Answered }, { 50ms, Refused } }, 51ms, false },
+    { { { 0s, Answered }, { 150ms, Refused } }, 151ms, true },
+    { { { 0s, Refused }, { 200ms, Answered } }, 201ms, false },
+    { { { 0s, Answered }, { 50ms, ToldLost } }, 51ms, false },
     { { { 0s, Refused }, { 1s, Restarted } }, 3900ms, true },
     { { { 0s, Refused }, { 1s, Restarted } }, 4100ms, false },
     { { { 0s, Evacuated }, { 9s, Listed } }, 11900ms, true },
