Anchor the learned speed at the assumed slope, and pace without stampedes

Cause: tests of equal prompts and of a server that bears eight failed. Change: the assumed speed is a prior on the slope; the pace narrows once for what was sent before, and rises slowly after; averages of ranks hold briefly.

--- a/packages/entry/include/bilberrytrail/entry/reading_speed.h
+++ b/packages/entry/include/bilberrytrail/entry/reading_speed.h
@@ -14,7 +14,8 @@
 class ReadingSpeed
 {
 public:
-  // aAssumed, in tokens per millisecond, counts as much as some answers.
+  // aAssumed, in tokens per millisecond, counts as much as some answers of
+  // different sizes.
   explicit ReadingSpeed(double aAssumed) noexcept;
 
   [[nodiscard]] double TokensPerMs() const noexcept;
@@ -23,8 +24,6 @@
   void Note(double aTokens, Duration aTook) noexcept;
 
 private:
-  void Add(double aTokens, double aMillis, double aWeight) noexcept;
-
   double mAssumed;
   // Sums for a weighted linear regression, in thousands of tokens and in
   // milliseconds.
--- a/packages/entry/include/bilberrytrail/entry/recovery_pace.h
+++ b/packages/entry/include/bilberrytrail/entry/recovery_pace.h
@@ -8,8 +8,9 @@
 
 // Finds how many requests a server that has just started or recovered bears at
 // once, from how it answers: it begins with a few that wait for their first
-// event, takes one more for each that came in time, and half as many after one
-// that came late or was rejected. It is no longer paced once it bears kUnpaced.
+// event, takes one more for each that came in time, and half as many once some
+// come late or are rejected; from then on one more for each time that all came
+// in time. It is no longer paced once it bears kUnpaced.
 //
 //   pace.Start();
 //   if (pace.Allows(waiting)) { ... }
@@ -20,7 +21,7 @@
   // Requests that a server may have waiting at first.
   static constexpr double kFirst = 2;
   // Waiting requests up to which a server is paced.
-  static constexpr double kUnpaced = 16;
+  static constexpr double kUnpaced = 32;
   // A first event within this multiple of the time that was expected for it,
   // and in any case within kMinInTime, came in time.
   static constexpr double kInTime = 2;
@@ -42,7 +43,13 @@
   void NoteRejected() noexcept;
 
 private:
+  void Narrow() noexcept;
+
   bool mIsActive = false;
+  // No answer was late yet.
+  bool mIsFirstRise = true;
+  // Answers that were sent before the window narrowed.
+  double mEarlier = 0;
   double mWindow = kFirst;
 };
 
--- a/packages/entry/src/rank_admission.cpp
+++ b/packages/entry/src/rank_admission.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-// Weight of a prompt in the average load of its rank, and the time in which the
-// average fades without prompts.
+// Weight of a prompt in the average load of its rank. Without prompts the
+// average holds for a moment, then fades.
 constexpr double kWeight = 0.1;
-constexpr Duration kLifetime = 500ms;
+constexpr Duration kHoldTime = 100ms;
+constexpr Duration kLifetime = 300ms;
 // A higher load counts as this one, so that a single prompt does not hold
 // others back for long.
 constexpr double kMostLoad = 1.5;
@@ -20,7 +21,8 @@
 double
 RankAdmission::LoadOf(const Average& aAverage, Instant aNow) const
 {
-  const double age = ToMillis(aNow - aAverage.mAt);
+  const double age =
+    ToMillis(std::max(aNow - aAverage.mAt - kHoldTime, Duration(0)));
   return aAverage.mLoad * std::exp(-age / ToMillis(kLifetime));
 }
 
--- a/packages/entry/src/reading_speed.cpp
+++ b/packages/entry/src/reading_speed.cpp
@@ -8,9 +8,8 @@
 
 // Share of its weight that an answer keeps with each further one.
 constexpr double kKept = 0.995;
-// Answers that the assumed speed counts as, and the work that they had.
-constexpr double kAssumedAnswers = 25;
-constexpr double kAssumedTokens = 4000;
+// Spread of the work, in squares of the unit, that the assumed speed counts as.
+constexpr double kAssumedSpread = 100;
 // Bounds of the speed, as multiples of the assumed one.
 constexpr double kLeast = 0.25;
 constexpr double kMost = 2;
@@ -23,42 +22,39 @@
 ReadingSpeed::ReadingSpeed(double aAssumed) noexcept
   : mAssumed(aAssumed)
 {
-  Add(0, 0, kAssumedAnswers / 2);
-  Add(kAssumedTokens, kAssumedTokens / mAssumed, kAssumedAnswers / 2);
-}
-
-void
-ReadingSpeed::Add(double aTokens, double aMillis, double aWeight) noexcept
-{
-  const double x = aTokens / kTokensPerUnit;
-  mWeight += aWeight;
-  mX += aWeight * x;
-  mY += aWeight * aMillis;
-  mXx += aWeight * x * x;
-  mXy += aWeight * x * aMillis;
 }
 
 double
 ReadingSpeed::TokensPerMs() const noexcept
 {
-  const double spread = mWeight * mXx - mX * mX;
-  const double rise = mWeight * mXy - mX * mY;
-  if (spread <= 0 || rise <= 0) {
+  if (mWeight <= 0) {
     return mAssumed;
   }
-  return std::clamp(
-    kTokensPerUnit * spread / rise, kLeast * mAssumed, kMost * mAssumed);
+  const double assumedSlope = kTokensPerUnit / mAssumed;
+  const double spread = mXx - mX * mX / mWeight + kAssumedSpread;
+  const double rise = mXy - mX * mY / mWeight + kAssumedSpread * assumedSlope;
+  return rise <= 0 ? kMost * mAssumed
+                   : std::clamp(kTokensPerUnit * spread / rise,
+                                kLeast * mAssumed,
+                                kMost * mAssumed);
 }
 
 void
 ReadingSpeed::Note(double aTokens, Duration aTook) noexcept
 {
-  const double base = std::max(mY - mX * kTokensPerUnit / TokensPerMs(), 0.0);
-  const double expected = base / mWeight + aTokens / TokensPerMs();
-  for (auto* it : { &mWeight, &mX, &mY, &mXx, &mXy }) {
-    *it *= kKept;
+  const double speed = TokensPerMs();
+  double millis = ToMillis(aTook);
+  if (mWeight > 0) {
+    const double base =
+      std::max(mY - mX * kTokensPerUnit / speed, 0.0) / mWeight;
+    millis = std::min(millis, kMaxTimes * (base + aTokens / speed) + 1);
   }
-  Add(aTokens, std::min(ToMillis(aTook), kMaxTimes * expected + 1), 1);
+  const double x = aTokens / kTokensPerUnit;
+  mWeight = mWeight * kKept + 1;
+  mX = mX * kKept + x;
+  mY = mY * kKept + millis;
+  mXx = mXx * kKept + x * x;
+  mXy = mXy * kKept + x * millis;
 }
 
 } // namespace bilberrytrail
