--- a/packages/entry/src/reading_speed.cpp
+++ b/packages/entry/src/reading_speed.cpp
@@ -11,10 +11,10 @@
 // Spread of the work, in squares of the unit, that the assumed speed counts as.
 constexpr double kAssumedSpread = 100;
 // Bounds of the speed, as multiples of the assumed one.
-constexpr double kLeast = 0.25;
+constexpr double kLeast = 0.5;
 constexpr double kMost = 2;
 // A longer time than this multiple of the expected one has another cause.
-constexpr double kMaxTimes = 4;
+constexpr double kMaxTimes = 2.5;
 constexpr double kTokensPerUnit = 1000;
 
 } // namespace
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -261,6 +261,8 @@
       send.mIsPrompt = true;
       server.mMemory[rank] += send.mMemory;
       server.mLoad.Add(rank, send.mWork, aNow);
+      server.mSent[rank] += send.mWork;
+      send.mSentAbove = server.SentAbove(rank);
     }
     server.mWaiting.insert(ticket);
   }
@@ -301,7 +303,9 @@
   auto& speed =
     mSpeeds.try_emplace(aServer.mRecord.mService, mSettings.mTokensPerMs)
       .first->second;
-  speed.Note(aSend.mTokens, aNow - aSend.mSentAt);
+  // Urgent prompts that came later were read first.
+  const double overtaking = aServer.SentAbove(aSend.mRank) - aSend.mSentAbove;
+  speed.Note(aSend.mTokens + overtaking, aNow - aSend.mSentAt);
   aServer.mLoad.SetSpeed(speed.TokensPerMs(), aNow);
 }
 
--- a/packages/entry/src/server_pool_state.h
+++ b/packages/entry/src/server_pool_state.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace bilberrytrail {
 
@@ -39,6 +40,8 @@
   RecentParts mParts;
   // Memory that the prompts at the server take, in tokens, by rank.
   std::array<double, kRanks> mMemory{};
+  // Work that was ever sent to the server, in tokens, by rank.
+  std::array<double, kRanks> mSent{};
   std::array<RankDelay, kRanks> mDelays;
   std::optional<Instant> mLastReceivedAt;
   unsigned mFailures = 0;
@@ -49,6 +52,12 @@
   std::optional<Instant> mLoadingUntil;
   RecoveryPace mPace;
 
+  // Returns the work of more urgent ranks that was ever sent to the server.
+  [[nodiscard]] double SentAbove(unsigned aRank) const noexcept
+  {
+    return std::accumulate(mSent.begin(), mSent.begin() + aRank, 0.0);
+  }
+
   // Returns a key for the prompt's shared parts under the weights that are
   // loaded.
   [[nodiscard]] std::uint64_t PartOf(const ServerQuery& aQuery) const
@@ -69,6 +78,8 @@
   double mWork = 0;
   // Work until the first event, with what was ahead of it.
   double mTokens = 0;
+  // Work of more urgent ranks that was sent to the server before.
+  double mSentAbove = 0;
   // Expected time to the first event: for the work ahead of it and its own, and
   // the baseline beyond that work.
   Duration mWorkTime{};
