Weigh the pace of a server against how far the others are behind

Cause: review: prompts were refused by a full server while a paced one had room; returning prompts lowered the average load of their rank; a last resort counted as calm; negative work and odd numbers from datagrams were not checked. Change: a penalty in place of an exclusion, counted by rank; the return factor only decides; checks; two tests of the home.

--- a/packages/entry/include/bilberrytrail/entry/rank_admission.h
+++ b/packages/entry/include/bilberrytrail/entry/rank_admission.h
@@ -28,8 +28,11 @@
   static constexpr double kFreeLoad = 0.1;
 
   // Returns whether a prompt is admitted, and counts its load for less urgent
-  // ones.
-  [[nodiscard]] bool Admits(unsigned aRank, double aLoad, Instant aNow);
+  // ones. The load that decides is aFactor times its own.
+  [[nodiscard]] bool Admits(unsigned aRank,
+                            double aLoad,
+                            Instant aNow,
+                            double aFactor = 1);
   // Returns the average load of the prompts that are more urgent.
   [[nodiscard]] double LoadAbove(unsigned aRank, Instant aNow) const;
 
--- a/packages/entry/include/bilberrytrail/entry/reading_speed.h
+++ b/packages/entry/include/bilberrytrail/entry/reading_speed.h
@@ -20,7 +20,8 @@
 
   [[nodiscard]] double TokensPerMs() const noexcept;
   // Records the time from a send to its first event, and the tokens of work
-  // that the server had to do before it.
+  // that the server had to do before it. A negative one is left out: it comes
+  // from a send whose server has restarted since.
   void Note(double aTokens, Duration aTook) noexcept;
 
 private:
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -170,6 +170,10 @@
   double mMissFactor = 1.5;
   // Penalty on the estimate for older weights, as a share of the objective.
   double mOldWeightsObjectives = 0.5;
+  // Penalty on the estimate for a server that has started or recovered and has
+  // as much waiting as it is known to bear, as a share of the objective: it is
+  // used beyond only when the others are further behind.
+  double mPacedObjectives = 0.5;
   // Limit of a kind's baseline in the estimate, as a share of the objective, so
   // that a high baseline alone never gets all prompts of a kind refused.
   double mBaselineObjectives = 0.25;
@@ -308,11 +312,16 @@
   // its kind. Admission uses it, so that prompts of all sizes are refused
   // equally often.
   [[nodiscard]] ServerQuery ScaledToAverage(const ServerQuery& aQuery) const;
-  // Returns the estimated time, plus the penalty for older weights.
+  // Returns the estimated time, plus the penalties for older weights and for a
+  // server that has as much waiting as its pace allows.
   [[nodiscard]] Duration CostAt(const ServerQuery& aQuery,
                                 const Server& aServer,
                                 std::size_t aPlace,
                                 Instant aNow) const;
+  // Returns the sends that wait at a server for their first event, of the same
+  // or more urgent ranks.
+  [[nodiscard]] std::size_t WaitingUpTo(const Server& aServer,
+                                        unsigned aRank) const;
   // Sorts the candidates by affinity, or rotates them for a request without
   // affinity.
   void Order(const ServerQuery& aQuery, Candidates& aCandidates);
--- a/packages/entry/src/placement_codec.cpp
+++ b/packages/entry/src/placement_codec.cpp
@@ -16,6 +16,9 @@
 constexpr char kReply = 'R';
 // An older observation of a rate limit is not sent, and rejected when read.
 constexpr Duration kMaxLimitAge = 3600s;
+// Most tokens and longest objective of a request.
+constexpr double kMaxTokens = 1e12;
+constexpr double kMaxObjectiveMs = 3.6e6;
 // Longest time for which a server is said to be cold.
 constexpr Duration kMaxColdLeft = 3600s;
 
@@ -88,11 +91,19 @@
   query.mMemory = fields.Real("memory");
   query.mServerMemory = fields.Real("server_memory");
   query.mKind = fields.Unsigned("kind");
-  query.mObjective = FromMillis(fields.Real("objective_ms"));
   query.mRank = fields.Unsigned32("rank");
   if (query.mRank >= kRanks) {
     fields.Reject("rank");
   }
+  if (!(query.mMemory >= 0 && query.mMemory <= kMaxTokens)) {
+    fields.Reject("memory");
+  }
+  const double objective = fields.Real("objective_ms");
+  if (!(objective > 0 && objective <= kMaxObjectiveMs)) {
+    fields.Reject("objective_ms");
+  } else {
+    query.mObjective = FromMillis(objective);
+  }
   for (auto& it : ReadListField(fields, "tried", ReadText)) {
     query.mTried.emplace_back(std::move(it));
   }
--- a/packages/entry/src/placement_ledger.cpp
+++ b/packages/entry/src/placement_ledger.cpp
@@ -15,8 +15,9 @@
 constexpr double kBeginTimeoutObjectives = 3.0;
 // Time by which a report may arrive late.
 constexpr Duration kReportDelayAllowance = 1s;
-// Multiple by which the load of a prompt counts that returns to its place.
-constexpr double kReturnLoad = 0.67;
+// Multiple by which the load of a prompt counts that returns to its place: it
+// is admitted up to its objective.
+constexpr double kReturnFactor = 0.8;
 
 // Names the caller of a prompt: one that returns comes with another request,
 // perhaps at another daemon, for the same prompt.
@@ -101,15 +102,16 @@
                         Instant aNow)
 {
   const auto& query = aRequest.mQuery;
-  if (!query.mModel || aRequest.mMustPlace) {
+  // A last resort has no estimate.
+  if (!query.mModel || aRequest.mMustPlace ||
+      aChoice.mReason == ChoiceReason::LastResort) {
     return true;
   }
-  double load = ToMillis(aChoice.mAdmissionTime) /
-                (mSettings.mMaxObjectives * ToMillis(query.mObjective));
-  if (aGroup.mReturns.Take(CallerOf(query), aNow)) {
-    load *= kReturnLoad;
-  }
-  return aGroup.mAdmission.Admits(query.mRank, load, aNow);
+  const double load = ToMillis(aChoice.mAdmissionTime) /
+                      (mSettings.mMaxObjectives * ToMillis(query.mObjective));
+  const bool isReturn = aGroup.mReturns.Take(CallerOf(query), aNow);
+  return aGroup.mAdmission.Admits(
+    query.mRank, load, aNow, isReturn ? kReturnFactor : 1);
 }
 
 void
--- a/packages/entry/src/rank_admission.cpp
+++ b/packages/entry/src/rank_admission.cpp
@@ -37,7 +37,10 @@
 }
 
 bool
-RankAdmission::Admits(unsigned aRank, double aLoad, Instant aNow)
+RankAdmission::Admits(unsigned aRank,
+                      double aLoad,
+                      Instant aNow,
+                      double aFactor)
 {
   const auto rank = std::min<std::size_t>(aRank, kRanks - 1);
   auto& average = mAverages[rank];
@@ -46,7 +49,7 @@
   average.mAt = aNow;
   const double above = LoadAbove(aRank, aNow);
   const double left = (kFullLoad - above) / (kFullLoad - kCalmLoad);
-  return aLoad <= std::clamp(left, kFreeLoad, 1.0);
+  return aFactor * aLoad <= std::clamp(left, kFreeLoad, 1.0);
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/src/reading_speed.cpp
+++ b/packages/entry/src/reading_speed.cpp
@@ -42,6 +42,9 @@
 void
 ReadingSpeed::Note(double aTokens, Duration aTook) noexcept
 {
+  if (aTokens < 0 || aTook < Duration(0)) {
+    return;
+  }
   const double speed = TokensPerMs();
   double millis = ToMillis(aTook);
   if (mWeight > 0) {
--- a/packages/entry/src/server_estimate.cpp
+++ b/packages/entry/src/server_estimate.cpp
@@ -1,5 +1,6 @@
 #include "server_pool_state.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace bilberrytrail {
@@ -134,12 +135,25 @@
                    std::size_t aPlace,
                    Instant aNow) const
 {
-  const auto time = TimeAt(aQuery, aServer, aPlace, aNow);
-  const bool isOld =
-    aQuery.mModel && aServer.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
-  return isOld ? time + FromMillis(ToMillis(aQuery.mObjective) *
-                                   mSettings.mOldWeightsObjectives)
-               : time;
+  double penalties = 0;
+  if (aQuery.mModel &&
+      aServer.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion) {
+    penalties += mSettings.mOldWeightsObjectives;
+  }
+  if (!aServer.mPace.Allows(WaitingUpTo(aServer, aQuery.mRank))) {
+    penalties += mSettings.mPacedObjectives;
+  }
+  return TimeAt(aQuery, aServer, aPlace, aNow) +
+         FromMillis(ToMillis(aQuery.mObjective) * penalties);
+}
+
+std::size_t
+ServerPool::WaitingUpTo(const Server& aServer, unsigned aRank) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aServer.mWaiting, [&](SendTicket aTicket) {
+      return mSends.at(aTicket).mRank <= aRank;
+    }));
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -134,7 +134,6 @@
                    Candidates& aExcluded)
 {
   Candidates usable;
-  Candidates paced;
   for (const auto& [id, server] : mServers) {
     if (!IsEligible(aQuery, *server, aNow) ||
         (mGate != nullptr && !mGate->IsOpen(id, aNow))) {
@@ -147,10 +146,9 @@
       (server->mEjectedUntil && aNow < *server->mEjectedUntil) ||
       (server->mFullUntil && aNow < *server->mFullUntil) || isLoading ||
       IsSilent(*server, aQuery.mObjective, aNow);
-    const bool isPaced = !server->mPace.Allows(server->mWaiting.size());
-    (isExcluded ? aExcluded : isPaced ? paced : usable).push_back(server.get());
+    (isExcluded ? aExcluded : usable).push_back(server.get());
   }
-  return usable.empty() ? paced : usable;
+  return usable;
 }
 
 void
--- a/packages/entry/tests/placement_ledger_test.cpp
+++ b/packages/entry/tests/placement_ledger_test.cpp
@@ -101,6 +101,58 @@
         PlacementOutcome::NoServer);
 }
 
+// Load: urgent prompts take nearly all of the time that their callers bear, and
+// long ones that could wait come on top.
+TEST_CASE("a home lets less urgent prompts in last as room runs out")
+{
+  struct Row
+  {
+    double mUrgentWork;
+    unsigned mRank;
+    PlacementOutcome mOutcome;
+  };
+  for (const Row& row : { Row{ 4000, 2, PlacementOutcome::Granted },
+                          Row{ 36'000, 2, PlacementOutcome::Busy },
+                          Row{ 36'000, 1, PlacementOutcome::Granted } }) {
+    CAPTURE(row.mUrgentWork);
+    CAPTURE(row.mRank);
+    Fixture fixture(1);
+    // The server works on this until 0 s.
+    for (std::uint64_t n = 1; n <= 40; ++n) {
+      const auto now = At(-4s + n * 100ms);
+      auto urgent = MakeRequest(n, row.mUrgentWork);
+      urgent.mQuery.mRank = 1;
+      const auto reply = fixture.mLedger.HandleRequest(kEntry, urgent, now);
+      REQUIRE(reply.mOutcome == PlacementOutcome::Granted);
+      fixture.mLedger.Report(kEntry, { n, SendOutcome::Full }, now);
+      fixture.mLedger.SetServers({}, now);
+      fixture.mLedger.SetServers(Servers(1), now);
+    }
+    auto request = MakeRequest(100, 20'000);
+    request.mQuery.mRank = row.mRank;
+    CHECK(fixture.mLedger.HandleRequest(kEntry, request, At(0s)).mOutcome ==
+          row.mOutcome);
+  }
+}
+
+// Load: refused callers return among others.
+TEST_CASE("a home keeps the place of a caller who returns in time")
+{
+  Fixture fixture(1);
+  auto first = MakeRequest(1, 45'000);
+  first.mQuery.mMemory = 7;
+  const auto refused = fixture.mLedger.HandleRequest(kEntry, first, At(0s));
+  REQUIRE(refused.mOutcome == PlacementOutcome::Busy);
+  const auto back = At(refused.mTime);
+  auto stranger = MakeRequest(2, 45'000);
+  stranger.mQuery.mMemory = 8;
+  CHECK(fixture.mLedger.HandleRequest(kEntry, stranger, back).mOutcome ==
+        PlacementOutcome::Busy);
+  first.mTicket = 3;
+  CHECK(fixture.mLedger.HandleRequest(kEntry, first, back).mOutcome ==
+        PlacementOutcome::Granted);
+}
+
 // Reports are datagrams: each may be lost, duplicated or reordered, or arrive
 // after the requesting daemon has restarted.
 TEST_CASE("grants end even if reports are lost, duplicated or reordered")
