--- a/packages/entry/include/bilberrytrail/entry/cold_servers.h
+++ b/packages/entry/include/bilberrytrail/entry/cold_servers.h
@@ -89,6 +89,9 @@
     // Connections that it broke off since its last answer.
     unsigned mBroken = 0;
     std::optional<Instant> mAnsweredAt;
+    Instant mBrokenAt;
+    // Known from another daemon only.
+    bool mIsTold = false;
     Instant mLostAt;
     Instant mSince;
     Instant mUntil;
--- a/packages/entry/include/bilberrytrail/entry/entry_settings.h
+++ b/packages/entry/include/bilberrytrail/entry/entry_settings.h
@@ -51,9 +51,6 @@
   // any second at most the rate that it takes times mColdOver, plus mColdSlack.
   double mColdOver = 1;
   double mColdSlack = 0;
-  // Time from the operator's request to evacuate an availability zone until its
-  // servers must get nothing new.
-  Duration mEvacuateWithin = 5s;
   // Optional settings that have their defaults because their value is invalid:
   // name and reason of each.
   std::vector<std::string> mDefaulted;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -244,7 +244,8 @@
                                   Instant aNow);
   // Sets which servers are loading weights, as announced by the daemon that
   // orders the loading; it holds for mLoadingNoticeTime. A server that no
-  // longer is has the newest weights, until it denies that.
+  // longer is has those that were the newest when it began, until it denies
+  // that.
   void SetLoading(const std::set<ServerId>& aServers, Instant aNow);
   // Records that a server without room has weights older than the newest.
   void ExpectLoading(const ServerId& aServer, Instant aNow);
@@ -358,6 +359,7 @@
   Duration mHoldTime{};
   std::uint64_t mLastTicket = 0;
   std::uint64_t mRoundRobin = 0;
+  std::uint64_t mLastGeneration = 0;
   // Servers that come later have started since.
   bool mHasList = false;
 };
--- a/packages/entry/src/avoided_servers.cpp
+++ b/packages/entry/src/avoided_servers.cpp
@@ -45,7 +45,7 @@
   }
   std::optional<Duration> least;
   for (const auto& it : aServers) {
-    if (it.mService != aService || it.mIsLeaving) {
+    if (it.mService != aService || it.mIsLeaving || it.mIsEvacuated) {
       continue;
     }
     const auto entry = mEntries.find(it.mId);
--- a/packages/entry/src/cold_servers.cpp
+++ b/packages/entry/src/cold_servers.cpp
@@ -11,6 +11,8 @@
 // Connections broken off in a row after which a server may have ended: healthy
 // servers break off single ones.
 constexpr unsigned kBrokenToLose = 2;
+// Time within which they count together.
+constexpr Duration kBrokenTime = 1s;
 // A server that answered within this time before a connection failed has not
 // ended, as far as is known; nor has one that answers within kRestartTime after
 // it, which is shorter than any restart.
@@ -55,7 +57,7 @@
 {
   std::vector<ColdObservation> recent;
   for (const auto& [id, entry] : mEntries) {
-    if (!entry.IsCold(aNow) || BoundOf(entry) == nullptr) {
+    if (!entry.IsCold(aNow) || entry.mIsTold || BoundOf(entry) == nullptr) {
       continue;
     }
     recent.push_back(
@@ -105,6 +107,7 @@
   aEntry.mUntil = aUntil;
   if (!wasCold) {
     aEntry.mSince = aNow;
+    aEntry.mIsTold = false;
     LogCold(aServer, *BoundOf(aEntry));
   }
 }
@@ -136,6 +139,8 @@
     }
     if (hasStarted && it.mColdLeft > Duration(0)) {
       entry.mIsLost = false;
+      entry.mBroken = 0;
+      entry.mAnsweredAt.reset();
     }
     if (wasEvacuated || it.mIsEvacuated) {
       Extend(it.mId, entry, aNow + bound->mTime, aNow);
@@ -157,6 +162,7 @@
   if (!aEntry.mIsLost) {
     aEntry.mLostAt = aNow;
   }
+  aEntry.mIsTold = false;
   aEntry.mIsLost = true;
 }
 
@@ -168,6 +174,10 @@
     return;
   }
   auto& entry = it->second;
+  if (aNow > entry.mBrokenAt + kBrokenTime) {
+    entry.mBroken = 0;
+  }
+  entry.mBrokenAt = aNow;
   if (aIsRefused || ++entry.mBroken >= kBrokenToLose) {
     Lose(aServer, entry, aNow);
   }
@@ -201,11 +211,20 @@
     if (known == mEntries.end() || BoundOf(known->second) == nullptr) {
       continue;
     }
-    if (it.mLeft) {
-      Extend(it.mServer, known->second, it.mAt + *it.mLeft, aNow);
-    } else if (!known->second.IsCold(aNow)) {
-      Lose(it.mServer, known->second, aNow);
+    auto& entry = known->second;
+    const auto& bound = *BoundOf(entry);
+    if (!it.mLeft && entry.mAnsweredAt &&
+        aNow < *entry.mAnsweredAt + kAliveTime) {
+      continue;
     }
+    // Told by another daemon, a loss lasts no longer than a cold start, and
+    // neither is passed on.
+    const bool wasCold = entry.IsCold(aNow);
+    Extend(it.mServer,
+           entry,
+           it.mAt + std::min(it.mLeft.value_or(bound.mTime), bound.mTime),
+           aNow);
+    entry.mIsTold = entry.mIsTold || (!wasCold && entry.IsCold(aNow));
   }
 }
 
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -196,15 +196,6 @@
                false,
                "Requests that all daemons together may send a cold server in a "
                "second in addition to that." },
-  SettingInfo{ "evacuation",
-               "within",
-               Time,
-               500 * kMicrosInMilli,
-               600 * kMicrosInSecond,
-               "5s",
-               false,
-               "Time from the request to evacuate an availability zone until "
-               "its servers must get nothing new." },
 };
 
 // Stores the value of one row of the table.
@@ -275,9 +266,6 @@
     [](auto& aTo, const auto& aValue) {
       aTo.mColdSlack = std::get<double>(aValue);
     },
-    [](auto& aTo, const auto& aValue) {
-      aTo.mEvacuateWithin = std::get<Duration>(aValue);
-    },
   };
   return kSetters;
 }
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -198,7 +198,8 @@
   const bool isWaitingForWeights =
     mTried.empty() && mQuery.mLeastVersion > 0 &&
     std::ranges::any_of(mSendView->mServers, [&](const ServerRecord& aServer) {
-      return aServer.mService == mService && !aServer.mIsLeaving;
+      return aServer.mService == mService && !aServer.mIsLeaving &&
+             !aServer.mIsEvacuated;
     });
   if (isWaitingForWeights) {
     Refuse(RefusalReason::NoServer,
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -56,6 +56,7 @@
     auto& server = mServers[it.mId];
     if (server == nullptr) {
       server = std::make_unique<Server>(mSettings);
+      server->mGeneration = ++mLastGeneration;
       if (mHasList) {
         server->mPace.Start();
       }
@@ -141,7 +142,7 @@
     }
     const bool isLoading =
       aQuery.mModel && server->mLoadingUntil && aNow < *server->mLoadingUntil &&
-      server->VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
+      server->mRecord.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
     const bool isExcluded =
       (server->mEjectedUntil && aNow < *server->mEjectedUntil) ||
       (server->mFullUntil && aNow < *server->mFullUntil) || isLoading ||
@@ -241,6 +242,7 @@
   const auto it = mServers.find(aServer);
   if (it != mServers.end()) {
     auto& server = *it->second;
+    send.mGeneration = server.mGeneration;
     if (aQuery.mModel) {
       if (mSettings.mSeesAllPrompts && aQuery.mAffinity != 0) {
         send.mWork += MissAt(aQuery, server, 0);
@@ -275,7 +277,8 @@
     return;
   }
   const auto it = mServers.find(send->second.mServer);
-  if (it == mServers.end()) {
+  if (it == mServers.end() ||
+      it->second->mGeneration != send->second.mGeneration) {
     return;
   }
   auto& server = *it->second;
@@ -381,8 +384,9 @@
   }
   const Send ended = send->second;
   mSends.erase(send);
+  // What was sent to a server before its restart says nothing of it.
   const auto it = mServers.find(ended.mServer);
-  if (it == mServers.end()) {
+  if (it == mServers.end() || it->second->mGeneration != ended.mGeneration) {
     return std::nullopt;
   }
   auto& server = *it->second;
@@ -441,14 +445,17 @@
 ServerPool::SetLoading(const std::set<ServerId>& aServers, Instant aNow)
 {
   for (const auto& [id, server] : mServers) {
+    const bool wasNamed =
+      server->mLoadingUntil && aNow < *server->mLoadingUntil;
     if (aServers.contains(id)) {
+      if (!wasNamed) {
+        server->mLoadedVersions = mNewest;
+      }
       server->mLoadingUntil = aNow + mSettings.mLoadingNoticeTime;
       continue;
     }
-    const bool hasEnded =
-      server->mLoadingUntil && aNow < *server->mLoadingUntil;
     server->mLoadingUntil.reset();
-    if (hasEnded) {
+    if (wasNamed) {
       AssumeLoaded(*server);
     }
   }
@@ -459,10 +466,10 @@
 ServerPool::AssumeLoaded(Server& aServer)
 {
   for (const auto& it : aServer.mRecord.mModels) {
-    const auto newest = mNewest.find(it.mModel);
-    if (newest != mNewest.end()) {
+    const auto loaded = aServer.mLoadedVersions.find(it.mModel);
+    if (loaded != aServer.mLoadedVersions.end()) {
       auto& observed = aServer.mObserved[it.mModel];
-      observed = std::max(observed, newest->second);
+      observed = std::max(observed, loaded->second);
     }
   }
   aServer.mFullUntil.reset();
--- a/packages/entry/src/server_pool_state.h
+++ b/packages/entry/src/server_pool_state.h
@@ -30,6 +30,8 @@
   }
 
   ServerRecord mRecord;
+  // Differs after a restart.
+  std::uint64_t mGeneration = 0;
   // Versions named in answers, which may be newer than the list.
   std::map<ModelId, std::uint64_t> mObserved;
   std::uint64_t mHash = 0;
@@ -50,6 +52,8 @@
   Duration mFullBackOff{};
   std::optional<Instant> mFullUntil;
   std::optional<Instant> mLoadingUntil;
+  // The newest versions when its loading was announced.
+  std::map<ModelId, std::uint64_t> mLoadedVersions;
   RecoveryPace mPace;
 
   // Returns the work of more urgent ranks that was ever sent to the server.
@@ -75,6 +79,8 @@
 struct ServerPool::Send
 {
   ServerId mServer;
+  // Generation of the server; 0 for one that is not listed.
+  std::uint64_t mGeneration = 0;
   double mWork = 0;
   // Work until the first event, with what was ahead of it.
   double mTokens = 0;
