--- a/packages/entry/tests/placement_ledger_test.cpp
+++ b/packages/entry/tests/placement_ledger_test.cpp
@@ -140,12 +140,12 @@
 {
   Fixture fixture(1);
   auto first = MakeRequest(1, 45'000);
-  first.mQuery.mMemory = 7;
+  first.mQuery.mMemory = 7000;
   const auto refused = fixture.mLedger.HandleRequest(kEntry, first, At(0s));
   REQUIRE(refused.mOutcome == PlacementOutcome::Busy);
   const auto back = At(refused.mTime);
   auto stranger = MakeRequest(2, 45'000);
-  stranger.mQuery.mMemory = 8;
+  stranger.mQuery.mMemory = 7001;
   CHECK(fixture.mLedger.HandleRequest(kEntry, stranger, back).mOutcome ==
         PlacementOutcome::Busy);
   first.mTicket = 3;
