--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -418,7 +418,9 @@
                 2003,
                 Info,
                 "site_servers_changed",
-                "The list of backend servers of the table platform changed.",
+                "The list of backend servers of the table platform changed, or "
+                "the operator began or ended the evacuation of an "
+                "availability zone; `cause` tells why.",
                 "Nothing." },
   LogEventInfo{ WeightsNamed,
                 2004,
@@ -539,7 +541,8 @@
                 "server_limit_changed",
                 "A backend server names another request rate limit, "
                 "`per_second`, that holds for all daemons together; 0 when "
-                "it names none any more.",
+                "it names none any more. With `cause=cold` it is cold, or may "
+                "be about to start again, and bears no more for a time.",
                 "Find out why the server is short of capacity." },
   LogEventInfo{ OldWeightsCutOff,
                 2021,
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -3,6 +3,7 @@
 #include <bilberrytrail/entry/avoided_servers.h>
 #include <bilberrytrail/entry/backend_call.h>
 #include <bilberrytrail/entry/rate_gate.h>
+#include <bilberrytrail/entry/reading_speed.h>
 #include <bilberrytrail/entry/server_load.h>
 
 #include <cstddef>
@@ -155,7 +156,8 @@
   double mSilenceObjectives = 2.0;
   Duration mMinSilence = 300ms;
   Duration mMaxSilence = 1200ms;
-  // Tokens that a server is assumed to read per millisecond.
+  // Tokens that a server is assumed to read per millisecond, before its service
+  // has shown how fast it is.
   double mTokensPerMs = 100;
   // Work that a running stream causes, in tokens to read.
   double mRunningTokens = 150;
@@ -168,6 +170,10 @@
   double mMissFactor = 1.5;
   // Penalty on the estimate for older weights, as a share of the objective.
   double mOldWeightsObjectives = 0.5;
+  // Penalty on the estimate for a server that has started or recovered and has
+  // as much waiting as it is known to bear, as a share of the objective: it is
+  // used beyond only when the others are further behind.
+  double mPacedObjectives = 0.5;
   // Limit of a kind's baseline in the estimate, as a share of the objective, so
   // that a high baseline alone never gets all prompts of a kind refused.
   double mBaselineObjectives = 0.25;
@@ -175,6 +181,9 @@
   // which shared parts they read recently. Otherwise the first server in
   // affinity order is assumed to keep them.
   bool mSeesAllPrompts = false;
+  // Share of a server's memory that prompts may fill which are not the most
+  // urgent: those that come later must not preempt them.
+  double mLessUrgentMemory = 0.85;
   // Weight of a new sample of the time for which a prompt holds memory.
   double mHoldWeight = 0.05;
   // Assumed least time of a request without a prompt.
@@ -234,7 +243,9 @@
                                   SendOutcome aOutcome,
                                   Instant aNow);
   // Sets which servers are loading weights, as announced by the daemon that
-  // orders the loading; it holds for mLoadingNoticeTime.
+  // orders the loading; it holds for mLoadingNoticeTime. A server that no
+  // longer is has those that were the newest when it began, until it denies
+  // that.
   void SetLoading(const std::set<ServerId>& aServers, Instant aNow);
   // Records that a server without room has weights older than the newest.
   void ExpectLoading(const ServerId& aServer, Instant aNow);
@@ -269,7 +280,10 @@
   [[nodiscard]] double WorkAheadOf(const Server& aServer,
                                    unsigned aRank,
                                    Instant aNow) const noexcept;
-  [[nodiscard]] Duration TimeOf(double aTokens) const noexcept;
+  // Returns the speed of a service's servers in tokens per millisecond.
+  [[nodiscard]] double SpeedOf(const ServiceId& aService) const;
+  [[nodiscard]] Duration TimeOf(const ServiceId& aService,
+                                double aTokens) const;
   // Returns the baseline for prompts of the query's kind, limited by
   // mBaselineObjectives.
   [[nodiscard]] Duration BaselineTimeOf(const ServerQuery& aQuery) const;
@@ -299,11 +313,16 @@
   // its kind. Admission uses it, so that prompts of all sizes are refused
   // equally often.
   [[nodiscard]] ServerQuery ScaledToAverage(const ServerQuery& aQuery) const;
-  // Returns the estimated time, plus the penalty for older weights.
+  // Returns the estimated time, plus the penalties for older weights and for a
+  // server that has as much waiting as its pace allows.
   [[nodiscard]] Duration CostAt(const ServerQuery& aQuery,
                                 const Server& aServer,
                                 std::size_t aPlace,
                                 Instant aNow) const;
+  // Returns the sends that wait at a server for their first event, of the same
+  // or more urgent ranks.
+  [[nodiscard]] std::size_t WaitingUpTo(const Server& aServer,
+                                        unsigned aRank) const;
   // Sorts the candidates by affinity, or rotates them for a request without
   // affinity.
   void Order(const ServerQuery& aQuery, Candidates& aCandidates);
@@ -311,9 +330,13 @@
                                       const Server& aServer,
                                       ChoiceReason aReason,
                                       std::size_t aCandidates) const;
+  void NoteSpeed(Server& aServer, const Send& aSend, Instant aNow);
   // Updates the baseline and the delay from the time to the first bytes of an
   // answer.
   void NoteBegin(Server& aServer, const Send& aSend, Instant aNow);
+  // Tells the gate whether the server was reached.
+  void NoteReached(const ServerId& aServer, SendOutcome aOutcome, Instant aNow);
+  void AssumeLoaded(Server& aServer);
   std::optional<HealthChange> Fail(Server& aServer,
                                    SendOutcome aOutcome,
                                    Instant aNow);
@@ -327,12 +350,18 @@
   // Sizes of the prompts that asked for a server, admitted or not, by kind of
   // request.
   std::map<std::uint64_t, AverageTokens> mSizes;
+  // Newest versions that requests named.
+  std::map<ModelId, std::uint64_t> mNewest;
   // Baselines by kind of request.
   std::map<std::uint64_t, BaselineTime> mBaseline;
+  std::map<ServiceId, ReadingSpeed> mSpeeds;
   // Moving average of the time for which prompts hold memory.
   Duration mHoldTime{};
   std::uint64_t mLastTicket = 0;
   std::uint64_t mRoundRobin = 0;
+  std::uint64_t mLastGeneration = 0;
+  // Servers that come later have started since.
+  bool mHasList = false;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/entry_settings.cpp
+++ b/packages/entry/src/entry_settings.cpp
@@ -21,6 +21,7 @@
 constexpr double kMaxMbps = 1e7;
 constexpr double kMaxMegabytes = 1e6;
 constexpr double kMaxPort = 65'535;
+constexpr double kMaxColdOver = 1000;
 
 constexpr std::array kTable{
   SettingInfo{ "daemon",
@@ -177,6 +178,24 @@
                false,
                "Time from the announcement of new weights to the last request "
                "that may begin on older ones." },
+  SettingInfo{ "cold",
+               "over",
+               Number,
+               1,
+               kMaxColdOver,
+               "1",
+               false,
+               "Multiple of the rate that a cold server takes which all "
+               "daemons together may send it in a second." },
+  SettingInfo{ "cold",
+               "slack",
+               Number,
+               0,
+               kMaxRepeats,
+               "0",
+               false,
+               "Requests that all daemons together may send a cold server in a "
+               "second in addition to that." },
 };
 
 // Stores the value of one row of the table.
@@ -241,6 +260,12 @@
     [](auto& aTo, const auto& aValue) {
       aTo.mWeightsWithin = std::get<Duration>(aValue);
     },
+    [](auto& aTo, const auto& aValue) {
+      aTo.mColdOver = std::get<double>(aValue);
+    },
+    [](auto& aTo, const auto& aValue) {
+      aTo.mColdSlack = std::get<double>(aValue);
+    },
   };
   return kSetters;
 }
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -1,6 +1,7 @@
 #include "request_run.h"
 
 #include <bilberrytrail/entry/admission.h>
+#include <bilberrytrail/entry/return_places.h>
 
 #include <bilberrytrail/base/digest.h>
 
@@ -156,9 +157,8 @@
     mChoice = ChosenServer();
     mChoice.mTime = reply->mTime;
     mChoice.mCandidates = reply->mCandidates;
-    const AdmissionSettings bounds;
     RefuseLate(
-      std::clamp(reply->mTime, bounds.mMinRetryAfter, bounds.mMaxRetryAfter));
+      std::clamp(reply->mTime, ReturnPlaces::kLeast, ReturnPlaces::kMost));
     return false;
   }
   if (reply->mOutcome == PlacementOutcome::Limited) {
@@ -176,6 +176,7 @@
     std::ranges::find(mSendView->mServers, reply->mServer, &ServerRecord::mId);
   const bool isUsable = it != mSendView->mServers.end() &&
                         it->mService == mService && !it->mIsLeaving &&
+                        !it->mIsEvacuated &&
                         reply->mWeightVersion >= mQuery.mLeastVersion &&
                         std::ranges::find(mTried, it->mId) == mTried.end() &&
                         !mContext.mAvoided.Contains(it->mId, MonotonicNow());
@@ -197,7 +198,8 @@
   const bool isWaitingForWeights =
     mTried.empty() && mQuery.mLeastVersion > 0 &&
     std::ranges::any_of(mSendView->mServers, [&](const ServerRecord& aServer) {
-      return aServer.mService == mService && !aServer.mIsLeaving;
+      return aServer.mService == mService && !aServer.mIsLeaving &&
+             !aServer.mIsEvacuated;
     });
   if (isWaitingForWeights) {
     Refuse(RefusalReason::NoServer,
--- a/packages/entry/src/server_estimate.cpp
+++ b/packages/entry/src/server_estimate.cpp
@@ -1,5 +1,6 @@
 #include "server_pool_state.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace bilberrytrail {
@@ -13,10 +14,18 @@
          mSettings.mRunningTokens * static_cast<double>(aServer.mRunning);
 }
 
+double
+ServerPool::SpeedOf(const ServiceId& aService) const
+{
+  const auto it = mSpeeds.find(aService);
+  return it == mSpeeds.end() ? mSettings.mTokensPerMs
+                             : it->second.TokensPerMs();
+}
+
 Duration
-ServerPool::TimeOf(double aTokens) const noexcept
+ServerPool::TimeOf(const ServiceId& aService, double aTokens) const
 {
-  return FromMillis(aTokens / mSettings.mTokensPerMs);
+  return FromMillis(aTokens / SpeedOf(aService));
 }
 
 Duration
@@ -38,7 +47,9 @@
   for (std::size_t n = 0; n <= aQuery.mRank && n < kRanks; ++n) {
     used += aServer.mMemory[n];
   }
-  const double missing = used + aQuery.mMemory - aQuery.mServerMemory;
+  const double room =
+    aQuery.mServerMemory * (aQuery.mRank > 0 ? mSettings.mLessUrgentMemory : 1);
+  const double missing = used + aQuery.mMemory - room;
   if (aQuery.mServerMemory <= 0 || missing <= 0 || used <= 0) {
     return Duration(0);
   }
@@ -98,7 +109,7 @@
   }
   const double tokens = WorkAheadOf(aServer, aQuery.mRank, aNow) +
                         aQuery.mWork + MissAt(aQuery, aServer, aPlace);
-  return BaselineTimeOf(aQuery) + delay + TimeOf(tokens) +
+  return BaselineTimeOf(aQuery) + delay + TimeOf(aQuery.mService, tokens) +
          MemoryTime(aQuery, aServer);
 }
 
@@ -124,12 +135,25 @@
                    std::size_t aPlace,
                    Instant aNow) const
 {
-  const auto time = TimeAt(aQuery, aServer, aPlace, aNow);
-  const bool isOld =
-    aQuery.mModel && aServer.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
-  return isOld ? time + FromMillis(ToMillis(aQuery.mObjective) *
-                                   mSettings.mOldWeightsObjectives)
-               : time;
+  double penalties = 0;
+  if (aQuery.mModel &&
+      aServer.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion) {
+    penalties += mSettings.mOldWeightsObjectives;
+  }
+  if (!aServer.mPace.Allows(WaitingUpTo(aServer, aQuery.mRank))) {
+    penalties += mSettings.mPacedObjectives;
+  }
+  return TimeAt(aQuery, aServer, aPlace, aNow) +
+         FromMillis(ToMillis(aQuery.mObjective) * penalties);
+}
+
+std::size_t
+ServerPool::WaitingUpTo(const Server& aServer, unsigned aRank) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aServer.mWaiting, [&](SendTicket aTicket) {
+      return mSends.at(aTicket).mRank <= aRank;
+    }));
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -56,6 +56,10 @@
     auto& server = mServers[it.mId];
     if (server == nullptr) {
       server = std::make_unique<Server>(mSettings);
+      server->mGeneration = ++mLastGeneration;
+      if (mHasList) {
+        server->mPace.Start();
+      }
       server->mHash = StableHash64(it.mId.Text());
     }
     if (server->mRecord.mModels != it.mModels) {
@@ -63,6 +67,7 @@
     }
     server->mRecord = it;
   }
+  mHasList = mHasList || !aServers.empty();
   return gone;
 }
 
@@ -94,6 +99,7 @@
   // A server without the model has version 0 of it.
   const auto least = std::max<std::uint64_t>(aQuery.mLeastVersion, 1);
   return record.mService == aQuery.mService && !record.mIsLeaving &&
+         !record.mIsEvacuated &&
          (mAvoided == nullptr || !mAvoided->Contains(record.mId, aNow)) &&
          std::ranges::find(aQuery.mTried, record.mId) == aQuery.mTried.end() &&
          (!aQuery.mModel || aServer.VersionOf(*aQuery.mModel) >= least);
@@ -136,7 +142,7 @@
     }
     const bool isLoading =
       aQuery.mModel && server->mLoadingUntil && aNow < *server->mLoadingUntil &&
-      server->VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
+      server->mRecord.VersionOf(*aQuery.mModel) < aQuery.mNewestVersion;
     const bool isExcluded =
       (server->mEjectedUntil && aNow < *server->mEjectedUntil) ||
       (server->mFullUntil && aNow < *server->mFullUntil) || isLoading ||
@@ -181,6 +187,10 @@
 std::optional<ChosenServer>
 ServerPool::Choose(const ServerQuery& aQuery, Instant aNow)
 {
+  if (aQuery.mModel) {
+    auto& newest = mNewest[*aQuery.mModel];
+    newest = std::max(newest, aQuery.mNewestVersion);
+  }
   Candidates excluded;
   auto usable = Usable(aQuery, aNow, excluded);
   if (usable.empty()) {
@@ -232,6 +242,7 @@
   const auto it = mServers.find(aServer);
   if (it != mServers.end()) {
     auto& server = *it->second;
+    send.mGeneration = server.mGeneration;
     if (aQuery.mModel) {
       if (mSettings.mSeesAllPrompts && aQuery.mAffinity != 0) {
         send.mWork += MissAt(aQuery, server, 0);
@@ -241,7 +252,8 @@
           aQuery.mServerMemory -
             std::accumulate(server.mMemory.begin(), server.mMemory.end(), 0.0));
       }
-      send.mWorkTime = TimeOf(WorkAheadOf(server, rank, aNow) + send.mWork);
+      send.mTokens = WorkAheadOf(server, rank, aNow) + send.mWork;
+      send.mWorkTime = TimeOf(aQuery.mService, send.mTokens);
       send.mWorkTime += MemoryTime(aQuery, server);
       send.mBaselineTime = BaselineTimeOf(aQuery);
       send.mKind = aQuery.mKind;
@@ -249,6 +261,8 @@
       send.mIsPrompt = true;
       server.mMemory[rank] += send.mMemory;
       server.mLoad.Add(rank, send.mWork, aNow);
+      server.mSent[rank] += send.mWork;
+      send.mSentAbove = server.SentAbove(rank);
     }
     server.mWaiting.insert(ticket);
   }
@@ -263,11 +277,15 @@
     return;
   }
   const auto it = mServers.find(send->second.mServer);
-  if (it == mServers.end()) {
+  if (it == mServers.end() ||
+      it->second->mGeneration != send->second.mGeneration) {
     return;
   }
   auto& server = *it->second;
   server.mLastReceivedAt = aNow;
+  if (mGate != nullptr) {
+    mGate->NoteAnswer(send->second.mServer, aNow);
+  }
   if (!send->second.mHasBegun) {
     send->second.mHasBegun = true;
     server.mWaiting.erase(aTicket);
@@ -276,12 +294,31 @@
   }
 }
 
+// Only a pool that knows all work ahead of a prompt can tell the speed.
+void
+ServerPool::NoteSpeed(Server& aServer, const Send& aSend, Instant aNow)
+{
+  if (!mSettings.mSeesAllPrompts) {
+    return;
+  }
+  auto& speed =
+    mSpeeds.try_emplace(aServer.mRecord.mService, mSettings.mTokensPerMs)
+      .first->second;
+  // Urgent prompts that came later were read first.
+  const double overtaking = aServer.SentAbove(aSend.mRank) - aSend.mSentAbove;
+  speed.Note(aSend.mTokens + overtaking, aNow - aSend.mSentAt);
+  aServer.mLoad.SetSpeed(speed.TokensPerMs(), aNow);
+}
+
 void
 ServerPool::NoteBegin(Server& aServer, const Send& aSend, Instant aNow)
 {
+  aServer.mPace.NoteBegun(aNow - aSend.mSentAt,
+                          aSend.mWorkTime + aSend.mBaselineTime);
   const auto beyond = aNow - aSend.mSentAt - aSend.mWorkTime;
   const auto excess = std::max(beyond - aSend.mBaselineTime, Duration(0));
   if (aSend.mIsPrompt) {
+    NoteSpeed(aServer, aSend, aNow);
     mBaseline[aSend.mKind].Note(beyond);
   }
   const auto previous = DelayOf(aServer, aSend.mRank, aNow);
@@ -307,9 +344,37 @@
   aServer.mEjection = std::clamp(
     aServer.mEjection * 2, mSettings.mFirstEjection, mSettings.mMaxEjection);
   aServer.mEjectedUntil = aNow + aServer.mEjection;
+  aServer.mPace.Start();
   return HealthChange{ aServer.mRecord.mId, true, aOutcome, aServer.mEjection };
 }
 
+void
+ServerPool::NoteReached(const ServerId& aServer,
+                        SendOutcome aOutcome,
+                        Instant aNow)
+{
+  if (mGate == nullptr) {
+    return;
+  }
+  switch (aOutcome) {
+    case SendOutcome::Answered:
+    case SendOutcome::ServerError:
+    case SendOutcome::Full:
+    case SendOutcome::WrongVersion:
+      mGate->NoteAnswer(aServer, aNow);
+      return;
+    case SendOutcome::NoConnection:
+      mGate->NoteLost(aServer, true, aNow);
+      return;
+    case SendOutcome::Broken:
+      mGate->NoteLost(aServer, false, aNow);
+      return;
+    case SendOutcome::WrongServer:
+    case SendOutcome::Abandoned:
+      return;
+  }
+}
+
 std::optional<HealthChange>
 ServerPool::End(SendTicket aTicket, SendOutcome aOutcome, Instant aNow)
 {
@@ -319,8 +384,9 @@
   }
   const Send ended = send->second;
   mSends.erase(send);
+  // What was sent to a server before its restart says nothing of it.
   const auto it = mServers.find(ended.mServer);
-  if (it == mServers.end()) {
+  if (it == mServers.end() || it->second->mGeneration != ended.mGeneration) {
     return std::nullopt;
   }
   auto& server = *it->second;
@@ -340,6 +406,7 @@
   } else {
     server.mLoad.Remove(ended.mRank, ended.mWork, aNow);
   }
+  NoteReached(ended.mServer, aOutcome, aNow);
   switch (aOutcome) {
     case SendOutcome::Answered: {
       const bool wasEjected = server.mEjectedUntil.has_value();
@@ -352,6 +419,7 @@
                         : std::nullopt;
     }
     case SendOutcome::Full:
+      server.mPace.NoteRejected();
       server.mLastReceivedAt = aNow;
       server.mFullBackOff = std::clamp(server.mFullBackOff * 2,
                                        mSettings.mFirstFullBackOff,
@@ -367,6 +435,7 @@
     case SendOutcome::NoConnection:
     case SendOutcome::WrongServer:
     case SendOutcome::Broken:
+      server.mPace.NoteRejected();
       return Fail(server, aOutcome, aNow);
   }
   return std::nullopt;
@@ -376,12 +445,34 @@
 ServerPool::SetLoading(const std::set<ServerId>& aServers, Instant aNow)
 {
   for (const auto& [id, server] : mServers) {
+    const bool wasNamed =
+      server->mLoadingUntil && aNow < *server->mLoadingUntil;
     if (aServers.contains(id)) {
+      if (!wasNamed) {
+        server->mLoadedVersions = mNewest;
+      }
       server->mLoadingUntil = aNow + mSettings.mLoadingNoticeTime;
-    } else {
-      server->mLoadingUntil.reset();
+      continue;
+    }
+    server->mLoadingUntil.reset();
+    if (wasNamed) {
+      AssumeLoaded(*server);
+    }
+  }
+}
+
+// The list shows new weights late. A server that does not have them says so.
+void
+ServerPool::AssumeLoaded(Server& aServer)
+{
+  for (const auto& it : aServer.mRecord.mModels) {
+    const auto loaded = aServer.mLoadedVersions.find(it.mModel);
+    if (loaded != aServer.mLoadedVersions.end()) {
+      auto& observed = aServer.mObserved[it.mModel];
+      observed = std::max(observed, loaded->second);
     }
   }
+  aServer.mFullUntil.reset();
 }
 
 void
--- a/packages/entry/src/server_pool_state.h
+++ b/packages/entry/src/server_pool_state.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <bilberrytrail/entry/recovery_pace.h>
 #include <bilberrytrail/entry/server_pool.h>
 
 #include <bilberrytrail/base/random.h>
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace bilberrytrail {
 
@@ -28,6 +30,8 @@
   }
 
   ServerRecord mRecord;
+  // Differs after a restart.
+  std::uint64_t mGeneration = 0;
   // Versions named in answers, which may be newer than the list.
   std::map<ModelId, std::uint64_t> mObserved;
   std::uint64_t mHash = 0;
@@ -38,6 +42,8 @@
   RecentParts mParts;
   // Memory that the prompts at the server take, in tokens, by rank.
   std::array<double, kRanks> mMemory{};
+  // Work that was ever sent to the server, in tokens, by rank.
+  std::array<double, kRanks> mSent{};
   std::array<RankDelay, kRanks> mDelays;
   std::optional<Instant> mLastReceivedAt;
   unsigned mFailures = 0;
@@ -46,6 +52,15 @@
   Duration mFullBackOff{};
   std::optional<Instant> mFullUntil;
   std::optional<Instant> mLoadingUntil;
+  // The newest versions when its loading was announced.
+  std::map<ModelId, std::uint64_t> mLoadedVersions;
+  RecoveryPace mPace;
+
+  // Returns the work of more urgent ranks that was ever sent to the server.
+  [[nodiscard]] double SentAbove(unsigned aRank) const noexcept
+  {
+    return std::accumulate(mSent.begin(), mSent.begin() + aRank, 0.0);
+  }
 
   // Returns a key for the prompt's shared parts under the weights that are
   // loaded.
@@ -64,7 +79,13 @@
 struct ServerPool::Send
 {
   ServerId mServer;
+  // Generation of the server; 0 for one that is not listed.
+  std::uint64_t mGeneration = 0;
   double mWork = 0;
+  // Work until the first event, with what was ahead of it.
+  double mTokens = 0;
+  // Work of more urgent ranks that was sent to the server before.
+  double mSentAbove = 0;
   // Expected time to the first event: for the work ahead of it and its own, and
   // the baseline beyond that work.
   Duration mWorkTime{};
