--- a/packages/entry/src/reading_speed.cpp
+++ b/packages/entry/src/reading_speed.cpp
@@ -10,9 +10,10 @@
 constexpr double kKept = 0.995;
 // Spread of the work, in squares of the unit, that the assumed speed counts as.
 constexpr double kAssumedSpread = 100;
-// Bounds of the speed, as multiples of the assumed one.
+// Bounds of the speed, as multiples of the assumed one. It is never higher:
+// a time that is estimated too short makes all that wait behind it late.
 constexpr double kLeast = 0.5;
-constexpr double kMost = 2;
+constexpr double kMost = 1;
 // A longer time than this multiple of the expected one has another cause.
 constexpr double kMaxTimes = 2.5;
 constexpr double kTokensPerUnit = 1000;
