--- a/packages/entry/include/bilberrytrail/entry/recovery_pace.h
+++ b/packages/entry/include/bilberrytrail/entry/recovery_pace.h
@@ -14,7 +14,7 @@
 //
 //   pace.Start();
 //   if (pace.Allows(waiting)) { ... }
-//   pace.NoteBegun(took, expected, waiting);
+//   pace.NoteBegun(took, expected);
 class RecoveryPace
 {
 public:
