--- a/packages/entry/src/cold_servers.cpp
+++ b/packages/entry/src/cold_servers.cpp
@@ -66,8 +66,9 @@
         aNow });
   }
   // Those that others may not know from the table come first.
-  std::ranges::stable_partition(
-    recent, [](const ColdObservation& aSeen) { return !aSeen.mLeft; });
+  std::ranges::stable_sort(recent, {}, [](const ColdObservation& aSeen) {
+    return aSeen.mLeft.has_value();
+  });
   recent.resize(std::min(recent.size(), kMaxRecent));
   return recent;
 }
--- a/packages/entry/tests/cold_servers_test.cpp
+++ b/packages/entry/tests/cold_servers_test.cpp
@@ -294,8 +294,8 @@
   const auto isDown = [&](const ServerId& aServer, Instant aNow) {
     const auto number = std::stoul(aServer.Text().substr(1));
     return number < kRestarting &&
-           std::ranges::any_of(downAt, [&](Duration it) {
-             return aNow >= At(it) && aNow < At(it + 1s);
+           std::ranges::any_of(downAt, [&](Duration aDown) {
+             return aNow >= At(aDown) && aNow < At(aDown + 1s);
            });
   };
   std::uint64_t starts = 1;
--- a/packages/entry/tests/return_places_test.cpp
+++ b/packages/entry/tests/return_places_test.cpp
@@ -39,7 +39,7 @@
   CHECK(std::ranges::is_sorted(waits));
   CHECK(waits.front() == 200ms);
   const auto inASecond =
-    std::ranges::count_if(waits, [](Duration it) { return it < 1200ms; });
+    std::ranges::count_if(waits, [](Duration aWait) { return aWait < 1200ms; });
   CHECK(inASecond >= 25);
   CHECK(inASecond <= 37);
   // Nobody is told to wait longer than a part of its time.
