--- a/review/site-2/site.cpp
+++ b/review/site-2/site.cpp
@@ -432,16 +432,28 @@
     const std::lock_guard lock(mMutex);
     ++mSessions;
     mConnections.push_back(connection);
-    std::thread([this, connection] { Serve(connection); }).detach();
+    std::thread([this, connection, generation = mGeneration.load()] {
+      Serve(connection, generation);
+    }).detach();
   }
 }
 
 void
-Listener::Serve(const std::shared_ptr<Connection>& aConnection)
+Listener::Silence()
+{
+  ++mGeneration;
+}
+
+void
+Listener::Serve(const std::shared_ptr<Connection>& aConnection,
+                std::uint64_t aGeneration)
 {
   Request request;
   while (!mIsStopped && ReadRequest(*aConnection, request)) {
     const auto answer = mHandler(request);
+    if (aGeneration != mGeneration) {
+      continue;
+    }
     if (!answer || mIsStopped || !aConnection->Write(ToText(*answer))) {
       break;
     }
--- a/review/site-2/site.h
+++ b/review/site-2/site.h
@@ -125,10 +125,14 @@
 
   void Start();
   void Stop();
+  // From now on nothing more comes on the connections that are open; new ones
+  // work.
+  void Silence();
 
 private:
   void Accept(int aHandle);
-  void Serve(const std::shared_ptr<Connection>& aConnection);
+  void Serve(const std::shared_ptr<Connection>& aConnection,
+             std::uint64_t aGeneration);
 
   const std::string mHost;
   const std::uint16_t mPort;
@@ -140,6 +144,7 @@
   int mHandle = -1;
   std::thread mThread;
   std::atomic<bool> mIsStopped = true;
+  std::atomic<std::uint64_t> mGeneration = 0;
 };
 
 // The platform's table service.
@@ -153,6 +158,8 @@
   std::string AddDoor();
   // Answers 503 to all calls that come on this way, or no longer.
   void TurnAway(const std::string& aDoor, bool aIsTurnedAway);
+  // Lets the connections that are open on this way go silent.
+  void Silence(const std::string& aDoor) { mDoors.at(aDoor)->Silence(); }
   void Put(const std::string& aTable,
            const std::string& aKey,
            const Json& aValue);
