--- a/review/10/silent.cpp
+++ b/review/10/silent.cpp
@@ -1,7 +1,8 @@
-// One daemon, two services with a server each. The daemon's open connections to
-// the store go silent, and then a route is moved to the other service. Exits
-// with 1 if requests that are sent when the daemon is in touch again, and later
-// than config_apply_ms after the move, run at the former service.
+// One daemon, two services with a server each, and a spare one. The daemon's
+// open connections to the store go silent, and then a route is moved to the
+// other service. Exits with 1 if requests that are sent when the daemon is in
+// touch again, and later than config_apply_ms after the move, run at the former
+// service.
 
 #include "../site-2/site.h"
 
@@ -86,14 +87,17 @@
       "config",
       { { "version", aVersion },
         { "routes", { RouteJson("o", "/o/", "non_idempotent", aService) } },
-        { "services", { { { "name", "former" } }, { { "name", "new" } } } },
+        { "services",
+          { { { "name", "former" } },
+            { { "name", "new" } },
+            { { "name", "spare" } } } },
         { "tenants", { { { "name", "t" }, { "api_keys", { "key" } } } } } });
     mRecord.Line("configuration " + std::to_string(aVersion) +
                  " acknowledged: the route leads to the service " + aService);
   }
 
   // Sends a request, and notes when it was sent if the former service ran it.
-  void Send()
+  void Send(const std::string& aTarget = "/o/1")
   {
     const auto id = "r" + std::to_string(++mRequests);
     const auto sentAt = Now();
@@ -103,7 +107,7 @@
       connection->SetTimeout(3000);
       (void)connection->Write(
         ToText(Request{ "POST",
-                        "/o/1",
+                        aTarget,
                         { { "Host", "h.example" },
                           { "Bilberrytrail-Request-Id", id },
                           { "Bilberrytrail-Credential", "key" },
@@ -125,6 +129,7 @@
   Table mTable{ "127.0.0.1" };
   Server mFormer{ mTable, mRecord, "i-former", "former" };
   Server mNew{ mTable, mRecord, "i-new", "new" };
+  std::optional<Server> mSpare;
   Daemon mDaemon{ "entry-1", "127.0.0.1", mTable.AddDoor(), "z" };
   std::atomic<int> mRequests = 0;
   std::mutex mMutex;
@@ -148,7 +153,12 @@
     }
   });
   SleepMs(1000);
+  // A route that never existed: the daemon asks the store once more.
+  Send("/none/1");
   Configure(5, "former");
+  SleepMs(100);
+  // The list of servers changes, too.
+  mSpare.emplace(mTable, mRecord, "i-spare", "spare");
   SleepMs(150);
   const auto silentAt = Now();
   if (aHasTrouble) {
