Take servers for ended whose hosts fall silent or that are back already

Cause: only a send whose connection broke was looked into, and only a refused connection counted as the end of a server. A host without power closes and refuses nothing, so that the send timed out and counted against nothing; a server that was back before the check accepted the connection. Parts of prompts share both gaps.

Now all sends are watched. It has ended if it refuses connections, if it doesn't respond twice, or if it is listed with another start. A server that answers under the same start later was only out of reach, and its end is taken back.

A row of request_parts_test said that a send that timed out is never suspect, even if its server refuses connections then. That was the fault: it is suspect now, and a row with a server that accepts connections stands beside it. The first answer after it takes longer, as the check of a silent host does.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -115,6 +115,8 @@
   PartSuspect,
   PartQuarantined,
   PartCleared,
+  ServerEnded,
+  DeathTakenBack,
   ServerSaidLeaving,
   ServerPaused,
   LoopLate,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -610,6 +610,24 @@
                 "a request that was, by `kind`, or the time of its refusal is "
                 "over.",
                 "Nothing." },
+  LogEventInfo{ ServerEnded,
+                2028,
+                Info,
+                "server_ended",
+                "A backend server counts as ended before it had answered "
+                "`sends` requests, which are now suspect: by `cause` it "
+                "refuses connections, does not respond at all, or is listed "
+                "with another start. `unheard` is the time since its last "
+                "sign of life.",
+                "Check the server's VM if this goes on." },
+  LogEventInfo{ DeathTakenBack,
+                2029,
+                Info,
+                "death_taken_back",
+                "A backend server that counted as ended answers under the "
+                "same start: it had been out of reach. Its end no longer "
+                "counts against any request.",
+                "Check the network to the server." },
   LogEventInfo{ ServerSaidLeaving,
                 2030,
                 Info,
--- a/packages/entry/include/bilberrytrail/entry/backend_call.h
+++ b/packages/entry/include/bilberrytrail/entry/backend_call.h
@@ -137,10 +137,10 @@
        const CallerRequest& aRequest,
        Duration aHeadTime,
        HttpCancel& aCancel) = 0;
-  // Returns whether a server refuses connections, as it does when its process
-  // has ended; false when that is not known within the timeout.
-  [[nodiscard]] virtual bool IsRefusing(const Endpoint& aEndpoint,
-                                        Duration aTimeout) = 0;
+  // Opens a connection to a server, closes it again, and returns what became of
+  // it within the timeout.
+  [[nodiscard]] virtual ConnectOutcome Probe(const Endpoint& aEndpoint,
+                                             Duration aTimeout) = 0;
   // Closes pooled connections to a server that was removed or cannot be
   // reached.
   virtual void Forget(const Endpoint& aEndpoint) = 0;
--- a/packages/entry/include/bilberrytrail/entry/part_quarantine.h
+++ b/packages/entry/include/bilberrytrail/entry/part_quarantine.h
@@ -132,6 +132,11 @@
   // Records that a server goes on after it has begun to answer a prompt with
   // these parts.
   void AnswerWentOn(std::span<const PartKey> aParts, Instant aNow);
+  // Returns whether the end of a server counts against any part.
+  [[nodiscard]] bool Knows(DeathId aDeath) const;
+  // Takes a server's end back, since the server goes on: it counts against no
+  // part any more, whichever daemon reports it.
+  void TakeBack(DeathId aDeath, Instant aNow);
   // Adds evidence of another daemon.
   void Merge(std::span<const PartEvidence> aEvidence, Instant aNow);
 
@@ -164,6 +169,8 @@
 
   const PartQuarantineSettings mSettings;
   std::map<PartKey, Entry> mEntries;
+  // Ends of servers that were taken back, and when.
+  std::map<DeathId, Instant> mTakenBack;
   // Parts that servers answered on recently, in two generations.
   std::array<std::unordered_map<PartKey, Instant>, 2> mSound;
   Instant mGenerationSince;
--- a/packages/entry/include/bilberrytrail/entry/server_pool.h
+++ b/packages/entry/include/bilberrytrail/entry/server_pool.h
@@ -93,6 +93,8 @@
   Duration mAdmissionTime{};
   // Number of servers that could have been chosen.
   std::size_t mCandidates = 0;
+  // Start of the server's incarnation, as in its record.
+  std::uint64_t mStartedAtMs = 0;
 };
 
 // How a send ended, as far as it affects the server's health.
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -132,7 +132,15 @@
   , mColds(mSettings.mColdOver, mSettings.mColdSlack)
   , mGate(mLimits, &mColds)
   , mGatePhase(Random(MakeLogId(mSelf)).Unit())
-  , mCrashes(mTraffic, *mBackend, mParts, mRequests)
+  , mCrashes(mTraffic,
+             *mBackend,
+             mParts,
+             mRequests,
+             [this] {
+               const auto listedAt = mViews.CompleteAt(SiteTable::Servers);
+               (void)UpdateView();
+               return listedAt;
+             })
   , mPool(mSettings.mZone, ServerPoolSettings(), &mGate, &mAvoided)
   , mRetries(
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow },
@@ -209,6 +217,7 @@
     mPlacement.Ledger().SetServers(view->mServers, MonotonicNow());
     mLimits.Retain(view->mServers, MonotonicNow());
     mAvoided.Retain(view->mServers, MonotonicNow());
+    mCrashes.OnServers(view->mServers);
   }
   const std::size_t daemons = mDaemons;
   if (daemons > 0 && daemons != mSharingDaemons) {
--- a/packages/entry/src/part_quarantine.cpp
+++ b/packages/entry/src/part_quarantine.cpp
@@ -122,6 +122,9 @@
 PartQuarantine::AddDeath(Entry& aEntry, const PartDeath& aDeath)
 {
   auto& [part, place, soundAt, deaths] = aEntry.mEvidence;
+  if (mTakenBack.contains(aDeath.mDeath)) {
+    return false;
+  }
   if (soundAt && aDeath.mAt <= *soundAt) {
     // The other daemon does not know yet that the part was cleared.
     return true;
@@ -188,6 +191,28 @@
   }
 }
 
+bool
+PartQuarantine::Knows(DeathId aDeath) const
+{
+  return std::ranges::any_of(mEntries, [&](const auto& aItem) {
+    const auto& deaths = aItem.second.mEvidence.mDeaths;
+    return std::ranges::find(deaths, aDeath, &PartDeath::mDeath) !=
+           deaths.end();
+  });
+}
+
+void
+PartQuarantine::TakeBack(DeathId aDeath, Instant aNow)
+{
+  mTakenBack[aDeath] = aNow;
+  for (auto& [part, entry] : mEntries) {
+    std::erase_if(entry.mEvidence.mDeaths, [&](const PartDeath& aOther) {
+      return aOther.mDeath == aDeath;
+    });
+  }
+  Update(aNow);
+}
+
 void
 PartQuarantine::Merge(std::span<const PartEvidence> aEvidence, Instant aNow)
 {
@@ -288,6 +313,9 @@
     return entry.mEvidence.mDeaths.empty() && !entry.mIsQuarantined &&
            aNow - entry.mChangedAt >= kClearedKeepTime;
   });
+  std::erase_if(mTakenBack, [&](const auto& aItem) {
+    return aNow - aItem.second >= mSettings.mLifetime;
+  });
   while (mEntries.size() > mSettings.mMaxParts) {
     const auto least = std::ranges::min_element(mEntries, {}, [](auto& aItem) {
       const auto& entry = aItem.second;
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -163,6 +163,7 @@
       continue;
     }
     next = SendOnce();
+    mWatched.reset();
   }
 }
 
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -83,10 +83,16 @@
   // Before a request that may have crashed servers is sent once more, waits
   // until that is known.
   void AwaitVerdict();
+  // Records that bytes of the answer to the current send have come.
+  void NoteProgress();
   // Records that the answer to the current send goes on.
   void NoteAnswerGoesOn(bool aIsWhole);
-  // Records that the current send broke off.
-  void NoteBroken();
+  // Records how the current send ended without its answer, or that the server
+  // turned it away.
+  void NoteFailure(SendFault aFault);
+  // Returns what the current send holds against the request if its server ends
+  // now; nothing once its answer goes on.
+  [[nodiscard]] std::optional<CrashWatch::SendTrace> Trace();
   // Refuses a prompt that could not be answered in time.
   void RefuseLate(Duration aRetryDelay);
   // Refuses a request since the servers have reached their rate limits.
@@ -181,6 +187,8 @@
   // Whether the server of the current send went on after it had begun to
   // answer.
   bool mHasAnswerGoneOn = false;
+  // The current send, to the watch over its server.
+  std::optional<CrashWatch::Send> mWatched;
   // Ticket of the home's grant for the current send.
   std::optional<std::uint64_t> mGrant;
   // Whether a home chose the server of the current send.
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -164,6 +164,10 @@
   mAnswerBegunAt.reset();
   mHasAnswerGoneOn = false;
   mTicket = mContext.mPool.Begin(mChoice.mServer, mQuery, mSentAt);
+  mWatched.emplace(
+    mContext.mCrashes,
+    ServerStart{ mChoice.mServer, mChoice.mStartedAtMs, mChoice.mEndpoint },
+    [this] { return Trace(); });
   const auto headTimeout = HeadTimeout();
   auto answer = mContext.mBackend.Send(call, mRequest, headTimeout, mCancel);
   if (!answer) {
@@ -187,7 +191,7 @@
     ObserveLimit(limit);
   }
   ObserveAvoidance(answer.value()->IsLeaving(), answer.value()->Pause());
-  mContext.mPool.OnProgress(mTicket, MonotonicNow());
+  NoteProgress();
   if (mGrant) {
     mContext.mPlacer->OnBegun(*mGrant);
   }
@@ -198,6 +202,13 @@
   return next;
 }
 
+void
+RequestRun::NoteProgress()
+{
+  mContext.mPool.OnProgress(mTicket, MonotonicNow());
+  mWatched->OnHeard();
+}
+
 void
 RequestRun::EndSend(SendOutcome aOutcome)
 {
@@ -226,9 +237,7 @@
               { "waited", MonotonicNow() - mSentAt },
               { "by_home", mIsByHome } });
   }
-  if (aFailure.mFault == SendFault::Broken) {
-    NoteBroken();
-  }
+  NoteFailure(aFailure.mFault);
   if (aFailure.mFault == SendFault::Cancelled || mCancel.IsCancelled()) {
     EndCancelled();
     return Next::Done;
@@ -325,6 +334,7 @@
                          false,
                          piece.error().mMessage });
     }
+    mWatched->OnHeard();
     if (!piece.value()) {
       break;
     }
@@ -381,7 +391,7 @@
     if (!std::exchange(hasBegun, true)) {
       NoteOldWeights();
     }
-    mContext.mPool.OnProgress(mTicket, MonotonicNow());
+    NoteProgress();
     if (!piece.value()) {
       if (const auto* fault = EndFault(aAnswer)) {
         return OnStreamBroken(Fail(ErrorCode::Corrupt, fault));
--- a/packages/entry/src/request_run_choice.cpp
+++ b/packages/entry/src/request_run_choice.cpp
@@ -185,10 +185,11 @@
     mIsByHome = false;
     return std::nullopt;
   }
-  mChoice = { it->mId,        it->mEndpoint,
-              it->mZone,      reply->mWeightVersion,
-              reply->mReason, reply->mTime,
-              reply->mTime,   reply->mCandidates };
+  mChoice = { it->mId,         it->mEndpoint,
+              it->mZone,       reply->mWeightVersion,
+              reply->mReason,  reply->mTime,
+              reply->mTime,    reply->mCandidates,
+              it->mStartedAtMs };
   return true;
 }
 
--- a/packages/entry/src/request_run_parts.cpp
+++ b/packages/entry/src/request_run_parts.cpp
@@ -74,18 +74,41 @@
   }
 }
 
-void
-RequestRun::NoteBroken()
+std::optional<CrashWatch::SendTrace>
+RequestRun::Trace()
 {
   if (mHasAnswerGoneOn) {
-    return;
+    return std::nullopt;
   }
-  ++mBrokenSends;
-  const auto it =
-    std::ranges::find(mSendView->mServers, mChoice.mServer, &ServerRecord::mId);
-  if (it != mSendView->mServers.end()) {
-    mContext.mCrashes.OnBroken(*it, { mParts, RequestKey(), mSentAt });
+  return CrashWatch::SendTrace{ mParts, RequestKey(), mSentAt };
+}
+
+void
+RequestRun::NoteFailure(SendFault aFault)
+{
+  switch (aFault) {
+    case SendFault::NoConnection:
+      mWatched->OnLost(SendLoss::Unreachable);
+      return;
+    case SendFault::Full:
+    case SendFault::WrongVersion:
+    case SendFault::Garbled:
+      mWatched->OnHeard();
+      return;
+    case SendFault::WrongServer:
+      return;
+    case SendFault::Broken:
+      if (!mCancel.IsCancelled()) {
+        mBrokenSends += mHasAnswerGoneOn ? 0 : 1;
+        mWatched->OnLost(SendLoss::Broken);
+        return;
+      }
+      break;
+    case SendFault::TimedOut:
+    case SendFault::Cancelled:
+      break;
   }
+  mWatched->OnLost(SendLoss::Silent);
 }
 
 } // namespace bilberrytrail
--- a/packages/entry/src/server_pool.cpp
+++ b/packages/entry/src/server_pool.cpp
@@ -181,6 +181,7 @@
   choice.mWeightVersion = aQuery.mModel ? aServer.VersionOf(*aQuery.mModel) : 0;
   choice.mReason = aReason;
   choice.mCandidates = aCandidates;
+  choice.mStartedAtMs = aServer.mRecord.mStartedAtMs;
   return choice;
 }
 
--- a/packages/entry/tests/answer_end_test.cpp
+++ b/packages/entry/tests/answer_end_test.cpp
@@ -140,7 +140,8 @@
     if (row.mIsStream) {
       SetStreaming(fixture, 1);
     }
-    fixture.mBackend.mIsRefusing = row.mHasServerEnded;
+    fixture.mBackend.mConnects =
+      row.mHasServerEnded ? ConnectOutcome::Refused : ConnectOutcome::Accepted;
     fixture.mBackend.mScript = { Answering({ EventText(1) },
                                            row.mEndsWithConnection) };
     fixture.Run();
@@ -159,7 +160,7 @@
     if (!isStream) {
       fixture.mConfig.mRoutes.front().mKind = RequestKind::Idempotent;
     }
-    fixture.mBackend.mIsRefusing = true;
+    fixture.mBackend.mConnects = ConnectOutcome::Refused;
     fixture.mBackend.mScript = { Answering({ EventText(1) }, true),
                                  Answering({ EventText(2) }, false) };
     fixture.Run();
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -115,6 +115,16 @@
   return std::make_unique<FakeAnswer>(mLoop, std::move(send), aCancel);
 }
 
+ConnectOutcome
+FakeBackend::Probe(const Endpoint& /*aEndpoint*/, Duration aTimeout)
+{
+  ++mProbes;
+  if (mConnects == ConnectOutcome::Silent) {
+    (void)mLoop.Sleep(aTimeout);
+  }
+  return mConnects;
+}
+
 FlowFixture::FlowFixture()
 {
   Route route;
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -49,14 +49,13 @@
     const CallerRequest& aRequest,
     Duration aHeadTime,
     HttpCancel& aCancel) override;
-  bool IsRefusing(const Endpoint& /*aEndpoint*/, Duration /*aTimeout*/) override
-  {
-    return mIsRefusing;
-  }
+  ConnectOutcome Probe(const Endpoint& aEndpoint, Duration aTimeout) override;
   void Forget(const Endpoint& /*aEndpoint*/) override {}
 
-  // Whether servers refuse connections.
-  bool mIsRefusing = false;
+  // What becomes of new connections to servers, and the number of those opened
+  // to check a server.
+  ConnectOutcome mConnects = ConnectOutcome::Accepted;
+  std::size_t mProbes = 0;
 
   std::deque<FakeSend> mScript;
   std::vector<BackendCall> mCalls;
--- a/packages/entry/tests/request_parts_test.cpp
+++ b/packages/entry/tests/request_parts_test.cpp
@@ -107,34 +107,40 @@
 
 // Guards against taking lost connections for servers that ended, and against
 // suspecting prompts whose servers had already begun to answer.
-TEST_CASE("only servers that refuse connections afterwards count as ended")
+TEST_CASE("only servers that refuse or ignore connections count as ended")
 {
   struct Row
   {
     const char* mName;
     SendFault mFault;
-    bool mIsRefusing;
+    ConnectOutcome mConnects;
     std::size_t mSuspects;
   };
+  constexpr auto kAccepted = ConnectOutcome::Accepted;
+  constexpr auto kRefused = ConnectOutcome::Refused;
+  constexpr auto kSilent = ConnectOutcome::Silent;
   for (const Row& row :
-       { Row{ "ended", SendFault::Broken, true, 2 },
-         Row{ "connection reset", SendFault::Broken, false, 0 },
-         Row{ "silent", SendFault::TimedOut, true, 0 },
-         Row{ "garbled", SendFault::Garbled, true, 0 },
-         Row{ "refused", SendFault::NoConnection, true, 0 } }) {
+       { Row{ "ended", SendFault::Broken, kRefused, 2 },
+         Row{ "connection reset", SendFault::Broken, kAccepted, 0 },
+         Row{ "host lost power", SendFault::TimedOut, kSilent, 2 },
+         Row{ "ended without a reset", SendFault::TimedOut, kRefused, 2 },
+         Row{ "slow", SendFault::TimedOut, kAccepted, 0 },
+         Row{ "not told", SendFault::TimedOut, ConnectOutcome::Unknown, 0 },
+         Row{ "garbled", SendFault::Garbled, kRefused, 0 },
+         Row{ "refused", SendFault::NoConnection, kRefused, 0 } }) {
     CAPTURE(std::string(row.mName));
     FlowFixture fixture;
     auto& route = fixture.mConfig.mRoutes.front();
     route.mKind = RequestKind::Idempotent;
     route.mMaxAttempts = 2;
     fixture.mRequest.mPrompt = MakePrompt();
-    fixture.mBackend.mIsRefusing = row.mIsRefusing;
+    fixture.mBackend.mConnects = row.mConnects;
     FakeSend broken;
     broken.mFailure = SendFailure{ row.mFault, false, "test" };
     FakeSend later;
     later.mStatus = 404;
     later.mPieces = { "x" };
-    later.mHeadTime = 100ms;
+    later.mHeadTime = 1s;
     fixture.mBackend.mScript = { broken, later };
     fixture.Run();
     CHECK(fixture.mBackend.mCalls.size() == 2);
@@ -152,7 +158,7 @@
     route.mResumable = true;
     route.mMaxAttempts = 2;
     fixture.mRequest.mPrompt = MakePrompt();
-    fixture.mBackend.mIsRefusing = true;
+    fixture.mBackend.mConnects = ConnectOutcome::Refused;
     FakeSend cut;
     cut.mPieces = { EventText(1), EventText(2) };
     cut.mPieceTime = hasGoneOn ? 400ms : 10ms;
--- a/packages/entry/tests/request_quarantine_test.cpp
+++ b/packages/entry/tests/request_quarantine_test.cpp
@@ -100,7 +100,7 @@
   auto& route = fixture.mConfig.mRoutes.front();
   route.mKind = RequestKind::Idempotent;
   route.mMaxAttempts = 4;
-  fixture.mBackend.mIsRefusing = true;
+  fixture.mBackend.mConnects = ConnectOutcome::Refused;
   std::vector<Instant> sentAt;
   fixture.mBackend.mOnSend = [&] { sentAt.push_back(MonotonicNow()); };
   fixture.mBackend.mScript = { BrokenSend(), BrokenSend(), BrokenSend() };
@@ -118,12 +118,18 @@
 TEST_CASE("the requests sent last, and earlier suspects, answer for a death")
 {
   FlowFixture fixture;
-  fixture.mBackend.mIsRefusing = true;
+  fixture.mBackend.mConnects = ConnectOutcome::Refused;
   const auto start = MonotonicNow();
+  const auto breakOne = [&](std::uint64_t aRequest, Instant aSentAt) {
+    const auto& server = fixture.mServers.front();
+    fixture.mCrashes.OnLost(
+      { server.mId, server.mStartedAtMs, server.mEndpoint },
+      { {}, PartKey(aRequest), aSentAt },
+      SendLoss::Broken);
+  };
   const auto breakAll = [&](std::uint64_t aFirst, std::uint64_t aEnd) {
     for (std::uint64_t n = aFirst; n < aEnd; ++n) {
-      fixture.mCrashes.OnBroken(fixture.mServers.front(),
-                                { {}, PartKey(n), start + n * 1ms });
+      breakOne(n, start + n * 1ms);
     }
     (void)fixture.mLoop.Sleep(100ms);
     ++fixture.mServers.front().mStartedAtMs;
@@ -134,8 +140,7 @@
     CHECK(fixture.mRequests.IsSuspect(PartKey(12)));
     CHECK(fixture.mRequests.size() == 8);
     // The request that was sent first this time was suspect before.
-    fixture.mCrashes.OnBroken(fixture.mServers.front(),
-                              { {}, PartKey(12), start });
+    breakOne(12, start);
     breakAll(13, 20);
     fixture.mRequests.AnswerWentOn(std::vector{ PartKey(13) }, MonotonicNow());
     for (const auto& it : fixture.mRequests.Recent(MonotonicNow())) {
@@ -144,8 +149,7 @@
       }
     }
     // It answers for a third death, although others were sent last.
-    fixture.mCrashes.OnBroken(fixture.mServers.front(),
-                              { {}, PartKey(12), start });
+    breakOne(12, start);
     breakAll(100, 120);
     CHECK_FALSE(fixture.mRequests.IsSuspect(PartKey(111)));
     CHECK(fixture.mRequests.IsSuspect(PartKey(112)));
--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -2,9 +2,11 @@
 
 #include <bilberrytrail/base/call.h>
 #include <bilberrytrail/base/endpoint.h>
+#include <bilberrytrail/base/enum_names.h>
 #include <bilberrytrail/runtime/fwd.h>
 #include <bilberrytrail/runtime/http.h>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -71,6 +73,28 @@
   std::function<void()> mClose;
 };
 
+// What became of an attempt to open a connection.
+enum class ConnectOutcome : unsigned char
+{
+  Accepted,
+  // The peer's host is up, but no process listens on the port.
+  Refused,
+  // Nothing came back within the timeout: the host is down or out of reach, or
+  // its queue of new connections is full.
+  Silent,
+  // The attempt failed for another reason, which tells nothing about the peer.
+  Unknown
+};
+
+template<>
+struct EnumNames<ConnectOutcome>
+{
+  static constexpr std::array<std::string_view, 4> kNames{ "accepted",
+                                                           "refused",
+                                                           "silent",
+                                                           "unknown" };
+};
+
 // Options of one exchange.
 struct HttpCallOptions
 {
@@ -139,9 +163,9 @@
     const Endpoint& aEndpoint,
     const HttpRequest& aRequest,
     const HttpCallOptions& aOptions);
-  // Opens a connection and closes it again. Returns whether the peer's host
-  // refused it, as it does when no process listens on the port.
-  [[nodiscard]] bool IsRefused(const Endpoint& aEndpoint, Duration aTimeout);
+  // Opens a connection, closes it again, and returns what became of it.
+  [[nodiscard]] ConnectOutcome Probe(const Endpoint& aEndpoint,
+                                     Duration aTimeout);
   // Closes the idle connections to a peer that is no longer used.
   void Forget(const Endpoint& aEndpoint);
 
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -260,25 +260,32 @@
                     "too many responses that are not the final one" };
 }
 
-bool
-HttpClient::Impl::IsRefused(const Endpoint& aEndpoint, Duration aTimeout)
+ConnectOutcome
+HttpClient::Impl::Probe(const Endpoint& aEndpoint, Duration aTimeout)
 {
   beast::error_code ec;
   const auto address = asio::ip::make_address(aEndpoint.mHost, ec);
   if (ec) {
-    return false;
+    return ConnectOutcome::Unknown;
   }
   beast::tcp_stream stream(mLoop.Internals().Context());
   stream.expires_after(aTimeout);
   std::tie(ec) =
     stream.async_connect(tcp::endpoint(address, aEndpoint.mPort), kUseFiber);
-  return ec == asio::error::connection_refused;
+  if (!ec) {
+    return ConnectOutcome::Accepted;
+  }
+  if (ec == asio::error::connection_refused) {
+    return ConnectOutcome::Refused;
+  }
+  return ec == beast::error::timeout ? ConnectOutcome::Silent
+                                     : ConnectOutcome::Unknown;
 }
 
-bool
-HttpClient::IsRefused(const Endpoint& aEndpoint, Duration aTimeout)
+ConnectOutcome
+HttpClient::Probe(const Endpoint& aEndpoint, Duration aTimeout)
 {
-  return mImpl->IsRefused(aEndpoint, aTimeout);
+  return mImpl->Probe(aEndpoint, aTimeout);
 }
 
 void
--- a/packages/runtime/src/http_client_impl.h
+++ b/packages/runtime/src/http_client_impl.h
@@ -64,7 +64,8 @@
                                            const HttpCallOptions& aOptions);
   // Keeps a connection for reuse. Its last exchange must have ended cleanly.
   void Release(const Endpoint& aEndpoint, ConnectionPtr aConnection);
-  [[nodiscard]] bool IsRefused(const Endpoint& aEndpoint, Duration aTimeout);
+  [[nodiscard]] ConnectOutcome Probe(const Endpoint& aEndpoint,
+                                     Duration aTimeout);
   void Forget(const Endpoint& aEndpoint) { mIdle.erase(aEndpoint); }
   [[nodiscard]] const std::shared_ptr<MemoryBudget>& Memory() const noexcept
   {
--- a/standins/src/fleet/fleet_server.cpp
+++ b/standins/src/fleet/fleet_server.cpp
@@ -11,12 +11,18 @@
 
 constexpr int kEvents = 5;
 constexpr Duration kLoadTime = 50ms;
+// Time between two looks whether the server is back.
+constexpr Duration kDownPeriod = 10ms;
 
 } // namespace
 
 void
 FleetServer::Handle(const HttpRequest& aRequest, HttpResponder& aResponder)
 {
+  if (IsDown() && mCrashKind == CrashKind::Silent) {
+    LoseAnswer(aResponder);
+    return;
+  }
   if (aRequest.mTarget == "/report") {
     const Json report{ { "models",
                          { { { "name", "m" },
@@ -83,6 +89,15 @@
   }
 }
 
+void
+FleetServer::LoseAnswer(HttpResponder& aResponder)
+{
+  while (IsDown() && mCrashKind == CrashKind::Silent &&
+         mLoop.Sleep(kDownPeriod)) {
+  }
+  aResponder.Abort();
+}
+
 std::vector<Instant>
 FleetServer::ArrivalsOf(std::string_view aIdPrefix) const
 {
@@ -135,7 +150,7 @@
   if (aRequest.mTarget.find("/stream/") == std::string::npos) {
     if (IsDeadly(aRequest)) {
       Crash();
-      aResponder.Abort();
+      LoseAnswer(aResponder);
       return;
     }
     (void)aResponder.Send({ 200, std::move(headers), aRequest.mBody });
@@ -160,8 +175,8 @@
   int next = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
   for (int sent = 1; next <= kEvents; ++next, ++sent) {
     (void)mLoop.Sleep(mEventTime);
-    if (mCrashes.size() == mStarts) {
-      aResponder.Abort();
+    if (IsDown()) {
+      LoseAnswer(aResponder);
       return;
     }
     const auto event = "id: " + std::to_string(next) + "\ndata: x\n\n";
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -20,6 +20,15 @@
   std::uint64_t mWeights = 0;
 };
 
+// What happens to the open connections of a server that crashes.
+enum class CrashKind : unsigned char
+{
+  // They are reset.
+  Reset,
+  // Its host loses power: they fall silent, and are reset when it is back.
+  Silent
+};
+
 // Stands in for a backend server of the fleet: a plain service, or an engine
 // that streams events for paths with "/stream/" and takes orders to load
 // weights. Counts how often each request ran.
@@ -88,9 +97,12 @@
     mOnCrash = std::move(aOnCrash);
   }
   // Crashes the server when it begins to run a request with this body.
-  void SetDeadlyBody(std::string aBody, std::function<void()> aOnCrash)
+  void SetDeadlyBody(std::string aBody,
+                     CrashKind aKind,
+                     std::function<void()> aOnCrash)
   {
     mDeadlyBody = std::move(aBody);
+    mCrashKind = aKind;
     mOnCrash = std::move(aOnCrash);
   }
   // Starts the server again.
@@ -136,6 +148,12 @@
   [[nodiscard]] HttpHeaders WithState(HttpHeaders aHeaders) const;
   void Run(const HttpRequest& aRequest, HttpResponder& aResponder);
   void Crash();
+  [[nodiscard]] bool IsDown() const noexcept
+  {
+    return mCrashes.size() == mStarts;
+  }
+  // Breaks off the answer of a server that has crashed.
+  void LoseAnswer(HttpResponder& aResponder);
   void Stream(const HttpRequest& aRequest, HttpResponder& aResponder);
   void TakeOrder(const HttpRequest& aRequest, HttpResponder& aResponder);
 
@@ -159,6 +177,7 @@
   std::uint64_t mStarts = 1;
   std::string mDeadlyPart;
   std::string mDeadlyBody;
+  CrashKind mCrashKind = CrashKind::Reset;
   std::function<void()> mOnCrash;
   std::vector<Instant> mCrashes;
   std::vector<Instant> mDeadlyArrivals;
--- a/standins/tests/fleet_crashing_request_test.cpp
+++ b/standins/tests/fleet_crashing_request_test.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t kDaemons = 3;
 constexpr Duration kDownTime = 600ms;
+// The same for a host that loses power.
+constexpr Duration kSilentTime = 1500ms;
 // Daemons in touch know of a request that crashes servers this long after the
 // third crash.
 constexpr Duration kStableTime = 3s;
@@ -28,9 +30,10 @@
 class Traffic
 {
 public:
-  Traffic(FleetSite& aSite, std::string aTarget)
+  Traffic(FleetSite& aSite, std::string aTarget, Duration aDeadline)
     : mSite(aSite)
     , mTarget(std::move(aTarget))
+    , mDeadline(aDeadline)
   {
   }
 
@@ -60,7 +63,7 @@
   {
     const bool isDeadly = aNumber % kDeadlyOneIn == 0;
     const auto number = std::to_string(aNumber);
-    auto request = SmallSiteRequest("a" + number, mTarget, "key", 4s);
+    auto request = SmallSiteRequest("a" + number, mTarget, "key", mDeadline);
     request.mBody = isDeadly ? kDeadlyBody : "sound " + number;
     const auto response = mSite.Send(aDaemon, request);
     --mRunning;
@@ -75,6 +78,7 @@
 
   FleetSite& mSite;
   const std::string mTarget;
+  const Duration mDeadline;
   int mSent = 0;
   int mRunning = 0;
 };
@@ -91,19 +95,30 @@
     const char* mName;
     const char* mTarget;
     bool mHasDaemonStarted;
+    CrashKind mCrash;
+    Duration mDeadline;
   };
+  constexpr auto kReset = CrashKind::Reset;
+  constexpr auto kSilent = CrashKind::Silent;
   for (const Row& row :
-       { Row{ "an order", "/order/reels", false },
-         Row{ "a read", "/read/reels", false },
-         Row{ "a stream", "/stream/reels", false },
-         Row{ "an order, a daemon starts", "/order/reels", true },
-         Row{ "a read, a daemon starts", "/read/reels", true } }) {
+       { Row{ "an order", "/order/reels", false, kReset, 4s },
+         Row{ "a read", "/read/reels", false, kReset, 4s },
+         Row{ "a stream", "/stream/reels", false, kReset, 4s },
+         Row{ "an order, a daemon starts", "/order/reels", true, kReset, 4s },
+         Row{ "a read, a daemon starts", "/read/reels", true, kReset, 4s },
+         Row{ "an order, hosts", "/order/reels", false, kSilent, 1s },
+         Row{ "a read, hosts", "/read/reels", false, kSilent, 1s },
+         Row{
+           "an order, hosts, back first", "/order/reels", false, kSilent, 4s },
+         Row{
+           "an order, hosts, a daemon", "/order/reels", true, kSilent, 1s } }) {
     CAPTURE(std::string(row.mName));
     FleetSite site;
-    site.SetDeadlyBody(kDeadlyBody, kDownTime);
+    site.SetDeadlyBody(
+      kDeadlyBody, row.mCrash == kSilent ? kSilentTime : kDownTime, row.mCrash);
     site.Run(kDaemons, [&] {
       (void)site.mLoop.Sleep(kReadTime);
-      Traffic traffic(site, row.mTarget);
+      Traffic traffic(site, row.mTarget, row.mDeadline);
       traffic.Run(6s);
       if (row.mHasDaemonStarted) {
         site.StartDaemon();
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -1,5 +1,7 @@
 #include "fleet_site.h"
 
+#include "silent_port.h"
+
 #include <doctest/doctest.h>
 
 #include <unistd.h>
@@ -177,20 +179,28 @@
 }
 
 void
-FleetSite::SetDeadlyBody(const std::string& aBody, Duration aDownTime)
+FleetSite::SetDeadlyBody(const std::string& aBody,
+                         Duration aDownTime,
+                         CrashKind aKind)
 {
   for (std::size_t n = 0; n < mServers.size(); ++n) {
-    mServers[n]->SetDeadlyBody(aBody,
-                               [this, n, aDownTime] { OnCrash(n, aDownTime); });
+    mServers[n]->SetDeadlyBody(aBody, aKind, [this, n, aDownTime, aKind] {
+      OnCrash(n, aDownTime, aKind);
+    });
   }
 }
 
 void
-FleetSite::OnCrash(std::size_t aNumber, Duration aDownTime)
+FleetSite::OnCrash(std::size_t aNumber, Duration aDownTime, CrashKind aKind)
 {
   mHttpServers[aNumber]->StopAccepting();
-  mLoop.Spawn([this, aNumber, aDownTime] {
+  std::shared_ptr<SilentPort> silent;
+  if (aKind == CrashKind::Silent) {
+    silent = std::make_shared<SilentPort>(mEndpoints[aNumber]);
+  }
+  mLoop.Spawn([this, aNumber, aDownTime, silent]() mutable {
     (void)mLoop.Sleep(aDownTime);
+    silent.reset();
     auto server = std::make_unique<HttpServer>(mLoop, HttpLimits());
     CHECK(server->Listen(mEndpoints[aNumber]).has_value());
     mServers[aNumber]->Restart();
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -58,7 +58,9 @@
   // time.
   void SetDeadlyPart(const std::string& aPart, Duration aDownTime);
   // Makes all servers crash on requests with this body.
-  void SetDeadlyBody(const std::string& aBody, Duration aDownTime);
+  void SetDeadlyBody(const std::string& aBody,
+                     Duration aDownTime,
+                     CrashKind aKind = CrashKind::Reset);
   // Puts the row of a server of the site.
   void PutServer(std::size_t aNumber, const std::string& aState = "ready");
   [[nodiscard]] Result<HttpResponse, HttpError> Send(
@@ -106,7 +108,9 @@
 private:
   Endpoint Listen(HttpHandler& aHandler);
   EntrySettings MakeSettings(int aNumber);
-  void OnCrash(std::size_t aNumber, Duration aDownTime);
+  void OnCrash(std::size_t aNumber,
+               Duration aDownTime,
+               CrashKind aKind = CrashKind::Reset);
 
   std::vector<std::unique_ptr<HttpServer>> mHttpServers;
   std::unique_ptr<HttpClient> mClient;
