Read the tables on a new connection when a wait is overdue

Cause: each wait was bounded, but not their sum. A wait for changes was given up after 3.1 s, other daemons were asked, and the next call went out on another kept connection, which was silent as well and cost 1.5 s more. A daemon that gave up its relay did the same.

Now a second call goes out on a new connection 150 ms after a wait should have been answered, which is 2.65 s after the silence at the latest, at any phase. The wait fails only if that call fails, too. After a call that timed out, the client closes the connections to that peer that were idle all the while. A daemon that begins to follow directly, or whose evidence is overdue, opens a new connection. While answers come in time this costs no call and no connection.

The proxy of the soak has moved to the stand-ins for them.

--- a/packages/entry/include/bilberrytrail/entry/site_feed.h
+++ b/packages/entry/include/bilberrytrail/entry/site_feed.h
@@ -100,6 +100,9 @@
     TableVersion aAfter,
     Duration aWait,
     const AnswerLimits& aLimits) = 0;
+  // Makes later calls open new connections: those that are idle may have fallen
+  // silent.
+  virtual void Reconnect() = 0;
 };
 
 // Content of a row; an Error when it cannot be parsed.
--- a/packages/entry/src/table_follower.cpp
+++ b/packages/entry/src/table_follower.cpp
@@ -6,10 +6,13 @@
 
 namespace {
 
-// Longest wait for changes in one call. A dead connection is detected
-// kCallMargin later.
+// Longest wait for changes in one call, and time for the answer behind it.
 constexpr Duration kChangeWait = 2500ms;
 constexpr Duration kCallMargin = 600ms;
+// When an answer is late by this time, its connection may have fallen silent,
+// and a new one is tried beside it. With the longest wait that is less than the
+// 3 s after which a daemon must be up to date again.
+constexpr Duration kLateAnswer = 150ms;
 // The margin while other daemons rely on this one.
 constexpr Duration kServingCallMargin = 300ms;
 constexpr Duration kReadTimeout = 1500ms;
@@ -47,7 +50,7 @@
   , mPeers(aPeers)
   , mReader(aReader)
   , mState(aState)
-  , mWakeUps{ Event(aLoop), Event(aLoop) }
+  , mFollowing{ Following(aLoop), Following(aLoop) }
 {
 }
 
@@ -56,8 +59,9 @@
 {
   for (const auto table : AllOf<SiteTable>()) {
     mLoop.Spawn([this, table] { Follow(table); });
+    mLoop.Spawn([this, table] { WatchAnswers(table); });
   }
-  mLoop.Spawn([this] { WatchOverdue(); });
+  mLoop.Spawn([this] { WatchEvidence(); });
 }
 
 void
@@ -67,8 +71,10 @@
   mIsDirect = aIsDirect;
   mIsServing = aIsServing;
   if (startsDirect) {
-    for (auto& it : mWakeUps) {
-      it.Notify();
+    // What made the way before fail may have silenced idle connections, too.
+    mFeed.Reconnect();
+    for (auto& it : mFollowing) {
+      it.mWakeUp.Notify();
     }
   }
 }
@@ -80,7 +86,7 @@
   unsigned pauses = 1;
   while (!mLoop.IsStopping()) {
     if (!mIsDirect) {
-      (void)mWakeUps[static_cast<std::size_t>(aTable)].Wait(kIndirectPause);
+      (void)FollowingOf(aTable).mWakeUp.Wait(kIndirectPause);
       if (mState.Version(aTable).IsKnown()) {
         // The answer tells at once what this daemon lacks.
         mode = ReadMode::Changes;
@@ -131,13 +137,28 @@
 TableFollower::ReadOnce(SiteTable aTable, ReadMode aMode)
 {
   const bool mustReadAll = aMode == ReadMode::All;
-  const auto wait = aMode == ReadMode::Wait ? LongestWait() : Duration(0);
+  const bool waits = aMode == ReadMode::Wait;
+  const auto wait = waits ? LongestWait() : Duration(0);
   const auto sentAt = BootNow();
+  auto& following = FollowingOf(aTable);
+  if (waits) {
+    following.mOverdueAt = MonotonicNow() + wait + kLateAnswer;
+    if (*following.mOverdueAt < following.mLookAt) {
+      following.mLook.Notify();
+    }
+  }
   auto rows = Read(aTable, aMode);
+  if (waits) {
+    following.mOverdueAt.reset();
+  }
   if (!rows) {
     if (rows.error().mError.mCode == ErrorCode::NotFound) {
       return ReadOutcome::Unknown;
     }
+    if (waits && following.mAnsweredAt > sentAt) {
+      // Only this connection has failed.
+      return ReadOutcome::Unchanged;
+    }
     mState.OnTableFailure(aTable, rows.error());
     return ReadOutcome::Failed;
   }
@@ -149,6 +170,7 @@
                                    "rows are older than this daemon's"));
     return ReadOutcome::Failed;
   }
+  following.mAnsweredAt = std::max(following.mAnsweredAt, sentAt);
   // An answer without changes comes at the end of the wait; it may be read much
   // later, as after the process was frozen.
   const bool isEmpty = rows.value().mRows.empty();
@@ -160,6 +182,24 @@
   return isEmpty ? ReadOutcome::Unchanged : ReadOutcome::Changed;
 }
 
+void
+TableFollower::WatchAnswers(SiteTable aTable)
+{
+  auto& following = FollowingOf(aTable);
+  while (!mLoop.IsStopping()) {
+    const auto now = MonotonicNow();
+    if (following.mOverdueAt && now >= *following.mOverdueAt) {
+      following.mOverdueAt.reset();
+      mFeed.Reconnect();
+      Check(aTable);
+      continue;
+    }
+    following.mLookAt =
+      following.mOverdueAt.value_or(now + kChangeWait + kLateAnswer);
+    (void)following.mLook.Wait(following.mLookAt - now);
+  }
+}
+
 void
 TableFollower::Check(SiteTable aTable)
 {
@@ -184,11 +224,12 @@
 }
 
 void
-TableFollower::WatchOverdue()
+TableFollower::WatchEvidence()
 {
   while (mLoop.Sleep(kOverduePeriod)) {
     for (const auto table : AllOf<SiteTable>()) {
       if (IsOverdue(table)) {
+        mFeed.Reconnect();
         Check(table);
       }
     }
--- a/packages/entry/src/table_follower.h
+++ b/packages/entry/src/table_follower.h
@@ -49,7 +49,7 @@
   };
 
   void Follow(SiteTable aTable);
-  void WatchOverdue();
+  void WatchEvidence();
   [[nodiscard]] bool IsOverdue(SiteTable aTable) const;
   // What a call returned.
   enum class ReadOutcome : unsigned char
@@ -62,6 +62,9 @@
   };
 
   ReadOutcome ReadOnce(SiteTable aTable, ReadMode aMode);
+  // Reads a table on a new connection while the answer to a wait for changes is
+  // overdue.
+  void WatchAnswers(SiteTable aTable);
   [[nodiscard]] CallResult<SiteRows> Read(SiteTable aTable, ReadMode aMode);
   [[nodiscard]] Duration LongestWait() const noexcept;
   void QueryPeers();
@@ -75,8 +78,33 @@
   bool mIsDirect = true;
   // Initially true: others may rely on this daemon once it has started.
   bool mIsServing = true;
-  // Wake the fibers of the tables when this daemon begins to follow directly.
-  std::array<Event, EnumCount<SiteTable>()> mWakeUps;
+  // How one table is followed.
+  struct Following
+  {
+    explicit Following(Loop& aLoop)
+      : mWakeUp(aLoop)
+      , mLook(aLoop)
+    {
+    }
+
+    // Wakes the table's fiber when this daemon begins to follow directly.
+    Event mWakeUp;
+    // When the answer to the wait in progress is overdue.
+    std::optional<Instant> mOverdueAt;
+    // When the fiber that watches the answers looks next, and what wakes it
+    // before.
+    Instant mLookAt;
+    Event mLook;
+    // When the last call that was answered was sent, on the boot clock.
+    Instant mAnsweredAt;
+  };
+
+  [[nodiscard]] Following& FollowingOf(SiteTable aTable) noexcept
+  {
+    return mFollowing[static_cast<std::size_t>(aTable)];
+  }
+
+  std::array<Following, EnumCount<SiteTable>()> mFollowing;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/tests/followed_tables.h
+++ b/packages/entry/tests/followed_tables.h
@@ -5,11 +5,13 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace bilberrytrail {
 
 // A table service whose configuration changes, and of which the answers are
-// read some time after they were written.
+// read some time after they were written. Its connections are kept, and may
+// fall silent.
 class LateFeed final : public SiteFeed
 {
 public:
@@ -29,12 +31,15 @@
   {
     return ReadChanges(aTable, {}, 0ms, aLimits);
   }
+  void Reconnect() override { mIdle.clear(); }
   CallResult<SiteRows> ReadChanges(SiteTable aTable,
                                    TableVersion aAfter,
                                    Duration aWait,
-                                   const AnswerLimits& /*aLimits*/) override
+                                   const AnswerLimits& aLimits) override
   {
     ++mCalls;
+    const auto openedIn = TakeConnection();
+    const auto begin = MonotonicNow();
     if (mIsDown) {
       (void)mLoop.Sleep(100ms);
       return FailCall(CallDisposition::Unknown, ErrorCode::Unavailable, "down");
@@ -45,9 +50,18 @@
     }
     auto rows = Answer(aTable, aAfter);
     (void)mLoop.Sleep(mReadDelay);
+    if (openedIn < mSilences) {
+      (void)mLoop.Sleep(begin + aLimits.mBegin - MonotonicNow());
+      return FailCall(
+        CallDisposition::Unknown, ErrorCode::Timeout, "no answer");
+    }
+    mIdle.push_back(openedIn);
     return rows;
   }
 
+  // Silences the connections that are open now.
+  void Silence() { ++mSilences; }
+
   // Time between the writing and the reading of an answer.
   Duration mReadDelay{};
   // Bytes of a configuration's row beside its version.
@@ -56,8 +70,22 @@
   std::uint64_t mConfig = 1;
   Instant mPutAt;
   std::size_t mCalls = 0;
+  // Idle connections, by the number of silences before they were opened.
+  std::vector<std::size_t> mIdle;
+  // Connections opened.
+  std::size_t mOpened = 0;
 
 private:
+  [[nodiscard]] std::size_t TakeConnection()
+  {
+    if (mIdle.empty()) {
+      ++mOpened;
+      return mSilences;
+    }
+    const auto connection = mIdle.back();
+    mIdle.pop_back();
+    return connection;
+  }
   [[nodiscard]] SiteRows Answer(SiteTable aTable, TableVersion aAfter) const
   {
     SiteRows rows{ {}, mConfig, std::nullopt };
@@ -71,6 +99,7 @@
   }
 
   Loop& mLoop;
+  std::size_t mSilences = 0;
 };
 
 class NumberReader final : public SiteReader
--- a/packages/entry/tests/table_follower_test.cpp
+++ b/packages/entry/tests/table_follower_test.cpp
@@ -113,3 +113,90 @@
     CHECK(fixture.mFeed.mCalls - before <= 50);
   });
 }
+
+// Guards against a daemon that goes on with an old configuration after its
+// connections to the table service have fallen silent: each of them, the idle
+// ones too, cost the time until a call was given up.
+TEST_CASE("a view is up to date soon after all connections fell silent")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mIsServing;
+    // Idle connections beside the waits.
+    std::size_t mIdle;
+    // They fall silent once more after this time.
+    Duration mAgainAfter;
+  };
+  for (const Row& row : { Row{ "followed directly", false, 0, 0ms },
+                          Row{ "others rely on it", true, 0, 0ms },
+                          Row{ "one idle connection", false, 1, 0ms },
+                          Row{ "twelve idle ones", false, 12, 0ms },
+                          Row{ "twice", false, 1, 1500ms },
+                          Row{ "again at once", true, 1, 900ms } }) {
+    // Silences come at all phases of a wait.
+    for (auto phase = 0ms; phase < 2700ms; phase += 50ms) {
+      CAPTURE(std::string(row.mName));
+      CAPTURE(phase.count());
+      FollowedTables fixture;
+      fixture.Run([&] {
+        auto& feed = fixture.mFeed;
+        fixture.mTables.SetDirect(true, row.mIsServing);
+        (void)fixture.mLoop.Sleep(3s + phase);
+        feed.mIdle.assign(row.mIdle, 0);
+        feed.Silence();
+        (void)fixture.mLoop.Sleep(row.mAgainAfter);
+        if (row.mAgainAfter > 0ms) {
+          feed.Silence();
+        }
+        const auto silentAt = MonotonicNow();
+        feed.PutConfig();
+        const auto& config = feed.mConfig;
+        while (fixture.Config() < config && fixture.mLoop.Sleep(10ms)) {
+        }
+        CHECK(MonotonicNow() - silentAt <= 2800ms);
+        // The next change is known at once.
+        (void)fixture.mLoop.Sleep(3s);
+        feed.PutConfig();
+        (void)fixture.mLoop.Sleep(200ms);
+        CHECK(fixture.Config() == config);
+        CHECK_FALSE(fixture.mViews.HasOutage(SiteTable::Operator));
+      });
+    }
+  }
+}
+
+// Guards against the same at a daemon whose relay fails: the connections to the
+// table service that it had kept may be silent, too.
+TEST_CASE("a daemon that begins to follow directly uses new connections")
+{
+  FollowedTables fixture;
+  fixture.Run([&] {
+    fixture.mTables.SetDirect(false, false);
+    (void)fixture.mLoop.Sleep(4s);
+    fixture.mFeed.mIdle.assign(3, 0);
+    fixture.mFeed.Silence();
+    fixture.mFeed.PutConfig();
+    fixture.mTables.SetDirect(true, false);
+    (void)fixture.mLoop.Sleep(50ms);
+    CHECK(fixture.Config() == 2);
+  });
+}
+
+// Guards against a remedy that costs calls while nothing is wrong.
+TEST_CASE("following costs one call for each wait, and no new connections")
+{
+  for (const auto delay : { 0ms, 100ms }) {
+    CAPTURE(delay.count());
+    FollowedTables fixture;
+    fixture.Run([&] {
+      fixture.mFeed.mReadDelay = delay;
+      (void)fixture.mLoop.Sleep(3s);
+      const auto calls = fixture.mFeed.mCalls;
+      const auto opened = fixture.mFeed.mOpened;
+      (void)fixture.mLoop.Sleep(100s);
+      CHECK(fixture.mFeed.mCalls - calls <= 80);
+      CHECK(fixture.mFeed.mOpened == opened);
+    });
+  }
+}
--- a/packages/runtime/include/bilberrytrail/runtime/http_client.h
+++ b/packages/runtime/include/bilberrytrail/runtime/http_client.h
@@ -142,7 +142,9 @@
 
   // Sends a request and reads the complete response within the timeout. Fails
   // with TooLarge when the body is larger than aMaxBodyBytes, and with
-  // Exhausted when the loop's budget for messages does not allow it.
+  // Exhausted when the loop's budget for messages does not allow it. After a
+  // timeout, connections to the peer that were idle all the while are closed:
+  // they may have fallen silent, too.
   [[nodiscard]] Result<HttpResponse, HttpError> Call(
     const Endpoint& aEndpoint,
     const HttpRequest& aRequest,
@@ -170,6 +172,11 @@
   void Forget(const Endpoint& aEndpoint);
 
 private:
+  Result<HttpResponse, HttpError> CallOnce(const Endpoint& aEndpoint,
+                                           const HttpRequest& aRequest,
+                                           const AnswerLimits& aLimits,
+                                           std::size_t aMaxBodyBytes);
+
   std::shared_ptr<Impl> mImpl;
 };
 
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -168,12 +168,24 @@
 {
   auto& idle = mIdle[aEndpoint];
   aConnection->mStream.expires_never();
+  aConnection->mIdleSince = MonotonicNow();
   ShrinkIdle(aConnection->mBuffer);
   if (idle.size() < kMaxIdlePerEndpoint && aConnection->mBuffer.size() == 0) {
     idle.push_back(std::move(aConnection));
   }
 }
 
+void
+HttpClient::Impl::ForgetUnusedSince(const Endpoint& aEndpoint, Instant aTime)
+{
+  const auto it = mIdle.find(aEndpoint);
+  if (it != mIdle.end()) {
+    std::erase_if(it->second, [&](const ConnectionPtr& aConnection) {
+      return aConnection->mIdleSince <= aTime;
+    });
+  }
+}
+
 HttpClient::HttpClient(Loop& aLoop)
   : mImpl(std::make_shared<Impl>(aLoop))
 {
@@ -309,6 +321,20 @@
                  const HttpRequest& aRequest,
                  const AnswerLimits& aLimits,
                  std::size_t aMaxBodyBytes)
+{
+  const auto begin = MonotonicNow();
+  auto response = CallOnce(aEndpoint, aRequest, aLimits, aMaxBodyBytes);
+  if (!response && response.error().mCode == ErrorCode::Timeout) {
+    mImpl->ForgetUnusedSince(aEndpoint, begin);
+  }
+  return response;
+}
+
+Result<HttpResponse, HttpError>
+HttpClient::CallOnce(const Endpoint& aEndpoint,
+                     const HttpRequest& aRequest,
+                     const AnswerLimits& aLimits,
+                     std::size_t aMaxBodyBytes)
 {
   const auto end = MonotonicNow() + aLimits.mWhole;
   HttpCallOptions options;
--- a/packages/runtime/src/http_client_impl.h
+++ b/packages/runtime/src/http_client_impl.h
@@ -42,6 +42,8 @@
   // The idle connection is not reused from this time on, because the peer may
   // close it.
   Instant mUsableUntil = Instant::max();
+  // When its last exchange ended.
+  Instant mIdleSince;
 };
 
 // Returns the error code of a failed operation on a connection.
@@ -67,6 +69,8 @@
   [[nodiscard]] ConnectOutcome Probe(const Endpoint& aEndpoint,
                                      Duration aTimeout);
   void Forget(const Endpoint& aEndpoint) { mIdle.erase(aEndpoint); }
+  // Closes the idle connections to a peer that were last used before a time.
+  void ForgetUnusedSince(const Endpoint& aEndpoint, Instant aTime);
   [[nodiscard]] const std::shared_ptr<MemoryBudget>& Memory() const noexcept
   {
     return mLoop.MessageMemory();
--- a/tests/soak/fault_proxy.cpp
+++ b/standins/src/common/fault_proxy.cpp
@@ -1,4 +1,4 @@
-#include "fault_proxy.h"
+#include "common/fault_proxy.h"
 
 #include <bilberrytrail/base/time.h>
 
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-namespace bilberrytrail::soak {
+namespace bilberrytrail::standins {
 
 namespace {
 
@@ -139,6 +139,7 @@
   Impl(const Endpoint& aListen, const Endpoint& aTarget)
     : mAcceptor(mContext, ToTcp(aListen))
     , mTarget(ToTcp(aTarget))
+    , mAddress{ aListen.mHost, mAcceptor.local_endpoint().port() }
   {
     Accept();
     mThread = std::thread([this] { mContext.run(); });
@@ -148,6 +149,7 @@
     mContext.stop();
     mThread.join();
   }
+  [[nodiscard]] const Endpoint& Address() const noexcept { return mAddress; }
   void SetFault(LinkFault aFault)
   {
     asio::post(mContext, [this, aFault] {
@@ -181,6 +183,7 @@
   asio::io_context mContext;
   Tcp::acceptor mAcceptor;
   const Tcp::endpoint mTarget;
+  const Endpoint mAddress;
   std::list<std::shared_ptr<Link>> mLinks;
   LinkFault mFault = LinkFault::None;
   std::thread mThread;
@@ -193,10 +196,16 @@
 
 FaultProxy::~FaultProxy() = default;
 
+Endpoint
+FaultProxy::Address() const
+{
+  return mImpl->Address();
+}
+
 void
 FaultProxy::SetFault(LinkFault aFault)
 {
   mImpl->SetFault(aFault);
 }
 
-} // namespace bilberrytrail::soak
+} // namespace bilberrytrail::standins
--- a/tests/soak/fault_proxy.h
+++ b/standins/src/common/fault_proxy.h
@@ -6,7 +6,7 @@
 #include <array>
 #include <memory>
 
-namespace bilberrytrail::soak {
+namespace bilberrytrail::standins {
 
 // What the proxy does to the bytes between both sides.
 enum class LinkFault : unsigned char
@@ -22,10 +22,10 @@
   OneWay
 };
 
-} // namespace bilberrytrail::soak
+} // namespace bilberrytrail::standins
 
 template<>
-struct bilberrytrail::EnumNames<bilberrytrail::soak::LinkFault>
+struct bilberrytrail::EnumNames<bilberrytrail::standins::LinkFault>
 {
   static constexpr std::array<std::string_view, 5> kNames{ "none",
                                                            "delayed",
@@ -34,7 +34,7 @@
                                                            "one_way" };
 };
 
-namespace bilberrytrail::soak {
+namespace bilberrytrail::standins {
 
 // Forwards TCP connections from a port of loopback to another one, on a thread
 // of its own. Connections that were silenced stay so when the fault ends, as
@@ -47,12 +47,20 @@
   FaultProxy(const FaultProxy&) = delete;
   FaultProxy& operator=(const FaultProxy&) = delete;
 
+  // Returns where it listens, with the port chosen for port 0.
+  [[nodiscard]] Endpoint Address() const;
   // Sets the fault for open and for new connections. Thread-safe.
   void SetFault(LinkFault aFault);
+  // Silences the connections that are open now, but no new ones. Thread-safe.
+  void SilenceOpen()
+  {
+    SetFault(LinkFault::Silent);
+    SetFault(LinkFault::None);
+  }
 
 private:
   class Impl;
   std::unique_ptr<Impl> mImpl;
 };
 
-} // namespace bilberrytrail::soak
+} // namespace bilberrytrail::standins
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -71,6 +71,11 @@
   settings.mZone = ZoneId("z");
   mGates.push_back(std::make_unique<TableGate>(mLoop, mTable));
   settings.mStore = Listen(*mGates.back());
+  if (mHasLinks) {
+    mLinks.push_back(std::make_unique<FaultProxy>(Endpoint{ "127.0.0.1", 0 },
+                                                  settings.mStore));
+    settings.mStore = mLinks.back()->Address();
+  }
   settings.mWeightsWithin = mWeightsWithin;
   settings.mStopTime = mStopTime;
   settings.mMemoryMb = mMemoryMb;
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/fault_proxy.h"
 #include "fleet/fleet_rows.h"
 #include "fleet/fleet_server.h"
 #include "fleet/row_table.h"
@@ -102,7 +103,10 @@
   std::unique_ptr<EntryPlatform> mPlatform = MakeFleetPlatform();
   std::vector<std::unique_ptr<EntryDaemon>> mDaemons;
   std::vector<EntrySettings> mSettings;
-  // The way of each daemon to the table service.
+  // The way of each daemon to the table service: first a link, if those that
+  // start have one, then a gate.
+  bool mHasLinks = false;
+  std::vector<std::unique_ptr<FaultProxy>> mLinks;
   std::vector<std::unique_ptr<TableGate>> mGates;
 
 private:
--- a/tests/relays/simulated_site.h
+++ b/tests/relays/simulated_site.h
@@ -76,6 +76,7 @@
     TableVersion aAfter,
     Duration aWait,
     const AnswerLimits& aLimits) override;
+  void Reconnect() override {}
 
   // The table service does not answer this VM.
   bool mIsTurnedAway = false;
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fault_proxy.h"
+#include "common/fault_proxy.h"
 #include "fleet/fleet_rows.h"
 #include "fleet/row_table.h"
 #include "port_block.h"
@@ -17,6 +17,9 @@
 
 namespace bilberrytrail::soak {
 
+using standins::FaultProxy;
+using standins::LinkFault;
+
 // One daemon: its process, the files of its settings and log, and the proxy
 // between it and the table service.
 struct SoakDaemon
