Take an answer for broken off when its server's host doesn't respond

Cause: an answer without length or chunks ends with its connection, which a process that ends closes as well. It counts as broken off if the server then refuses a connection; one that was not opened in time counted as accepted.

The check now says what became of the connection: a server that doesn't respond to two attempts has ended, as it does for requests that end hosts.

answer_end_test: the rows of whole answers and of streams at silent hosts failed before, with the old condition put back.

--- a/packages/entry/include/bilberrytrail/entry/crash_watch.h
+++ b/packages/entry/include/bilberrytrail/entry/crash_watch.h
@@ -102,8 +102,8 @@
   void OnLost(const ServerStart& aStart, SendTrace aTrace, SendLoss aLoss);
   // Records the servers that are listed now.
   void OnServers(std::span<const ServerRecord> aServers);
-  // Returns whether a server that has just closed a connection refuses new
-  // ones. Waits for the check.
+  // Returns whether a server that has just closed a connection refuses new ones
+  // or doesn't respond to them. Waits for the check.
   [[nodiscard]] bool HasEnded(const Endpoint& aEndpoint);
 
 private:
@@ -117,7 +117,7 @@
               SendLoss aLoss);
   void BeginCheck(const ServerPtr& aServer);
   void Check(const ServerPtr& aServer);
-  [[nodiscard]] ConnectOutcome ProbeTwice(const Server& aServer);
+  [[nodiscard]] ConnectOutcome ProbeTwice(const Endpoint& aEndpoint);
   void OnUnlisted(const ServerPtr& aServer);
   void OnRestart(const ServerPtr& aServer);
   void OnEnded(Server& aServer, ServerEnd aEnd, std::optional<Instant> aAt);
--- a/packages/entry/src/crash_watch.cpp
+++ b/packages/entry/src/crash_watch.cpp
@@ -231,8 +231,12 @@
 bool
 CrashWatch::HasEnded(const Endpoint& aEndpoint)
 {
-  return mLoop.Sleep(kCheckDelay) &&
-         mBackend.Probe(aEndpoint, kCheckTimeout) == ConnectOutcome::Refused;
+  if (!mLoop.Sleep(kCheckDelay)) {
+    return false;
+  }
+  const auto outcome = ProbeTwice(aEndpoint);
+  return outcome == ConnectOutcome::Refused ||
+         outcome == ConnectOutcome::Silent;
 }
 
 void
@@ -246,12 +250,11 @@
 // A single packet may be lost, and a live host may drop one while its queue of
 // new connections is full.
 ConnectOutcome
-CrashWatch::ProbeTwice(const Server& aServer)
+CrashWatch::ProbeTwice(const Endpoint& aEndpoint)
 {
-  const auto& endpoint = aServer.mStart.mEndpoint;
-  const auto first = mBackend.Probe(endpoint, kCheckTimeout);
+  const auto first = mBackend.Probe(aEndpoint, kCheckTimeout);
   return first == ConnectOutcome::Silent
-           ? mBackend.Probe(endpoint, kCheckTimeout)
+           ? mBackend.Probe(aEndpoint, kCheckTimeout)
            : first;
 }
 
@@ -261,7 +264,8 @@
   auto& server = *aServer;
   const bool isRunning = mLoop.Sleep(kCheckDelay);
   const auto begin = MonotonicNow();
-  const auto outcome = isRunning ? ProbeTwice(server) : ConnectOutcome::Unknown;
+  const auto outcome =
+    isRunning ? ProbeTwice(server.mStart.mEndpoint) : ConnectOutcome::Unknown;
   server.mIsChecking = false;
   const auto brokenAt = std::exchange(server.mBrokenAt, std::nullopt);
   const bool isHeard = server.mHeardAt >= begin;
--- a/packages/entry/tests/answer_end_test.cpp
+++ b/packages/entry/tests/answer_end_test.cpp
@@ -116,32 +116,38 @@
 }
 
 // Guards against an answer that is passed on as complete although its server
-// crashed: the connections of a process that ends look closed by it, so that a
-// body without length or chunks seems to end there.
+// crashed, or its host was lost: the connections of a process that ends look
+// closed by it, so that a body without length or chunks seems to end there.
 TEST_CASE("an answer that ends with its connection and its server is broken")
 {
   struct Row
   {
     bool mIsStream;
     bool mEndsWithConnection;
-    bool mHasServerEnded;
+    ConnectOutcome mConnects;
     bool mIsComplete;
   };
-  for (const Row& row : { Row{ true, true, true, false },
-                          Row{ true, true, false, true },
-                          Row{ true, false, true, true },
-                          Row{ false, true, true, false },
-                          Row{ false, true, false, true },
-                          Row{ false, false, true, true } }) {
+  constexpr auto kAccepted = ConnectOutcome::Accepted;
+  constexpr auto kRefused = ConnectOutcome::Refused;
+  constexpr auto kSilent = ConnectOutcome::Silent;
+  for (const Row& row : { Row{ true, true, kRefused, false },
+                          Row{ true, true, kSilent, false },
+                          Row{ true, true, kAccepted, true },
+                          Row{ true, false, kRefused, true },
+                          Row{ true, false, kSilent, true },
+                          Row{ false, true, kRefused, false },
+                          Row{ false, true, kSilent, false },
+                          Row{ false, true, kAccepted, true },
+                          Row{ false, false, kRefused, true },
+                          Row{ false, false, kSilent, true } }) {
     CAPTURE(row.mIsStream);
     CAPTURE(row.mEndsWithConnection);
-    CAPTURE(row.mHasServerEnded);
+    CAPTURE(std::string(ToName(row.mConnects)));
     FlowFixture fixture;
     if (row.mIsStream) {
       SetStreaming(fixture, 1);
     }
-    fixture.mBackend.mConnects =
-      row.mHasServerEnded ? ConnectOutcome::Refused : ConnectOutcome::Accepted;
+    fixture.mBackend.mConnects = row.mConnects;
     fixture.mBackend.mScript = { Answering({ EventText(1) },
                                            row.mEndsWithConnection) };
     fixture.Run();
