Let the holder of the rollout's lease keep it when more weights are named

Cause: a version named within the hold time after the last pending server restarted the delay of the daemon's rank, also for the daemon that held the lease.

--- a/packages/entry/include/bilberrytrail/entry/weight_rollout.h
+++ b/packages/entry/include/bilberrytrail/entry/weight_rollout.h
@@ -270,9 +270,12 @@
   // orders of two successive holders are apart.
   static constexpr Duration kLeaseHoldTime = 3500ms;
 
-  // Returns whether this daemon should request or hold the lease.
+  // Returns whether this daemon should request or hold the lease. A holder
+  // holds on when more weights are named within the hold time, whatever its
+  // rank.
   [[nodiscard]] bool IsWanted(std::size_t aRank,
                               std::size_t aPending,
+                              bool aIsHolder,
                               Instant aNow);
 
 private:
--- a/packages/entry/src/rollout_runner.cpp
+++ b/packages/entry/src/rollout_runner.cpp
@@ -99,9 +99,9 @@
     WeightRollout::Pending(view->mServers, view->mWeights.AllNewest());
   const auto rank = pending == 0 ? 0 : mPeers.RankFor(kRankKey);
   const auto now = MonotonicNow();
-  const bool isWanted = mIsLeaving
-                          ? mLastOrderAt && now < *mLastOrderAt + mOrderGap
-                          : mCandidacy.IsWanted(rank, pending, now);
+  const bool isWanted =
+    mIsLeaving ? mLastOrderAt && now < *mLastOrderAt + mOrderGap
+               : mCandidacy.IsWanted(rank, pending, mFence.has_value(), now);
   mLease.SetEra(view->mTableEra, BootNow());
   mLease.SetWanted(isWanted);
   RunLease();
--- a/packages/entry/src/weight_rollout.cpp
+++ b/packages/entry/src/weight_rollout.cpp
@@ -371,11 +371,14 @@
 bool
 RolloutCandidacy::IsWanted(std::size_t aRank,
                            std::size_t aPending,
+                           bool aIsHolder,
                            Instant aNow)
 {
+  const bool isHoldTime =
+    mPendingUntil && aNow < *mPendingUntil + kLeaseHoldTime;
   if (aPending == 0) {
     mPendingSince.reset();
-    return mPendingUntil && aNow < *mPendingUntil + kLeaseHoldTime;
+    return isHoldTime;
   }
   const bool isStandby = aRank >= kCandidates;
   if (!mPendingSince || (isStandby && aPending != mLastPending)) {
@@ -383,6 +386,9 @@
   }
   mLastPending = aPending;
   mPendingUntil = aNow;
+  if (aIsHolder && isHoldTime) {
+    return true;
+  }
   const Duration delay = kRankDelay * static_cast<std::int64_t>(aRank);
   return aNow >= *mPendingSince + std::min(delay, kMaxRankDelay) +
                    (isStandby ? kStallTimeout : Duration(0));
--- a/packages/entry/tests/weight_rollout_test.cpp
+++ b/packages/entry/tests/weight_rollout_test.cpp
@@ -327,15 +327,15 @@
   for (const std::size_t rank : { 0U, 1U, 5U, 7U }) {
     CAPTURE(rank);
     RolloutCandidacy candidacy;
-    CHECK_FALSE(candidacy.IsWanted(rank, 0, At(0s)));
+    CHECK_FALSE(candidacy.IsWanted(rank, 0, false, At(0s)));
     const auto delay =
       std::min(RolloutCandidacy::kRankDelay * static_cast<std::int64_t>(rank),
                RolloutCandidacy::kMaxRankDelay);
-    CHECK(candidacy.IsWanted(rank, 3, At(1s)) == (rank == 0));
-    CHECK(candidacy.IsWanted(rank, 3, At(1s + delay)));
-    CHECK(candidacy.IsWanted(rank, 0, At(4s)));
+    CHECK(candidacy.IsWanted(rank, 3, false, At(1s)) == (rank == 0));
+    CHECK(candidacy.IsWanted(rank, 3, false, At(1s + delay)));
+    CHECK(candidacy.IsWanted(rank, 0, true, At(4s)));
     CHECK_FALSE(candidacy.IsWanted(
-      rank, 0, At(1s + delay + RolloutCandidacy::kLeaseHoldTime)));
+      rank, 0, true, At(1s + delay + RolloutCandidacy::kLeaseHoldTime)));
   }
 }
 
@@ -351,12 +351,49 @@
                RolloutCandidacy::kMaxRankDelay);
     Instant now = At(0s);
     for (std::size_t pending = 100; pending > 50; --pending, now += 1s) {
-      CHECK_FALSE(candidacy.IsWanted(rank, pending, now));
+      CHECK_FALSE(candidacy.IsWanted(rank, pending, false, now));
     }
     const auto last = now - 1s;
-    CHECK_FALSE(candidacy.IsWanted(rank, 51, last + wait - 1ms));
-    CHECK(candidacy.IsWanted(rank, 51, last + wait));
+    CHECK_FALSE(candidacy.IsWanted(rank, 51, false, last + wait - 1ms));
+    CHECK(candidacy.IsWanted(rank, 51, false, last + wait));
     CHECK_FALSE(candidacy.IsWanted(
-      rank, 0, last + wait + RolloutCandidacy::kLeaseHoldTime));
+      rank, 0, true, last + wait + RolloutCandidacy::kLeaseHoldTime));
+  }
+}
+
+// Guards against two daemons that order the same servers within the time of a
+// lease: the holder gave it up when weights were named just after all servers
+// had the ones before.
+TEST_CASE("the holder of the lease holds on when more weights are named")
+{
+  struct Row
+  {
+    std::size_t mRank;
+    bool mIsHolder;
+    // Time from the last pending server to the next one.
+    Duration mGap;
+    bool mIsWantedAtOnce;
+  };
+  const Duration later = RolloutCandidacy::kLeaseHoldTime + 100ms;
+  for (const auto& row : { Row{ 0, true, 100ms, true },
+                           Row{ 4, true, 100ms, true },
+                           Row{ 200, true, 100ms, true },
+                           Row{ 4, true, 3400ms, true },
+                           Row{ 4, false, 100ms, false },
+                           Row{ 4, true, later, false },
+                           Row{ 0, false, later, true } }) {
+    CAPTURE(row.mRank);
+    CAPTURE(row.mIsHolder);
+    CAPTURE(row.mGap.count());
+    RolloutCandidacy candidacy;
+    (void)candidacy.IsWanted(row.mRank, 2, false, At(0s));
+    (void)candidacy.IsWanted(row.mRank, 2, false, At(8s));
+    (void)candidacy.IsWanted(row.mRank, 0, true, At(8100ms));
+    const auto named = At(8s + row.mGap);
+    CHECK(candidacy.IsWanted(row.mRank, 2, row.mIsHolder, named) ==
+          row.mIsWantedAtOnce);
+    const bool isStillHolder = row.mIsHolder && row.mIsWantedAtOnce;
+    CHECK(candidacy.IsWanted(row.mRank, 2, isStillHolder, named + 100ms) ==
+          row.mIsWantedAtOnce);
   }
 }
