Keep what a server said before the list named its start

Cause: what a server says is kept until it is listed with another start. The start noted with it was the listed one, so that the row of the very process that had said it, when it came, looked like that of a later start. Pauses were dropped in the same way.

The time of day of the answer is noted now: a start that began before the answer gave it.

avoided_servers_test: five rows failed with the mechanism taken out. The servers of fleet tests name the time of their start in milliseconds now, as real ones do.

--- a/packages/base/include/bilberrytrail/base/time.h
+++ b/packages/base/include/bilberrytrail/base/time.h
@@ -49,6 +49,17 @@
                    std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+// Reads the time of day in Unix milliseconds. It differs between machines and
+// may jump.
+[[nodiscard]] inline std::uint64_t
+UnixMillisNow() noexcept
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
 // Converts a duration to milliseconds, for messages and reports.
 [[nodiscard]] constexpr double
 ToMillis(Duration aLength) noexcept
--- a/packages/entry/include/bilberrytrail/entry/avoided_servers.h
+++ b/packages/entry/include/bilberrytrail/entry/avoided_servers.h
@@ -31,17 +31,21 @@
     Instant aNow) const;
 
   // Records that a server is leaving; this holds until it restarts.
-  // aStartedAtMs is the start of its incarnation, empty when it is not listed.
+  // aStartedAtMs is its listed start, empty when it is not listed. A server may
+  // answer before its row names its new start: that is told by aUnixMs, the
+  // time of day, 0 if that is not known.
   void AddLeaving(const ServerId& aServer,
                   std::optional<std::uint64_t> aStartedAtMs,
-                  Instant aNow);
+                  Instant aNow,
+                  std::uint64_t aUnixMs = 0);
   // Records that a server wants no requests for a time; this ends early when it
   // restarts. The latest end counts: a shorter pause that it names later, maybe
   // in an answer that was overtaken, does not take back a longer one.
   void AddPause(const ServerId& aServer,
                 std::optional<std::uint64_t> aStartedAtMs,
                 Duration aTime,
-                Instant aNow);
+                Instant aNow,
+                std::uint64_t aUnixMs = 0);
   // Forgets the servers that have restarted, and those that have not been
   // listed or heard from for long: a server may be missing from the list while
   // it still serves.
@@ -56,6 +60,13 @@
     Instant mSeenAt;
     bool mIsLeaving = false;
     Instant mPausedUntil;
+    // Time of day at which the server said first that it is leaving, and last
+    // that it pauses.
+    std::uint64_t mLeavingSinceMs = 0;
+    std::uint64_t mPausedAtMs = 0;
+
+    // Drops what a start other than the listed one has said.
+    void OnListed(std::uint64_t aStartedAtMs, Instant aNow);
 
     [[nodiscard]] bool IsAvoided(Instant aNow) const noexcept
     {
--- a/packages/entry/src/avoided_servers.cpp
+++ b/packages/entry/src/avoided_servers.cpp
@@ -10,9 +10,26 @@
 
 // Time for which a server that is not listed is remembered.
 constexpr Duration kUnlistedKeepTime = 600s;
+// Difference between the clocks of a server and of this daemon that is allowed
+// for. Shorter than the time for which a server that leaves serves on.
+constexpr std::uint64_t kClockDifferenceMs = 300;
 
 } // namespace
 
+void
+AvoidedServers::Entry::OnListed(std::uint64_t aStartedAtMs, Instant aNow)
+{
+  if (mStartedAtMs.value_or(aStartedAtMs) != aStartedAtMs) {
+    const auto hasSaid = [&](std::uint64_t aUnixMs) {
+      return aUnixMs > 0 && aStartedAtMs <= aUnixMs + kClockDifferenceMs;
+    };
+    mIsLeaving = mIsLeaving && hasSaid(mLeavingSinceMs);
+    mPausedUntil = hasSaid(mPausedAtMs) ? mPausedUntil : Instant();
+  }
+  mStartedAtMs = aStartedAtMs;
+  mSeenAt = aNow;
+}
+
 bool
 AvoidedServers::Contains(const ServerId& aServer, Instant aNow) const
 {
@@ -76,11 +93,13 @@
 void
 AvoidedServers::AddLeaving(const ServerId& aServer,
                            std::optional<std::uint64_t> aStartedAtMs,
-                           Instant aNow)
+                           Instant aNow,
+                           std::uint64_t aUnixMs)
 {
   auto& entry = EntryOf(aServer, aStartedAtMs, aNow);
   if (!entry.mIsLeaving) {
     entry.mIsLeaving = true;
+    entry.mLeavingSinceMs = aUnixMs;
     LogLine(LogEvent::ServerSaidLeaving, { { "server", aServer } });
   }
 }
@@ -89,13 +108,15 @@
 AvoidedServers::AddPause(const ServerId& aServer,
                          std::optional<std::uint64_t> aStartedAtMs,
                          Duration aTime,
-                         Instant aNow)
+                         Instant aNow,
+                         std::uint64_t aUnixMs)
 {
   auto& entry = EntryOf(aServer, aStartedAtMs, aNow);
   if (aNow >= entry.mPausedUntil) {
     LogLine(LogEvent::ServerPaused,
             { { "server", aServer }, { "for", aTime } });
   }
+  entry.mPausedAtMs = aUnixMs;
   entry.mPausedUntil = std::max(entry.mPausedUntil, aNow + aTime);
 }
 
@@ -110,13 +131,7 @@
     if (entry == mEntries.end()) {
       continue;
     }
-    auto& started = entry->second.mStartedAtMs;
-    if (started.value_or(it.mStartedAtMs) == it.mStartedAtMs) {
-      started = it.mStartedAtMs;
-      entry->second.mSeenAt = aNow;
-    } else {
-      mEntries.erase(entry);
-    }
+    entry->second.OnListed(it.mStartedAtMs, aNow);
   }
   std::erase_if(mEntries, [&](const auto& aEntry) {
     const auto& entry = aEntry.second;
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -307,14 +307,20 @@
          view->mHasReadServers && !IsLate();
 }
 
-// Forwards the number of daemons, the placement map and the limits to the
-// traffic thread, and logs changes of readiness.
+// Forwards the view, the number of daemons, the placement map and the limits to
+// the traffic thread, and logs changes of readiness.
 void
 EntryDaemon::Impl::ForwardSettings()
 {
   bool wasReady = false;
+  std::shared_ptr<const SiteView> forwarded;
   std::shared_ptr<const SiteConfig> config;
   while (mControl.Sleep(kForwardPeriod)) {
+    if (auto newest = mViews.Load(); newest != forwarded) {
+      forwarded = std::move(newest);
+      // Without requests the traffic thread doesn't look for a new one.
+      mTraffic.Post([this] { (void)UpdateView(); });
+    }
     mDaemons = mPeers.IsComplete() ? mPeers.All().size() : 0;
     if (const auto view = mViews.Load()) {
       mPeers.SetEra(view->mTableEra);
--- a/packages/entry/src/request_run_answer.cpp
+++ b/packages/entry/src/request_run_answer.cpp
@@ -99,10 +99,12 @@
   const auto startedAtMs =
     it == servers.end() ? std::nullopt : std::optional(it->mStartedAtMs);
   if (aIsLeaving) {
-    mContext.mAvoided.AddLeaving(id, startedAtMs, MonotonicNow());
+    mContext.mAvoided.AddLeaving(
+      id, startedAtMs, MonotonicNow(), UnixMillisNow());
   }
   if (aPause) {
-    mContext.mAvoided.AddPause(id, startedAtMs, *aPause, MonotonicNow());
+    mContext.mAvoided.AddPause(
+      id, startedAtMs, *aPause, MonotonicNow(), UnixMillisNow());
   }
 }
 
--- a/packages/entry/tests/avoided_servers_test.cpp
+++ b/packages/entry/tests/avoided_servers_test.cpp
@@ -25,6 +25,8 @@
 
 } // namespace
 
+// Guards also against a server that is used again although it said that it is
+// leaving: it was listed only then with its start, which looked like a restart.
 TEST_CASE("a leaving server is avoided until it restarts or is long gone")
 {
   struct Row
@@ -36,6 +38,8 @@
     std::vector<std::uint64_t> mLists;
     Duration mListGap;
     bool mIsAvoided;
+    // Time of day of the answer, on the clock of the starts.
+    std::uint64_t mUnixMs = 0;
   };
   const Row rows[] = {
     { "not listed", std::nullopt, {}, 1s, true },
@@ -46,12 +50,20 @@
     { "restarted", 5, { 5, 6 }, 1s, false },
     { "restarted unseen", 5, { 6 }, 1s, false },
     { "listed later, then restarted", std::nullopt, { 5, 6 }, 1s, false },
-    { "gone for good", 5, { 5, 0, 0 }, 400s, false }
+    { "gone for good", 5, { 5, 0, 0 }, 400s, false },
+    { "listed late after a restart", 5000, { 8000 }, 1s, true, 8100 },
+    { "the same, clock is late", 5000, { 8000 }, 1s, true, 7800 },
+    { "the same, listed again", 5000, { 8000, 8000 }, 1s, true, 8100 },
+    { "the same, missing first", 5000, { 0, 8000 }, 1s, true, 8100 },
+    { "the same, then restarted", 5000, { 8000, 9900 }, 1s, false, 8100 },
+    { "restarted after its answer", 5000, { 8000 }, 1s, false, 5900 }
   };
   for (const auto& row : rows) {
     CAPTURE(std::string(row.mName));
     AvoidedServers avoided;
-    avoided.AddLeaving(kServer, row.mStartedAtMs, At(0s));
+    avoided.AddLeaving(kServer, row.mStartedAtMs, At(0s), row.mUnixMs);
+    // What it says again doesn't make it another start's.
+    avoided.AddLeaving(kServer, row.mStartedAtMs, At(0s), 20'000);
     Duration time = 0s;
     for (const auto started : row.mLists) {
       time += row.mListGap;
@@ -82,6 +94,8 @@
     // Start of the incarnation that is listed before the end.
     std::uint64_t mListed;
     Duration mEnd;
+    // Time of day of the answers, on the clock of the starts.
+    std::uint64_t mUnixMs = 0;
   };
   const Row rows[] = {
     { "one", { { 0s, 2s } }, 5, 2s },
@@ -90,13 +104,15 @@
     { "extended", { { 0s, 2s }, { 1s, 2s } }, 5, 3s },
     { "shorter one later", { { 0s, 2s }, { 500ms, 1s } }, 5, 2s },
     { "long", { { 0s, 3600s } }, 5, 3600s },
-    { "restarted", { { 0s, 2s } }, 6, 0s }
+    { "restarted", { { 0s, 2s } }, 6, 0s },
+    { "restarted after its answer", { { 0s, 2s } }, 6000, 0s, 5600 },
+    { "listed late after a restart", { { 0s, 2s } }, 6000, 2s, 6100 }
   };
   for (const auto& row : rows) {
     CAPTURE(std::string(row.mName));
     AvoidedServers avoided;
     for (const auto& it : row.mPauses) {
-      avoided.AddPause(kServer, 5, it.mTime, At(it.mAt));
+      avoided.AddPause(kServer, 5, it.mTime, At(it.mAt), row.mUnixMs);
     }
     const std::vector<ServerRecord> list = { Listed(row.mListed) };
     avoided.Retain(list, At(500ms));
--- a/standins/src/fleet/fleet_rows.cpp
+++ b/standins/src/fleet/fleet_rows.cpp
@@ -81,7 +81,7 @@
     { "zone", "z" },
     { "slots", 8 },
     { "state", aState },
-    { "born", aServer.Starts() },
+    { "born", aServer.StartedAtMs() },
     { "models", { { { "name", "m" }, { "version", aServer.Weights() } } } }
   };
   return row.dump();
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -105,8 +105,17 @@
     mCrashKind = aKind;
     mOnCrash = std::move(aOnCrash);
   }
+  // The last start in Unix milliseconds.
+  [[nodiscard]] std::uint64_t StartedAtMs() const noexcept
+  {
+    return mStartedAtMs;
+  }
   // Starts the server again.
-  void Restart() noexcept { ++mStarts; }
+  void Restart() noexcept
+  {
+    ++mStarts;
+    mStartedAtMs = UnixMillisNow();
+  }
 
   // Returns the arrival times of the requests, refused ones included, whose id
   // begins with this text.
@@ -175,6 +184,7 @@
   std::vector<Instant> mArrivals;
   std::vector<FleetRun> mBegun;
   std::uint64_t mStarts = 1;
+  std::uint64_t mStartedAtMs = UnixMillisNow();
   std::string mDeadlyPart;
   std::string mDeadlyBody;
   CrashKind mCrashKind = CrashKind::Reset;
--- a/standins/tests/fleet_leaving_test.cpp
+++ b/standins/tests/fleet_leaving_test.cpp
@@ -232,6 +232,31 @@
   });
 }
 
+// Guards against requests to a server that has said that it leaves before the
+// list named its start: its row looked like that of a later start.
+TEST_CASE("a server that leaves before it is listed gets no more requests")
+{
+  FleetSite site;
+  site.Run(1, [&] {
+    auto& server = *site.mServers[3];
+    Callers callers(site, "/read/");
+    callers.Run(500ms);
+    server.Restart();
+    (void)site.mLoop.Sleep(50ms);
+    server.SetLeaving(true);
+    callers.Run(500ms);
+    // It is listed while nobody calls.
+    (void)site.mLoop.Sleep(500ms);
+    site.PutServer(3);
+    (void)site.mLoop.Sleep(1500ms);
+    const auto count = server.Arrivals().size();
+    CHECK(count > 0);
+    callers.Run(500ms);
+    CHECK(server.Arrivals().size() == count);
+    CHECK(callers.mRefused == 0);
+  });
+}
+
 // Guards against requests to a server that has refused one with 503 and a time
 // for which it wants none.
 TEST_CASE("a server that refuses with Retry-After gets no requests until then")
