Hold the end of a server against the requests that waited there once

Requests with long deadlines that waited at a server whose host is down time out one after the other. Each of them led to another check, and each check made up to eight more of them suspect, also sound ones that come again.

A request that waits when its server is found to have ended is settled then. Its later loss still leads to a check, but adds nothing to it.

crash_watch_test: 30 requests became suspect before, not 8.

--- a/packages/entry/include/bilberrytrail/entry/crash_watch.h
+++ b/packages/entry/include/bilberrytrail/entry/crash_watch.h
@@ -163,8 +163,9 @@
   CrashWatch& mWatch;
   const ServerPtr mServer;
   const TraceSource mTrace;
-  // The server already counted as ended when the request was sent.
-  const bool mIsLate;
+  // The server counted as ended before the request was sent, or has ended
+  // since: nothing more is held against the request.
+  bool mIsSettled;
 };
 
 } // namespace bilberrytrail
--- a/packages/entry/src/crash_watch.cpp
+++ b/packages/entry/src/crash_watch.cpp
@@ -57,7 +57,7 @@
   const DeathId mDeath;
   // When bytes last came from the server, or it accepted a connection.
   std::optional<Instant> mHeardAt;
-  std::set<const Send*> mSends;
+  std::set<Send*> mSends;
   std::vector<LostSend> mLost;
   // When the first connection broke since the last check.
   std::optional<Instant> mBrokenAt;
@@ -288,9 +288,9 @@
     sends.push_back(std::move(it.mTrace));
   }
   aServer.mLost.clear();
-  for (const auto* it : aServer.mSends) {
-    auto trace = it->mIsLate ? std::nullopt : it->mTrace();
-    if (trace) {
+  for (auto* it : aServer.mSends) {
+    const bool wasSettled = std::exchange(it->mIsSettled, true);
+    if (auto trace = wasSettled ? std::nullopt : it->mTrace()) {
       sends.push_back(std::move(*trace));
     }
   }
@@ -340,7 +340,7 @@
   : mWatch(aWatch)
   , mServer(aWatch.ServerOf(aStart))
   , mTrace(std::move(aTrace))
-  , mIsLate(mServer->mHasEnded)
+  , mIsSettled(mServer->mHasEnded)
 {
   mServer->mSends.insert(this);
 }
@@ -361,8 +361,8 @@
 {
   mServer->mSends.erase(this);
   mWatch.OnLost(mServer,
-                mIsLate || aLoss == SendLoss::Unreachable ? std::nullopt
-                                                          : mTrace(),
+                mIsSettled || aLoss == SendLoss::Unreachable ? std::nullopt
+                                                             : mTrace(),
                 aLoss);
 }
 
--- a/packages/entry/tests/crash_watch_test.cpp
+++ b/packages/entry/tests/crash_watch_test.cpp
@@ -194,6 +194,30 @@
   }
 }
 
+// Guards against suspecting ever more requests of one death, as their deadlines
+// pass one after the other.
+TEST_CASE("a death is held against waiting requests once")
+{
+  WatchedServer fixture;
+  fixture.mBackend.mConnects = ConnectOutcome::Silent;
+  fixture.Run([&] {
+    std::vector<std::unique_ptr<CrashWatch::Send>> sends;
+    for (std::uint64_t n = 0; n < 30; ++n) {
+      sends.push_back(std::make_unique<CrashWatch::Send>(
+        fixture.mWatch, fixture.mStart, [n, sentAt = MonotonicNow()] {
+          return std::optional(CrashWatch::SendTrace{ {}, PartKey(n), sentAt });
+        }));
+      fixture.Wait(10ms);
+    }
+    for (auto& it : sends) {
+      fixture.Wait(200ms);
+      it->OnLost(SendLoss::Silent);
+    }
+    fixture.Wait(1s);
+    CHECK(fixture.mRequests.size() == 8);
+  });
+}
+
 // Guards against losing the request that ended a server among those that were
 // sent to it afterwards.
 TEST_CASE("the sends about the last sign of life answer for a silent death")
