Call the table service again without waiting for silent daemons

A daemon whose calls to the table service had failed went on with an old view for up to 4.2 s after the service was back, if other daemons didn't respond either: it counts as in touch again after 3 s.

Cause: between two calls it asked two other daemons in each of up to four pauses, one after the other, and waited for them: 0.8 s for each pause of 0.25 s when they were silent.

The daemons are asked beside the pauses now, which take 1 s at most.

table_follower_test: outages of 1 to 6 s, two silent daemons; 2 of 6 rows failed before.

--- a/packages/entry/src/table_follower.cpp
+++ b/packages/entry/src/table_follower.cpp
@@ -104,7 +104,8 @@
     }
     mode = mode == ReadMode::Wait ? ReadMode::Changes : mode;
     for (unsigned n = 0; n < pauses && mIsDirect; ++n) {
-      QueryPeers();
+      // Daemons that don't respond must not delay the next call.
+      mLoop.Spawn([this] { QueryPeers(); });
       (void)mLoop.Sleep(kRetryPause);
     }
     pauses = std::min(pauses * 2, kMaxPauses);
--- a/packages/entry/tests/followed_tables.h
+++ b/packages/entry/tests/followed_tables.h
@@ -113,37 +113,50 @@
   }
 };
 
-class NoTable final : public TableService
+// Holds the rows of other daemons.
+class DaemonTable final : public TableService
 {
 public:
+  std::vector<TableRow> mDaemons;
+
   CallResult<std::optional<TableRow>> Read(const std::string& /*aKey*/,
                                            Duration /*aTimeout*/) override
   {
-    return FailCall(CallDisposition::NotRun, ErrorCode::Unavailable, "");
+    return std::optional<TableRow>();
   }
   CallResult<std::vector<TableRow>> Scan(const std::string& /*aPrefix*/,
                                          std::size_t /*aLimit*/,
                                          Duration /*aTimeout*/) override
   {
-    return FailCall(CallDisposition::NotRun, ErrorCode::Unavailable, "");
+    return mDaemons;
   }
   CallResult<CommitOutcome> Commit(const std::vector<TableWrite>& /*aWrites*/,
                                    Duration /*aTimeout*/) override
   {
-    return FailCall(CallDisposition::NotRun, ErrorCode::Unavailable, "");
+    return CommitOutcome{ true, {}, 1 };
   }
 };
 
-class NoTransport final : public PeerTransport
+// Other daemons, which don't respond.
+class SilentTransport final : public PeerTransport
 {
 public:
+  explicit SilentTransport(Loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
   Result<std::string> Call(const Endpoint& /*aDaemon*/,
                            const std::string& /*aPath*/,
                            std::string /*aBody*/,
-                           const AnswerLimits& /*aLimits*/) override
+                           const AnswerLimits& aLimits) override
   {
-    return Fail(ErrorCode::Unavailable, "no other daemon");
+    (void)mLoop.Sleep(aLimits.mBegin);
+    return Fail(ErrorCode::Timeout, "no response");
   }
+
+private:
+  Loop& mLoop;
 };
 
 // A daemon that follows the tables directly, in virtual time.
@@ -152,8 +165,8 @@
   Loop mLoop{ LoopTime::Virtual };
   LateFeed mFeed{ mLoop };
   NumberReader mReader;
-  NoTable mTable;
-  NoTransport mTransport;
+  DaemonTable mTable;
+  SilentTransport mTransport{ mLoop };
   HistogramRegistry mTimes{ 8 };
   CounterRegistry mCounts{ 8 };
   SiteMetrics mMetrics{ mTimes, mCounts };
--- a/packages/entry/tests/table_follower_test.cpp
+++ b/packages/entry/tests/table_follower_test.cpp
@@ -200,3 +200,28 @@
     });
   }
 }
+
+// Guards against a daemon that reads the tables late after an outage, since it
+// waits for other daemons that don't respond before it asks again.
+TEST_CASE("silent daemons don't delay the next call to the table service")
+{
+  for (auto outage = 1s; outage <= 6s; outage += 1s) {
+    CAPTURE(outage.count());
+    FollowedTables fixture;
+    for (const char* name : { "d1", "d2" }) {
+      fixture.mTable.mDaemons.push_back(
+        { std::string("daemon/") + name, "10.0.0.2:82 z 20", 1 });
+    }
+    fixture.mLoop.Spawn([&] { fixture.mPeers.Run(); });
+    fixture.Run([&] {
+      (void)fixture.mLoop.Sleep(3s);
+      REQUIRE(fixture.mPeers.All().size() >= 2);
+      fixture.mFeed.mIsDown = true;
+      (void)fixture.mLoop.Sleep(outage);
+      fixture.mFeed.PutConfig();
+      fixture.mFeed.mIsDown = false;
+      (void)fixture.mLoop.Sleep(1200ms);
+      CHECK(fixture.Config() == 2);
+    });
+  }
+}
