Test silent hosts with parts and streams, and silent links behind a relay

crash_watch_test: a lost packet, a server that is heard during the check, a death that two daemons and ten sends saw, and how many lost sends are kept.

--- a/packages/entry/tests/crash_watch_test.cpp
+++ b/packages/entry/tests/crash_watch_test.cpp
@@ -281,6 +281,81 @@
   }
 }
 
+// Guards against suspecting requests because of one lost packet.
+TEST_CASE("a server that responds to the second attempt has not ended")
+{
+  WatchedServer fixture;
+  fixture.mBackend.mFirstConnects = { ConnectOutcome::Silent };
+  fixture.Run([&] {
+    fixture.Lose(1, SendLoss::Silent);
+    fixture.Wait(2s);
+    CHECK(fixture.mBackend.mProbes == 2);
+    CHECK_FALSE(fixture.IsSuspect(1));
+  });
+}
+
+// Guards against a server that answers while its host drops new connections.
+TEST_CASE("a server that is heard during the check has not ended")
+{
+  WatchedServer fixture;
+  fixture.mBackend.mConnects = ConnectOutcome::Silent;
+  fixture.Run([&] {
+    fixture.Lose(1, SendLoss::Silent);
+    fixture.Wait(400ms);
+    fixture.Answer();
+    fixture.Wait(1s);
+    CHECK_FALSE(fixture.IsSuspect(1));
+  });
+}
+
+// Guards against convicting a request by one death that several daemons and
+// sends saw at different times.
+TEST_CASE("a death counts once, however many daemons and sends saw it")
+{
+  WatchedServer fixture;
+  fixture.mBackend.mConnects = ConnectOutcome::Silent;
+  fixture.Run([&] {
+    PartQuarantine othersParts;
+    PartQuarantine others{ { .mKind = QuarantinedKind::Request } };
+    CrashWatch otherWatch(fixture.mLoop, fixture.mBackend, othersParts, others);
+    for (int n = 0; n < 5; ++n) {
+      fixture.Lose(1, SendLoss::Silent);
+      otherWatch.OnLost(fixture.mStart,
+                        { {}, PartKey(1), MonotonicNow() - 700ms },
+                        SendLoss::Silent);
+      fixture.Wait(900ms);
+    }
+    const auto now = MonotonicNow();
+    fixture.mRequests.Merge(others.Recent(now), now);
+    CHECK(fixture.mRequests.size() == 1);
+    for (const auto& it : fixture.mRequests.Recent(now)) {
+      CHECK(it.mDeaths.size() == 1);
+    }
+    CHECK_FALSE(
+      fixture.mRequests.QuarantineTime(std::array{ PartKey(1) }, now + 5s));
+  });
+}
+
+// Guards against state that grows with the sends that are lost at a server.
+TEST_CASE("lost sends are kept for a short time, and few of them")
+{
+  for (const bool restartsLate : { false, true }) {
+    CAPTURE(restartsLate);
+    WatchedServer fixture;
+    fixture.Run([&] {
+      for (std::uint64_t n = 0; n < 5000; ++n) {
+        fixture.mWatch.OnLost(fixture.mStart,
+                              { { PartKey(n) }, PartKey(n), MonotonicNow() },
+                              SendLoss::Silent);
+      }
+      fixture.Wait(restartsLate ? 3s : 500ms);
+      fixture.List(2);
+      CHECK(fixture.mRequests.size() == (restartsLate ? 0 : 8));
+      CHECK(fixture.mParts.size() <= (restartsLate ? 0U : 64U));
+    });
+  }
+}
+
 // Guards against checks that cost a connection for each slow answer.
 TEST_CASE("slow servers that live are checked rarely")
 {
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -119,10 +119,15 @@
 FakeBackend::Probe(const Endpoint& /*aEndpoint*/, Duration aTimeout)
 {
   ++mProbes;
-  if (mConnects == ConnectOutcome::Silent) {
+  auto outcome = mConnects;
+  if (!mFirstConnects.empty()) {
+    outcome = mFirstConnects.front();
+    mFirstConnects.pop_front();
+  }
+  if (outcome == ConnectOutcome::Silent) {
     (void)mLoop.Sleep(aTimeout);
   }
-  return mConnects;
+  return outcome;
 }
 
 FlowFixture::FlowFixture()
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -56,6 +56,8 @@
   // to check a server.
   ConnectOutcome mConnects = ConnectOutcome::Accepted;
   std::size_t mProbes = 0;
+  // What becomes of the first of these connections, if it differs.
+  std::deque<ConnectOutcome> mFirstConnects;
 
   std::deque<FakeSend> mScript;
   std::vector<BackendCall> mCalls;
--- a/standins/src/fleet/fleet_server.h
+++ b/standins/src/fleet/fleet_server.h
@@ -91,9 +91,12 @@
 
   // Crashes the server when it begins to answer a prompt with this part: all
   // its answers break off, and aOnCrash is to close its port.
-  void SetDeadlyPart(std::string aPart, std::function<void()> aOnCrash)
+  void SetDeadlyPart(std::string aPart,
+                     CrashKind aKind,
+                     std::function<void()> aOnCrash)
   {
     mDeadlyPart = std::move(aPart);
+    mCrashKind = aKind;
     mOnCrash = std::move(aOnCrash);
   }
   // Crashes the server when it begins to run a request with this body.
--- a/standins/tests/fleet_crashing_request_test.cpp
+++ b/standins/tests/fleet_crashing_request_test.cpp
@@ -108,6 +108,7 @@
          Row{ "a read, a daemon starts", "/read/reels", true, kReset, 4s },
          Row{ "an order, hosts", "/order/reels", false, kSilent, 1s },
          Row{ "a read, hosts", "/read/reels", false, kSilent, 1s },
+         Row{ "a stream, hosts", "/stream/reels", false, kSilent, 1s },
          Row{
            "an order, hosts, back first", "/order/reels", false, kSilent, 4s },
          Row{
--- a/standins/tests/fleet_part_test.cpp
+++ b/standins/tests/fleet_part_test.cpp
@@ -11,6 +11,8 @@
 
 constexpr int kDaemons = 3;
 constexpr Duration kDownTime = 600ms;
+// The same for a host that loses power.
+constexpr Duration kSilentTime = 1500ms;
 // Daemons know of a part that crashes servers this long after the fifth crash.
 constexpr Duration kStableTime = 3s;
 constexpr std::size_t kCrashes = 5;
@@ -26,8 +28,9 @@
 class Traffic
 {
 public:
-  explicit Traffic(FleetSite& aSite)
+  Traffic(FleetSite& aSite, Duration aDeadline)
     : mSite(aSite)
+    , mDeadline(aDeadline)
   {
   }
 
@@ -45,6 +48,7 @@
   void SendOne(std::size_t aDaemon, int aNumber);
 
   FleetSite& mSite;
+  const Duration mDeadline;
   std::size_t mFirst = 0;
   int mSent = 0;
   int mRunning = 0;
@@ -76,7 +80,9 @@
   const auto parts =
     std::string("c0:10,") + (isDeadly ? "dead:10," : "5a:10,") + number + ":10";
   const auto response =
-    mSite.Send(aDaemon, "a" + number, "/stream/" + number, "key", parts);
+    mSite.Send(aDaemon,
+               SmallSiteRequest(
+                 "a" + number, "/stream/" + number, "key", mDeadline, parts));
   --mRunning;
   const auto status = response ? response.value().mStatus : 0;
   if (!isDeadly) {
@@ -121,16 +127,25 @@
   {
     const char* mName;
     Change mChange;
+    CrashKind mCrash;
+    Duration mDeadline;
   };
-  for (const Row& row : { Row{ "all daemons", Change::None },
-                          Row{ "daemons stop", Change::HomeStops },
-                          Row{ "a daemon starts", Change::DaemonStarts } }) {
+  constexpr auto kReset = CrashKind::Reset;
+  constexpr auto kSilent = CrashKind::Silent;
+  for (const Row& row :
+       { Row{ "all daemons", Change::None, kReset, 4s },
+         Row{ "daemons stop", Change::HomeStops, kReset, 4s },
+         Row{ "a daemon starts", Change::DaemonStarts, kReset, 4s },
+         Row{ "hosts", Change::None, kSilent, 1s },
+         Row{ "hosts that are back first", Change::None, kSilent, 4s },
+         Row{ "hosts, a daemon starts", Change::DaemonStarts, kSilent, 1s } }) {
     CAPTURE(std::string(row.mName));
     FleetSite site;
-    site.SetDeadlyPart("dead:", kDownTime);
+    site.SetDeadlyPart(
+      "dead:", row.mCrash == kSilent ? kSilentTime : kDownTime, row.mCrash);
     site.Run(kDaemons, [&] {
       (void)site.mLoop.Sleep(kReadTime);
-      Traffic traffic(site);
+      Traffic traffic(site, row.mDeadline);
       traffic.Run(7s);
       if (row.mChange == Change::HomeStops) {
         site.mDaemons[0]->Drain();
--- a/standins/tests/fleet_site.cpp
+++ b/standins/tests/fleet_site.cpp
@@ -175,11 +175,14 @@
 }
 
 void
-FleetSite::SetDeadlyPart(const std::string& aPart, Duration aDownTime)
+FleetSite::SetDeadlyPart(const std::string& aPart,
+                         Duration aDownTime,
+                         CrashKind aKind)
 {
   for (std::size_t n = 0; n < 2; ++n) {
-    mServers[n]->SetDeadlyPart(aPart,
-                               [this, n, aDownTime] { OnCrash(n, aDownTime); });
+    mServers[n]->SetDeadlyPart(aPart, aKind, [this, n, aDownTime, aKind] {
+      OnCrash(n, aDownTime, aKind);
+    });
   }
 }
 
--- a/standins/tests/fleet_site.h
+++ b/standins/tests/fleet_site.h
@@ -57,7 +57,9 @@
                  const std::string& aState = "ready");
   // Makes the engines crash on prompts with this part; they are back after a
   // time.
-  void SetDeadlyPart(const std::string& aPart, Duration aDownTime);
+  void SetDeadlyPart(const std::string& aPart,
+                     Duration aDownTime,
+                     CrashKind aKind = CrashKind::Reset);
   // Makes all servers crash on requests with this body.
   void SetDeadlyBody(const std::string& aBody,
                      Duration aDownTime,
--- a/tests/relays/relay_fleet_test.cpp
+++ b/tests/relays/relay_fleet_test.cpp
@@ -156,3 +156,42 @@
     });
   }
 }
+
+// Guards against daemons behind a relay that go on with an old configuration
+// after connections fell silent: those to the relay, those to the table service
+// that a daemon keeps for when it gives up its relay, or all.
+TEST_CASE("all daemons are up to date soon after connections fell silent")
+{
+  struct Row
+  {
+    bool mPeers;
+    bool mTables;
+  };
+  for (const Row& row :
+       { Row{ true, false }, Row{ false, true }, Row{ true, true } }) {
+    for (const auto phase : { 0ms, 230ms, 490ms, 710ms }) {
+      CAPTURE(row.mPeers);
+      CAPTURE(row.mTables);
+      CAPTURE(phase.count());
+      SimulatedFleet fleet(kWide, kNarrow);
+      fleet.Run([&] {
+        fleet.RunFor(1s + phase);
+        if (row.mPeers) {
+          fleet.SilencePeers();
+        }
+        if (row.mTables) {
+          fleet.SilenceTables();
+        }
+        const auto silentAt = MonotonicNow();
+        const auto before = fleet.At(0).Config();
+        fleet.PutConfig();
+        fleet.RunFor(2900ms);
+        CHECK(MonotonicNow() - silentAt <= 3s);
+        for (std::size_t n = 0; n < kWide + kNarrow; ++n) {
+          CAPTURE(n);
+          CHECK(fleet.At(n).Config() > before);
+        }
+      });
+    }
+  }
+}
--- a/tests/relays/simulated_fleet.h
+++ b/tests/relays/simulated_fleet.h
@@ -44,6 +44,15 @@
   void Forget();
   // Leaves a daemon out of what is watched, as long as it is disturbed.
   void LeaveOut(std::size_t aNumber) { mLeftOut.insert(aNumber); }
+  // Silences all connections that are open now, between the daemons or to the
+  // table service.
+  void SilencePeers() { mNetwork.Silence(); }
+  void SilenceTables()
+  {
+    for (auto& it : mNodes) {
+      it->mFeed.Silence();
+    }
+  }
   // Makes a daemon refuse the connections of others.
   void Stop(std::size_t aNumber)
   {
--- a/tests/relays/simulated_network.cpp
+++ b/tests/relays/simulated_network.cpp
@@ -59,6 +59,14 @@
   return reply;
 }
 
+void
+SimulatedNetwork::Silence()
+{
+  for (auto& [ports, connections] : mConnections) {
+    connections.Silence();
+  }
+}
+
 Result<std::string>
 SimulatedNetwork::Call(const Endpoint& aFrom,
                        const Endpoint& aTo,
@@ -88,6 +96,17 @@
     (void)mLoop.Sleep(kRefusalTime);
     return fail(ErrorCode::Unavailable, "Connection refused");
   }
+  auto& connections = mConnections[{ aFrom.mPort, aTo.mPort }];
+  const auto connection = connections.Take();
+  // As HttpClient::Call does.
+  const auto timeOut = [&](const char* aReason) {
+    (void)mLoop.Sleep(std::max(begin - MonotonicNow(), Duration(0)));
+    connections.Forget();
+    return fail(ErrorCode::Timeout, aReason);
+  };
+  if (connections.IsSilent(connection)) {
+    return timeOut("silent");
+  }
   ++mReceived[aTo.mPort];
   // The called daemon does its work whether the caller still waits or not.
   auto exchange = std::make_shared<Exchange>(mLoop);
@@ -99,8 +118,12 @@
   });
   const auto left = begin - MonotonicNow();
   if (left <= Duration(0) || !exchange->mDone.Wait(left)) {
-    return fail(ErrorCode::Timeout, "timeout");
+    return timeOut("timeout");
+  }
+  if (connections.IsSilent(connection)) {
+    return timeOut("silent");
   }
+  connections.Keep(connection);
   auto& reply = *exchange->mReply;
   if (!reply) {
     mFailed.push_back({ aFrom, aTo, aPath, reply.error().mMessage });
--- a/tests/relays/simulated_network.h
+++ b/tests/relays/simulated_network.h
@@ -37,6 +37,37 @@
   std::string mReason;
 };
 
+// The connections from one client to one server, which are kept while idle and
+// may fall silent together.
+class KeptConnections
+{
+public:
+  // Takes an idle connection, or opens one.
+  [[nodiscard]] std::size_t Take()
+  {
+    if (mIdle.empty()) {
+      return mSilences;
+    }
+    const auto connection = mIdle.back();
+    mIdle.pop_back();
+    return connection;
+  }
+  [[nodiscard]] bool IsSilent(std::size_t aConnection) const noexcept
+  {
+    return aConnection < mSilences;
+  }
+  void Keep(std::size_t aConnection) { mIdle.push_back(aConnection); }
+  // Closes the idle connections.
+  void Forget() { mIdle.clear(); }
+  // Silences all connections that are open now.
+  void Silence() noexcept { ++mSilences; }
+
+private:
+  // Number of silences before the opening of each idle connection.
+  std::vector<std::size_t> mIdle;
+  std::size_t mSilences = 0;
+};
+
 // Carries the calls between the daemons of one loop. Each call takes processor
 // time and a part of the link of both VMs, as calls do that were measured.
 class SimulatedNetwork
@@ -58,6 +89,9 @@
     mPeers[aDaemon.mPort].mIsStopped = true;
   }
 
+  // Silences all connections that are open now.
+  void Silence();
+
   [[nodiscard]] Result<std::string> Call(const Endpoint& aFrom,
                                          const Endpoint& aTo,
                                          const std::string& aPath,
@@ -76,6 +110,9 @@
 
   Loop& mLoop;
   std::map<std::uint16_t, SimulatedPeer> mPeers;
+  // By the ports of the calling and of the called daemon.
+  std::map<std::pair<std::uint16_t, std::uint16_t>, KeptConnections>
+    mConnections;
 };
 
 // The calls of one daemon.
--- a/tests/relays/simulated_site.cpp
+++ b/tests/relays/simulated_site.cpp
@@ -149,17 +149,26 @@
 {
   const auto start = MonotonicNow();
   const auto begin = start + aLimits.mBegin;
-  mVm.Compute(kCallWork);
-  (void)mLoop.Sleep(kLatency);
-  if (mIsTurnedAway) {
+  const auto connection = mConnections.Take();
+  const auto timeOut = [&] {
     (void)mLoop.Sleep(std::max(begin - MonotonicNow(), Duration(0)));
+    mConnections.Forget();
     return FailCall(CallDisposition::Unknown, ErrorCode::Timeout, "silent");
+  };
+  mVm.Compute(kCallWork);
+  (void)mLoop.Sleep(kLatency);
+  if (mIsTurnedAway || mConnections.IsSilent(connection)) {
+    return timeOut();
   }
   while (mSite.Version(aTable) <= aAfter && MonotonicNow() < start + aWait &&
          mLoop.Sleep(kLookPeriod)) {
   }
   auto rows = mSite.RowsAfter(aTable, aAfter);
   (void)mLoop.Sleep(kLatency);
+  if (mConnections.IsSilent(connection)) {
+    return timeOut();
+  }
+  mConnections.Keep(connection);
   if (MonotonicNow() > begin) {
     return FailCall(CallDisposition::Unknown, ErrorCode::Timeout, "late");
   }
--- a/tests/relays/simulated_site.h
+++ b/tests/relays/simulated_site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "simulated_network.h"
 #include "simulated_vm.h"
 
 #include <bilberrytrail/entry/cache_events.h>
@@ -76,7 +77,9 @@
     TableVersion aAfter,
     Duration aWait,
     const AnswerLimits& aLimits) override;
-  void Reconnect() override {}
+  void Reconnect() override { mConnections.Forget(); }
+  // Silences the connections that are open now.
+  void Silence() noexcept { mConnections.Silence(); }
 
   // The table service does not answer this VM.
   bool mIsTurnedAway = false;
@@ -88,6 +91,7 @@
   Loop& mLoop;
   SimulatedSite& mSite;
   SimulatedVm& mVm;
+  KeptConnections mConnections;
 };
 
 // Reads the events of the stores of a simulated site from a VM.
