Log what each refusal and run rests on

request_refused, request_done, stream_incomplete and caller_left name config, evidence (the time before the arrival at which the answer that shows the configuration was asked for) and way. No decision changes.

--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -291,12 +291,16 @@
                 "server_leaving",
                 "A backend server gets no new work and finishes what it has.",
                 "Nothing." },
-  LogEventInfo{ RequestRefused,
-                1601,
-                Info,
-                "request_refused",
-                "A request was refused; `reason` and `disposition` say how.",
-                "See the table of refusals in docs/OPERATIONS.md." },
+  LogEventInfo{
+    RequestRefused,
+    1601,
+    Info,
+    "request_refused",
+    "A request was refused; `reason` and `disposition` say how. It was "
+    "handled by `config`, which may have been outdated for "
+    "`evidence` when the request arrived; `way` says how that is "
+    "known.",
+    "See the table of refusals in docs/OPERATIONS.md." },
   LogEventInfo{ RequestRetried,
                 1602,
                 Info,
@@ -462,7 +466,8 @@
                 Info,
                 "request_done",
                 "A request was answered completely; the fields say where "
-                "and how fast.",
+                "and how fast, and by which configuration, as in "
+                "request_refused.",
                 "Nothing." },
   LogEventInfo{ CallerLeft,
                 2010,
--- a/packages/entry/include/bilberrytrail/entry/request_flow.h
+++ b/packages/entry/include/bilberrytrail/entry/request_flow.h
@@ -10,6 +10,7 @@
 #include <bilberrytrail/entry/placement.h>
 #include <bilberrytrail/entry/retry_meter.h>
 #include <bilberrytrail/entry/server_pool.h>
+#include <bilberrytrail/entry/site_evidence.h>
 #include <bilberrytrail/entry/site_view.h>
 #include <bilberrytrail/traffic/attempt_ledger.h>
 
@@ -42,6 +43,9 @@
   // known, suspends the calling fiber for an answer that shows it, for the
   // given time at most.
   std::function<bool(Instant, Duration)> mAwaitEvidence;
+  // Returns what shows that the configuration of the current view is the one in
+  // force.
+  std::function<SiteEvidence()> mEvidence;
   // Rate limits that the servers name, and the pace of the requests that this
   // daemon sends to such servers without a home.
   ServerLimits& mLimits;
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -189,6 +189,7 @@
     [this](Instant aNeeded, Duration aWait) {
       return mEvidence.Await(aNeeded, aWait);
     },
+    [this] { return mViews.Evidence(SiteTable::Operator); },
     mLimits,
     mGate,
     mParts,
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -24,7 +24,7 @@
   // Without an answer the view serves on: the table service may be away.
   (void)mContext.mAwaitEvidence(mArrivedAtBoot - kOverdueEvidence,
                                 kEvidenceWait);
-  mView = mContext.mView();
+  TakeView();
   if (mView == nullptr || mView->mConfig == nullptr) {
     RefuseUnknownSite("This daemon has no configuration yet.");
     return;
@@ -50,10 +50,18 @@
                                                         kEvidenceShare);
   const bool isKnown =
     mContext.mAwaitEvidence(mArrivedAtBoot - age, kEvidenceWait);
-  mView = mContext.mView();
+  TakeView();
   return isKnown;
 }
 
+void
+RequestRun::TakeView()
+{
+  // The view that is loaded behind it may only be newer.
+  mEvidence = mContext.mEvidence();
+  mView = mContext.mView();
+}
+
 bool
 RequestRun::LookUpRoute()
 {
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bilberrytrail/base/log.h>
 #include <bilberrytrail/entry/request_flow.h>
 
 #include <algorithm>
@@ -54,6 +55,8 @@
   bool LookUpRoute();
   bool LookUpAccount();
   bool AwaitEvidence();
+  // Takes the newest view, and what it rests on.
+  void TakeView();
   bool SetDeadline();
   void SendUntilAnswered();
   Next SendOnce();
@@ -150,6 +153,12 @@
   // Ends a request that was cancelled, by its caller or by Stop.
   void EndCancelled();
   [[nodiscard]] SeriesLabels Labels() const;
+  // Returns the version of the configuration that the request is handled by; 0
+  // without one.
+  [[nodiscard]] std::uint64_t ConfigVersion() const noexcept;
+  // Returns the time for which that configuration may have been outdated when
+  // the request arrived; negative when its evidence is younger.
+  [[nodiscard]] LogField EvidenceField() const;
   // Returns the tokens of the prompt; 0 for a request without one.
   [[nodiscard]] std::uint64_t PromptTokens() const noexcept;
 
@@ -162,6 +171,7 @@
   // The view in force when the request arrived; its route and account hold
   // until the request has ended.
   std::shared_ptr<const SiteView> mView;
+  SiteEvidence mEvidence;
   // The view in force when the server of the current send was chosen.
   std::shared_ptr<const SiteView> mSendView;
   const Route* mRoute = nullptr;
--- a/packages/entry/src/request_run_end.cpp
+++ b/packages/entry/src/request_run_end.cpp
@@ -34,6 +34,9 @@
           { { "request", mRequest.mId },
             { "server", mChoice.mServer },
             { "reason", aReason },
+            { "config", ConfigVersion() },
+            EvidenceField(),
+            { "way", mEvidence.mWay },
             { "sends", mSends },
             { "tokens", PromptTokens() },
             { "age", MonotonicNow() - mArrivedAt } });
@@ -62,10 +65,9 @@
             { "disposition", refusal.GetDisposition() },
             { "route", mRoute == nullptr ? std::string() : mRoute->mName },
             { "account", mAccount == nullptr ? AccountId() : mAccount->mName },
-            { "config",
-              mView == nullptr || mView->mConfig == nullptr
-                ? 0
-                : mView->mConfig->mVersion },
+            { "config", ConfigVersion() },
+            EvidenceField(),
+            { "way", mEvidence.mWay },
             { "sends", mSends },
             { "age", MonotonicNow() - mArrivedAt },
             { "left", TimeLeft() },
@@ -101,6 +103,23 @@
   return mRequest.mPrompt ? mRequest.mPrompt->mInputTokens : 0;
 }
 
+std::uint64_t
+RequestRun::ConfigVersion() const noexcept
+{
+  return mView == nullptr || mView->mConfig == nullptr
+           ? 0
+           : mView->mConfig->mVersion;
+}
+
+LogField
+RequestRun::EvidenceField() const
+{
+  constexpr std::string_view kName = "evidence";
+  return mEvidence.mCompleteAt == Instant()
+           ? LogField(kName, "none")
+           : LogField(kName, mArrivedAtBoot - mEvidence.mCompleteAt);
+}
+
 void
 RequestRun::NoteDone(unsigned aStatus)
 {
@@ -115,6 +134,9 @@
             { "route", mRoute->mName },
             { "server", mChoice.mServer },
             { "status", aStatus },
+            { "config", ConfigVersion() },
+            EvidenceField(),
+            { "way", mEvidence.mWay },
             { "weights", mChoice.mWeightVersion },
             { "choice", mChoice.mReason },
             { "by_home", mIsByHome },
@@ -174,6 +196,9 @@
 {
   LogLine(LogEvent::CallerLeft,
           { { "request", mRequest.mId },
+            { "config", ConfigVersion() },
+            EvidenceField(),
+            { "way", mEvidence.mWay },
             { "sends", mSends },
             { "tokens", PromptTokens() },
             { "age", MonotonicNow() - mArrivedAt } });
--- a/packages/entry/src/site_metrics.h
+++ b/packages/entry/src/site_metrics.h
@@ -3,6 +3,7 @@
 #include <bilberrytrail/base/counter_registry.h>
 #include <bilberrytrail/base/enum_names.h>
 #include <bilberrytrail/base/histogram_registry.h>
+#include <bilberrytrail/entry/site_evidence.h>
 #include <bilberrytrail/entry/site_feed.h>
 
 #include <array>
@@ -11,25 +12,6 @@
 
 namespace bilberrytrail {
 
-// Ways on which rows of the tables come to this daemon.
-enum class SiteWay : unsigned char
-{
-  // From the table service.
-  Table,
-  // From the relay of the availability zone.
-  Relay,
-  // From any other daemon, while the table service does not answer.
-  Peer
-};
-
-template<>
-struct EnumNames<SiteWay>
-{
-  static constexpr std::array<std::string_view, 3> kNames{ "table",
-                                                           "relay",
-                                                           "peer" };
-};
-
 // Kinds of replies to the daemons that follow this one.
 enum class RelayReplyKind : unsigned char
 {
--- a/packages/entry/src/site_state.cpp
+++ b/packages/entry/src/site_state.cpp
@@ -156,7 +156,7 @@
   if (isDoubted || aAt <= mViews.CompleteAt(aTable)) {
     return;
   }
-  mViews.SetComplete(aTable, aAt);
+  mViews.SetComplete(aTable, aAt, aSource.mWay);
   mEvidence[static_cast<std::size_t>(aTable)].mSource = aSource;
   mEvidenceRenewed.Notify();
 }
--- a/packages/entry/src/site_view_holder.h
+++ b/packages/entry/src/site_view_holder.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <bilberrytrail/entry/site_evidence.h>
 #include <bilberrytrail/entry/site_view.h>
 
-#include <algorithm>
 #include <array>
 #include <atomic>
 #include <memory>
@@ -27,6 +27,12 @@
   {
     return Instant(Duration(At(mCompleteAt, aTable).load()));
   }
+  // Returns the same with the way on which it came. A view that is loaded
+  // afterwards rests on this evidence or on newer one.
+  [[nodiscard]] SiteEvidence Evidence(SiteTable aTable) const noexcept
+  {
+    return { CompleteAt(aTable), At(mWay, aTable).load() };
+  }
   // Returns whether calls for a table fail, so that no evidence is to come.
   [[nodiscard]] bool HasOutage(SiteTable aTable) const noexcept
   {
@@ -44,10 +50,13 @@
     mView.store(std::move(aView));
   }
   // Called on the control thread only.
-  void SetComplete(SiteTable aTable, Instant aAt) noexcept
+  void SetComplete(SiteTable aTable, Instant aAt, SiteWay aWay) noexcept
   {
-    auto& completeAt = At(mCompleteAt, aTable);
-    completeAt = std::max(completeAt.load(), aAt.time_since_epoch().count());
+    if (aAt <= CompleteAt(aTable)) {
+      return;
+    }
+    At(mWay, aTable) = aWay;
+    At(mCompleteAt, aTable) = aAt.time_since_epoch().count();
   }
   void SetOutage(SiteTable aTable, bool aHasOutage) noexcept
   {
@@ -76,6 +85,7 @@
 
   std::atomic<std::shared_ptr<const SiteView>> mView;
   PerTable<Duration::rep> mCompleteAt{};
+  PerTable<SiteWay> mWay{};
   PerTable<bool> mHasOutage{};
   std::atomic<Duration::rep> mDoubtedUntil = 0;
 };
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -181,6 +181,7 @@
                      [&](Instant aNeeded, Duration aWait) {
                        return AwaitEvidence(aNeeded, aWait);
                      },
+                     [&] { return mEvidence; },
                      mLimits,
                      mGate,
                      mParts,
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -181,6 +181,7 @@
   bool mIsFresh = true;
   Duration mEvidenceTime{};
   std::optional<SiteConfig> mConfigWithEvidence;
+  SiteEvidence mEvidence;
   // The times for which evidence was asked for.
   std::vector<Instant> mNeededEvidence;
   CallerRequest mRequest;
