Test that a daemon hears of a configuration from the daemons that know it

Callers' requests run by a key that was taken away more than 2 s before, at a daemon whose open connections to the table service have fallen silent, while the daemons that it exchanges placement requests with have the new configuration.

--- a/standins/tests/fleet_silent_links_test.cpp
+++ b/standins/tests/fleet_silent_links_test.cpp
@@ -84,6 +84,43 @@
   }
 }
 
+// Guards against a daemon that runs requests by an old configuration past the
+// bound, since only the end of its own wait shows it that its connections have
+// fallen silent, while the daemons that it exchanges requests with know better.
+TEST_CASE("a daemon whose connections fell silent hears of a configuration")
+{
+  constexpr Duration kInForceWithin = 2s;
+  constexpr std::size_t kDaemons = 3;
+  for (const auto phase : { 0ms, 150ms, 300ms, 450ms }) {
+    CAPTURE(phase.count());
+    FleetSite site;
+    site.mHasLinks = true;
+    site.Run(kDaemons, [&] {
+      (void)site.mLoop.Sleep(kSettleTime);
+      // The next wait for changes begins.
+      site.PutConfig(2, "key");
+      (void)site.mLoop.Sleep(100ms + phase);
+      site.mLinks[0]->SilenceOpen();
+      (void)site.mLoop.Sleep(50ms);
+      site.PutConfig(3, "later");
+      const auto begin = MonotonicNow();
+      int sent = 0;
+      int late = 0;
+      while (MonotonicNow() < begin + kInForceWithin + kPlayTime) {
+        const bool isDue = MonotonicNow() >= begin + kInForceWithin;
+        for (std::size_t n = 0; n < kDaemons; ++n) {
+          for (const char* target : { "/read/1", "/stream/1" }) {
+            const auto id = "r" + std::to_string(++sent);
+            late += site.Status(n, id, target, "key") == 200 && isDue ? 1 : 0;
+          }
+        }
+        (void)site.mLoop.Sleep(10ms);
+      }
+      CHECK(late == 0);
+    });
+  }
+}
+
 // Guards against losing one request for each connection to a server that was
 // kept and has fallen silent, while new ones work.
 TEST_CASE("few requests are lost after connections to servers fell silent")
