Tell each other of newer rows of the tables

Callers' requests ran by a key or a route that had been taken away more than 2 s before, at a daemon whose open connections to the table service had fallen silent.

Cause: that a change is missing showed only at the end of the daemon's own wait, after 2.65 s, more than the time within which a configuration must be in force (2 s). The daemons that it exchanged placement requests with all the while knew better, and none said so.

Placement requests and replies name the newest row of each table that their sender has. A daemon that lacks such a row a quarter of config.within later reads the table on a new connection. Rows that come by themselves meanwhile cost no call.

--- a/packages/base/include/bilberrytrail/base/log_event.h
+++ b/packages/base/include/bilberrytrail/base/log_event.h
@@ -45,6 +45,7 @@
   TableDown,
   TableUp,
   TableRestored,
+  ChangeMissed,
   ListStale,
   ListFresh,
   ObjectStoreFailed,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -106,6 +106,14 @@
                 "`version`. What was in force stays in force.",
                 "Check that the operator and the backend servers write again "
                 "what was lost." },
+  LogEventInfo{ ChangeMissed,
+                1107,
+                Warning,
+                "change_missed",
+                "Other daemons have a row of a table that has not come to this "
+                "one; it reads the table on a new connection.",
+                "Check the network between the daemon and the table service "
+                "when it goes on." },
   LogEventInfo{ ListStale,
                 1103,
                 Warning,
--- a/packages/entry/include/bilberrytrail/entry/site_feed.h
+++ b/packages/entry/include/bilberrytrail/entry/site_feed.h
@@ -4,6 +4,7 @@
 #include <bilberrytrail/base/enum_names.h>
 #include <bilberrytrail/entry/server_record.h>
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -59,6 +60,9 @@
   std::uint64_t mNumber;
 };
 
+// A version for each table that daemons follow.
+using TableVersions = std::array<TableVersion, EnumCount<SiteTable>()>;
+
 // A row of such a table, or its removal.
 struct SiteRow
 {
--- a/packages/entry/include/bilberrytrail/entry/site_replica.h
+++ b/packages/entry/include/bilberrytrail/entry/site_replica.h
@@ -29,6 +29,9 @@
   // Returns the version of the last change of a table's rows: a replica of this
   // version or a later one has them all.
   [[nodiscard]] TableVersion Changed(SiteTable aTable) const noexcept;
+  // Returns the version of the newest row or removal that was read as such: a
+  // replica of a lower version lacks it.
+  [[nodiscard]] TableVersion NewestRow(SiteTable aTable) const noexcept;
   // Returns when the table service was first read with this version of the
   // table, by its own clock in milliseconds; nothing when it is not known.
   [[nodiscard]] std::optional<std::uint64_t> TableMs(
@@ -65,6 +68,7 @@
     std::map<std::string, SiteRow> mRows;
     TableVersion mVersion;
     TableVersion mChanged;
+    TableVersion mNewestRow;
     // When the table service was first read with this version, by its clock.
     std::optional<std::uint64_t> mTableMs;
     // The newest removals, oldest first: key and version.
@@ -81,6 +85,7 @@
               const std::string& aKey,
               TableVersion aVersion,
               Instant aNow);
+  void NoteNewestRow(SiteTable aTable, const std::vector<SiteRow>& aRows);
   // Applies changes whatever their era.
   bool Apply(SiteTable aTable, const SiteRows& aChanges, Instant aNow);
   [[nodiscard]] Table& TableOf(SiteTable aTable) noexcept;
--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -27,6 +27,8 @@
   std::set<ZoneId> mEvacuated;
   // Highest era of the followed tables.
   std::uint64_t mTableEra = 0;
+  // The newest row of each table that the view has.
+  TableVersions mNewestRows;
 
   // Returns null when the configuration has no such service.
   [[nodiscard]] const BackendService* FindService(
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -40,6 +40,9 @@
 // Evidence about a table that is older without a failed call is late: longer
 // than the longest wait for changes, and the check behind it.
 constexpr Duration kLateEvidence = 4200ms;
+// Share of the time within which a configuration must be in force that a row
+// which other daemons have may take to come.
+constexpr double kRowPatienceShare = 0.25;
 // Time to wait for addresses that are still taken: the process before may end
 // only when its stop time is over.
 constexpr Duration kAddressWait = 12s;
@@ -167,6 +170,13 @@
     mControl.SetMessageMemory(makeBudget(kControlBytesPerMb));
     mBulk.SetMessageMemory(makeBudget(kBulkBytesPerMb));
   }
+  mPlacement.OnNewerRow([this](SiteTable aTable, TableVersion aRow) {
+    const auto patience = std::chrono::duration_cast<Duration>(
+      mSettings.mConfigWithin * kRowPatienceShare);
+    mControl.Spawn([this, aTable, aRow, patience] {
+      mTableFollower.OnNewerRow(aTable, aRow, patience);
+    });
+  });
   mGate.SetShare(0);
   mRelayFollower.AddMethods(mMethods);
   mNotifier.AddMethods(mMethods);
@@ -215,6 +225,7 @@
     for (const auto& it : mPool.Update(view->mServers, MonotonicNow())) {
       mBackend->Forget(it);
     }
+    mPlacement.SetNewestRows(view->mNewestRows);
     mPlacement.Ledger().SetServers(view->mServers, MonotonicNow());
     mLimits.Retain(view->mServers, MonotonicNow());
     mAvoided.Retain(view->mServers, MonotonicNow());
--- a/packages/entry/src/placement_codec.cpp
+++ b/packages/entry/src/placement_codec.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr const char* kRowsField = "rows";
+
 // First byte of a datagram; CBOR follows.
 constexpr char kMessage = 'M';
 constexpr char kReply = 'R';
@@ -257,6 +259,45 @@
                               : std::vector<ColdReport>();
 }
 
+// Each version as its number and its era.
+void
+AddNewestRows(Json& aJson, const TableVersions& aVersions)
+{
+  auto rows = Json::array();
+  for (const auto& it : aVersions) {
+    rows.push_back(it.Number());
+    rows.push_back(it.Era());
+  }
+  aJson[kRowsField] = std::move(rows);
+}
+
+Result<std::uint64_t>
+ReadNumber(const Json& aJson)
+{
+  if (!aJson.is_number_unsigned()) {
+    return Fail(ErrorCode::Corrupt, "not a number");
+  }
+  return aJson.get<std::uint64_t>();
+}
+
+TableVersions
+ReadNewestRows(JsonFields& aFields)
+{
+  TableVersions versions;
+  if (!aFields.Has(kRowsField)) {
+    return versions;
+  }
+  const auto numbers = ReadListField(aFields, kRowsField, ReadNumber);
+  if (numbers.size() != 2 * versions.size()) {
+    aFields.Reject(kRowsField);
+    return versions;
+  }
+  for (std::size_t n = 0; n < versions.size(); ++n) {
+    versions[n] = { numbers[2 * n], numbers[2 * n + 1] };
+  }
+  return versions;
+}
+
 } // namespace
 
 std::string
@@ -272,6 +313,7 @@
   if (aMessage.mRequest) {
     json["ask"] = ToJson(*aMessage.mRequest);
   }
+  AddNewestRows(json, aMessage.mNewestRows);
   AddLimits(json, aMessage.mLimits);
   AddColds(json, aMessage.mColds);
   AddPartReports(json, kPartsField, aMessage.mParts);
@@ -290,6 +332,7 @@
              { "reason", std::string(ToName(reply.mReason)) },
              { "time_ms", ToMillis(reply.mTime) },
              { "candidates", reply.mCandidates } };
+  AddNewestRows(json, aAnswer.mNewestRows);
   AddLimits(json, aAnswer.mLimits);
   AddColds(json, aAnswer.mColds);
   AddPartReports(json, kPartsField, aAnswer.mParts);
@@ -312,6 +355,7 @@
   if (fields.Has("ask")) {
     message.mRequest = ReadObjectField(fields, "ask", ReadRequest);
   }
+  message.mNewestRows = ReadNewestRows(fields);
   message.mLimits = ReadLimits(fields);
   message.mColds = ReadColds(fields);
   message.mParts = ReadPartReports(fields, kPartsField);
@@ -336,6 +380,7 @@
   reply.mReason = ReadEnumField<ChoiceReason>(fields, "reason");
   reply.mTime = FromMillis(fields.Real("time_ms"));
   reply.mCandidates = fields.Unsigned("candidates");
+  answer.mNewestRows = ReadNewestRows(fields);
   answer.mLimits = ReadLimits(fields);
   answer.mColds = ReadColds(fields);
   answer.mParts = ReadPartReports(fields, kPartsField);
--- a/packages/entry/src/placement_codec.h
+++ b/packages/entry/src/placement_codec.h
@@ -3,6 +3,7 @@
 #include <bilberrytrail/base/error.h>
 #include <bilberrytrail/entry/part_quarantine.h>
 #include <bilberrytrail/entry/placement.h>
+#include <bilberrytrail/entry/site_feed.h>
 
 #include <string>
 #include <string_view>
@@ -53,6 +54,8 @@
 struct PlacementMessage
 {
   PlacementClientId mClient;
+  // The newest rows that the sender has of the site's tables.
+  TableVersions mNewestRows;
   std::optional<PlacementRequest> mRequest;
   std::vector<PlacementReport> mReports;
   std::vector<LimitReport> mLimits;
@@ -66,6 +69,7 @@
 struct PlacementAnswer
 {
   PlacementReply mReply;
+  TableVersions mNewestRows;
   std::vector<LimitReport> mLimits;
   std::vector<ColdReport> mColds;
   std::vector<PartReport> mParts;
--- a/packages/entry/src/placement_service.cpp
+++ b/packages/entry/src/placement_service.cpp
@@ -180,6 +180,7 @@
 {
   PlacementMessage message;
   message.mClient = mSelf;
+  message.mNewestRows = mNewestRows;
   message.mLimits = LimitReports();
   message.mColds = ColdReports();
   message.mParts = ReportsOf(mParts);
@@ -418,9 +419,16 @@
               { "reason", message.error().mMessage } });
     return;
   }
-  const auto& [client, request, reports, limits, colds, parts, requests] =
-    message.value();
+  const auto& [client,
+               newestRows,
+               request,
+               reports,
+               limits,
+               colds,
+               parts,
+               requests] = message.value();
   const auto now = MonotonicNow();
+  CompareRows(newestRows);
   MergeLimits(limits);
   MergeColds(colds);
   MergeReports(mParts, parts);
@@ -436,6 +444,7 @@
   if (request) {
     mSocket.Send(aDatagram.mFrom,
                  Encode(PlacementAnswer{ HandleRequest(client, *request),
+                                         mNewestRows,
                                          LimitReports(),
                                          ColdReports(),
                                          ReportsOf(mParts),
@@ -453,6 +462,7 @@
               { "reason", answer.error().mMessage } });
     return;
   }
+  CompareRows(answer.value().mNewestRows);
   MergeLimits(answer.value().mLimits);
   MergeColds(answer.value().mColds);
   MergeReports(mParts, answer.value().mParts);
@@ -464,4 +474,17 @@
   }
 }
 
+void
+PlacementService::CompareRows(const TableVersions& aVersions)
+{
+  for (const auto table : AllOf<SiteTable>()) {
+    const auto n = static_cast<std::size_t>(table);
+    const auto known = std::max(mNewestRows[n], mHeardOf[n]);
+    if (aVersions[n] > known && mOnNewerRow) {
+      mHeardOf[n] = aVersions[n];
+      mOnNewerRow(table, aVersions[n]);
+    }
+  }
+}
+
 } // namespace bilberrytrail
--- a/packages/entry/src/placement_service.h
+++ b/packages/entry/src/placement_service.h
@@ -8,6 +8,7 @@
 #include <bilberrytrail/runtime/datagram.h>
 #include <bilberrytrail/runtime/loop.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -35,6 +36,18 @@
   Result<void> Start(const Endpoint& aEndpoint);
   // Replaces the map of groups and homes.
   void SetMap(std::shared_ptr<const PlacementMap> aMap);
+  // Replaces the newest rows of the site's tables that other daemons are told
+  // of.
+  void SetNewestRows(const TableVersions& aVersions) noexcept
+  {
+    mNewestRows = aVersions;
+  }
+  // Calls the function on the loop's thread when another daemon tells of a
+  // newer row of a table, once for each such row.
+  void OnNewerRow(std::function<void(SiteTable, TableVersion)> aCallback)
+  {
+    mOnNewerRow = std::move(aCallback);
+  }
   // Records when the list of daemons in the map was last read.
   void SetListReadAt(Instant aTime) noexcept { mListReadAt = aTime; }
   // Returns the ledger of this daemon's grants as a home; the owner feeds it
@@ -99,6 +112,7 @@
   void Receive();
   void OnMessage(const Datagram& aDatagram);
   void OnReply(const Datagram& aDatagram);
+  void CompareRows(const TableVersions& aVersions);
 
   Loop& mLoop;
   const PlacementClientId mSelf;
@@ -121,6 +135,10 @@
   bool mIsFlushing = false;
   std::map<DaemonId, BackOff> mBackOffs;
   std::uint64_t mLastTicket = 0;
+  TableVersions mNewestRows;
+  // The newest rows that others have told of.
+  TableVersions mHeardOf;
+  std::function<void(SiteTable, TableVersion)> mOnNewerRow;
   Random mRandom;
 };
 
--- a/packages/entry/src/site_replica.cpp
+++ b/packages/entry/src/site_replica.cpp
@@ -30,6 +30,21 @@
   return TableOf(aTable).mChanged;
 }
 
+TableVersion
+SiteReplica::NewestRow(SiteTable aTable) const noexcept
+{
+  return TableOf(aTable).mNewestRow;
+}
+
+void
+SiteReplica::NoteNewestRow(SiteTable aTable, const std::vector<SiteRow>& aRows)
+{
+  auto& newest = TableOf(aTable).mNewestRow;
+  for (const auto& it : aRows) {
+    newest = std::max(newest, it.mVersion);
+  }
+}
+
 std::optional<std::uint64_t>
 SiteReplica::TableMs(SiteTable aTable) const noexcept
 {
@@ -136,6 +151,7 @@
   if (aRows.mVersion < table.mVersion) {
     return false;
   }
+  NoteNewestRow(aTable, aRows.mRows);
   // Removals before the first read, or of an earlier era, are not known.
   const bool isNewEra = aRows.mVersion.Era() > table.mVersion.Era();
   if (!table.mVersion.IsKnown() || isNewEra) {
@@ -168,7 +184,11 @@
   const auto version = Version(aTable);
   const bool isOtherEra =
     version.IsKnown() && aChanges.mVersion.Era() != version.Era();
-  return !isOtherEra && Apply(aTable, aChanges, aNow);
+  if (isOtherEra) {
+    return false;
+  }
+  NoteNewestRow(aTable, aChanges.mRows);
+  return Apply(aTable, aChanges, aNow);
 }
 
 bool
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -184,6 +184,8 @@
   view->mHasReadServers = aReplica.Version(SiteTable::Servers).IsKnown();
   for (const auto table : AllOf<SiteTable>()) {
     view->mTableEra = std::max(view->mTableEra, aReplica.Version(table).Era());
+    view->mNewestRows[static_cast<std::size_t>(table)] =
+      aReplica.NewestRow(table);
   }
   const auto rows = aReplica.Rows(SiteTable::Servers);
   for (const auto& row : rows) {
--- a/packages/entry/src/table_follower.cpp
+++ b/packages/entry/src/table_follower.cpp
@@ -1,5 +1,7 @@
 #include "table_follower.h"
 
+#include <bilberrytrail/base/log.h>
+
 #include <algorithm>
 
 namespace bilberrytrail {
@@ -31,6 +33,8 @@
 constexpr Duration kPeerTimeout = 400ms;
 // Daemons queried in one round.
 constexpr std::size_t kPeersPerQuery = 2;
+// Reads for rows that other daemons have.
+constexpr unsigned kMaxReadsForRow = 3;
 // Time between two looks for overdue evidence.
 constexpr Duration kOverduePeriod = 250ms;
 // Evidence is overdue after the longest wait on the way on which this daemon
@@ -216,6 +220,36 @@
   }
 }
 
+void
+TableFollower::OnNewerRow(SiteTable aTable,
+                          TableVersion aRow,
+                          Duration aPatience)
+{
+  auto& awaited = FollowingOf(aTable).mAwaited;
+  if (awaited) {
+    awaited = std::max(*awaited, aRow);
+    return;
+  }
+  awaited = aRow;
+  unsigned reads = 0;
+  auto row = aRow;
+  while (mState.Version(aTable) < *awaited && reads < kMaxReadsForRow &&
+         mLoop.Sleep(aPatience)) {
+    if (mState.Version(aTable) < row) {
+      LogLine(LogEvent::ChangeMissed,
+              { { "table", aTable },
+                { "row_version", row.Number() },
+                { "version", mState.Version(aTable).Number() },
+                { "evidence", mState.Lag(aTable) } });
+      mFeed.Reconnect();
+      Check(aTable);
+      ++reads;
+    }
+    row = *awaited;
+  }
+  awaited.reset();
+}
+
 bool
 TableFollower::IsOverdue(SiteTable aTable) const
 {
--- a/packages/entry/src/table_follower.h
+++ b/packages/entry/src/table_follower.h
@@ -35,6 +35,10 @@
   // Reads the changes of a table by now, beside any wait for changes. Returns
   // when they are read, or can't be.
   void Check(SiteTable aTable);
+  // Takes note that another daemon has a row of a table. If it has not come to
+  // this one either after aPatience, reads the table on a new connection: the
+  // way on which changes come may be silent.
+  void OnNewerRow(SiteTable aTable, TableVersion aRow, Duration aPatience);
 
 private:
   // What the next call reads.
@@ -97,6 +101,8 @@
     Event mLook;
     // When the last call that was answered was sent, on the boot clock.
     Instant mAnsweredAt;
+    // The newest row that other daemons have, while it is awaited.
+    std::optional<TableVersion> mAwaited;
   };
 
   [[nodiscard]] Following& FollowingOf(SiteTable aTable) noexcept
--- a/packages/entry/tests/placement_codec_test.cpp
+++ b/packages/entry/tests/placement_codec_test.cpp
@@ -14,6 +14,7 @@
 {
   PlacementMessage message;
   message.mClient = { DaemonId("d1"), 99 };
+  message.mNewestRows = { TableVersion(7, 2), TableVersion(9, 2) };
   message.mReports = { { 5, std::nullopt }, { 4, SendOutcome::Full } };
   PlacementRequest request;
   request.mGroup = { ServiceId("e"), 3, 15 };
@@ -63,11 +64,14 @@
   answer.mLimits = Message().mLimits;
   answer.mColds = Message().mColds;
   answer.mParts = Message().mParts;
+  answer.mNewestRows = Message().mNewestRows;
   const auto again = DecodePlacementAnswer(Encode(answer));
   REQUIRE(again.has_value());
   CHECK(again.value().mReply.mTicket == 6);
   CHECK(again.value().mReply.mOutcome == PlacementOutcome::Busy);
   CHECK(again.value().mReply.mTime == 250ms);
+  CHECK(message.mNewestRows == Message().mNewestRows);
+  CHECK(again.value().mNewestRows == Message().mNewestRows);
   for (const auto& limits : { message.mLimits, again.value().mLimits }) {
     REQUIRE(limits.size() == 2);
     CHECK(limits[0].mServer == ServerId("s1"));
--- a/packages/entry/tests/placement_service_test.cpp
+++ b/packages/entry/tests/placement_service_test.cpp
@@ -262,3 +262,35 @@
     CHECK(site.mLimits[entry].Find(servers[0].mId) == nullptr);
   });
 }
+
+// Guards against a daemon that doesn't hear what the daemons that it exchanges
+// requests with know of the tables.
+TEST_CASE("requests and replies tell of newer rows, once each")
+{
+  Site site(4);
+  std::vector<std::vector<TableVersion>> heard(4);
+  site.Run([&] {
+    for (std::size_t n = 0; n < 4; ++n) {
+      site.Start(n);
+      site.mServices[n]->SetNewestRows({ TableVersion(5), TableVersion(5) });
+      site.mServices[n]->OnNewerRow([&heard, n](SiteTable aTable, auto aRow) {
+        CHECK(aTable == SiteTable::Operator);
+        heard[n].push_back(aRow);
+      });
+    }
+    auto& entry = *site.mServices[site.Entry()];
+    auto& home = *site.mServices[site.Home(0)];
+    const auto ask = [&] {
+      for (int n = 0; n < 3; ++n) {
+        CHECK(entry.Place(Query(), 1, 1s, false).has_value());
+      }
+    };
+    ask();
+    home.SetNewestRows({ TableVersion(6), TableVersion(5) });
+    ask();
+    entry.SetNewestRows({ TableVersion(8), TableVersion(5) });
+    ask();
+  });
+  CHECK(heard[site.Entry()] == std::vector{ TableVersion(6) });
+  CHECK(heard[site.Home(0)] == std::vector{ TableVersion(8) });
+}
--- a/packages/entry/tests/table_follower_test.cpp
+++ b/packages/entry/tests/table_follower_test.cpp
@@ -225,3 +225,57 @@
     });
   }
 }
+
+// Guards against a daemon that learns only at the end of its own wait what the
+// others know.
+TEST_CASE("a row that other daemons have is read after a time")
+{
+  constexpr Duration kPatience = 500ms;
+  for (auto phase = 0ms; phase < 2700ms; phase += 150ms) {
+    CAPTURE(phase.count());
+    FollowedTables fixture;
+    fixture.Run([&] {
+      auto& feed = fixture.mFeed;
+      (void)fixture.mLoop.Sleep(3s + phase);
+      feed.mIdle.assign(2, 0);
+      feed.Silence();
+      feed.PutConfig();
+      (void)fixture.mLoop.Sleep(10ms);
+      fixture.mLoop.Spawn([&] {
+        fixture.mTables.OnNewerRow(
+          SiteTable::Operator, feed.mConfig, kPatience);
+      });
+      (void)fixture.mLoop.Sleep(kPatience + 100ms);
+      CHECK(fixture.Config() == feed.mConfig);
+    });
+  }
+}
+
+// Guards against calls for rows that come by themselves, a little after others
+// tell of them, and for one that the table service doesn't have.
+TEST_CASE("rows that others tell of cost calls only if they don't come")
+{
+  constexpr Duration kPatience = 500ms;
+  FollowedTables fixture;
+  fixture.Run([&] {
+    const auto tell = [&](std::uint64_t aRow) {
+      fixture.mLoop.Spawn([&, aRow] {
+        fixture.mTables.OnNewerRow(SiteTable::Operator, aRow, kPatience);
+      });
+    };
+    auto& feed = fixture.mFeed;
+    const auto before = feed.mCalls;
+    for (int n = 0; n < 100; ++n) {
+      tell(feed.mConfig + 1);
+      (void)fixture.mLoop.Sleep(50ms);
+      feed.PutConfig();
+      (void)fixture.mLoop.Sleep(50ms);
+    }
+    // Two calls for each change, as without what others tell.
+    CHECK(feed.mCalls - before <= 220);
+    const auto calls = feed.mCalls;
+    tell(feed.mConfig + 1000);
+    (void)fixture.mLoop.Sleep(10s);
+    CHECK(feed.mCalls - calls <= 15);
+  });
+}
