Doubt the operator's table after a daemon's first read of it

Callers got 401 and 404 for keys and routes that had been acknowledged, from a daemon that started between the restore of the table service from a copy and the operator's writing again: 71 of 71 keys and 71 of 71 paths in 1.5 s.

Cause: a daemon doubts its table for 1.9 s when the era rises. One that has just started knows no earlier era, took the copy for the table in force, and refused at once.

The first read of a table that names an era is now doubted for the same time. The daemon is ready meanwhile, runs what its table allows and answers 503 with a Retry-After to the rest, as after a loss.

In another case the first check, 401 for an unknown key, came right after the start; it now waits until the daemon no longer doubts and expects the same.

--- a/packages/entry/src/site_state.cpp
+++ b/packages/entry/src/site_state.cpp
@@ -131,11 +131,20 @@
   }
 }
 
+// A daemon that reads the tables for the first time can't know whether their
+// era has just begun.
 void
 SiteState::NoteEra(SiteTable aTable, TableVersion aBefore)
 {
   const auto after = mReplica.Version(aTable);
-  if (!aBefore.IsKnown() || after.Era() <= aBefore.Era()) {
+  if (after.Era() <= aBefore.Era()) {
+    return;
+  }
+  const auto doubtedUntil = BootNow() + SiteReplica::kRecoveryTime;
+  if (aTable == SiteTable::Operator) {
+    mViews.DoubtUntil(doubtedUntil);
+  }
+  if (!aBefore.IsKnown()) {
     return;
   }
   LogLine(LogEvent::TableRestored,
@@ -144,16 +153,16 @@
             { "version", after.Number() },
             { "version_before", aBefore.Number() } });
   if (aTable == SiteTable::Operator) {
-    mViews.DoubtUntil(BootNow() + SiteReplica::kRecoveryTime);
+    mIncompleteUntil = doubtedUntil;
   }
 }
 
 void
 SiteState::SetComplete(SiteTable aTable, Instant aAt, const SiteSource& aSource)
 {
-  const bool isDoubted =
-    aTable == SiteTable::Operator && mViews.IsDoubted(BootNow());
-  if (isDoubted || aAt <= mViews.CompleteAt(aTable)) {
+  const bool isIncomplete =
+    aTable == SiteTable::Operator && BootNow() < mIncompleteUntil;
+  if (isIncomplete || aAt <= mViews.CompleteAt(aTable)) {
     return;
   }
   mViews.SetComplete(aTable, aAt, aSource.mWay);
--- a/packages/entry/src/site_state.h
+++ b/packages/entry/src/site_state.h
@@ -110,6 +110,9 @@
   SiteReplica mReplica;
   SiteAssembler mAssembler;
   RemoteClock mClock;
+  // Until when the operator's table may lack what was in force before, since it
+  // was restored.
+  Instant mIncompleteUntil;
   std::array<Evidence, EnumCount<SiteTable>()> mEvidence;
   ChangeSignal mRowsChanged;
   ChangeSignal mEvidenceRenewed;
--- a/packages/entry/src/site_view_holder.h
+++ b/packages/entry/src/site_view_holder.h
@@ -39,7 +39,8 @@
     return At(mHasOutage, aTable);
   }
   // Returns whether the operator's table may lack changes, since the table
-  // service came back from an older copy.
+  // service came back from an older copy, or may have done so just before this
+  // daemon started.
   [[nodiscard]] bool IsDoubted(Instant aNow) const noexcept
   {
     return aNow < Instant(Duration(mDoubtedUntil.load()));
--- a/standins/tests/fleet_restored_test.cpp
+++ b/standins/tests/fleet_restored_test.cpp
@@ -211,6 +211,8 @@
   site.Run(1, [&] {
     site.mTable.TakeCopy();
     site.PutConfig(2, "key");
+    // A daemon that has just started doubts as well.
+    (void)site.mLoop.Sleep(kApplyTime);
     CHECK(site.Status(0, "a", "/read/1", "unknown") == 401);
     const auto before = site.mTable.Calls();
     Lose(site);
@@ -225,6 +227,39 @@
   });
 }
 
+// Guards against the same at a daemon that starts between the loss and the
+// operator's writing: it has seen no earlier era that would make it doubt.
+TEST_CASE("a daemon that starts after a loss denies no key that was lost")
+{
+  FleetSite site;
+  site.mTable.SetEra(1);
+  site.Run(1, [&] {
+    site.mTable.TakeCopy();
+    site.PutConfig(2, "lost");
+    REQUIRE(Serves(site, 0, "lost"));
+    Lose(site);
+    site.StartDaemon();
+    const auto end = MonotonicNow() + 1500ms;
+    bool hasAnswered = false;
+    for (int n = 0; MonotonicNow() < end; ++n) {
+      const auto id = "a" + std::to_string(n);
+      const auto status = site.Status(1, id, "/read/1", "lost");
+      hasAnswered = hasAnswered || status == 503;
+      CHECK(status != 401);
+      CHECK(site.Status(1, id + "x", "/nowhere/1", "lost") != 404);
+      (void)site.mLoop.Sleep(20ms);
+    }
+    CHECK(hasAnswered);
+    // It counts as ready all the same.
+    CHECK(site.Readiness(1) == 200);
+    site.PutConfig(2, "lost");
+    (void)site.mLoop.Sleep(kApplyTime);
+    CHECK(site.Status(1, "b", "/read/1", "lost") == 200);
+    CHECK(site.Status(1, "c", "/read/1", "key") == 401);
+    CHECK(site.Status(1, "d", "/nowhere/1", "lost") == 404);
+  });
+}
+
 // Guards against a daemon that never reads a large configuration over a narrow
 // link: the call after a failed one does not wait for changes, but its answer
 // may take as long as that of any other.
