Play configurations in series while daemons and their ways are disturbed

No test changed configurations one after the other at whole daemons while the table service, the links to it or the links between daemons failed. The soak checks old keys only once all is calm.

The new play has nine processes, in three zones or behind a relay, an operator that moves routes, adds and removes routes and keys each 0.4 to 4.5 s, and 27 kinds of disturbances, alone in series or mixed and overlapping, 20 ms to 6 s long. It judges each run and each 401 and 404: at daemons that were undisturbed for 3 s none is late by more than 2 s, no process goes back, no daemon in any state refuses what was acknowledged more than 2 s before, added routes and keys are served like others, and the log says what each rests on.

Plans of the soak before are as they were; the stand-in of the table service has a clock now.

--- a/standins/src/fleet/row_table.cpp
+++ b/standins/src/fleet/row_table.cpp
@@ -63,6 +63,13 @@
   return text.empty() ? 0 : std::stoull(text);
 }
 
+std::uint64_t
+SteadyMillis()
+{
+  return static_cast<std::uint64_t>(
+    ToMillis(MonotonicNow().time_since_epoch()));
+}
+
 HttpResponse
 JsonResponse(unsigned aStatus, const Json& aBody)
 {
@@ -197,7 +204,7 @@
                       { { "rows", std::move(aRows) },
                         { "has_more", aHasMore },
                         { "ver", mVersion },
-                        { "now_ms", 0 } });
+                        { "now_ms", SteadyMillis() } });
 }
 
 HttpResponse
@@ -240,15 +247,19 @@
   }
   ++mVersion;
   for (const auto& it : aBody.at("put")) {
-    const auto value = FromBase64(it.at("value").get<std::string>());
-    mRows[nameOf(it)] = { value ? value.value() : std::string(),
-                          mVersion,
-                          false };
+    auto value = FromBase64(it.at("value").get<std::string>());
+    auto text = value ? std::move(value).value() : std::string();
+    const auto name = nameOf(it);
+    if (mRewrite) {
+      text = mRewrite(name.second, std::move(text));
+    }
+    mRows[name] = { std::move(text), mVersion, false };
   }
   for (const auto& it : aBody.at("remove")) {
     mRows[nameOf(it)] = { {}, mVersion, true };
   }
-  return JsonResponse(200, { { "ver", mVersion }, { "now_ms", 0 } });
+  return JsonResponse(200,
+                      { { "ver", mVersion }, { "now_ms", SteadyMillis() } });
 }
 
 } // namespace bilberrytrail::standins
--- a/standins/src/fleet/row_table.h
+++ b/standins/src/fleet/row_table.h
@@ -6,6 +6,7 @@
 #include <bilberrytrail/runtime/loop.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -73,6 +74,13 @@
   void Restore();
   // Names the era in all answers from now on; not before.
   void SetEra(std::uint64_t aEra) noexcept { mEra = aEra; }
+  // Passes the values that transactions write through a function, with their
+  // keys.
+  void SetRewrite(
+    std::function<std::string(const std::string&, std::string)> aRewrite)
+  {
+    mRewrite = std::move(aRewrite);
+  }
   // Number of calls that were received.
   [[nodiscard]] std::uint64_t Calls() const noexcept { return mCalls; }
   // Sets the fault of calls on one table, or of all calls when aTable is empty.
@@ -120,6 +128,7 @@
   std::size_t mPageRows = 500;
   RowTableFault mFault = RowTableFault::None;
   std::string mFaultTable;
+  std::function<std::string(const std::string&, std::string)> mRewrite;
 };
 
 } // namespace bilberrytrail::standins
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -6,31 +6,47 @@
 
 namespace {
 
-constexpr std::uint64_t kMostPause = 500;
-constexpr std::uint64_t kLeastLength = 200;
-constexpr std::uint64_t kMostMoreLength = 1800;
+// The kinds before those that only the play of configurations has.
+constexpr std::size_t kSiteKinds =
+  static_cast<std::size_t>(ActionKind::NewWeights) + 1;
+constexpr Duration kMostPause = 500ms;
+constexpr Duration kLeastLength = 200ms;
+constexpr Duration kMostLength = 2s;
 
 } // namespace
 
 std::vector<Action>
-MakePlan(std::uint64_t aSeed, Duration aLength)
+MakePlan(std::uint64_t aSeed, Duration aLength, const PlanShape& aShape)
 {
   Random random(aSeed);
   std::vector<Action> actions;
-  const auto millis = [&](std::uint64_t aMost) {
-    return std::chrono::milliseconds(random.Next() % aMost);
+  const auto below = [&](Duration aMost) {
+    const auto millis = static_cast<std::uint64_t>(ToMillis(aMost));
+    return std::chrono::milliseconds(random.Next() % millis);
   };
-  for (Duration at = millis(kMostPause); at < aLength;
-       at += millis(kMostPause)) {
+  for (Duration at = below(aShape.mMostPause); at < aLength;
+       at += below(aShape.mMostPause)) {
     Action action;
     action.mAt = at;
-    action.mKind = AllOf<ActionKind>()[random.Next() % EnumCount<ActionKind>()];
+    action.mKind = aShape.mKinds[random.Next() % aShape.mKinds.size()];
     action.mTarget = static_cast<std::size_t>(random.Next());
     action.mLength =
-      std::chrono::milliseconds(kLeastLength) + millis(kMostMoreLength);
+      aShape.mLeastLength + below(aShape.mMostLength - aShape.mLeastLength);
     actions.push_back(action);
   }
   return actions;
 }
 
+std::vector<Action>
+MakePlan(std::uint64_t aSeed, Duration aLength)
+{
+  static constexpr auto kKinds = AllOf<ActionKind>();
+  return MakePlan(aSeed,
+                  aLength,
+                  { std::span(kKinds).first(kSiteKinds),
+                    kMostPause,
+                    kLeastLength,
+                    kMostLength });
+}
+
 } // namespace bilberrytrail::soak
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 
 namespace bilberrytrail::soak {
@@ -14,8 +15,6 @@
 using standins::FleetServer;
 using standins::RowTableFault;
 
-constexpr int kServers = 4;
-constexpr int kEngines = 2;
 constexpr Duration kRowPeriod = 50ms;
 // Longest time between SIGTERM and the end, as the settings below say.
 constexpr Duration kStopTime = 5s;
@@ -23,11 +22,16 @@
 constexpr Duration kPatience = 3s;
 constexpr Duration kCallTime = 6s;
 
-std::string
-ServiceOf(std::size_t aNumber)
-{
-  return aNumber < kEngines ? "llm" : "shop";
-}
+// A starved process runs for the first time, and then stands for the second.
+constexpr Duration kRunTime = 15ms;
+constexpr Duration kStandTime = 45ms;
+// Time for which a table service that is restored is away, and until then the
+// operator and the servers have written again.
+constexpr Duration kAwayTime = 400ms;
+constexpr Duration kWriteAgainTime = 700ms;
+// Answers of a slow door are late by a share of the action's length, so that
+// some of them come after it.
+constexpr int kSlowShare = 3;
 
 LinkFault
 LinkFaultOf(ActionKind aKind)
@@ -48,22 +52,22 @@
 
 } // namespace
 
-SoakSite::SoakSite(Loop& aLoop,
-                   const std::string& aFolder,
-                   std::size_t aDaemons)
+SoakSite::SoakSite(Loop& aLoop, const std::string& aFolder, SoakShape aShape)
   : mLoop(aLoop)
   , mClient(aLoop)
   , mTable(aLoop)
   , mFolder(aFolder)
+  , mShape(std::move(aShape))
 {
-  mTableEndpoint = Listen(mTable);
-  for (int n = 0; n < kServers; ++n) {
-    AddServer(n);
+  for (std::size_t n = 0; n < mShape.mServices.size(); ++n) {
+    AddServer(static_cast<int>(n));
   }
-  mTable.Put(
-    "op", "config", standins::SmallSiteConfig(mConfigVersion, { mKey }));
-  for (std::size_t n = 0; n < aDaemons; ++n) {
-    AddDaemon(aFolder, n);
+  PutConfig(standins::SmallSiteConfig(mConfigVersion, { mKey }));
+  mTable.SetRewrite([this](const std::string& aKey, std::string aValue) {
+    return RewriteRow(aKey, std::move(aValue));
+  });
+  for (std::size_t n = 0; n < mShape.mDaemons; ++n) {
+    AddDaemon(n);
   }
 }
 
@@ -88,35 +92,68 @@
 }
 
 void
-SoakSite::AddDaemon(const std::string& aFolder, std::size_t aNumber)
+SoakSite::AddDaemon(std::size_t aNumber)
 {
   auto daemon = std::make_unique<SoakDaemon>();
   daemon->mName = "d" + std::to_string(aNumber);
-  daemon->mSettingsFile = aFolder + "/" + daemon->mName + ".ini";
+  daemon->mZone = "z" + std::to_string(aNumber % mShape.mZones);
+  daemon->mSettingsFile = mFolder + "/" + daemon->mName + ".ini";
+  daemon->mDoor = std::make_unique<standins::TableDoor>(mLoop, mTable);
   const auto next = [&] { return Endpoint{ "127.0.0.1", mPorts.Next() }; };
   daemon->mCallers = next();
   daemon->mReadiness = next();
+  const auto peers = next();
+  if (mShape.mHasPeerLinks) {
+    AddPeerLink(*daemon, peers);
+  }
   const auto link = next();
-  daemon->mTableLink = std::make_unique<FaultProxy>(link, mTableEndpoint);
+  daemon->mTableLink =
+    std::make_unique<FaultProxy>(link, Listen(*daemon->mDoor));
   std::ofstream(daemon->mSettingsFile)
-    << "[daemon]\nname = " << daemon->mName << "\nzone = z\n"
+    << "[daemon]\nname = " << daemon->mName << "\nzone = " << daemon->mZone
+    << "\n"
     << "[listen]\ncallers = " << ToText(daemon->mCallers)
     << "\nreadiness = " << ToText(daemon->mReadiness)
-    << "\npeers = " << ToText(next()) << "\nmetrics = " << ToText(next())
+    << "\npeers = " << ToText(peers) << "\nmetrics = " << ToText(next())
     << "\n[store]\naddress = " << ToText(link)
     << "\n[stop]\ntime = 5s\n[retries]\nslack = 100\n";
   StartProcess(*daemon);
   mDaemons.push_back(std::move(daemon));
 }
 
+// A daemon's row begins with its own address; others read that of the way to
+// it.
+std::string
+SoakSite::RewriteRow(const std::string& aKey, std::string aValue) const
+{
+  const auto length = aValue.find(' ');
+  const auto it = mPeerAddresses.find(aValue.substr(0, length));
+  if (aKey.starts_with("daemon/") && it != mPeerAddresses.end()) {
+    aValue.replace(0, length, it->second);
+  }
+  return aValue;
+}
+
+void
+SoakSite::AddPeerLink(SoakDaemon& aDaemon, const Endpoint& aPeers)
+{
+  const Endpoint way{ "127.0.0.1", mPorts.Next() };
+  mPeerAddresses[ToText(aPeers)] = ToText(way);
+  aDaemon.mPeerLink = std::make_unique<FaultProxy>(way, aPeers);
+  aDaemon.mPeerDatagrams =
+    std::make_unique<standins::DatagramRelay>(mLoop, aPeers);
+  REQUIRE(aDaemon.mPeerDatagrams->Start(way).has_value());
+}
+
 void
 SoakSite::StartProcess(SoakDaemon& aDaemon)
 {
   const auto log = mFolder + "/" + aDaemon.mName + "-" +
                    std::to_string(++aDaemon.mStarts) + ".log";
   aDaemon.mProcess.reset();
+  const char* program = std::getenv("BILBERRYTRAIL_SOAK_DAEMON");
   aDaemon.mProcess.emplace(
-    BuiltProgram("packages/daemon/bilberryd"),
+    program == nullptr ? BuiltProgram("packages/daemon/bilberryd") : program,
     std::vector<std::string>{ "--entry", "--settings", aDaemon.mSettingsFile },
     log);
 }
@@ -126,11 +163,12 @@
 {
   mStates[aNumber] = aState;
   mWrittenWeights[aNumber] = mServers[aNumber]->Weights();
-  mTable.Put(
-    "servers",
-    mServers[aNumber]->Id(),
-    ServerRow(
-      *mServers[aNumber], mEndpoints[aNumber], ServiceOf(aNumber), aState));
+  mTable.Put("servers",
+             mServers[aNumber]->Id(),
+             ServerRow(*mServers[aNumber],
+                       mEndpoints[aNumber],
+                       mShape.mServices[aNumber],
+                       aState));
 }
 
 void
@@ -178,14 +216,31 @@
   return runs;
 }
 
+std::optional<std::string>
+SoakSite::RanBy(const std::string& aId) const
+{
+  for (std::size_t n = 0; n < mServers.size(); ++n) {
+    if (mServers[n]->Runs().contains(aId)) {
+      return mShape.mServices[n];
+    }
+  }
+  return std::nullopt;
+}
+
 void
 SoakSite::ChangeKey()
 {
   mOldKeys.insert(mKey);
   ++mConfigVersion;
   mKey = "key-" + std::to_string(mConfigVersion);
-  mTable.Put(
-    "op", "config", standins::SmallSiteConfig(mConfigVersion, { mKey }));
+  PutConfig(standins::SmallSiteConfig(mConfigVersion, { mKey }));
+}
+
+void
+SoakSite::PutConfig(std::string aConfig)
+{
+  mConfig = std::move(aConfig);
+  mTable.Put("op", "config", mConfig);
 }
 
 // Kills, stops and pauses of one daemon do not overlap: a paused process that
@@ -212,6 +267,9 @@
     case ActionKind::Reload:
       process.Signal(SIGHUP);
       break;
+    case ActionKind::Starve:
+      Starve(process, aAction.mLength);
+      break;
     default: {
       process.Signal(SIGTERM);
       const auto end = MonotonicNow() + kStopTime;
@@ -226,6 +284,108 @@
   --aDaemon.mHeld;
 }
 
+void
+SoakSite::Starve(const Process& aProcess, Duration aLength)
+{
+  const auto end = MonotonicNow() + aLength;
+  while (MonotonicNow() < end && mLoop.Sleep(kRunTime)) {
+    aProcess.Signal(SIGSTOP);
+    (void)mLoop.Sleep(kStandTime);
+    aProcess.Signal(SIGCONT);
+  }
+}
+
+// Daemons that another action holds are left to it.
+void
+SoakSite::KillAll(Duration aLength)
+{
+  std::vector<SoakDaemon*> killed;
+  for (auto& it : mDaemons) {
+    if (it->mHeld == 0) {
+      ++it->mHeld;
+      it->mProcess->Signal(SIGKILL);
+      killed.push_back(it.get());
+    }
+  }
+  (void)mLoop.Sleep(aLength);
+  for (auto* it : killed) {
+    StartProcess(*it);
+    --it->mHeld;
+  }
+}
+
+void
+SoakSite::RestoreTable(Duration aLength)
+{
+  if (mIsRestoring) {
+    return;
+  }
+  mTable.TakeCopy();
+  (void)mLoop.Sleep(aLength);
+  mIsRestoring = true;
+  mTable.SetFault(RowTableFault::Busy);
+  ++mTableFaults;
+  (void)mLoop.Sleep(kAwayTime);
+  mTable.Restore();
+  if (--mTableFaults == 0) {
+    mTable.SetFault(RowTableFault::None);
+  }
+  (void)mLoop.Sleep(kWriteAgainTime);
+  PutConfig(mConfig);
+  mTable.Put("op",
+             "version/m",
+             Json{ { "model", "m" }, { "version", mWeights } }.dump());
+  for (std::size_t n = 0; n < mServers.size(); ++n) {
+    PutServer(n, mStates[n]);
+  }
+  mIsRestoring = false;
+}
+
+void
+SoakSite::DoToLink(const Action& aAction, SoakDaemon& aDaemon)
+{
+  if (aAction.mKind == ActionKind::LinkSilentOnce) {
+    aDaemon.mTableLink->SilenceOpen();
+    return;
+  }
+  aDaemon.mTableLink->SetFault(LinkFaultOf(aAction.mKind));
+  (void)mLoop.Sleep(aAction.mLength);
+  aDaemon.mTableLink->SetFault(LinkFault::None);
+}
+
+void
+SoakSite::DoToPeers(const Action& aAction, SoakDaemon& aDaemon)
+{
+  if (aDaemon.mPeerLink == nullptr) {
+    return;
+  }
+  if (aAction.mKind == ActionKind::PeersSilentOnce) {
+    aDaemon.mPeerLink->SilenceOpen();
+    return;
+  }
+  const bool isCut = aAction.mKind == ActionKind::PeersCut;
+  aDaemon.mPeerLink->SetFault(isCut ? LinkFault::Silent : LinkFault::Delayed);
+  aDaemon.mPeerDatagrams->SetCut(isCut);
+  (void)mLoop.Sleep(aAction.mLength);
+  aDaemon.mPeerLink->SetFault(LinkFault::None);
+  aDaemon.mPeerDatagrams->SetCut(false);
+}
+
+void
+SoakSite::DoToDoor(const Action& aAction, SoakDaemon& aDaemon)
+{
+  using standins::DoorFault;
+  const auto fault = aAction.mKind == ActionKind::DoorBusy   ? DoorFault::Busy
+                     : aAction.mKind == ActionKind::DoorMany ? DoorFault::Many
+                     : aAction.mKind == ActionKind::DoorSlow ? DoorFault::Slow
+                     : aAction.mKind == ActionKind::DoorCutsAnswers
+                       ? DoorFault::CutsAnswers
+                       : DoorFault::LosesAnswers;
+  aDaemon.mDoor->SetFault(fault, aAction.mLength / kSlowShare);
+  (void)mLoop.Sleep(aAction.mLength);
+  aDaemon.mDoor->SetFault(DoorFault::None);
+}
+
 void
 SoakSite::DoToTable(const Action& aAction)
 {
@@ -233,7 +393,12 @@
     mTable.DropHistory();
     return;
   }
-  mTable.SetFault(aAction.mKind == ActionKind::TableBusy ? RowTableFault::Busy
+  if (aAction.mKind == ActionKind::TableRestored) {
+    RestoreTable(aAction.mLength);
+    return;
+  }
+  mTable.SetFault(aAction.mKind == ActionKind::TableBusy   ? RowTableFault::Busy
+                  : aAction.mKind == ActionKind::TableMany ? RowTableFault::Many
                   : aAction.mKind == ActionKind::TableSilent
                     ? RowTableFault::Silent
                     : RowTableFault::LostAnswer);
@@ -277,20 +442,42 @@
     case ActionKind::Terminate:
     case ActionKind::Pause:
     case ActionKind::Reload:
+    case ActionKind::Starve:
       DoToDaemon(aAction, daemon);
       break;
+    case ActionKind::KillAll:
+      KillAll(aAction.mLength);
+      break;
     case ActionKind::LinkDelayed:
     case ActionKind::LinkReset:
     case ActionKind::LinkSilent:
     case ActionKind::LinkOneWay:
-      daemon.mTableLink->SetFault(LinkFaultOf(aAction.mKind));
-      (void)mLoop.Sleep(aAction.mLength);
-      daemon.mTableLink->SetFault(LinkFault::None);
+    case ActionKind::LinkSilentOnce:
+      DoToLink(aAction, daemon);
+      break;
+    case ActionKind::LinksSilentOnce:
+      for (auto& it : mDaemons) {
+        it->mTableLink->SilenceOpen();
+      }
+      break;
+    case ActionKind::DoorBusy:
+    case ActionKind::DoorMany:
+    case ActionKind::DoorSlow:
+    case ActionKind::DoorCutsAnswers:
+    case ActionKind::DoorLosesAnswers:
+      DoToDoor(aAction, daemon);
+      break;
+    case ActionKind::PeersCut:
+    case ActionKind::PeersDelayed:
+    case ActionKind::PeersSilentOnce:
+      DoToPeers(aAction, daemon);
       break;
     case ActionKind::TableBusy:
     case ActionKind::TableSilent:
     case ActionKind::TableLosesAnswers:
     case ActionKind::TableForgets:
+    case ActionKind::TableMany:
+    case ActionKind::TableRestored:
       DoToTable(aAction);
       break;
     case ActionKind::ServerFull:
@@ -307,6 +494,9 @@
                  "version/m",
                  Json{ { "model", "m" }, { "version", mWeights } }.dump());
       break;
+    case ActionKind::InvalidConfig:
+      mTable.Put("op", "config", R"({"version": "none"})");
+      break;
   }
 }
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,17 +1,13 @@
+#include "soak_seeds.h"
 #include "soak_site.h"
 
 #include <bilberrytrail/base/random.h>
 
 #include <doctest/doctest.h>
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
-#include <cstdlib>
-#include <filesystem>
 #include <map>
-#include <numeric>
 
 using namespace bilberrytrail;
 using namespace bilberrytrail::soak;
@@ -50,7 +46,7 @@
 public:
   Soak(std::uint64_t aSeed, const std::string& aFolder)
     : mSeed(aSeed)
-    , mSite(mLoop, aFolder, kDaemons)
+    , mSite(mLoop, aFolder, { .mDaemons = kDaemons })
   {
   }
 
@@ -276,28 +272,7 @@
 //
 // - 5, with streams that end short as complete, an edit: it cuts streams
 // - 126: a daemon did not start while its program was being linked anew
-constexpr std::array<std::uint64_t, 5> kSeeds{ 1, 2, 3, 5, 126 };
-
-std::uint64_t
-FromEnvironment(const char* aName)
-{
-  const char* text = std::getenv(aName);
-  return text == nullptr ? 0 : std::strtoull(text, nullptr, 10);
-}
-
-// Returns the seeds that the environment names, or those of each run.
-std::vector<std::uint64_t>
-SeedsToPlay()
-{
-  const auto first = FromEnvironment("BILBERRYTRAIL_SOAK_FIRST");
-  const auto count = FromEnvironment("BILBERRYTRAIL_SOAK_SEEDS");
-  if (count == 0) {
-    return { kSeeds.begin(), kSeeds.end() };
-  }
-  std::vector<std::uint64_t> seeds(count);
-  std::iota(seeds.begin(), seeds.end(), first);
-  return seeds;
-}
+const std::vector<std::uint64_t> kSeeds{ 1, 2, 3, 5, 126 };
 
 } // namespace
 
@@ -305,16 +280,9 @@
 // on; logs stay in the folder of a seed that failed.
 TEST_CASE("the promises hold while processes, links and the table service fail")
 {
-  for (const auto seed : SeedsToPlay()) {
+  for (const auto seed : SeedsToPlay(kSeeds)) {
     CAPTURE(seed);
-    const auto folder = std::filesystem::temp_directory_path() /
-                        ("bilberrytrail-soak-" + std::to_string(::getpid()) +
-                         "-" + std::to_string(seed));
-    std::filesystem::create_directories(folder);
-    if (Soak(seed, folder.string()).Run()) {
-      std::filesystem::remove_all(folder);
-    } else {
-      MESSAGE("logs of seed " << seed << " are in " << folder.string());
-    }
+    const SoakFolder folder("soak", seed);
+    folder.EndWith(Soak(seed, folder.Path()).Run());
   }
 }
