Deny nothing while the configuration's row can't be read

Callers got 401 and 404 for keys and routes that had been confirmed up to 4.8 s before, with evidence 50 ms old, at daemons that the table service had turned away with 429 meanwhile.

Cause: when they were let in again, the row of the configuration held an invalid version. The last readable one stayed in force, as it must, but counted as confirmed by the read, although two versions had been confirmed in between.

The view says now that the configuration's row can't be read. Unknown keys and routes are answered with 503 then; all that the last readable configuration allows is served.

With the check taken out, as before, request_flow_test has 4 and fleet_odd_rows_test 100 failed checks.

--- a/packages/entry/include/bilberrytrail/entry/site_view.h
+++ b/packages/entry/include/bilberrytrail/entry/site_view.h
@@ -18,6 +18,9 @@
   std::shared_ptr<const SiteConfig> mConfig;
   std::shared_ptr<const RouteTable> mRoutes;
   std::shared_ptr<const AccountKeys> mAccounts;
+  // Whether the row of the configuration can't be read, so that another one may
+  // have been confirmed since.
+  bool mIsConfigUnreadable = false;
   std::vector<ServerRecord> mServers;
   // Whether the servers' rows have been read; an empty list says nothing
   // before.
@@ -85,6 +88,8 @@
   SiteView mOperator;
   TableVersion mOperatorVersion;
   bool mHasReadOperator = false;
+  // Key of the row that holds the configuration, once it was read.
+  std::string mConfigKey;
   // By key.
   std::map<std::string, KnownServer> mServers;
   // Servers whose rows were removed, as leaving ones, in the order of removal.
--- a/packages/entry/src/request_flow.cpp
+++ b/packages/entry/src/request_flow.cpp
@@ -51,7 +51,7 @@
   const bool isKnown =
     mContext.mAwaitEvidence(mArrivedAtBoot - age, kEvidenceWait);
   TakeView();
-  return isKnown;
+  return isKnown && !mView->mIsConfigUnreadable;
 }
 
 void
--- a/packages/entry/src/site_view.cpp
+++ b/packages/entry/src/site_view.cpp
@@ -86,6 +86,7 @@
 {
   auto parsed = mReader.Read(SiteTable::Operator, aRow);
   if (auto* config = std::get_if<SiteConfig>(&parsed)) {
+    mConfigKey = aRow.mKey;
     ApplyConfig(std::move(*config));
   } else if (const auto* target = std::get_if<WeightTarget>(&parsed)) {
     if (mOperator.mWeights.AddVersion(
@@ -97,6 +98,9 @@
     mOperator.mEvacuated.insert(evacuation->mZone);
   } else if (const auto* error = std::get_if<Error>(&parsed)) {
     ReportUnreadable(SiteTable::Operator, aRow, *error);
+    if (aRow.mKey == mConfigKey) {
+      mOperator.mIsConfigUnreadable = true;
+    }
   }
 }
 
@@ -174,6 +178,7 @@
     // Weights found at the start may have been announced at any time before.
     const Instant at = mHasReadOperator ? aAbsentAt : Instant();
     mHasReadOperator = true;
+    mOperator.mIsConfigUnreadable = false;
     const auto before = std::exchange(mOperator.mEvacuated, {});
     for (const auto& row : aReplica.Rows(SiteTable::Operator)) {
       ReadOperatorRow(row, at);
--- a/packages/entry/tests/request_flow_fixture.cpp
+++ b/packages/entry/tests/request_flow_fixture.cpp
@@ -223,6 +223,7 @@
   view->mRoutes = std::make_shared<const RouteTable>(aConfig.mRoutes);
   view->mAccounts = std::make_shared<const AccountKeys>(aConfig.mAccounts);
   view->mServers = mServers;
+  view->mIsConfigUnreadable = mIsConfigUnreadable;
   return view;
 }
 
--- a/packages/entry/tests/request_flow_fixture.h
+++ b/packages/entry/tests/request_flow_fixture.h
@@ -182,6 +182,7 @@
   Duration mEvidenceTime{};
   std::optional<SiteConfig> mConfigWithEvidence;
   SiteEvidence mEvidence;
+  bool mIsConfigUnreadable = false;
   // The times for which evidence was asked for.
   std::vector<Instant> mNeededEvidence;
   CallerRequest mRequest;
--- a/packages/entry/tests/request_flow_test.cpp
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -45,21 +45,44 @@
     const char* mName;
     bool mHasView;
     bool mIsFresh;
+    bool mIsUnreadable;
     const char* mPath;
     const char* mKey;
     RefusalReason mReason;
   };
   using enum RefusalReason;
   for (const Row& row :
-       { Row{ "no view", false, true, "/x", "key", PlatformUnavailable },
-         Row{ "no route", true, true, "y", "key", NoRoute },
-         Row{ "no route, old", true, false, "y", "key", PlatformUnavailable },
-         Row{ "no key", true, true, "/x", "other", Unauthorized },
-         Row{ "no key, old", true, false, "/x", "", PlatformUnavailable } }) {
+       { Row{ "no view", false, true, false, "/x", "key", PlatformUnavailable },
+         Row{ "no route", true, true, false, "y", "key", NoRoute },
+         Row{ "no route, old",
+              true,
+              false,
+              false,
+              "y",
+              "key",
+              PlatformUnavailable },
+         Row{ "no key", true, true, false, "/x", "other", Unauthorized },
+         Row{
+           "no key, old", true, false, false, "/x", "", PlatformUnavailable },
+         Row{ "no route, configuration can't be read",
+              true,
+              true,
+              true,
+              "y",
+              "key",
+              PlatformUnavailable },
+         Row{ "no key, configuration can't be read",
+              true,
+              true,
+              true,
+              "/x",
+              "other",
+              PlatformUnavailable } }) {
     CAPTURE(row.mName);
     FlowFixture fixture;
     fixture.mHasView = row.mHasView;
     fixture.mIsFresh = row.mIsFresh;
+    fixture.mIsConfigUnreadable = row.mIsUnreadable;
     fixture.mRequest.mPassedOn.mTarget = row.mPath;
     fixture.mRequest.mKey = row.mKey;
     fixture.Run();
--- a/standins/tests/fleet_odd_rows_test.cpp
+++ b/standins/tests/fleet_odd_rows_test.cpp
@@ -60,3 +60,27 @@
     }
   });
 }
+
+// Guards against "no such key" for one that was confirmed while the daemon was
+// turned away, and before the row of the configuration became unreadable.
+TEST_CASE("unknown keys are not denied while the configuration can't be read")
+{
+  FleetSite site;
+  site.Run(1, [&] {
+    CHECK(site.Status(0, "a", "/read/1", "later") == 401);
+    site.PutConfig(2, "later");
+    site.mTable.Put("op", "config", R"({"version": "none"})");
+    (void)site.mLoop.Sleep(200ms);
+    for (int n = 0; n < 50; ++n) {
+      const auto id = "b" + std::to_string(n);
+      CHECK(site.Status(0, id, "/read/1", "later") == 503);
+      CHECK(site.Status(0, id + "x", "/nowhere/1") == 503);
+      CHECK(site.Status(0, id + "y", "/read/1") == 200);
+    }
+    site.PutConfig(3, "later");
+    CHECK(site.Await(
+      [&] { return site.Status(0, "c", "/read/1", "later") == 200; }));
+    CHECK(site.Status(0, "d", "/read/1", "key") == 401);
+    CHECK(site.Status(0, "e", "/nowhere/1", "later") == 404);
+  });
+}
