--- a/packages/entry/include/bilberrytrail/entry/site_replica.h
+++ b/packages/entry/include/bilberrytrail/entry/site_replica.h
@@ -85,6 +85,7 @@
               const std::string& aKey,
               TableVersion aVersion,
               Instant aNow);
+  // Takes note of rows that were read, whether or not they change anything.
   void NoteNewestRow(SiteTable aTable, const std::vector<SiteRow>& aRows);
   // Applies changes whatever their era.
   bool Apply(SiteTable aTable, const SiteRows& aChanges, Instant aNow);
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -37,9 +37,6 @@
 constexpr double kTrafficBytesPerMb = 0.25 * 1e6;
 constexpr double kControlBytesPerMb = 0.125 * 1e6;
 constexpr double kBulkBytesPerMb = 0.125 * 1e6;
-// Evidence about a table that is older without a failed call is late: longer
-// than the longest wait for changes, and the check behind it.
-constexpr Duration kLateEvidence = 4200ms;
 // Share of the time within which a configuration must be in force that a row
 // which other daemons have may take to come.
 constexpr double kRowPatienceShare = 0.25;
@@ -302,23 +299,6 @@
   return Ok();
 }
 
-bool
-EntryDaemon::Impl::IsLate() const
-{
-  return std::ranges::any_of(AllOf<SiteTable>(), [this](SiteTable aTable) {
-    return !mViews.HasOutage(aTable) &&
-           BootNow() - mViews.CompleteAt(aTable) > kLateEvidence;
-  });
-}
-
-bool
-EntryDaemon::Impl::IsReady() const
-{
-  const auto view = mViews.Load();
-  return !mIsDraining && view != nullptr && view->mConfig != nullptr &&
-         view->mHasReadServers && !IsLate();
-}
-
 // Forwards the view, the number of daemons, the placement map and the limits to
 // the traffic thread, and logs changes of readiness.
 void
--- a/packages/entry/src/entry_daemon_serve.cpp
+++ b/packages/entry/src/entry_daemon_serve.cpp
@@ -3,11 +3,16 @@
 
 #include <bilberrytrail/base/metrics_text.h>
 
+#include <algorithm>
+
 namespace bilberrytrail {
 
 namespace {
 
 constexpr const char* kMetricsPath = "/metrics";
+// Evidence about a table that is older without a failed call is late: longer
+// than the longest wait for changes, and the check behind it.
+constexpr Duration kLateEvidence = 4200ms;
 
 // Returns the response to another daemon's query.
 HttpResponse
@@ -22,6 +27,23 @@
 
 } // namespace
 
+bool
+EntryDaemon::Impl::IsLate() const
+{
+  return std::ranges::any_of(AllOf<SiteTable>(), [this](SiteTable aTable) {
+    return !mViews.HasOutage(aTable) &&
+           BootNow() - mViews.CompleteAt(aTable) > kLateEvidence;
+  });
+}
+
+bool
+EntryDaemon::Impl::IsReady() const
+{
+  const auto view = mViews.Load();
+  return !mIsDraining && view != nullptr && view->mConfig != nullptr &&
+         view->mHasReadServers && !IsLate();
+}
+
 HttpResponse
 EntryDaemon::Impl::ServeReadiness(const HttpRequest& aRequest) const
 {
--- a/packages/entry/src/placement_service.h
+++ b/packages/entry/src/placement_service.h
@@ -112,6 +112,7 @@
   void Receive();
   void OnMessage(const Datagram& aDatagram);
   void OnReply(const Datagram& aDatagram);
+  // Reports the rows of another daemon that are newer than this one's.
   void CompareRows(const TableVersions& aVersions);
 
   Loop& mLoop;
--- a/packages/entry/src/site_state.cpp
+++ b/packages/entry/src/site_state.cpp
@@ -228,6 +228,7 @@
 {
   const auto tableMs = mReplica.TableMs(SiteTable::Operator);
   const auto late = tableMs ? mClock.Since(*tableMs, BootNow()) : std::nullopt;
+  const auto evidence = KnownLag(SiteTable::Operator);
   if (late) {
     mMetrics.OnConfig(aSource.mWay, *late);
   }
@@ -239,7 +240,8 @@
             { "way", aSource.mWay },
             { "daemon", aSource.mDaemon },
             { "late", late ? std::to_string(ToMillis(*late)) : "unknown" },
-            { "evidence", Lag(SiteTable::Operator) } });
+            evidence ? LogField("evidence", *evidence)
+                     : LogField("evidence", "none") });
 }
 
 void
--- a/packages/entry/tests/request_flow_test.cpp
+++ b/packages/entry/tests/request_flow_test.cpp
@@ -40,49 +40,36 @@
 
 TEST_CASE("unknown routes and keys get Retry-After unless the view is fresh")
 {
+  enum class View : unsigned char
+  {
+    None,
+    Fresh,
+    Old,
+    // The row of the configuration can't be read.
+    Unreadable
+  };
   struct Row
   {
-    const char* mName;
-    bool mHasView;
-    bool mIsFresh;
-    bool mIsUnreadable;
+    View mView;
     const char* mPath;
     const char* mKey;
     RefusalReason mReason;
   };
   using enum RefusalReason;
   for (const Row& row :
-       { Row{ "no view", false, true, false, "/x", "key", PlatformUnavailable },
-         Row{ "no route", true, true, false, "y", "key", NoRoute },
-         Row{ "no route, old",
-              true,
-              false,
-              false,
-              "y",
-              "key",
-              PlatformUnavailable },
-         Row{ "no key", true, true, false, "/x", "other", Unauthorized },
-         Row{
-           "no key, old", true, false, false, "/x", "", PlatformUnavailable },
-         Row{ "no route, configuration can't be read",
-              true,
-              true,
-              true,
-              "y",
-              "key",
-              PlatformUnavailable },
-         Row{ "no key, configuration can't be read",
-              true,
-              true,
-              true,
-              "/x",
-              "other",
-              PlatformUnavailable } }) {
-    CAPTURE(row.mName);
+       { Row{ View::None, "/x", "key", PlatformUnavailable },
+         Row{ View::Fresh, "y", "key", NoRoute },
+         Row{ View::Old, "y", "key", PlatformUnavailable },
+         Row{ View::Unreadable, "y", "", PlatformUnavailable },
+         Row{ View::Fresh, "/x", "other", Unauthorized },
+         Row{ View::Old, "/x", "", PlatformUnavailable },
+         Row{ View::Unreadable, "/x", "", PlatformUnavailable } }) {
+    CAPTURE(static_cast<int>(row.mView));
+    CAPTURE(std::string(row.mPath));
     FlowFixture fixture;
-    fixture.mHasView = row.mHasView;
-    fixture.mIsFresh = row.mIsFresh;
-    fixture.mIsConfigUnreadable = row.mIsUnreadable;
+    fixture.mHasView = row.mView != View::None;
+    fixture.mIsFresh = row.mView != View::Old;
+    fixture.mIsConfigUnreadable = row.mView == View::Unreadable;
     fixture.mRequest.mPassedOn.mTarget = row.mPath;
     fixture.mRequest.mKey = row.mKey;
     fixture.Run();
--- a/tests/soak/config_history.cpp
+++ b/tests/soak/config_history.cpp
@@ -125,23 +125,11 @@
 }
 
 std::size_t
-ConfigHistory::NewestAcknowledged(Instant aAt) const
+ConfigHistory::NewestAt(Instant ConfigVersion::*aTime, Instant aAt) const
 {
   std::size_t newest = 0;
   for (std::size_t n = 0; n < mVersions.size(); ++n) {
-    if (mVersions[n].mAcknowledgedAt <= aAt) {
-      newest = n;
-    }
-  }
-  return newest;
-}
-
-std::size_t
-ConfigHistory::NewestSent(Instant aAt) const
-{
-  std::size_t newest = 0;
-  for (std::size_t n = 0; n < mVersions.size(); ++n) {
-    if (mVersions[n].mSentAt <= aAt) {
+    if (mVersions[n].*aTime <= aAt) {
       newest = n;
     }
   }
--- a/tests/soak/config_history.h
+++ b/tests/soak/config_history.h
@@ -86,9 +86,15 @@
 
   // Returns the newest version that was acknowledged at a time; the first one
   // before all of them.
-  [[nodiscard]] std::size_t NewestAcknowledged(Instant aAt) const;
+  [[nodiscard]] std::size_t NewestAcknowledged(Instant aAt) const
+  {
+    return NewestAt(&ConfigVersion::mAcknowledgedAt, aAt);
+  }
   // Returns the newest version that was sent at a time.
-  [[nodiscard]] std::size_t NewestSent(Instant aAt) const;
+  [[nodiscard]] std::size_t NewestSent(Instant aAt) const
+  {
+    return NewestAt(&ConfigVersion::mSentAt, aAt);
+  }
   // Returns whether a version allows to handle a request in this way.
   [[nodiscard]] bool Allows(std::size_t aVersion,
                             const ConfigRequest& aRequest,
@@ -100,6 +106,9 @@
                                const Handling& aHandling) const;
 
 private:
+  [[nodiscard]] std::size_t NewestAt(Instant ConfigVersion::*aTime,
+                                     Instant aAt) const;
+
   std::vector<ConfigVersion> mVersions{ ConfigVersion{ 1, {}, {}, {} } };
 };
 
--- a/tests/soak/config_play.h
+++ b/tests/soak/config_play.h
@@ -9,6 +9,11 @@
 
 namespace bilberrytrail::soak {
 
+// The platform's bounds: a configuration is in force within the first time at a
+// daemon that was undisturbed for the second one.
+inline constexpr Duration kInForceWithin = 2s;
+inline constexpr Duration kStableTime = 3s;
+
 // A span of time in which something disturbed a daemon, or all of them.
 struct Disturbance
 {
@@ -72,6 +77,7 @@
   [[nodiscard]] bool IsInTouch(std::size_t aDaemon,
                                Instant aFrom,
                                Instant aTo) const;
+  [[nodiscard]] bool IsLate(const ConfigExchange& aExchange) const;
   void NoteLateness();
   void JudgeLate();
   void JudgeRefusals();
