--- a/packages/entry/src/table_follower.cpp
+++ b/packages/entry/src/table_follower.cpp
@@ -245,6 +245,7 @@
       Check(aTable);
       ++reads;
     }
+    // Rows that others told of meanwhile get the same time to come.
     row = *awaited;
   }
   awaited.reset();
--- a/tests/soak/config_judge.cpp
+++ b/tests/soak/config_judge.cpp
@@ -24,8 +24,8 @@
 
 } // namespace
 
-// Returns whether a request is handled as only versions allow that were
-// replaced when it was sent, and long enough before that.
+// Returns whether a request is handled as only versions allow that had been
+// replaced for longer than the bound when it was sent.
 bool
 ConfigPlay::IsLate(const ConfigExchange& aExchange) const
 {
--- a/tests/soak/config_soak_test.cpp
+++ b/tests/soak/config_soak_test.cpp
@@ -13,6 +13,13 @@
 // Faults of one play that are printed; the others are counted.
 constexpr std::size_t kMostPrinted = 4;
 
+// Seeds of each run of all tests: one with a relay, one without, and those that
+// were red once:
+//
+// - 25: keys that were added while daemons were turned away are denied, since
+//   they then find an invalid version
+const std::vector<std::uint64_t> kSeeds{ 1, 2, 25 };
+
 } // namespace
 
 // Guards against requests that are refused or run as an old configuration says,
@@ -22,7 +29,7 @@
 // of them; each third seed has one kind of disturbance only, in series.
 TEST_CASE("configurations in series are in force in time under disturbances")
 {
-  for (const auto seed : SeedsToPlay({ 1, 2, 3 })) {
+  for (const auto seed : SeedsToPlay(kSeeds)) {
     ConfigPlayShape shape;
     shape.mZones = seed % 2 == 0 ? 3 : 1;
     if (seed % 3 == 0) {
